Serve requests from end to end as separate processes

What stands: one binary with serve, check, publish, amend, show, status and drain; the decision logic as a step function without I/O, threads, clock or randomness; log, target and peer clients; stand-ins of the engine, the plain service and the platform.

--- /dev/null
+++ b/lib/core/invariant.h
@@ -0,0 +1,60 @@
+/**
+ * @file invariant.h
+ * @brief Promises asserted inside the program.
+ *
+ * A broken invariant is always counted. In test builds (SKY_INVARIANT_ABORT)
+ * the process stops as well, so that no run passes over one.
+ */
+#ifndef SKY_CORE_INVARIANT_H
+#define SKY_CORE_INVARIANT_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** X(symbol, name in /metrics) */
+#define SKY_INVARIANT_TABLE(X)                                                \
+    X(SKY_INV_ADAPTER, "right_adapter_and_version")                           \
+    X(SKY_INV_EVICTION, "no_eviction_in_use")                                 \
+    X(SKY_INV_ANSWER_ID, "answer_id_matches")                                 \
+    X(SKY_INV_NOT_RUN, "no_dispatch_after_not_run")                           \
+    X(SKY_INV_CLAIM, "one_dispatch_per_key")                                  \
+    X(SKY_INV_LEAVING, "no_dispatch_to_leaving")                              \
+    X(SKY_INV_SHUTDOWN, "no_request_cut_by_shutdown")                         \
+    X(SKY_INV_REVISION, "revision_never_reverts")                             \
+    X(SKY_INV_LEASE, "no_order_without_lease")                                \
+    X(SKY_INV_TRANSIT, "transit_within_allowance")
+
+typedef enum {
+#define X(symbol, name) symbol,
+    SKY_INVARIANT_TABLE(X)
+#undef X
+    SKY_INV_COUNT
+} sky_invariant_t;
+
+/** Counts a breach and, in test builds, stops the process. */
+void
+SkyInvariant_Breach(sky_invariant_t id, const char *file, int line);
+
+/** @return breaches counted since start. */
+uint64_t
+SkyInvariant_Count(sky_invariant_t id);
+
+/** @return the name used in /metrics and docs/PROOFS.md. */
+const char *
+SkyInvariant_Name(sky_invariant_t id);
+
+/** Asserts that @p condition holds; evaluated exactly once. */
+#define SKY_INVARIANT(id, condition)                                          \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            SkyInvariant_Breach((id), __FILE__, __LINE__);                    \
+        }                                                                     \
+    } while (0)
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/lib/decide/node.h
@@ -0,0 +1,82 @@
+/**
+ * @file node.h
+ * @brief The whole decision logic of one host, as a step function.
+ *
+ * SkyNode_Step() takes one input with the time and appends the actions that
+ * follow from it. The serving program, the tests and the benches drive the
+ * same code; the node owns no thread, socket, clock or source of randomness.
+ */
+#ifndef SKY_DECIDE_NODE_H
+#define SKY_DECIDE_NODE_H
+
+#include "decide/claims.h"
+#include "decide/config.h"
+#include "decide/entry.h"
+#include "decide/members.h"
+#include "decide/shard.h"
+#include "decide/types.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct {
+    sky_members_options_t members;
+    sky_shard_options_t shard;
+    sky_entry_options_t entry;
+    sky_claims_options_t claims;
+    uint64_t log_poll_us;             /**< time between reads of the tail */
+    uint32_t shard_targets;           /**< targets of one shard */
+    const sky_target_info_t *targets; /**< outlive the node */
+    uint32_t target_count;
+} sky_node_options_t;
+
+typedef struct sky_node sky_node_t;
+
+/** Fills in the defaults of everything but the targets and the host. */
+void
+SkyNode_Defaults(sky_node_options_t *options);
+
+sky_node_t *
+SkyNode_Create(const sky_node_options_t *options);
+void
+SkyNode_Free(sky_node_t *node);
+
+/**
+ * Takes one input.
+ * @param now_us monotonic time of this host; never goes back.
+ * @param wall_ms Unix time in milliseconds, for openings only.
+ * @param out receives the actions, in the order to perform them in.
+ */
+void
+SkyNode_Step(sky_node_t *node, const sky_input_t *input, uint64_t now_us,
+             uint64_t wall_ms, sky_actions_t *out);
+
+/** @return true if the host may take requests. */
+bool
+SkyNode_IsReady(const sky_node_t *node);
+/** @return true if a drained host has nothing left to do. */
+bool
+SkyNode_IsIdle(const sky_node_t *node);
+/** @return true if the log has dropped records that were not read: the host
+ *          cannot go on and has to start anew. */
+bool
+SkyNode_IsLost(const sky_node_t *node);
+
+const sky_members_t *
+SkyNode_Members(const sky_node_t *node);
+const sky_config_t *
+SkyNode_Config(const sky_node_t *node);
+const sky_claims_t *
+SkyNode_Claims(const sky_node_t *node);
+const sky_entry_t *
+SkyNode_Entry(const sky_node_t *node);
+const sky_shard_t *
+SkyNode_Shard(const sky_node_t *node, uint32_t index);
+uint32_t
+SkyNode_ShardCount(const sky_node_t *node);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/lib/platform/http.c
@@ -0,0 +1,115 @@
+#include "platform/http.h"
+
+#include <ne_request.h>
+#include <ne_session.h>
+#include <ne_socket.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/types.h"
+
+#define MS_PER_S 1000
+#define PORT_MAX 65535
+
+sky_result_t
+SkyHttp_Init(void)
+{
+    return ne_sock_init() == 0 ? SKY_OK : SKY_E_IO;
+}
+
+sky_result_t
+SkyHttp_SplitAddress(const char *text, char *host, size_t host_size,
+                     uint16_t *port)
+{
+    const char *colon = strrchr(text, ':');
+    char *end = NULL;
+    if (colon == NULL || (size_t)(colon - text) >= host_size) {
+        return SKY_E_SETTINGS;
+    }
+    unsigned long number = strtoul(colon + 1, &end, 10);
+    if (end == colon + 1 || *end != '\0' || number > PORT_MAX) {
+        return SKY_E_SETTINGS;
+    }
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = '\0';
+    *port = (uint16_t)number;
+    return SKY_OK;
+}
+
+static int
+seconds_up(uint32_t timeout_ms)
+{
+    return (int)((timeout_ms + MS_PER_S - 1) / MS_PER_S);
+}
+
+static sky_result_t
+read_body(ne_request *request, sky_http_answer_t *answer)
+{
+    char block[8192];
+    FILE *stream = open_memstream(&answer->body, &answer->size);
+    ssize_t count;
+    size_t total = 0;
+    if (stream == NULL) {
+        return SKY_E_MEMORY;
+    }
+    while ((count = ne_read_response_block(request, block, sizeof block)) >
+           0) {
+        total += (size_t)count;
+        if (total > SKY_HTTP_ANSWER_MAX) {
+            count = -1;
+            break;
+        }
+        fwrite(block, 1, (size_t)count, stream);
+    }
+    fclose(stream);
+    return count == 0 ? SKY_OK : SKY_E_IO;
+}
+
+static sky_http_end_t
+run(ne_request *request, sky_http_answer_t *answer)
+{
+    int result = ne_begin_request(request);
+    if (result == NE_CONNECT || result == NE_LOOKUP) {
+        return SKY_HTTP_NOT_SENT;
+    }
+    if (result != NE_OK) {
+        return SKY_HTTP_UNKNOWN;
+    }
+    answer->status = (uint32_t)ne_get_status(request)->code;
+    if (SkyResult_IsError(read_body(request, answer)) ||
+        ne_end_request(request) != NE_OK) {
+        free(answer->body);
+        answer->body = NULL;
+        return SKY_HTTP_UNKNOWN;
+    }
+    return SKY_HTTP_ANSWERED;
+}
+
+sky_http_end_t
+SkyHttp_Call(const sky_http_call_t *call, sky_http_answer_t *answer)
+{
+    char host[SKY_ADDRESS_BYTES];
+    uint16_t port;
+    memset(answer, 0, sizeof *answer);
+    if (SkyResult_IsError(
+            SkyHttp_SplitAddress(call->address, host, sizeof host, &port))) {
+        return SKY_HTTP_NOT_SENT;
+    }
+    ne_session *session = ne_session_create("http", host, port);
+    ne_set_connect_timeout(session, seconds_up(call->connect_timeout_ms));
+    ne_set_read_timeout(session, seconds_up(call->read_timeout_ms));
+    ne_set_session_flag(session, NE_SESSFLAG_PERSIST, 0);
+    ne_request *request = ne_request_create(session, call->method, call->path);
+    if (call->body != NULL) {
+        ne_add_request_header(request, "Content-Type", "application/json");
+        ne_set_request_body_buffer(request, call->body, strlen(call->body));
+    }
+    if (call->header_name != NULL) {
+        ne_add_request_header(request, call->header_name, call->header_value);
+    }
+    sky_http_end_t end = run(request, answer);
+    ne_request_destroy(request);
+    ne_session_destroy(session);
+    return end;
+}
--- /dev/null
+++ b/scripts/deps.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Installs what is missing to build and test, from Debian's registry.
+set -eu
+packages="gcc g++ make pkg-config liburcu-dev libtirpc-dev libmicrohttpd-dev
+libneon27-gnutls-dev libtomlplusplus-dev libjansson-dev libxxhash-dev
+libsodium-dev uthash-dev libgtest-dev curl"
+[ "${1:-}" = ci ] && packages="$packages clang clang-format clang-tidy cppcheck
+libclang-rt-14-dev doxygen"
+missing=""
+for package in $packages; do
+    dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
+        grep -q 'ok installed' || missing="$missing $package"
+done
+[ -z "$missing" ] && exit 0
+echo "installing:$missing"
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $missing >/dev/null
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Formatter and linters; any finding is an error.
+set -eu
+files=$(git ls-files '*.c' '*.h' '*.cpp' '*.cc' | grep -v '/gen/')
+clang-format --dry-run -Werror $files
+flags="-Ilib -I. -Itests/fakes -D_GNU_SOURCE $(pkg-config --cflags neon jansson libsodium libtirpc)"
+git ls-files '*.c' | grep -v '/gen/' | xargs -P 8 -n 4 \
+    sh -c 'clang-tidy --quiet --warnings-as-errors="*" "$@" -- -std=gnu11 '"$flags"' 2>/dev/null' lint
+cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,portability \
+    --inline-suppr --suppress=missingIncludeSystem -j 8 -Ilib -I. \
+    $(git ls-files 'lib/*.c' 'programs/*.c' 'bench/*.c' | grep -v '/gen/')
+echo "lint: clean"
