Drive the decision logic on a virtual clock under random faults

Cause: the promises are to be proved by long seeded runs. One driver with small fakes of log, store and targets, a fault plan drawn from the seed.

--- /dev/null
+++ b/bench/driver.c
@@ -0,0 +1,986 @@
+#include "bench/driver.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench/driver_state.h"
+
+#define FIRST_US UINT64_C(1000000)
+#define WALL_MS UINT64_C(1800000000000)
+#define READ_PAGE 500
+#define HOSTS_EVERY_US UINT64_C(1000000)
+#define ANSWER_SLACK_US UINT64_C(1500000)
+#define ATTEMPT_MASK UINT64_C(15)
+
+void
+Driver_Defaults(driver_options_t *options)
+{
+    memset(options, 0, sizeof *options);
+    options->domains = 3;
+    options->near_us = 200;
+    options->far_us = 1500;
+    options->log_us = 2000;
+    options->retention_us = UINT64_C(3600000000);
+    options->store_loads_per_s = 3.0;
+    options->store_lanes = 2;
+    options->transit_max = 16;
+    options->transit_us = 250000;
+    options->report_lag_us = 500000;
+    options->prefill_us = 60000;
+    options->token_us = 20000;
+    options->crowding = 0.5;
+    options->idle_close_us = 900000;
+    options->restart_us = 3000000;
+    options->tick_us = 50000;
+    SkyNode_Defaults(&options->node);
+}
+
+/* ---- event queue ----------------------------------------------------------
+ */
+
+static bool
+is_before(const event_t *a, const event_t *b)
+{
+    if (a->at_us != b->at_us) {
+        return a->at_us < b->at_us;
+    }
+    return a->sequence < b->sequence;
+}
+
+static void
+swap(event_t **a, event_t **b)
+{
+    event_t *kept = *a;
+    *a = *b;
+    *b = kept;
+}
+
+static void
+insert(driver_t *driver, event_t *event)
+{
+    if (driver->heap_count == driver->heap_capacity) {
+        driver->heap_capacity = 2 * driver->heap_capacity + 1024;
+        driver->heap = realloc(driver->heap,
+                               driver->heap_capacity * sizeof *driver->heap);
+        if (driver->heap == NULL) {
+            abort();
+        }
+    }
+    size_t at = driver->heap_count++;
+    driver->heap[at] = event;
+    while (at > 0 && is_before(driver->heap[at], driver->heap[(at - 1) / 2])) {
+        swap(&driver->heap[at], &driver->heap[(at - 1) / 2]);
+        at = (at - 1) / 2;
+    }
+}
+
+static event_t *
+take_first(driver_t *driver)
+{
+    event_t *first = driver->heap[0];
+    size_t at = 0;
+    driver->heap[0] = driver->heap[--driver->heap_count];
+    for (;;) {
+        size_t least = at;
+        for (size_t child = 2 * at + 1;
+             child <= 2 * at + 2 && child < driver->heap_count; child++) {
+            if (is_before(driver->heap[child], driver->heap[least])) {
+                least = child;
+            }
+        }
+        if (least == at) {
+            return first;
+        }
+        swap(&driver->heap[at], &driver->heap[least]);
+        at = least;
+    }
+}
+
+event_t *
+DriverState_Push(driver_t *driver, event_kind_t kind, uint64_t at_us)
+{
+    event_t *event = calloc(1, sizeof *event);
+    if (event == NULL) {
+        abort();
+    }
+    event->kind = kind;
+    event->at_us = at_us;
+    event->sequence = ++driver->sequence;
+    insert(driver, event);
+    return event;
+}
+
+sky_input_t *
+DriverState_Input(driver_t *driver, uint32_t host, uint32_t generation,
+                  sky_input_kind_t kind, uint64_t at_us)
+{
+    sky_input_t *input = calloc(1, sizeof *input);
+    event_t *event = DriverState_Push(driver, EVENT_INPUT, at_us);
+    if (input == NULL) {
+        abort();
+    }
+    input->kind = kind;
+    event->host = host;
+    event->generation = generation;
+    event->input = input;
+    return input;
+}
+
+/* ---- randomness -----------------------------------------------------------
+ */
+
+uint32_t
+Driver_Random(driver_t *driver, uint32_t below)
+{
+    return below ? (uint32_t)nrand48(driver->random) % below : 0;
+}
+
+double
+Driver_Uniform(driver_t *driver)
+{
+    return erand48(driver->random);
+}
+
+uint64_t
+DriverState_Jitter(driver_t *driver, uint64_t base_us)
+{
+    return base_us + (uint64_t)(Driver_Uniform(driver) * (double)base_us / 4);
+}
+
+/* ---- hosts ----------------------------------------------------------------
+ */
+
+static uint32_t
+domain_of(const driver_t *driver, uint32_t host)
+{
+    return host % driver->options.domains;
+}
+
+static uint64_t
+distance_us(driver_t *driver, uint32_t from, uint32_t to)
+{
+    bool near = domain_of(driver, from) == domain_of(driver, to);
+    return DriverState_Jitter(driver, near ? driver->options.near_us
+                                           : driver->options.far_us);
+}
+
+static uint64_t
+host_clock(const driver_t *driver, uint32_t host)
+{
+    return driver->now_us + driver->hosts[host].clock_us;
+}
+
+static uint32_t
+find_host(const driver_t *driver, sky_host_id_t id)
+{
+    for (uint32_t i = 0; i < driver->options.hosts; i++) {
+        const host_t *host = &driver->hosts[i];
+        if (host->alive &&
+            SkyMembers_Self(SkyNode_Members(host->node)) == id) {
+            return i;
+        }
+    }
+    return DRIVER_HOSTS_MAX;
+}
+
+void
+Driver_Start(driver_t *driver, uint32_t index)
+{
+    host_t *host = &driver->hosts[index];
+    sky_node_options_t options = driver->options.node;
+    if (host->alive) {
+        return;
+    }
+    snprintf(options.members.name, sizeof options.members.name, "host%u",
+             index);
+    options.members.domain = domain_of(driver, index);
+    options.members.seed =
+        driver->options.seed * 1000003 + host->generation * 997 + index;
+    options.members.retention_us = driver->options.retention_us;
+    host->node = SkyNode_Create(&options);
+    host->alive = true;
+    host->drained = false;
+    host->leaving = false;
+    host->generation++;
+    host->revision = 0;
+    host->paused_until_us = 0;
+    host->clock_us = (uint64_t)Driver_Random(driver, 1000000) * 100;
+    event_t *tick = DriverState_Push(
+        driver, EVENT_TICK, driver->now_us + Driver_Random(driver, 20000));
+    tick->host = index;
+    tick->generation = host->generation;
+}
+
+void
+Driver_Kill(driver_t *driver, uint32_t index)
+{
+    host_t *host = &driver->hosts[index];
+    if (!host->alive) {
+        return;
+    }
+    SkyNode_Free(host->node);
+    host->node = NULL;
+    host->alive = false;
+    for (uint32_t i = 0; i < driver->result_count; i++) {
+        driver_result_t *result = &driver->results[i];
+        if (result->host == index && !result->answered) {
+            result->lost = true;
+            result->answered = true;
+            result->finished_us = driver->now_us;
+        }
+    }
+}
+
+/* ---- log ------------------------------------------------------------------
+ */
+
+static void
+trim_log(driver_t *driver)
+{
+    while (driver->log_oldest <= driver->log_count &&
+           driver->log[driver->log_oldest].at_us +
+                   driver->options.retention_us <
+               driver->now_us) {
+        SkyRecord_Free(&driver->log[driver->log_oldest].record);
+        driver->log_oldest++;
+    }
+}
+
+static void
+append_to_log(driver_t *driver, sky_record_t *record)
+{
+    if (driver->log_count + 2 > driver->log_capacity) {
+        driver->log_capacity = 2 * driver->log_capacity + 1024;
+        driver->log =
+            realloc(driver->log, driver->log_capacity * sizeof *driver->log);
+        if (driver->log == NULL) {
+            abort();
+        }
+    }
+    log_entry_t *entry = &driver->log[++driver->log_count];
+    entry->at_us = driver->now_us;
+    entry->record = *record;
+    entry->record.offset = driver->log_count;
+    driver->stats.appends++;
+}
+
+static void
+take_append(driver_t *driver, event_t *event)
+{
+    host_t *host = &driver->hosts[event->host];
+    uint64_t nonce = event->record->nonce;
+    bool refused = driver->log_down || host->log_cut;
+    bool lost = Driver_Uniform(driver) < driver->lose_share;
+    if (refused) {
+        SkyRecord_Free(event->record);
+    }
+    else {
+        append_to_log(driver, event->record);
+    }
+    free(event->record);
+    sky_input_t *input = DriverState_Input(
+        driver, event->host, event->generation, SKY_IN_APPENDED,
+        driver->now_us + DriverState_Jitter(driver, driver->options.log_us));
+    input->u.appended.nonce = nonce;
+    input->u.appended.known = !refused && !lost;
+    input->u.appended.offset = driver->log_count;
+}
+
+/** @return first offset that a read does not show yet. */
+static uint64_t
+visible_end(const driver_t *driver)
+{
+    uint64_t end = driver->log_count + 1;
+    while (end > driver->log_oldest && driver->options.log_lag_us > 0 &&
+           driver->log[end - 1].at_us + driver->options.log_lag_us >
+               driver->now_us) {
+        end--;
+    }
+    return end;
+}
+
+static void
+take_read(driver_t *driver, const event_t *event)
+{
+    const host_t *host = &driver->hosts[event->host];
+    sky_input_t *input = DriverState_Input(
+        driver, event->host, event->generation, SKY_IN_LOG_READ,
+        driver->now_us + DriverState_Jitter(driver, driver->options.log_us));
+    sky_in_log_read_t *read = &input->u.log_read;
+    read->begun_us = event->begun_us;
+    read->ok = !driver->log_down && !host->log_cut;
+    if (!read->ok) {
+        return;
+    }
+    trim_log(driver);
+    uint64_t end = visible_end(driver);
+    uint64_t at =
+        event->from > driver->log_oldest ? event->from : driver->log_oldest;
+    read->oldest = driver->log_oldest;
+    read->records = calloc(READ_PAGE, sizeof *read->records);
+    for (; at < end && read->count < READ_PAGE; at++) {
+        sky_record_t *record = &read->records[read->count++];
+        SkyRecord_Copy(record, &driver->log[at].record);
+        record->age_ms = (driver->now_us - driver->log[at].at_us) / 1000;
+    }
+    read->next = at;
+    read->reached_tail = at >= end;
+    driver->stats.log_reads++;
+    driver->stats.log_records_read += read->count;
+}
+
+/* ---- actions of a host ----------------------------------------------------
+ */
+
+static void
+send_message(driver_t *driver, uint32_t from, const sky_act_send_t *send)
+{
+    uint32_t to = find_host(driver, send->to);
+    driver->stats.messages++;
+    driver->stats.message_kinds[send->msg.kind % 32]++;
+    if (to == DRIVER_HOSTS_MAX || driver->cuts[from][to]) {
+        return;
+    }
+    sky_input_t *input = DriverState_Input(
+        driver, to, driver->hosts[to].generation, SKY_IN_MESSAGE,
+        driver->now_us + distance_us(driver, from, to));
+    input->u.message.from =
+        SkyMembers_Self(SkyNode_Members(driver->hosts[from].node));
+    input->u.message.msg = send->msg;
+}
+
+static event_t *
+send_to_target(driver_t *driver, event_kind_t kind, uint32_t host,
+               uint32_t target)
+{
+    uint64_t way_us = DriverState_Jitter(driver, driver->options.far_us / 2);
+    event_t *event = DriverState_Push(driver, kind, driver->now_us + way_us);
+    event->host = host;
+    event->generation = driver->hosts[host].generation;
+    event->target = target;
+    event->opened_us = driver->now_us;
+    event->begun_us = host_clock(driver, host);
+    return event;
+}
+
+static void
+finish(driver_t *driver, const sky_act_answer_t *answer)
+{
+    driver_result_t *result =
+        DriverState_Result(driver, answer->request, NULL);
+    if (result == NULL || result->answered) {
+        return;
+    }
+    uint64_t deadline_us =
+        result->arrived_us + (uint64_t)result->request.timeout_ms * 1000;
+    result->answered = true;
+    result->code = answer->code;
+    result->retry_after_ms = answer->retry_after_ms;
+    result->finished_us = driver->now_us;
+    if (SkyResult_Kind(answer->code)[0] == 'n') {
+        driver->breaches.run_after_not_run +=
+            result->runs > 0 && result->request.once;
+        driver->breaches.late_answer +=
+            driver->now_us > deadline_us + ANSWER_SLACK_US &&
+            driver->hosts[result->host].paused_until_us + ANSWER_SLACK_US <
+                driver->now_us;
+    }
+}
+
+static void
+note_change(driver_t *driver, const sky_act_changed_t *changed)
+{
+    driver->changes[driver->change_count++ % 256] = *changed;
+}
+
+static void
+note_revision(driver_t *driver, uint32_t host, sky_offset_t revision)
+{
+    (void)revision;
+    const sky_config_t *config = SkyNode_Config(driver->hosts[host].node);
+    sky_offset_t newest = SkyConfig_Revision(config);
+    driver->breaches.revision_back += newest < driver->hosts[host].revision;
+    driver->hosts[host].revision = newest;
+}
+
+static void
+perform(driver_t *driver, uint32_t host, sky_action_t *action)
+{
+    event_t *event;
+    uint64_t log_at_us =
+        driver->now_us + DriverState_Jitter(driver, driver->options.log_us);
+    switch (action->kind) {
+    case SKY_ACT_SEND:
+        send_message(driver, host, &action->u.send);
+        break;
+    case SKY_ACT_APPEND:
+        event = DriverState_Push(driver, EVENT_APPEND, log_at_us);
+        event->host = host;
+        event->generation = driver->hosts[host].generation;
+        event->record = malloc(sizeof *event->record);
+        *event->record = action->u.append;
+        break;
+    case SKY_ACT_READ_LOG:
+        event = DriverState_Push(driver, EVENT_READ, log_at_us);
+        event->host = host;
+        event->generation = driver->hosts[host].generation;
+        event->from = action->u.read_from;
+        event->begun_us = host_clock(driver, host);
+        break;
+    case SKY_ACT_REPORT:
+        send_to_target(driver, EVENT_ASK_REPORT, host,
+                       action->u.report_target);
+        break;
+    case SKY_ACT_ORDER:
+        event =
+            send_to_target(driver, EVENT_ORDER, host, action->u.order.target);
+        event->order = action->u.order;
+        break;
+    case SKY_ACT_DISPATCH:
+        event = send_to_target(driver, EVENT_DISPATCH, host,
+                               action->u.dispatch.target);
+        event->dispatch = action->u.dispatch;
+        break;
+    case SKY_ACT_ANSWER:
+        finish(driver, &action->u.answer);
+        break;
+    case SKY_ACT_CHANGED:
+        note_change(driver, &action->u.changed);
+        break;
+    case SKY_ACT_CONFIG:
+        note_revision(driver, host, action->u.config.revision);
+        break;
+    }
+}
+
+static void
+step(driver_t *driver, uint32_t host, const sky_input_t *input)
+{
+    sky_actions_t actions = driver->actions;
+    driver->actions.items = NULL; /* a step never nests, but be sure */
+    driver->actions.count = 0;
+    driver->actions.capacity = 0;
+    actions.count = 0;
+    driver->stats.steps++;
+    SkyNode_Step(driver->hosts[host].node, input, host_clock(driver, host),
+                 WALL_MS + driver->now_us / 1000, &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        perform(driver, host, &actions.items[i]);
+    }
+    driver->actions = actions;
+}
+
+static void
+free_input(sky_input_t *input)
+{
+    if (input->kind == SKY_IN_LOG_READ) {
+        for (uint32_t i = 0; i < input->u.log_read.count; i++) {
+            SkyRecord_Free(&input->u.log_read.records[i]);
+        }
+        free(input->u.log_read.records);
+    }
+    else if (input->kind == SKY_IN_CHANGE) {
+        free(input->u.change.config.body);
+    }
+    free(input);
+}
+
+static void
+stop_if_drained(driver_t *driver, uint32_t index)
+{
+    host_t *host = &driver->hosts[index];
+    sky_input_t close = {.kind = SKY_IN_CLOSE};
+    sky_input_t leave = {.kind = SKY_IN_LEAVE};
+    const sky_members_t *members = SkyNode_Members(host->node);
+    if (!host->drained) {
+        return;
+    }
+    if (host->leaving) {
+        if (SkyMembers_Find(members, SkyMembers_Self(members)) == NULL) {
+            Driver_Kill(driver, index);
+        }
+        return;
+    }
+    step(driver, index, &close);
+    if (SkyNode_IsIdle(host->node)) {
+        host->leaving = true;
+        step(driver, index, &leave);
+    }
+}
+
+static void
+tick(driver_t *driver, const event_t *event)
+{
+    sky_input_t input = {.kind = SKY_IN_TICK};
+    host_t *host = &driver->hosts[event->host];
+    step(driver, event->host, &input);
+    stop_if_drained(driver, event->host);
+    if (!host->alive) {
+        return;
+    }
+    if (SkyNode_IsLost(host->node)) { /* diskless: start anew */
+        Driver_Kill(driver, event->host);
+        Driver_Start(driver, event->host);
+        return;
+    }
+    event_t *next = DriverState_Push(driver, EVENT_TICK,
+                                     driver->now_us + driver->options.tick_us);
+    next->host = event->host;
+    next->generation = event->generation;
+}
+
+/** Each host reads the list of hosts at its own lag. */
+static void
+read_hosts(driver_t *driver, const event_t *event)
+{
+    uint32_t count = driver->options.node.target_count;
+    sky_host_state_t states[count];
+    sky_input_t input = {.kind = SKY_IN_HOST_LIST};
+    for (uint32_t t = 0; t < count; t++) {
+        states[t].target = t;
+        states[t].leaving = driver->targets[t].leaving_us != 0;
+    }
+    input.u.host_list.states = states;
+    input.u.host_list.count = count;
+    uint32_t host = event->host;
+    if (driver->hosts[host].alive &&
+        driver->now_us >= driver->hosts[host].paused_until_us) {
+        step(driver, host, &input);
+    }
+    event_t *next = DriverState_Push(
+        driver, EVENT_HOSTS,
+        driver->now_us + DriverState_Jitter(driver, HOSTS_EVERY_US));
+    next->host = host;
+}
+
+/* ---- main loop ------------------------------------------------------------
+ */
+
+static bool
+is_for_host(const event_t *event)
+{
+    return event->kind == EVENT_TICK || event->kind == EVENT_INPUT ||
+           event->kind == EVENT_ORDER || event->kind == EVENT_DISPATCH;
+}
+
+/**
+ * Takes over events that are not to be handled now: those of a host that is
+ * gone are dropped, but for what it had sent to a target already; those of a
+ * paused host are put off, as if it were paused just before sending.
+ */
+static bool
+put_off(driver_t *driver, event_t *event)
+{
+    const host_t *host = &driver->hosts[event->host];
+    bool to_target =
+        event->kind == EVENT_ORDER || event->kind == EVENT_DISPATCH;
+    if (!is_for_host(event)) {
+        return false;
+    }
+    if (!host->alive || host->generation != event->generation) {
+        if (to_target) {
+            return false;
+        }
+        if (event->input != NULL) {
+            free_input(event->input);
+        }
+        free(event);
+        return true;
+    }
+    if (driver->now_us >= host->paused_until_us) {
+        return false;
+    }
+    event->at_us = host->paused_until_us;
+    insert(driver, event);
+    return true;
+}
+
+static void
+handle(driver_t *driver, event_t *event)
+{
+    switch (event->kind) {
+    case EVENT_TICK:
+        tick(driver, event);
+        break;
+    case EVENT_INPUT:
+        step(driver, event->host, event->input);
+        free_input(event->input);
+        break;
+    case EVENT_APPEND:
+        take_append(driver, event);
+        break;
+    case EVENT_READ:
+        take_read(driver, event);
+        break;
+    case EVENT_ORDER:
+        DriverTargets_Order(driver, event);
+        break;
+    case EVENT_DISPATCH:
+        DriverTargets_Dispatch(driver, event);
+        break;
+    case EVENT_RUN_DONE:
+        DriverTargets_RunDone(driver, event);
+        break;
+    case EVENT_STORE:
+        DriverTargets_Store(driver, event);
+        break;
+    case EVENT_LOADED:
+        DriverTargets_Loaded(driver, event);
+        break;
+    case EVENT_ASK_REPORT:
+        DriverTargets_Report(driver, event);
+        break;
+    case EVENT_SNAPSHOT:
+        DriverTargets_Snapshot(driver, event);
+        break;
+    case EVENT_RESTARTED:
+        DriverTargets_Restarted(driver, event);
+        break;
+    case EVENT_HOSTS:
+        read_hosts(driver, event);
+        break;
+    }
+}
+
+void
+Driver_Run(driver_t *driver, uint64_t until_us)
+{
+    while (driver->heap_count > 0 && driver->heap[0]->at_us <= until_us) {
+        event_t *event = take_first(driver);
+        driver->now_us = event->at_us;
+        if (!put_off(driver, event)) {
+            handle(driver, event);
+            free(event);
+        }
+    }
+    driver->now_us = until_us;
+}
+
+driver_t *
+Driver_Create(const driver_options_t *options)
+{
+    driver_t *driver = calloc(1, sizeof *driver);
+    uint32_t targets = options->node.target_count;
+    driver->options = *options;
+    driver->now_us = FIRST_US;
+    driver->log_oldest = 1;
+    driver->store_slow = 1.0;
+    driver->random[0] = (unsigned short)options->seed;
+    driver->random[1] = (unsigned short)(options->seed >> 16);
+    driver->random[2] = 0x330e;
+    driver->cuts = calloc(DRIVER_HOSTS_MAX, sizeof *driver->cuts);
+    driver->target_cuts =
+        calloc((size_t)DRIVER_HOSTS_MAX * targets, sizeof(bool));
+    driver->targets = calloc(targets, sizeof *driver->targets);
+    for (uint32_t t = 0; t < targets; t++) {
+        driver->targets[t].info = &options->node.targets[t];
+        driver->targets[t].epoch = 1000 + t;
+        driver->targets[t].changed_us = driver->now_us;
+        event_t *event =
+            DriverState_Push(driver, EVENT_SNAPSHOT, driver->now_us);
+        event->target = t;
+    }
+    for (uint32_t h = 0; h < options->hosts; h++) {
+        Driver_Start(driver, h);
+        event_t *event = DriverState_Push(
+            driver, EVENT_HOSTS,
+            driver->now_us + Driver_Random(driver, HOSTS_EVERY_US));
+        event->host = h;
+    }
+    return driver;
+}
+
+static void
+free_event(event_t *event)
+{
+    if (event->input != NULL) {
+        free_input(event->input);
+    }
+    if (event->record != NULL) {
+        SkyRecord_Free(event->record);
+        free(event->record);
+    }
+    free(event);
+}
+
+static void
+free_tables(driver_t *driver)
+{
+    request_index_t *entry;
+    request_index_t *next_entry;
+    HASH_ITER(hh, driver->index, entry, next_entry)
+    {
+        HASH_DEL(driver->index, entry);
+        free(entry);
+    }
+    key_runs_t *key;
+    key_runs_t *next_key;
+    HASH_ITER(hh, driver->keys, key, next_key)
+    {
+        HASH_DEL(driver->keys, key);
+        free(key);
+    }
+    crash_runs_t *crash;
+    crash_runs_t *next_crash;
+    HASH_ITER(hh, driver->crashes, crash, next_crash)
+    {
+        HASH_DEL(driver->crashes, crash);
+        free(crash);
+    }
+}
+
+void
+Driver_Free(driver_t *driver)
+{
+    for (uint32_t h = 0; h < driver->options.hosts; h++) {
+        SkyNode_Free(driver->hosts[h].node);
+    }
+    for (size_t i = 0; i < driver->heap_count; i++) {
+        free_event(driver->heap[i]);
+    }
+    for (uint64_t i = driver->log_oldest; i <= driver->log_count; i++) {
+        SkyRecord_Free(&driver->log[i].record);
+    }
+    free_tables(driver);
+    SkyActions_Free(&driver->actions);
+    free(driver->heap);
+    free(driver->log);
+    free(driver->cuts);
+    free(driver->target_cuts);
+    free(driver->targets);
+    free(driver->runs);
+    free(driver->results);
+    free(driver);
+}
+
+/* ---- load -----------------------------------------------------------------
+ */
+
+driver_result_t *
+DriverState_Result(driver_t *driver, sky_request_id_t id, uint32_t *index)
+{
+    request_index_t *entry;
+    id &= ~ATTEMPT_MASK;
+    HASH_FIND(hh, driver->index, &id, sizeof id, entry);
+    if (entry == NULL) {
+        return NULL;
+    }
+    if (index != NULL) {
+        *index = entry->result;
+    }
+    return &driver->results[entry->result];
+}
+
+static driver_result_t *
+add_result(driver_t *driver, sky_request_id_t id)
+{
+    if (driver->result_count == driver->result_capacity) {
+        driver->result_capacity = 2 * driver->result_capacity + 1024;
+        driver->results =
+            realloc(driver->results,
+                    driver->result_capacity * sizeof *driver->results);
+    }
+    request_index_t *entry = calloc(1, sizeof *entry);
+    if (driver->results == NULL || entry == NULL) {
+        abort();
+    }
+    entry->id = id;
+    entry->result = driver->result_count;
+    HASH_ADD(hh, driver->index, id, sizeof entry->id, entry);
+    driver_result_t *result = &driver->results[driver->result_count++];
+    memset(result, 0, sizeof *result);
+    return result;
+}
+
+uint32_t
+Driver_Request(driver_t *driver, uint32_t host,
+               const driver_request_t *request)
+{
+    sky_request_id_t id = ((uint64_t)driver->result_count + 1) << 8;
+    driver_result_t *result = add_result(driver, id);
+    uint32_t index = driver->result_count - 1;
+    result->request = *request;
+    result->host = host;
+    result->arrived_us = driver->now_us;
+    if (!driver->hosts[host].alive) {
+        result->answered = true;
+        result->lost = true;
+        result->finished_us = driver->now_us;
+        return index;
+    }
+    sky_input_t *input =
+        DriverState_Input(driver, host, driver->hosts[host].generation,
+                          SKY_IN_REQUEST, driver->now_us);
+    sky_in_request_t *in = &input->u.request;
+    in->request = id;
+    in->adapter = request->adapter;
+    in->fingerprint = request->fingerprint ? request->fingerprint : id;
+    in->pool = request->pool;
+    in->urgency = request->urgency;
+    in->timeout_ms = request->timeout_ms;
+    in->once = request->once;
+    in->key = request->key;
+    in->key_age_ms = request->key_age_ms;
+    return index;
+}
+
+const driver_result_t *
+Driver_Result(const driver_t *driver, uint32_t index)
+{
+    return &driver->results[index];
+}
+
+uint32_t
+Driver_ResultCount(const driver_t *driver)
+{
+    return driver->result_count;
+}
+
+uint64_t
+Driver_Change(driver_t *driver, uint32_t host, sky_config_kind_t kind,
+              const char *name, sky_offset_t base, const char *body)
+{
+    sky_input_t *input =
+        DriverState_Input(driver, host, driver->hosts[host].generation,
+                          SKY_IN_CHANGE, driver->now_us);
+    sky_in_change_t *change = &input->u.change;
+    change->token = ++driver->token_count;
+    change->config.kind = kind;
+    change->config.base = base;
+    change->config.body = strdup(body);
+    snprintf(change->config.name, sizeof change->config.name, "%s", name);
+    return change->token;
+}
+
+bool
+Driver_ChangeResult(const driver_t *driver, uint64_t token,
+                    sky_act_changed_t *changed)
+{
+    for (uint32_t i = 0; i < driver->change_count && i < 256; i++) {
+        if (driver->changes[i].token == token) {
+            *changed = driver->changes[i];
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- faults and views -----------------------------------------------------
+ */
+
+void
+Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us)
+{
+    driver->hosts[host].paused_until_us = driver->now_us + pause_us;
+}
+
+void
+Driver_Drain(driver_t *driver, uint32_t index)
+{
+    sky_input_t input = {.kind = SKY_IN_DRAIN};
+    host_t *host = &driver->hosts[index];
+    if (host->alive && !host->drained &&
+        driver->now_us >= host->paused_until_us) {
+        host->drained = true;
+        step(driver, index, &input);
+    }
+}
+
+void
+Driver_Cut(driver_t *driver, uint32_t from, uint32_t to, bool cut)
+{
+    driver->cuts[from][to] = cut;
+}
+
+void
+Driver_CutLog(driver_t *driver, uint32_t host, bool cut)
+{
+    driver->hosts[host].log_cut = cut;
+}
+
+void
+Driver_CutTarget(driver_t *driver, uint32_t host, uint32_t target, bool cut)
+{
+    driver->target_cuts[host * driver->options.node.target_count + target] =
+        cut;
+}
+
+void
+Driver_LogDown(driver_t *driver, bool down)
+{
+    driver->log_down = down;
+}
+
+void
+Driver_LoseAnswers(driver_t *driver, double share)
+{
+    driver->lose_share = share;
+}
+
+void
+Driver_StoreDown(driver_t *driver, bool down)
+{
+    driver->store_down = down;
+}
+
+void
+Driver_StoreSlow(driver_t *driver, double factor)
+{
+    driver->store_slow = factor;
+}
+
+void
+Driver_SetLeaving(driver_t *driver, uint32_t target, bool leaving)
+{
+    driver->targets[target].leaving_us = leaving ? driver->now_us : 0;
+}
+
+uint64_t
+Driver_Now(const driver_t *driver)
+{
+    return driver->now_us;
+}
+
+bool
+Driver_IsAlive(const driver_t *driver, uint32_t host)
+{
+    return driver->hosts[host].alive;
+}
+
+bool
+Driver_IsReady(const driver_t *driver, uint32_t host)
+{
+    return driver->hosts[host].alive &&
+           SkyNode_IsReady(driver->hosts[host].node);
+}
+
+const sky_node_t *
+Driver_Node(const driver_t *driver, uint32_t host)
+{
+    return driver->hosts[host].node;
+}
+
+uint32_t
+Driver_Owner(const driver_t *driver, uint32_t shard)
+{
+    for (uint32_t h = 0; h < driver->options.hosts; h++) {
+        if (driver->hosts[h].alive &&
+            SkyShard_IsActive(SkyNode_Shard(driver->hosts[h].node, shard))) {
+            return h;
+        }
+    }
+    return DRIVER_HOSTS_MAX;
+}
+
+const driver_breaches_t *
+Driver_Breaches(const driver_t *driver)
+{
+    return &driver->breaches;
+}
+
+const driver_stats_t *
+Driver_Stats(const driver_t *driver)
+{
+    return &driver->stats;
+}
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -11,8 +11,9 @@
 #define ATTEMPTS_LIMIT 15
 #define RETRY_AFTER_MS 1000
 #define CLAIM_RETRY_AFTER_MS 2000
-#define SHARD_CHOICES 2 /* an unreachable owner is passed over for the next   \
-                         */
+#define SHARD_CHOICES                                                         \
+    2 /* an unreachable owner is passed over for the next                     \
+       */
 #define ASKS_PER_CHOICE 6
 
 typedef enum {
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -8,8 +8,9 @@
 #include "core/invariant.h"
 
 #define US_PER_MS 1000
-#define URGENCY_STEP_US UINT64_C(2000000) /* head start of one urgency step   \
-                                           */
+#define URGENCY_STEP_US                                                       \
+    UINT64_C(2000000) /* head start of one urgency step                       \
+                       */
 #define HEAT_HALF_LIFE_US 60e6
 #define RETRY_AFTER_MIN_MS 200
 #define STORE_DOWN_RETRY_US UINT64_C(5000000)
