--- a/bench/driver.c
+++ b/bench/driver.c
@@ -1,5 +1,6 @@
 #include "bench/driver.h"
 
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -127,6 +128,20 @@
     return input;
 }
 
+void
+DriverState_Trace(const driver_t *driver, const char *format, ...)
+{
+    va_list arguments;
+    if (!driver->options.trace) {
+        return;
+    }
+    printf("%10.4f ", (double)driver->now_us / 1e6);
+    va_start(arguments, format);
+    vprintf(format, arguments);
+    va_end(arguments);
+    putchar('\n');
+}
+
 /* ---- randomness -----------------------------------------------------------
  */
 
@@ -198,6 +213,7 @@
     options.members.seed =
         driver->options.seed * 1000003 + host->generation * 997 + index;
     options.members.retention_us = driver->options.retention_us;
+    DriverState_Trace(driver, "start host%u", index);
     host->node = SkyNode_Create(&options);
     host->alive = true;
     host->drained = false;
@@ -219,6 +235,7 @@
     if (!host->alive) {
         return;
     }
+    DriverState_Trace(driver, "kill host%u", index);
     SkyNode_Free(host->node);
     host->node = NULL;
     host->alive = false;
@@ -263,6 +280,9 @@
     entry->record = *record;
     entry->record.offset = driver->log_count;
     driver->stats.appends++;
+    DriverState_Trace(driver, "log %lu: kind %d host %lx incarnation %lu",
+                      driver->log_count, (int)record->kind,
+                      record->u.member.host, record->u.member.incarnation);
 }
 
 static void
@@ -378,6 +398,8 @@
     result->code = answer->code;
     result->retry_after_ms = answer->retry_after_ms;
     result->finished_us = driver->now_us;
+    DriverState_Trace(driver, "answer %lx at host%u: %s", answer->request,
+                      result->host, SkyResult_Symbol(answer->code));
     if (SkyResult_Kind(answer->code)[0] == 'n') {
         driver->breaches.run_after_not_run +=
             result->runs > 0 && result->request.once;
@@ -412,6 +434,10 @@
         driver->now_us + DriverState_Jitter(driver, driver->options.log_us);
     switch (action->kind) {
     case SKY_ACT_SEND:
+        if (action->u.send.msg.kind > SKY_MSG_SUSPECT) {
+            DriverState_Trace(driver, "host%u sends %d to %lx", host,
+                              (int)action->u.send.msg.kind, action->u.send.to);
+        }
         send_message(driver, host, &action->u.send);
         break;
     case SKY_ACT_APPEND:
@@ -433,11 +459,19 @@
                        action->u.report_target);
         break;
     case SKY_ACT_ORDER:
+        DriverState_Trace(driver, "host%u orders %s of %lu on target%u", host,
+                          action->u.order.kind == SKY_ORDER_LOAD ? "load"
+                                                                 : "unload",
+                          action->u.order.adapter, action->u.order.target);
         event =
             send_to_target(driver, EVENT_ORDER, host, action->u.order.target);
         event->order = action->u.order;
         break;
     case SKY_ACT_DISPATCH:
+        DriverState_Trace(driver,
+                          "host%u dispatches %lx to target%u fence %lu", host,
+                          action->u.dispatch.request,
+                          action->u.dispatch.target, action->u.dispatch.fence);
         event = send_to_target(driver, EVENT_DISPATCH, host,
                                action->u.dispatch.target);
         event->dispatch = action->u.dispatch;
@@ -596,6 +630,16 @@
     return true;
 }
 
+/** A request that met a paused host has come in only now. */
+static void
+note_arrival(driver_t *driver, const sky_input_t *input)
+{
+    if (input->kind == SKY_IN_REQUEST) {
+        DriverState_Result(driver, input->u.request.request, NULL)
+            ->arrived_us = driver->now_us;
+    }
+}
+
 static void
 handle(driver_t *driver, event_t *event)
 {
@@ -604,6 +648,7 @@
         tick(driver, event);
         break;
     case EVENT_INPUT:
+        note_arrival(driver, event->input);
         step(driver, event->host, event->input);
         free_input(event->input);
         break;
@@ -872,6 +917,7 @@
 void
 Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us)
 {
+    DriverState_Trace(driver, "pause host%u for %lu us", host, pause_us);
     driver->hosts[host].paused_until_us = driver->now_us + pause_us;
 }
 
@@ -882,6 +928,7 @@
     host_t *host = &driver->hosts[index];
     if (host->alive && !host->drained &&
         driver->now_us >= host->paused_until_us) {
+        DriverState_Trace(driver, "drain host%u", index);
         host->drained = true;
         step(driver, index, &input);
     }
@@ -890,18 +937,22 @@
 void
 Driver_Cut(driver_t *driver, uint32_t from, uint32_t to, bool cut)
 {
+    DriverState_Trace(driver, "cut host%u to host%u: %d", from, to, cut);
     driver->cuts[from][to] = cut;
 }
 
 void
 Driver_CutLog(driver_t *driver, uint32_t host, bool cut)
 {
+    DriverState_Trace(driver, "cut host%u from the log: %d", host, cut);
     driver->hosts[host].log_cut = cut;
 }
 
 void
 Driver_CutTarget(driver_t *driver, uint32_t host, uint32_t target, bool cut)
 {
+    DriverState_Trace(driver, "cut host%u from target%u: %d", host, target,
+                      cut);
     driver->target_cuts[host * driver->options.node.target_count + target] =
         cut;
 }
@@ -909,6 +960,7 @@
 void
 Driver_LogDown(driver_t *driver, bool down)
 {
+    DriverState_Trace(driver, "log down: %d", down);
     driver->log_down = down;
 }
 
@@ -933,6 +985,7 @@
 void
 Driver_SetLeaving(driver_t *driver, uint32_t target, bool leaving)
 {
+    DriverState_Trace(driver, "target%u leaving: %d", target, leaving);
     driver->targets[target].leaving_us = leaving ? driver->now_us : 0;
 }
 
--- a/bench/driver.h
+++ b/bench/driver.h
@@ -38,6 +38,7 @@
     uint64_t idle_close_us; /**< a target closes a silent connection */
     uint64_t restart_us;    /**< a crashed target is back after this */
     uint64_t tick_us;
+    bool trace;              /**< print orders, runs, faults and breaches */
     sky_node_options_t node; /**< targets are taken from here */
 } driver_options_t;
 
--- a/bench/driver_state.h
+++ b/bench/driver_state.h
@@ -167,6 +167,10 @@
 };
 
 /* driver.c */
+/** Prints one line of the trace, where one is wanted. */
+void
+DriverState_Trace(const driver_t *driver, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
 event_t *
 DriverState_Push(driver_t *driver, event_kind_t kind, uint64_t at_us);
 /** Queues an input for a host; @return it for filling in. */
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -30,6 +30,7 @@
     uint32_t choice;     /**< rank of the shard asked */
     uint32_t unanswered; /**< ACQUIRE in a row without an answer */
     uint32_t target;
+    uint64_t epoch; /**< of the target */
     bool dispatched;
     uint64_t deadline_us;
     uint64_t asked_us;
@@ -376,11 +377,9 @@
 may_dispatch(const sky_entry_t *entry, const sky_msg_grant_t *grant,
              uint64_t now_us)
 {
-    const sky_target_info_t *target = &entry->targets[grant->target];
     return !is_stale(&entry->promises[grant->shard], grant) &&
            !entry->leaving[grant->target] &&
-           (target->checks_fencing ||
-            SkyMembers_MayAct(entry->members, now_us));
+           SkyMembers_MayAct(entry->members, now_us);
 }
 
 static void
@@ -392,6 +391,7 @@
     request->dispatched = true;
     request->state = STATE_RUNNING;
     request->target = grant->target;
+    request->epoch = grant->epoch;
     request->shard = grant->shard;
     action->u.dispatch.request = request->in.request;
     action->u.dispatch.adapter = request->in.adapter;
@@ -540,6 +540,7 @@
         permit->request = wire_id(request);
         permit->adapter = request->in.adapter;
         permit->fingerprint = request->in.fingerprint;
+        permit->epoch = request->epoch;
         permit->target = request->target;
     }
 }
@@ -620,6 +621,19 @@
     }
 }
 
+/** Kept in the log, so that it outlives this host and the owner. */
+static void
+append_suspect(sky_entry_t *entry, const request_t *request,
+               sky_actions_t *out)
+{
+    sky_record_t *record = &SkyActions_Add(out, SKY_ACT_APPEND)->u.append;
+    record->kind = SKY_REC_SUSPECT;
+    record->nonce = SkyMembers_Nonce(entry->members);
+    record->u.crash.fingerprint = request->in.fingerprint;
+    record->u.crash.epoch = request->epoch;
+    record->u.crash.target = request->target;
+}
+
 void
 SkyEntry_Outcome(sky_entry_t *entry, const sky_in_outcome_t *outcome,
                  uint64_t now_us, sky_actions_t *out)
@@ -632,6 +646,9 @@
         entry->members, request->shard, shard_domain(entry, request->shard));
     return_permit(owner, wire_id(request), request->shard, request->target,
                   outcome->outcome, out);
+    if (outcome->outcome == SKY_OUTCOME_BROKEN) {
+        append_suspect(entry, request, out);
+    }
     if (may_try_again(entry, request, outcome, now_us)) {
         entry->retry_tokens -= 1.0;
         entry->stats.retries++;
--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -5,7 +5,9 @@
 #include <uthash.h>
 #include <xxhash.h>
 
-#define JOIN_RETRY_US UINT64_C(2000000)
+#define US_PER_MS 1000
+#define JOIN_RETRY_US UINT64_C(300000)
+#define RESTATE_RETRY_US UINT64_C(2000000)
 #define DENIAL_WAIT_US UINT64_C(400000)
 #define DENIAL_REST_US UINT64_C(2000000)
 #define OUTAGE_PROBE_MEMBERS_MAX 32
@@ -35,7 +37,10 @@
     uint64_t restated_us;
     uint64_t lease_until_us;
     uint64_t tail_read_us;
-    uint64_t removed_us;
+    uint64_t evict_after_us; /* a bootstrap was met in the log */
+    uint64_t ask_begun_us;   /* first JOIN_ASK; 0: none */
+    uint64_t join_nonce;
+    size_t ask_turn;
     uint64_t tick_us;
     uint64_t heartbeat_sent_us;
     sky_member_t *list;
@@ -186,14 +191,50 @@
     memcpy(member->address, rec->address, sizeof member->address);
 }
 
+static bool
+is_incarnation(const sky_members_t *members, sky_offset_t incarnation)
+{
+    for (size_t i = 0; i < members->count; i++) {
+        if (members->list[i].incarnation == incarnation) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** A restart takes the place of its predecessor; a new host is let in by a
+ *  member, unless there is none. */
+static bool
+may_join(const sky_members_t *members, const sky_rec_member_t *rec)
+{
+    return members->count == 0 || rec->bootstrap ||
+           find_member(members, rec->host) != NULL ||
+           is_incarnation(members, rec->sponsor);
+}
+
 static bool
 apply_join(sky_members_t *members, const sky_record_t *record, uint64_t now_us)
 {
     const sky_rec_member_t *rec = &record->u.member;
+    const sky_member_t *member = find_member(members, rec->host);
+    uint64_t age_us = record->age_ms * US_PER_MS;
+    if (!may_join(members, rec) ||
+        (member != NULL && member->nonce == record->nonce)) {
+        return false;
+    }
+    if (rec->bootstrap) {
+        members->evict_after_us = now_us + members->options.degraded_us -
+                                  (age_us < members->options.degraded_us
+                                       ? age_us
+                                       : members->options.degraded_us);
+    }
     set_member(members, rec, record->offset, now_us);
+    find_member(members, rec->host)->nonce = record->nonce;
     if (rec->host == members->self) {
         members->incarnation = record->offset;
         members->restated_us = now_us;
+        members->ask_begun_us = 0;
+        members->join_nonce = 0;
     }
     return true;
 }
@@ -211,15 +252,13 @@
 }
 
 static bool
-apply_remove(sky_members_t *members, const sky_rec_member_t *rec,
-             uint64_t now_us)
+apply_remove(sky_members_t *members, const sky_rec_member_t *rec)
 {
     sky_member_t *member = find_member(members, rec->host);
     if (member == NULL || member->incarnation != rec->incarnation) {
         return false;
     }
     delete_member(members, member);
-    members->removed_us = now_us;
     if (rec->host == members->self) {
         members->incarnation = 0;
         members->lease_until_us = 0;
@@ -267,7 +306,7 @@
     case SKY_REC_DRAIN:
         return apply_drain(members, &record->u.member);
     case SKY_REC_REMOVE:
-        return apply_remove(members, &record->u.member, now_us);
+        return apply_remove(members, &record->u.member);
     default:
         return false;
     }
@@ -353,7 +392,8 @@
     if (SkyMembers_HoldsLease(members, now_us)) {
         return true;
     }
-    if (members->count > OUTAGE_PROBE_MEMBERS_MAX) {
+    if (members->count > OUTAGE_PROBE_MEMBERS_MAX ||
+        now_us >= members->lease_until_us + members->options.degraded_us) {
         return false;
     }
     for (size_t i = 0; i < members->count; i++) {
@@ -536,21 +576,61 @@
     }
 }
 
+/** Asks one member after the other to be let in. */
 static void
-join_or_restate(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
+ask_to_join(sky_members_t *members, sky_actions_t *out)
 {
-    uint64_t restate_after_us = members->options.retention_us / 2;
-    if (members->tail_read_us == 0 || members->leaving) {
+    const sky_members_options_t *options = &members->options;
+    const sky_member_t *member =
+        &members->list[members->ask_turn++ % members->count];
+    sky_msg_join_ask_t *ask =
+        &SkyActions_Send(out, member->host, SKY_MSG_JOIN_ASK)->u.join_ask;
+    ask->nonce = members->join_nonce;
+    ask->domain = options->domain;
+    memcpy(ask->name, options->name, sizeof ask->name);
+    memcpy(ask->address, options->address, sizeof ask->address);
+}
+
+static void
+join(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
+{
+    bool may_ask =
+        members->count > 0 && find_member(members, members->self) == NULL;
+    if (members->join_nonce == 0) {
+        members->join_nonce = SkyMembers_Nonce(members);
+        members->ask_begun_us = now_us;
+    }
+    bool bootstrap =
+        now_us >= members->ask_begun_us + members->options.bootstrap_us;
+    if (may_ask && !bootstrap) {
+        ask_to_join(members, out);
         return;
     }
-    bool due = members->join_sent_us == 0 ||
-               now_us >= members->join_sent_us + JOIN_RETRY_US;
-    if (!due) {
+    sky_record_t *record = append_member(members, SKY_REC_JOIN, out);
+    record->nonce = members->join_nonce;
+    record->u.member.bootstrap = may_ask;
+}
+
+static bool
+is_due(const sky_members_t *members, uint64_t now_us)
+{
+    uint64_t every_us =
+        members->incarnation == 0 ? JOIN_RETRY_US : RESTATE_RETRY_US;
+    return members->join_sent_us == 0 ||
+           now_us >= members->join_sent_us + every_us;
+}
+
+static void
+join_or_restate(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
+{
+    uint64_t restate_after_us = members->options.retention_us / 2;
+    if (members->tail_read_us == 0 || members->leaving ||
+        !is_due(members, now_us)) {
         return;
     }
     if (members->incarnation == 0) {
         members->join_sent_us = now_us;
-        append_member(members, SKY_REC_JOIN, out);
+        join(members, now_us, out);
     }
     else if (now_us >= members->restated_us + restate_after_us) {
         members->join_sent_us = now_us;
@@ -627,6 +707,27 @@
     }
 }
 
+/** Lets a host in; only one that can read the log may. */
+static void
+take_join_ask(sky_members_t *members, const sky_in_message_t *in,
+              uint64_t now_us, sky_actions_t *out)
+{
+    const sky_msg_join_ask_t *ask = &in->msg.u.join_ask;
+    if (!SkyMembers_HoldsLease(members, now_us)) {
+        return;
+    }
+    sky_record_t *record = append_member(members, SKY_REC_JOIN, out);
+    sky_rec_member_t *rec = &record->u.member;
+    record->nonce = ask->nonce;
+    rec->sponsor = members->incarnation;
+    rec->host = in->from;
+    rec->incarnation = 0;
+    rec->domain = ask->domain;
+    rec->draining = 0;
+    memcpy(rec->name, ask->name, sizeof rec->name);
+    memcpy(rec->address, ask->address, sizeof rec->address);
+}
+
 void
 SkyMembers_Message(sky_members_t *members, const sky_in_message_t *in,
                    uint64_t now_us, sky_actions_t *out)
@@ -641,6 +742,9 @@
     case SKY_MSG_SUSPECT:
         take_suspect(members, in, now_us, out);
         break;
+    case SKY_MSG_JOIN_ASK:
+        take_join_ask(members, in, now_us, out);
+        break;
     default:
         break;
     }
@@ -730,11 +834,8 @@
     return members->options.lease_us + members->options.margin_us;
 }
 
-uint64_t
-SkyMembers_RemovedHoldUs(const sky_members_t *members)
+bool
+SkyMembers_MayEvict(const sky_members_t *members, uint64_t now_us)
 {
-    if (members->removed_us == 0) {
-        return 0;
-    }
-    return members->removed_us + SkyMembers_TakeoverUs(members);
+    return now_us >= members->evict_after_us;
 }
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -29,6 +29,8 @@
     uint64_t margin_us; /**< bound on clock drift and on delayed orders */
     uint64_t heartbeat_us;
     uint64_t suspect_us;   /**< silence that raises suspicion */
+    uint64_t bootstrap_us; /**< a host that no member lets in joins anyway */
+    uint64_t degraded_us;  /**< longest time to act with the log out */
     uint64_t retention_us; /**< for how long the log keeps a record */
 } sky_members_options_t;
 
@@ -40,6 +42,7 @@
     bool draining;
     char name[SKY_NAME_BYTES];
     char address[SKY_ADDRESS_BYTES];
+    uint64_t nonce;      /**< of its JOIN */
     uint64_t heard_us;   /**< last heartbeat received from it */
     uint64_t suspect_us; /**< when SUSPECT was sent; 0: not suspected */
     uint64_t acked_us;   /**< send time of the last heartbeat it answered */
@@ -74,7 +77,7 @@
 void
 SkyMembers_Tick(sky_members_t *members, uint64_t now_us, sky_actions_t *out);
 
-/** Handles HEARTBEAT, HEARTBEAT_ACK and SUSPECT. */
+/** Handles HEARTBEAT, HEARTBEAT_ACK, SUSPECT and JOIN_ASK. */
 void
 SkyMembers_Message(sky_members_t *members, const sky_in_message_t *in,
                    uint64_t now_us, sky_actions_t *out);
@@ -94,6 +97,9 @@
 /**
  * @return true if no host can have been removed: the lease is held, or every
  *         member of the view has just said that it cannot read the log either.
+ *         A host that is not in the view can only have joined through one that
+ *         is, or by bootstrap, after which nothing is evicted for as long as
+ *         a host may act with the log out.
  */
 bool
 SkyMembers_MayAct(const sky_members_t *members, uint64_t now_us);
@@ -128,9 +134,9 @@
 /** @return first offset of the log not yet applied. */
 sky_offset_t
 SkyMembers_Next(const sky_members_t *members);
-/** @return time until which a removed host may still act. */
-uint64_t
-SkyMembers_RemovedHoldUs(const sky_members_t *members);
+/** @return true if evictions are safe: no bootstrap is recent. */
+bool
+SkyMembers_MayEvict(const sky_members_t *members, uint64_t now_us);
 /** @return microseconds since the last read that reached the tail. */
 uint64_t
 SkyMembers_LogAgeUs(const sky_members_t *members, uint64_t now_us);
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -43,6 +43,8 @@
     options->members.margin_us = 1000000;
     options->members.heartbeat_us = 300000;
     options->members.suspect_us = 1200000;
+    options->members.bootstrap_us = 5000000;
+    options->members.degraded_us = UINT64_C(600000000);
     options->members.retention_us = UINT64_C(3600000000);
     options->shard.policy = SKY_POLICY_CROWD;
     options->shard.transit_max = 4;
@@ -175,6 +177,7 @@
     case SKY_MSG_HEARTBEAT:
     case SKY_MSG_HEARTBEAT_ACK:
     case SKY_MSG_SUSPECT:
+    case SKY_MSG_JOIN_ASK:
         SkyMembers_Message(node->members, in, now_us, out);
         break;
     case SKY_MSG_ACQUIRE:
@@ -258,6 +261,17 @@
     }
 }
 
+static void
+apply_crash(sky_node_t *node, const sky_record_t *record, uint64_t now_us)
+{
+    uint32_t target = record->u.crash.target;
+    sky_shard_t *shard =
+        find_shard(node, target / node->options.shard_targets);
+    if (shard != NULL) {
+        SkyShard_ApplyCrash(shard, record, now_us);
+    }
+}
+
 static void
 apply_record(sky_node_t *node, const sky_record_t *record, uint64_t now_us,
              sky_actions_t *out)
@@ -275,10 +289,9 @@
     case SKY_REC_RELEASE:
         apply_claims(node, record, now_us, out);
         break;
+    case SKY_REC_SUSPECT:
     case SKY_REC_CRASH:
-        for (uint32_t i = 0; i < node->shard_count; i++) {
-            SkyShard_ApplyCrash(node->shards[i], &record->u.crash, now_us);
-        }
+        apply_crash(node, record, now_us);
         break;
     case SKY_REC_CONFIG:
     case SKY_REC_CONFIG_RESTATE:
--- a/lib/decide/shard.c
+++ b/lib/decide/shard.c
@@ -392,10 +392,15 @@
 }
 
 void
-SkyShard_ApplyCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
+SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
                     uint64_t now_us)
 {
-    SkySuspects_Crash(shard->suspects, crash, now_us);
+    if (record->kind == SKY_REC_CRASH) {
+        SkySuspects_Crash(shard->suspects, &record->u.crash, now_us);
+    }
+    else {
+        SkySuspects_Hold(shard->suspects, &record->u.crash, now_us);
+    }
 }
 
 static void
@@ -422,7 +427,6 @@
     }
     shard->swept_us = now_us;
     ShardQueue_Expire(shard, now_us, out);
-    SkySuspects_Expire(shard->suspects, now_us);
     forget_cold_adapters(shard, now_us);
     ShardPolicy_Refill(shard, now_us, out);
 }
@@ -442,6 +446,7 @@
 {
     uint64_t wait_us = SkyMembers_TakeoverUs(shard->members);
     hand_over(shard, out);
+    SkySuspects_Expire(shard->suspects, now_us);
     if (shard->phase == SHARD_WAITING &&
         SkyMembers_HoldsLease(shard->members, now_us) &&
         (now_us >= shard->view_us + wait_us || predecessor_let_go(shard))) {
--- a/lib/decide/shard.h
+++ b/lib/decide/shard.h
@@ -94,9 +94,9 @@
 SkyShard_SetWanted(sky_shard_t *shard, const sky_wanted_t *wanted,
                    uint32_t count);
 
-/** Applies a CRASH record. */
+/** Applies a SUSPECT or CRASH record. */
 void
-SkyShard_ApplyCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
+SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
                     uint64_t now_us);
 
 void
--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -90,7 +90,7 @@
     if (slot->state == SLOT_FREE) {
         return -1.0;
     }
-    if (!ShardSlots_MayEvict(shard, target, slot)) {
+    if (!ShardSlots_MayEvict(shard, target, slot, now_us)) {
         return DBL_MAX;
     }
     if (shard->options.policy == SKY_POLICY_BASELINE) {
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -226,6 +226,7 @@
     msg->u.grant.round = request->granted_round;
     msg->u.grant.shard = shard->index;
     msg->u.grant.target = request->target;
+    msg->u.grant.epoch = request->epoch;
     msg->u.grant.stall_ms = request->stall_ms;
 }
 
@@ -310,8 +311,7 @@
         if (suspect_must_wait(shard, request, target)) {
             continue;
         }
-        if (!SkyMembers_MayAct(shard->members, now_us) &&
-            !target->info->checks_fencing) {
+        if (!SkyMembers_MayAct(shard->members, now_us)) {
             return;
         }
         grant(shard, request, target, now_us, out);
@@ -445,9 +445,9 @@
     admit(shard, request, now_us, out);
 }
 
-static void
-count_crash(sky_shard_t *shard, const sky_rec_crash_t *crash, uint64_t now_us,
-            sky_actions_t *out)
+void
+ShardQueue_CountCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
+                      uint64_t now_us, sky_actions_t *out)
 {
     if (!SkySuspects_Crash(shard->suspects, crash, now_us)) {
         return;
@@ -462,14 +462,14 @@
 suspect_request(sky_shard_t *shard, const request_t *request,
                 const target_t *target, uint64_t now_us, sky_actions_t *out)
 {
-    if (target->epoch != request->epoch || target->down) {
-        sky_rec_crash_t crash = {request->fingerprint, request->epoch,
-                                 target->index};
-        count_crash(shard, &crash, now_us, out);
+    sky_rec_crash_t crash = {request->fingerprint, request->epoch,
+                             target->index};
+    if ((target->epoch != 0 && target->epoch != request->epoch) ||
+        target->down) {
+        ShardQueue_CountCrash(shard, &crash, now_us, out);
         return;
     }
-    SkySuspects_Hold(shard->suspects, request->fingerprint, target->index,
-                     request->epoch, now_us);
+    SkySuspects_Hold(shard->suspects, &crash, now_us);
 }
 
 void
@@ -529,7 +529,7 @@
                              .fingerprint = permit->fingerprint};
     request = add_request(shard, from, &ask, now_us);
     request->target = permit->target;
-    request->epoch = target->epoch;
+    request->epoch = permit->epoch;
     request->granted_us = now_us;
     request->granted_round = shard->round;
     request->listed_round = shard->round;
@@ -554,7 +554,7 @@
         }
         sky_rec_crash_t crash = {request->fingerprint, request->epoch,
                                  target->index};
-        count_crash(shard, &crash, now_us, out);
+        ShardQueue_CountCrash(shard, &crash, now_us, out);
     }
 }
 
--- a/lib/decide/shard_slots.c
+++ b/lib/decide/shard_slots.c
@@ -73,11 +73,11 @@
 
 bool
 ShardSlots_MayEvict(const sky_shard_t *shard, const target_t *target,
-                    const slot_t *slot)
+                    const slot_t *slot, uint64_t now_us)
 {
     return slot->state == SLOT_RESIDENT && slot->permits == 0 &&
            slot->doubt_us == 0 && target->made_us > shard->active_us &&
-           !collecting(shard);
+           SkyMembers_MayEvict(shard->members, now_us) && !collecting(shard);
 }
 
 /** Keeps the count of copies and of adapters that wait without one. */
@@ -166,7 +166,8 @@
         begin_load(shard, target, slot, adapter->id, now_us, out);
         return;
     }
-    SKY_INVARIANT(SKY_INV_EVICTION, ShardSlots_MayEvict(shard, target, slot));
+    SKY_INVARIANT(SKY_INV_EVICTION,
+                  ShardSlots_MayEvict(shard, target, slot, now_us));
     shard->stats.evictions++;
     sky_adapter_id_t leaving = slot->adapter;
     set_state(shard, slot, SLOT_UNLOADING, leaving, now_us);
@@ -384,6 +385,19 @@
     }
 }
 
+typedef struct {
+    sky_shard_t *shard;
+    uint64_t now_us;
+    sky_actions_t *out;
+} crash_context_t;
+
+static void
+record_crash(const sky_rec_crash_t *crash, void *context)
+{
+    const crash_context_t *at = context;
+    ShardQueue_CountCrash(at->shard, crash, at->now_us, at->out);
+}
+
 static void
 report_failed(sky_shard_t *shard, target_t *target, uint64_t now_us,
               sky_actions_t *out)
@@ -391,8 +405,11 @@
     if (++target->failed_reports < FAILED_REPORTS_MAX || target->down) {
         return;
     }
+    crash_context_t crashes = {shard, now_us, out};
     target->down = true;
     ShardQueue_TargetLost(shard, target, now_us, out);
+    SkySuspects_TargetDown(shard->suspects, target->index, record_crash,
+                           &crashes);
 }
 
 static void
@@ -409,15 +426,6 @@
     target->epoch = epoch;
 }
 
-static void
-record_crash(const sky_rec_crash_t *crash, void *context)
-{
-    sky_actions_t *out = context;
-    sky_record_t *record = &SkyActions_Add(out, SKY_ACT_APPEND)->u.append;
-    record->kind = SKY_REC_CRASH;
-    record->u.crash = *crash;
-}
-
 void
 SkyShard_Report(sky_shard_t *shard, const sky_in_report_t *in, uint64_t now_us,
                 sky_actions_t *out)
@@ -433,6 +441,7 @@
     }
     uint64_t age_us = in->report.age_us;
     uint64_t made_us = in->begun_us > age_us ? in->begun_us - age_us : 0;
+    crash_context_t crashes = {shard, now_us, out};
     target->failed_reports = 0;
     target->down = false;
     if (made_us <= target->made_us) {
@@ -441,7 +450,7 @@
     target->made_us = made_us;
     take_epoch(shard, target, in->report.epoch, now_us, out);
     SkySuspects_Resolve(shard->suspects, target->index, in->report.epoch,
-                        made_us, record_crash, out);
+                        made_us, record_crash, &crashes);
     for (uint32_t i = 0; i < target->info->slots; i++) {
         correct_slot(shard, target, &target->slots[i], &in->report, made_us,
                      now_us);
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -162,7 +162,7 @@
                     uint32_t pool);
 bool
 ShardSlots_MayEvict(const sky_shard_t *shard, const target_t *target,
-                    const slot_t *slot);
+                    const slot_t *slot, uint64_t now_us);
 void
 ShardSlots_Load(sky_shard_t *shard, target_t *target, slot_t *slot,
                 adapter_t *adapter, uint64_t now_us, sky_actions_t *out);
@@ -190,6 +190,9 @@
 ShardQueue_Drop(sky_shard_t *shard, request_t *request, uint64_t now_us,
                 sky_actions_t *out);
 void
+ShardQueue_CountCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
+                      uint64_t now_us, sky_actions_t *out);
+void
 ShardQueue_TargetLost(sky_shard_t *shard, target_t *target, uint64_t now_us,
                       sky_actions_t *out);
 void
--- a/lib/decide/suspects.c
+++ b/lib/decide/suspects.c
@@ -107,13 +107,16 @@
 }
 
 void
-SkySuspects_Hold(sky_suspects_t *suspects, uint64_t fingerprint,
-                 uint32_t target, uint64_t epoch, uint64_t now_us)
+SkySuspects_Hold(sky_suspects_t *suspects, const sky_rec_crash_t *crash,
+                 uint64_t now_us)
 {
-    suspect_t *suspect = find_or_add(suspects, fingerprint, now_us);
+    suspect_t *suspect = find_or_add(suspects, crash->fingerprint, now_us);
+    if (was_counted(suspect, crash) || suspect->count == SKY_CRASH_LIMIT) {
+        return;
+    }
     suspect->held = true;
-    suspect->held_target = target;
-    suspect->held_epoch = epoch;
+    suspect->held_target = crash->target;
+    suspect->held_epoch = crash->epoch;
     suspect->held_us = now_us;
 }
 
@@ -187,6 +190,9 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->table, suspect, next)
     {
+        if (suspect->held && suspect->held_us + SKY_HOLD_MAX_US < now_us) {
+            suspect->held = false;
+        }
         if (!suspect->held &&
             suspect->changed_us + suspects->keep_us < now_us) {
             forget(suspects, suspect);
--- a/lib/decide/suspects.h
+++ b/lib/decide/suspects.h
@@ -17,6 +17,8 @@
 
 /** Crashes after which a fingerprint is refused. */
 #define SKY_CRASH_LIMIT 2
+/** A doubt that no report has settled by then is dropped. */
+#define SKY_HOLD_MAX_US UINT64_C(30000000)
 
 typedef struct sky_suspects sky_suspects_t;
 
@@ -33,10 +35,13 @@
 SkySuspects_Crash(sky_suspects_t *suspects, const sky_rec_crash_t *crash,
                   uint64_t now_us);
 
-/** Holds a fingerprint back until it is known whether @p target crashed. */
+/**
+ * Holds a fingerprint back until it is known whether its target crashed; at
+ * most SKY_HOLD_MAX_US. Does nothing if that crash has been counted.
+ */
 void
-SkySuspects_Hold(sky_suspects_t *suspects, uint64_t fingerprint,
-                 uint32_t target, uint64_t epoch, uint64_t now_us);
+SkySuspects_Hold(sky_suspects_t *suspects, const sky_rec_crash_t *crash,
+                 uint64_t now_us);
 
 /** A report of @p target, made at @p made_us in @p epoch, is in. Calls
  *  @p crashed for each held fingerprint whose target has restarted. */
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -78,6 +78,7 @@
     SKY_MSG_CLAIM_ASK,
     SKY_MSG_CLAIM_ANSWER,
     SKY_MSG_QUEUED,
+    SKY_MSG_JOIN_ASK,
 } sky_msg_kind_t;
 
 /** Sent to each monitor; the acknowledgement may vouch for the sender. */
@@ -112,6 +113,7 @@
     uint32_t round; /**< grows with every COLLECT of the owner */
     uint32_t shard;
     uint32_t target;
+    uint64_t epoch;    /**< of the target, as the owner knows it */
     uint32_t stall_ms; /**< time spent waiting for the adapter */
 } sky_msg_grant_t;
 
@@ -142,6 +144,7 @@
     sky_request_id_t request;
     sky_adapter_id_t adapter;
     uint64_t fingerprint;
+    uint64_t epoch; /**< of the target, when the permit was granted */
     uint32_t target;
 } sky_permit_t;
 
@@ -169,6 +172,14 @@
     uint32_t code; /**< SKY_OK, SKY_E_CLAIMED or SKY_E_LOG_DOWN */
 } sky_msg_claim_answer_t;
 
+/** A host that is no member asks one to let it in. */
+typedef struct {
+    uint64_t nonce;
+    uint32_t domain;
+    char name[SKY_NAME_BYTES];
+    char address[SKY_ADDRESS_BYTES];
+} sky_msg_join_ask_t;
+
 typedef struct {
     sky_msg_kind_t kind;
     union {
@@ -183,6 +194,7 @@
         sky_msg_leaving_t leaving;
         sky_msg_claim_ask_t claim_ask;
         sky_msg_claim_answer_t claim_answer;
+        sky_msg_join_ask_t join_ask;
         sky_request_id_t queued; /**< QUEUED: the owner has the request */
     } u;
 } sky_msg_t;
@@ -196,7 +208,8 @@
     SKY_REC_MEMBER, /**< restates a member within the log's retention */
     SKY_REC_CLAIMS,
     SKY_REC_RELEASE, /**< gives back a claim whose request was not run */
-    SKY_REC_CRASH,
+    SKY_REC_SUSPECT, /**< an exchange broke: did the target crash? */
+    SKY_REC_CRASH,   /**< it did */
     SKY_REC_CONFIG,
     SKY_REC_CONFIG_RESTATE,
 } sky_record_kind_t;
@@ -208,6 +221,9 @@
     sky_offset_t view;        /**< MEMBER: last membership change known */
     uint32_t domain;
     uint32_t draining;
+    uint32_t bootstrap; /**< JOIN: no member could be reached */
+    sky_offset_t
+        sponsor; /**< JOIN: incarnation of the member that let it in */
     char name[SKY_NAME_BYTES];
     char address[SKY_ADDRESS_BYTES];
 } sky_rec_member_t;
--- a/lib/peer/codec.c
+++ b/lib/peer/codec.c
@@ -37,7 +37,8 @@
 {
     return xdr_u64(xdr, &msg->request) && xdr_u64(xdr, &msg->fence) &&
            xdr_u32(xdr, &msg->round) && xdr_u32(xdr, &msg->shard) &&
-           xdr_u32(xdr, &msg->target) && xdr_u32(xdr, &msg->stall_ms);
+           xdr_u32(xdr, &msg->target) && xdr_u64(xdr, &msg->epoch) &&
+           xdr_u32(xdr, &msg->stall_ms);
 }
 
 static bool_t
@@ -65,7 +66,8 @@
 xdr_permit(XDR *xdr, sky_permit_t *permit)
 {
     return xdr_u64(xdr, &permit->request) && xdr_u64(xdr, &permit->adapter) &&
-           xdr_u64(xdr, &permit->fingerprint) && xdr_u32(xdr, &permit->target);
+           xdr_u64(xdr, &permit->fingerprint) &&
+           xdr_u64(xdr, &permit->epoch) && xdr_u32(xdr, &permit->target);
 }
 
 static bool_t
@@ -91,6 +93,17 @@
            xdr_u64(xdr, &msg->request);
 }
 
+static bool_t
+xdr_join_ask(XDR *xdr, sky_msg_join_ask_t *msg)
+{
+    bool_t ok = xdr_u64(xdr, &msg->nonce) && xdr_u32(xdr, &msg->domain) &&
+                xdr_opaque(xdr, msg->name, sizeof msg->name) &&
+                xdr_opaque(xdr, msg->address, sizeof msg->address);
+    msg->name[sizeof msg->name - 1] = '\0';
+    msg->address[sizeof msg->address - 1] = '\0';
+    return ok;
+}
+
 static bool_t
 xdr_message(XDR *xdr, sky_msg_t *msg)
 {
@@ -127,6 +140,8 @@
     case SKY_MSG_CLAIM_ANSWER:
         return xdr_u64(xdr, &msg->u.claim_answer.request) &&
                xdr_u32(xdr, &msg->u.claim_answer.code);
+    case SKY_MSG_JOIN_ASK:
+        return xdr_join_ask(xdr, &msg->u.join_ask);
     case SKY_MSG_QUEUED:
         return xdr_u64(xdr, &msg->u.queued);
     }
--- a/lib/platform/record_json.c
+++ b/lib/platform/record_json.c
@@ -58,6 +58,8 @@
     set_number(object, "view", member->view);
     set_number(object, "domain", member->domain);
     set_number(object, "draining", member->draining);
+    set_number(object, "bootstrap", member->bootstrap);
+    set_number(object, "sponsor", member->sponsor);
     json_object_set_new(object, "name", json_string(member->name));
     json_object_set_new(object, "address", json_string(member->address));
 }
@@ -71,6 +73,8 @@
     member->view = get_number(object, "view");
     member->domain = (uint32_t)get_number(object, "domain");
     member->draining = (uint32_t)get_number(object, "draining");
+    member->bootstrap = (uint32_t)get_number(object, "bootstrap");
+    member->sponsor = get_number(object, "sponsor");
     get_text(object, "name", member->name, sizeof member->name);
     get_text(object, "address", member->address, sizeof member->address);
 }
@@ -153,6 +157,7 @@
     case SKY_REC_RELEASE:
         encode_claims(object, &record->u.claims);
         break;
+    case SKY_REC_SUSPECT:
     case SKY_REC_CRASH:
         set_hex(object, "fingerprint", record->u.crash.fingerprint);
         set_hex(object, "epoch", record->u.crash.epoch);
@@ -182,6 +187,7 @@
     case SKY_REC_CLAIMS:
     case SKY_REC_RELEASE:
         return decode_claims(data, &record->u.claims);
+    case SKY_REC_SUSPECT:
     case SKY_REC_CRASH:
         record->u.crash.fingerprint = get_hex(data, "fingerprint");
         record->u.crash.epoch = get_hex(data, "epoch");
--- a/lib/serve/settings.c
+++ b/lib/serve/settings.c
@@ -69,6 +69,10 @@
            "time between heartbeats"),
     NUMBER("lease", "suspect_ms", suspect_ms, "ms", 1200, 200, 60000,
            "silence after which a host is suspected"),
+    NUMBER("lease", "bootstrap_ms", bootstrap_ms, "ms", 5000, 1000, 600000,
+           "a new host that no member lets in joins anyway after this"),
+    NUMBER("lease", "degraded_ms", degraded_ms, "ms", 600000, 0, 3600000,
+           "for how long a host may act while the log is out for all"),
     NUMBER("placement", "shard_targets", shard_targets, "-", 32, 1, 4096,
            "targets that one owner decides for"),
     NUMBER("placement", "transit_max", transit_max, "-", 4, 1, 64,
@@ -341,6 +345,8 @@
     options->members.margin_us = to_us(settings->margin_ms);
     options->members.heartbeat_us = to_us(settings->heartbeat_ms);
     options->members.suspect_us = to_us(settings->suspect_ms);
+    options->members.bootstrap_us = to_us(settings->bootstrap_ms);
+    options->members.degraded_us = to_us(settings->degraded_ms);
     options->members.retention_us = to_us(settings->retention_ms);
     options->shard.batch_weight = settings->batch_weight;
     options->shard.transit_max = settings->transit_max;
--- a/lib/serve/settings.h
+++ b/lib/serve/settings.h
@@ -30,6 +30,8 @@
     uint32_t margin_ms;
     uint32_t heartbeat_ms;
     uint32_t suspect_ms;
+    uint32_t bootstrap_ms;
+    uint32_t degraded_ms;
     uint32_t retention_ms;
     uint32_t log_poll_ms;
     uint32_t hosts_poll_ms;
