--- a/bench/driver.c
+++ b/bench/driver.c
@@ -403,10 +403,13 @@
     if (SkyResult_Kind(answer->code)[0] == 'n') {
         driver->breaches.run_after_not_run +=
             result->runs > 0 && result->request.once;
-        driver->breaches.late_answer +=
+        bool late =
             driver->now_us > deadline_us + ANSWER_SLACK_US &&
             driver->hosts[result->host].paused_until_us + ANSWER_SLACK_US <
                 driver->now_us;
+        driver->breaches.late_answer += late;
+        DriverState_Trace(driver, "deadline %lu us ago%s",
+                          driver->now_us - deadline_us, late ? " BREACH" : "");
     }
 }
 
@@ -918,7 +921,10 @@
 Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us)
 {
     DriverState_Trace(driver, "pause host%u for %lu us", host, pause_us);
-    driver->hosts[host].paused_until_us = driver->now_us + pause_us;
+    uint64_t until_us = driver->now_us + pause_us;
+    if (until_us > driver->hosts[host].paused_until_us) {
+        driver->hosts[host].paused_until_us = until_us;
+    }
 }
 
 void
@@ -1005,7 +1011,7 @@
 Driver_IsReady(const driver_t *driver, uint32_t host)
 {
     return driver->hosts[host].alive &&
-           SkyNode_IsReady(driver->hosts[host].node);
+           SkyNode_IsReady(driver->hosts[host].node, host_clock(driver, host));
 }
 
 const sky_node_t *
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -3,10 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <utlist.h>
 
 #include "core/invariant.h"
 
 #define US_PER_MS 1000
+#define DOUBT_RETRY_US UINT64_C(2000000)
+#define DOUBT_MAX_US UINT64_C(600000000)
 #define ATTEMPT_BITS 4 /* low bits of a request id on the wire */
 #define ATTEMPTS_LIMIT 15
 #define RETRY_AFTER_MS 1000
@@ -50,6 +53,15 @@
     UT_hash_handle hh;
 } abandoned_t;
 
+/** A broken exchange whose SUSPECT record has not been read back yet. */
+typedef struct doubt {
+    sky_rec_crash_t crash;
+    uint64_t begun_us;
+    uint64_t sent_us;
+    struct doubt *prev;
+    struct doubt *next;
+} doubt_t;
+
 struct sky_entry {
     sky_entry_options_t options;
     const sky_target_info_t *targets;
@@ -61,7 +73,8 @@
     bool *leaving;
     request_t *requests;
     abandoned_t *abandoned; /* oldest first */
-    uint64_t now_us;        /* of the last tick */
+    doubt_t *doubts;
+    uint64_t now_us; /* of the last tick */
     double retry_tokens;
     sky_entry_stats_t stats;
 };
@@ -111,6 +124,13 @@
         HASH_DEL(entry->abandoned, claim);
         free(claim);
     }
+    doubt_t *doubt;
+    doubt_t *next_doubt;
+    DL_FOREACH_SAFE(entry->doubts, doubt, next_doubt)
+    {
+        DL_DELETE(entry->doubts, doubt);
+        free(doubt);
+    }
     free(entry->promises);
     free(entry->leaving);
     free(entry);
@@ -621,17 +641,70 @@
     }
 }
 
-/** Kept in the log, so that it outlives this host and the owner. */
 static void
-append_suspect(sky_entry_t *entry, const request_t *request,
-               sky_actions_t *out)
+append_doubt(sky_entry_t *entry, doubt_t *doubt, uint64_t now_us,
+             sky_actions_t *out)
 {
     sky_record_t *record = &SkyActions_Add(out, SKY_ACT_APPEND)->u.append;
     record->kind = SKY_REC_SUSPECT;
     record->nonce = SkyMembers_Nonce(entry->members);
-    record->u.crash.fingerprint = request->in.fingerprint;
-    record->u.crash.epoch = request->epoch;
-    record->u.crash.target = request->target;
+    record->u.crash = doubt->crash;
+    doubt->sent_us = now_us;
+}
+
+/** Kept in the log, so that it outlives this host and the owner. */
+static void
+begin_doubt(sky_entry_t *entry, const request_t *request, uint64_t now_us,
+            sky_actions_t *out)
+{
+    doubt_t *doubt = calloc(1, sizeof *doubt);
+    if (doubt == NULL) {
+        abort();
+    }
+    doubt->crash.fingerprint = request->in.fingerprint;
+    doubt->crash.epoch = request->epoch;
+    doubt->crash.target = request->target;
+    doubt->begun_us = now_us;
+    DL_APPEND(entry->doubts, doubt);
+    append_doubt(entry, doubt, now_us, out);
+}
+
+static bool
+is_same_crash(const sky_rec_crash_t *a, const sky_rec_crash_t *b)
+{
+    return a->fingerprint == b->fingerprint && a->epoch == b->epoch &&
+           a->target == b->target;
+}
+
+void
+SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash)
+{
+    doubt_t *doubt;
+    doubt_t *next;
+    DL_FOREACH_SAFE(entry->doubts, doubt, next)
+    {
+        if (is_same_crash(&doubt->crash, crash)) {
+            DL_DELETE(entry->doubts, doubt);
+            free(doubt);
+        }
+    }
+}
+
+static void
+retry_doubts(sky_entry_t *entry, uint64_t now_us, sky_actions_t *out)
+{
+    doubt_t *doubt;
+    doubt_t *next;
+    DL_FOREACH_SAFE(entry->doubts, doubt, next)
+    {
+        if (now_us >= doubt->begun_us + DOUBT_MAX_US) {
+            DL_DELETE(entry->doubts, doubt);
+            free(doubt);
+        }
+        else if (now_us >= doubt->sent_us + DOUBT_RETRY_US) {
+            append_doubt(entry, doubt, now_us, out);
+        }
+    }
 }
 
 void
@@ -647,7 +720,7 @@
     return_permit(owner, wire_id(request), request->shard, request->target,
                   outcome->outcome, out);
     if (outcome->outcome == SKY_OUTCOME_BROKEN) {
-        append_suspect(entry, request, out);
+        begin_doubt(entry, request, now_us, out);
     }
     if (may_try_again(entry, request, outcome, now_us)) {
         entry->retry_tokens -= 1.0;
@@ -720,6 +793,7 @@
         HASH_DEL(entry->abandoned, claim);
         free(claim);
     }
+    retry_doubts(entry, now_us, out);
     HASH_ITER(hh, entry->requests, request, next)
     {
         tick_request(entry, request, now_us, out);
--- a/lib/decide/entry.h
+++ b/lib/decide/entry.h
@@ -69,6 +69,9 @@
 void
 SkyEntry_ClaimSeen(sky_entry_t *entry, const sky_key_t *key,
                    sky_request_id_t request, sky_actions_t *out);
+/** A SUSPECT or CRASH record was read. */
+void
+SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash);
 void
 SkyEntry_Tick(sky_entry_t *entry, uint64_t now_us, sky_actions_t *out);
 void
--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -7,6 +7,7 @@
 
 #define US_PER_MS 1000
 #define JOIN_RETRY_US UINT64_C(300000)
+#define RESTATE_SLACK_US UINT64_C(10000000)
 #define RESTATE_RETRY_US UINT64_C(2000000)
 #define DENIAL_WAIT_US UINT64_C(400000)
 #define DENIAL_REST_US UINT64_C(2000000)
@@ -16,9 +17,9 @@
 /** What is known of a host besides its membership. */
 typedef struct {
     sky_host_id_t host;
-    sky_offset_t changed; /**< last membership record about it */
-    bool unverified;      /**< a restatement that could not be checked */
-    uint64_t denied_us;   /**< a monitor said that it is alive */
+    sky_offset_t changed;         /**< last membership record about it */
+    uint64_t unverified_until_us; /**< a record could not be checked */
+    uint64_t denied_us;           /**< a monitor said that it is alive */
     UT_hash_handle hh;
 } history_t;
 
@@ -202,38 +203,68 @@
     return false;
 }
 
-/** A restart takes the place of its predecessor; a new host is let in by a
- *  member, unless there is none. */
-static bool
-may_join(const sky_members_t *members, const sky_rec_member_t *rec)
+typedef enum {
+    JOIN_REFUSED,
+    JOIN_ACCEPTED,
+    JOIN_UNVERIFIED, /* what decides it is no longer kept */
+} join_verdict_t;
+
+/**
+ * A restart takes the place of its predecessor; a new host is let in by a
+ * member, unless it is the first of all. Every host must come to the same
+ * verdict, also one that began to read after the log had dropped records.
+ */
+static join_verdict_t
+judge_join(const sky_members_t *members, const sky_rec_member_t *rec)
 {
-    return members->count == 0 || rec->bootstrap ||
-           find_member(members, rec->host) != NULL ||
-           is_incarnation(members, rec->sponsor);
+    bool accepted =
+        rec->bootstrap ||
+        (rec->sponsor != 0 ? is_incarnation(members, rec->sponsor)
+                           : find_member(members, rec->host) != NULL);
+    if (accepted) {
+        return JOIN_ACCEPTED;
+    }
+    if (members->start > 1) {
+        return JOIN_UNVERIFIED;
+    }
+    return members->count == 0 ? JOIN_ACCEPTED : JOIN_REFUSED;
+}
+
+/** A member restates itself in time; what stays unverified was none. */
+static void
+mark_unverified(sky_members_t *members, sky_host_id_t host, uint64_t now_us)
+{
+    history_of(members, host)->unverified_until_us =
+        now_us + members->options.retention_us / 2 + RESTATE_SLACK_US;
+}
+
+static void
+note_bootstrap(sky_members_t *members, uint64_t age_us, uint64_t now_us)
+{
+    uint64_t hold_us = members->options.degraded_us;
+    members->restated_us = 0; /* tell the newcomer of this host at once */
+    members->evict_after_us = now_us + hold_us;
+    members->evict_after_us -= age_us < hold_us ? age_us : hold_us;
 }
 
 static bool
 apply_join(sky_members_t *members, const sky_record_t *record, uint64_t now_us)
 {
     const sky_rec_member_t *rec = &record->u.member;
-    const sky_member_t *member = find_member(members, rec->host);
-    uint64_t age_us = record->age_ms * US_PER_MS;
-    if (!may_join(members, rec) ||
-        (member != NULL && member->nonce == record->nonce)) {
+    join_verdict_t verdict = judge_join(members, rec);
+    if (verdict == JOIN_UNVERIFIED) {
+        mark_unverified(members, rec->host, now_us);
+    }
+    if (verdict != JOIN_ACCEPTED) {
         return false;
     }
     if (rec->bootstrap) {
-        members->evict_after_us = now_us + members->options.degraded_us -
-                                  (age_us < members->options.degraded_us
-                                       ? age_us
-                                       : members->options.degraded_us);
+        note_bootstrap(members, record->age_ms * US_PER_MS, now_us);
     }
     set_member(members, rec, record->offset, now_us);
-    find_member(members, rec->host)->nonce = record->nonce;
     if (rec->host == members->self) {
         members->incarnation = record->offset;
         members->restated_us = now_us;
-        members->ask_begun_us = 0;
         members->join_nonce = 0;
     }
     return true;
@@ -282,10 +313,12 @@
         members->restated_us = now_us;
     }
     if (rec->as_of + 1 < members->start) {
-        history->unverified = member == NULL;
+        if (member == NULL) {
+            mark_unverified(members, rec->host, now_us);
+        }
         return false;
     }
-    history->unverified = false;
+    history->unverified_until_us = 0;
     if (member != NULL || history->changed > rec->as_of) {
         return false;
     }
@@ -325,7 +358,7 @@
         if (changed) {
             history_t *history = history_of(members, record->u.member.host);
             history->changed = record->offset;
-            history->unverified = false;
+            history->unverified_until_us = 0;
             members->view = record->offset;
         }
     }
@@ -405,14 +438,14 @@
 }
 
 bool
-SkyMembers_IsReady(const sky_members_t *members)
+SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us)
 {
     if (members->incarnation == 0) {
         return false;
     }
     const history_t *entry;
     for (entry = members->history; entry != NULL; entry = entry->hh.next) {
-        if (entry->unverified) {
+        if (entry->unverified_until_us > now_us) {
             return false;
         }
     }
@@ -594,8 +627,8 @@
 static void
 join(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
 {
-    bool may_ask =
-        members->count > 0 && find_member(members, members->self) == NULL;
+    bool may_ask = find_member(members, members->self) == NULL &&
+                   (members->count > 0 || members->start > 1);
     if (members->join_nonce == 0) {
         members->join_nonce = SkyMembers_Nonce(members);
         members->ask_begun_us = now_us;
@@ -603,7 +636,9 @@
     bool bootstrap =
         now_us >= members->ask_begun_us + members->options.bootstrap_us;
     if (may_ask && !bootstrap) {
-        ask_to_join(members, out);
+        if (members->count > 0) {
+            ask_to_join(members, out);
+        }
         return;
     }
     sky_record_t *record = append_member(members, SKY_REC_JOIN, out);
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -42,7 +42,7 @@
     bool draining;
     char name[SKY_NAME_BYTES];
     char address[SKY_ADDRESS_BYTES];
-    uint64_t nonce;      /**< of its JOIN */
+
     uint64_t heard_us;   /**< last heartbeat received from it */
     uint64_t suspect_us; /**< when SUSPECT was sent; 0: not suspected */
     uint64_t acked_us;   /**< send time of the last heartbeat it answered */
@@ -106,7 +106,7 @@
 
 /** @return true if the view is complete and this host is in it. */
 bool
-SkyMembers_IsReady(const sky_members_t *members);
+SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us);
 
 /** @return owner of a shard in @p domain, 0 if there is no member. */
 sky_host_id_t
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -9,6 +9,7 @@
 #define READ_WAIT_US UINT64_C(3000000)
 #define WANTED_REFRESH_US UINT64_C(10000000)
 #define WANTED_AHEAD_MS 60000 /* events this much before their prewarm */
+#define TOLD_LEAVING_US UINT64_C(15000000) /* the list has caught up */
 #define RESTATE_EVERY_US UINT64_C(1000000)
 
 struct sky_node {
@@ -21,6 +22,7 @@
     uint32_t shard_count;
     bool *listed_leaving;
     bool *leaving;
+    uint64_t *told_us; /* when a peer said that a target leaves */
     bool draining;
     bool closing;
     bool lost;
@@ -104,6 +106,7 @@
     node->members = SkyMembers_Create(&options->members);
     node->config = SkyConfig_Create(options->members.retention_us);
     node->claims = SkyClaims_Create(&options->claims);
+    node->told_us = calloc(options->target_count, sizeof *node->told_us);
     node->leaving = calloc(options->target_count, sizeof *node->leaving);
     node->listed_leaving =
         calloc(options->target_count, sizeof *node->listed_leaving);
@@ -114,7 +117,8 @@
     }
     if (node->members == NULL || node->config == NULL ||
         node->claims == NULL || node->entry == NULL || node->leaving == NULL ||
-        node->listed_leaving == NULL || !create_shards(node)) {
+        node->told_us == NULL || node->listed_leaving == NULL ||
+        !create_shards(node)) {
         SkyNode_Free(node);
         return NULL;
     }
@@ -136,6 +140,7 @@
     SkyConfig_Free(node->config);
     SkyMembers_Free(node->members);
     SkyActions_Free(&node->local);
+    free(node->told_us);
     free(node->leaving);
     free(node->listed_leaving);
     free(node);
@@ -169,6 +174,27 @@
     SkyEntry_SetLeaving(node->entry, target, leaving);
 }
 
+static void
+take_leaving(sky_node_t *node, const sky_msg_leaving_t *told, uint64_t now_us)
+{
+    if (told->target < node->options.target_count) {
+        node->told_us[told->target] = now_us;
+        set_leaving(node, told->target, told->leaving != 0);
+    }
+}
+
+/** What peers said holds until this host's own list has caught up. */
+static void
+return_to_list(sky_node_t *node, uint64_t now_us)
+{
+    for (uint32_t t = 0; t < node->options.target_count; t++) {
+        if (node->leaving[t] != node->listed_leaving[t] &&
+            now_us >= node->told_us[t] + TOLD_LEAVING_US) {
+            set_leaving(node, t, node->listed_leaving[t]);
+        }
+    }
+}
+
 static void
 take_message(sky_node_t *node, const sky_in_message_t *in, uint64_t now_us,
              sky_actions_t *out)
@@ -193,10 +219,7 @@
         to_shard(node, in->msg.u.shard.shard, in, now_us, out);
         break;
     case SKY_MSG_LEAVING:
-        if (in->msg.u.leaving.target < node->options.target_count) {
-            set_leaving(node, in->msg.u.leaving.target,
-                        in->msg.u.leaving.leaving != 0);
-        }
+        take_leaving(node, &in->msg.u.leaving, now_us);
         break;
     case SKY_MSG_CLAIM_ASK:
         SkyClaims_Ask(node->claims, in->from, &in->msg.u.claim_ask, now_us,
@@ -267,6 +290,7 @@
     uint32_t target = record->u.crash.target;
     sky_shard_t *shard =
         find_shard(node, target / node->options.shard_targets);
+    SkyEntry_SuspectSeen(node->entry, &record->u.crash);
     if (shard != NULL) {
         SkyShard_ApplyCrash(shard, record, now_us);
     }
@@ -445,6 +469,7 @@
 tick(sky_node_t *node, uint64_t now_us, uint64_t wall_ms, sky_actions_t *out)
 {
     SkyMembers_Tick(node->members, now_us, out);
+    return_to_list(node, now_us);
     refresh_wanted(node, now_us, wall_ms);
     for (uint32_t i = 0; i < node->shard_count; i++) {
         SkyShard_Tick(node->shards[i], now_us, out);
@@ -485,10 +510,10 @@
 }
 
 static bool
-is_serving(const sky_node_t *node)
+is_serving(const sky_node_t *node, uint64_t now_us)
 {
     return node->caught_up && !node->lost &&
-           SkyMembers_IsReady(node->members) &&
+           SkyMembers_IsReady(node->members, now_us) &&
            SkyConfig_IsComplete(node->config);
 }
 
@@ -496,7 +521,7 @@
 take_request(sky_node_t *node, const sky_in_request_t *request,
              uint64_t now_us, sky_actions_t *out)
 {
-    if (node->closing || !is_serving(node)) {
+    if (node->closing || !is_serving(node, now_us)) {
         sky_action_t *action = SkyActions_Add(out, SKY_ACT_ANSWER);
         action->u.answer.request = request->request;
         action->u.answer.code =
@@ -598,9 +623,9 @@
  */
 
 bool
-SkyNode_IsReady(const sky_node_t *node)
+SkyNode_IsReady(const sky_node_t *node, uint64_t now_us)
 {
-    return is_serving(node) && !node->draining;
+    return is_serving(node, now_us) && !node->draining;
 }
 
 bool
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -54,7 +54,7 @@
 
 /** @return true if the host may take requests. */
 bool
-SkyNode_IsReady(const sky_node_t *node);
+SkyNode_IsReady(const sky_node_t *node, uint64_t now_us);
 /** @return true if a drained host has nothing left to do. */
 bool
 SkyNode_IsIdle(const sky_node_t *node);
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -304,6 +304,11 @@
     request_t *next;
     DL_FOREACH_SAFE(adapter->waiting, request, next)
     {
+        if (SkySuspects_IsQuarantined(shard->suspects, request->fingerprint)) {
+            refuse(shard, request, SKY_E_QUARANTINED,
+                   shard->options.quarantine_us, out);
+            continue;
+        }
         target_t *target = ShardPolicy_ChooseTarget(shard, adapter, request);
         if (target == NULL) {
             return;
--- a/lib/serve/control.c
+++ b/lib/serve/control.c
@@ -496,7 +496,7 @@
 note_state(sky_control_t *control)
 {
     const sky_members_t *members = SkyNode_Members(control->node);
-    bool ready = SkyNode_IsReady(control->node);
+    bool ready = SkyNode_IsReady(control->node, SkyControl_NowUs());
     size_t count;
     SkyMembers_List(members, &count);
     if (ready != control->ready) {
--- a/lib/serve/status.c
+++ b/lib/serve/status.c
@@ -122,8 +122,9 @@
     }
     json_object_set_new(context->root, "host",
                         json_string(settings->host_name));
-    json_object_set_new(context->root, "ready",
-                        json_boolean(SkyNode_IsReady(node)));
+    json_object_set_new(
+        context->root, "ready",
+        json_boolean(SkyNode_IsReady(node, SkyControl_NowUs())));
     json_object_set_new(context->root, "idle",
                         json_boolean(SkyNode_IsIdle(node)));
     json_object_set_new(context->root, "revision",
