Remember several broken exchanges of one request; append a stop until seen

Causes: a second doubt about a fingerprint took the place of the first, and a doubt lapsed after 30 s though the owner was cut off from the log for longer; a DRAIN whose append was lost left a host draining for ever.

--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -35,6 +35,7 @@
     bool draining;
     uint64_t nonce_count;
     uint64_t join_sent_us;
+    uint64_t stop_sent_us;
     uint64_t restated_us;
     uint64_t lease_until_us;
     uint64_t tail_read_us;
@@ -655,6 +656,25 @@
            now_us >= members->join_sent_us + every_us;
 }
 
+/** Appends DRAIN and the final REMOVE again until the log has them. */
+static void
+retry_stop(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
+{
+    const sky_member_t *self = find_member(members, members->self);
+    bool due = now_us >= members->stop_sent_us + RESTATE_RETRY_US;
+    if (self == NULL || !due) {
+        return;
+    }
+    if (members->leaving) {
+        members->stop_sent_us = now_us;
+        append_member(members, SKY_REC_REMOVE, out);
+    }
+    else if (members->draining && !self->draining) {
+        members->stop_sent_us = now_us;
+        append_member(members, SKY_REC_DRAIN, out);
+    }
+}
+
 static void
 join_or_restate(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
 {
@@ -677,6 +697,7 @@
 SkyMembers_Tick(sky_members_t *members, uint64_t now_us, sky_actions_t *out)
 {
     join_or_restate(members, now_us, out);
+    retry_stop(members, now_us, out);
     watch_neighbours(members, now_us, out);
     if (members->incarnation != 0) {
         send_heartbeats(members, now_us, out);
@@ -786,21 +807,17 @@
 }
 
 void
-SkyMembers_Drain(sky_members_t *members, sky_actions_t *out)
+SkyMembers_Drain(sky_members_t *members)
 {
     members->draining = true;
-    if (members->incarnation != 0) {
-        append_member(members, SKY_REC_DRAIN, out);
-    }
+    members->stop_sent_us = 0;
 }
 
 void
-SkyMembers_Leave(sky_members_t *members, sky_actions_t *out)
+SkyMembers_Leave(sky_members_t *members)
 {
     members->leaving = true;
-    if (members->incarnation != 0) {
-        append_member(members, SKY_REC_REMOVE, out);
-    }
+    members->stop_sent_us = 0;
 }
 
 /* ---- views -------------------------------------------------------------- */
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -82,13 +82,11 @@
 SkyMembers_Message(sky_members_t *members, const sky_in_message_t *in,
                    uint64_t now_us, sky_actions_t *out);
 
-/** Appends a DRAIN: no ownership from then on, still a member. */
-void
-SkyMembers_Drain(sky_members_t *members, sky_actions_t *out);
+/** Begins to drain: no ownership once the log has it, still a member. */
+void SkyMembers_Drain(sky_members_t *members);
 
-/** Appends the final REMOVE of this host; it does not join again. */
-void
-SkyMembers_Leave(sky_members_t *members, sky_actions_t *out);
+/** Ends the membership for good. */
+void SkyMembers_Leave(sky_members_t *members);
 
 /** @return true while the lease is held: this host is surely a member. */
 bool
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -595,14 +595,14 @@
         break;
     case SKY_IN_DRAIN:
         node->draining = true;
-        SkyMembers_Drain(node->members, out);
+        SkyMembers_Drain(node->members);
         break;
     case SKY_IN_CLOSE:
         node->closing = true;
         break;
     case SKY_IN_LEAVE:
         SKY_INVARIANT(SKY_INV_SHUTDOWN, SkyEntry_OpenCount(node->entry) == 0);
-        SkyMembers_Leave(node->members, out);
+        SkyMembers_Leave(node->members);
         break;
     }
 }
--- a/lib/decide/suspects.c
+++ b/lib/decide/suspects.c
@@ -3,16 +3,26 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#define EVENTS_MAX 4 /* broken exchanges remembered for a fingerprint */
+
+typedef enum {
+    EVENT_NONE,
+    EVENT_HELD,    /* did the target crash? */
+    EVENT_COUNTED, /* it did */
+} event_state_t;
+
+/** A broken exchange: one target in one epoch. */
+typedef struct {
+    event_state_t state;
+    uint32_t target;
+    uint64_t epoch;
+    uint64_t held_us;
+} event_t;
+
 typedef struct suspect {
     uint64_t fingerprint;
     uint64_t changed_us;
-    uint32_t count;
-    uint32_t targets[SKY_CRASH_LIMIT];
-    uint64_t epochs[SKY_CRASH_LIMIT];
-    bool held;
-    uint32_t held_target;
-    uint64_t held_epoch;
-    uint64_t held_us;
+    event_t events[EVENTS_MAX];
     UT_hash_handle hh;
 } suspect_t;
 
@@ -78,16 +88,32 @@
     return suspect;
 }
 
-static bool
-was_counted(const suspect_t *suspect, const sky_rec_crash_t *crash)
+static uint32_t
+count_state(const suspect_t *suspect, event_state_t state)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; suspect != NULL && i < EVENTS_MAX; i++) {
+        count += suspect->events[i].state == state;
+    }
+    return count;
+}
+
+/** @return the event of a crash; else a free one, or NULL if none is. */
+static event_t *
+event_for(suspect_t *suspect, const sky_rec_crash_t *crash)
 {
-    for (uint32_t i = 0; i < suspect->count; i++) {
-        if (suspect->targets[i] == crash->target &&
-            suspect->epochs[i] == crash->epoch) {
-            return true;
+    event_t *unused = NULL;
+    for (uint32_t i = 0; i < EVENTS_MAX; i++) {
+        event_t *event = &suspect->events[i];
+        if (event->state == EVENT_NONE) {
+            unused = event;
+        }
+        else if (event->target == crash->target &&
+                 event->epoch == crash->epoch) {
+            return event;
         }
     }
-    return false;
+    return unused;
 }
 
 bool
@@ -95,14 +121,13 @@
                   uint64_t now_us)
 {
     suspect_t *suspect = find_or_add(suspects, crash->fingerprint, now_us);
-    if (suspect->held && suspect->held_target == crash->target) {
-        suspect->held = false;
-    }
-    if (was_counted(suspect, crash) || suspect->count == SKY_CRASH_LIMIT) {
+    event_t *event = event_for(suspect, crash);
+    if (event == NULL || event->state == EVENT_COUNTED) {
         return false;
     }
-    suspect->targets[suspect->count] = crash->target;
-    suspect->epochs[suspect->count++] = crash->epoch;
+    event->state = EVENT_COUNTED;
+    event->target = crash->target;
+    event->epoch = crash->epoch;
     return true;
 }
 
@@ -111,21 +136,22 @@
                  uint64_t now_us)
 {
     suspect_t *suspect = find_or_add(suspects, crash->fingerprint, now_us);
-    if (was_counted(suspect, crash) || suspect->count == SKY_CRASH_LIMIT) {
+    event_t *event = event_for(suspect, crash);
+    if (event == NULL || event->state != EVENT_NONE) {
         return;
     }
-    suspect->held = true;
-    suspect->held_target = crash->target;
-    suspect->held_epoch = crash->epoch;
-    suspect->held_us = now_us;
+    event->state = EVENT_HELD;
+    event->target = crash->target;
+    event->epoch = crash->epoch;
+    event->held_us = now_us;
 }
 
 static void
-report_crash(suspect_t *suspect, sky_crash_visit_t crashed, void *context)
+report_crash(const suspect_t *suspect, const event_t *event,
+             sky_crash_visit_t crashed, void *context)
 {
-    sky_rec_crash_t crash = {suspect->fingerprint, suspect->held_epoch,
-                             suspect->held_target};
-    suspect->held = false;
+    sky_rec_crash_t crash = {suspect->fingerprint, event->epoch,
+                             event->target};
     crashed(&crash, context);
 }
 
@@ -137,14 +163,17 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->table, suspect, next)
     {
-        if (!suspect->held || suspect->held_target != target) {
-            continue;
-        }
-        if (suspect->held_epoch != epoch) {
-            report_crash(suspect, crashed, context);
-        }
-        else if (made_us > suspect->held_us) {
-            suspect->held = false;
+        for (uint32_t i = 0; i < EVENTS_MAX; i++) {
+            event_t *event = &suspect->events[i];
+            if (event->state != EVENT_HELD || event->target != target) {
+                continue;
+            }
+            if (event->epoch != epoch) {
+                report_crash(suspect, event, crashed, context);
+            }
+            else if (made_us > event->held_us) {
+                event->state = EVENT_NONE;
+            }
         }
     }
 }
@@ -157,8 +186,11 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->table, suspect, next)
     {
-        if (suspect->held && suspect->held_target == target) {
-            report_crash(suspect, crashed, context);
+        for (uint32_t i = 0; i < EVENTS_MAX; i++) {
+            const event_t *event = &suspect->events[i];
+            if (event->state == EVENT_HELD && event->target == target) {
+                report_crash(suspect, event, crashed, context);
+            }
         }
     }
 }
@@ -166,15 +198,13 @@
 uint32_t
 SkySuspects_Count(const sky_suspects_t *suspects, uint64_t fingerprint)
 {
-    const suspect_t *suspect = find(suspects, fingerprint);
-    return suspect ? suspect->count : 0;
+    return count_state(find(suspects, fingerprint), EVENT_COUNTED);
 }
 
 bool
 SkySuspects_IsHeld(const sky_suspects_t *suspects, uint64_t fingerprint)
 {
-    const suspect_t *suspect = find(suspects, fingerprint);
-    return suspect != NULL && suspect->held;
+    return count_state(find(suspects, fingerprint), EVENT_HELD) > 0;
 }
 
 bool
@@ -190,11 +220,7 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->table, suspect, next)
     {
-        if (suspect->held && suspect->held_us + SKY_HOLD_MAX_US < now_us) {
-            suspect->held = false;
-        }
-        if (!suspect->held &&
-            suspect->changed_us + suspects->keep_us < now_us) {
+        if (suspect->changed_us + suspects->keep_us < now_us) {
             forget(suspects, suspect);
         }
     }
--- a/lib/decide/suspects.h
+++ b/lib/decide/suspects.h
@@ -17,8 +17,7 @@
 
 /** Crashes after which a fingerprint is refused. */
 #define SKY_CRASH_LIMIT 2
-/** A doubt that no report has settled by then is dropped. */
-#define SKY_HOLD_MAX_US UINT64_C(30000000)
+
 
 typedef struct sky_suspects sky_suspects_t;
 
@@ -36,8 +35,8 @@
                   uint64_t now_us);
 
 /**
- * Holds a fingerprint back until it is known whether its target crashed; at
- * most SKY_HOLD_MAX_US. Does nothing if that crash has been counted.
+ * Holds a fingerprint back until it is known whether its target crashed. Does
+ * nothing if that crash is held or counted already.
  */
 void
 SkySuspects_Hold(sky_suspects_t *suspects, const sky_rec_crash_t *crash,
