Hear a peer that knows of the removal

Cause: with the log out, a paused and removed owner took its peers' 'I cannot read the log' for proof that it was still a member, though their view showed that it was not. An acknowledgement now counts only if it names this host's incarnation.

--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -732,12 +732,15 @@
     if (member == NULL) {
         return;
     }
+    if (ack->incarnation != members->incarnation) {
+        member->acked_us = 0; /* it knows that this host was removed */
+        return;
+    }
     if (ack->sent_us > member->acked_us) {
         member->acked_us = ack->sent_us;
         member->ack_log_age_us = ack->log_age_us;
     }
-    if (ack->incarnation == members->incarnation &&
-        ack->log_age_us < ack->sent_us) {
+    if (ack->log_age_us < ack->sent_us) {
         extend_lease(members, ack->sent_us - ack->log_age_us);
     }
 }
