Vouch for a view, not only for a membership

Cause: an owner that could not read the log kept its lease by its peers' word that it was a member, while a JOIN had moved its shard: two owners for 5 s. A peer now vouches only for the very view that both have.

--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -721,8 +721,9 @@
 
 /**
  * The peer began a tail read at most `log_age_us` before it answered, which
- * was after this host sent the heartbeat; the read showed this host as a
- * member, so the lease reaches from that moment as if the read were our own.
+ * was after this host sent the heartbeat; the read showed the very view that
+ * this host has, so the lease reaches from that moment as if the read were
+ * our own. A later view may have moved a shard, also without a removal.
  */
 static void
 take_ack(sky_members_t *members, sky_host_id_t from,
@@ -732,8 +733,9 @@
     if (member == NULL) {
         return;
     }
-    if (ack->incarnation != members->incarnation) {
-        member->acked_us = 0; /* it knows that this host was removed */
+    if (ack->incarnation != members->incarnation ||
+        ack->view != members->view) {
+        member->acked_us = 0; /* it knows more, or less, than this host */
         return;
     }
     if (ack->sent_us > member->acked_us) {
