Tell the other members of a broken exchange while the log is out

Cause: a crash seen while the log was out was known to its entry host and the owner only; with both gone the request was granted again.

--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -8,6 +8,8 @@
 #include "core/invariant.h"
 
 #define US_PER_MS 1000
+#define LOG_OUT_US UINT64_C(1500000)
+#define TELL_MEMBERS_MAX 32
 #define DOUBT_RETRY_US UINT64_C(2000000)
 #define DOUBT_MAX_US UINT64_C(600000000)
 #define ATTEMPT_BITS 4 /* low bits of a request id on the wire */
@@ -652,28 +654,70 @@
     doubt->sent_us = now_us;
 }
 
-/** Kept in the log, so that it outlives this host and the owner. */
-static void
-begin_doubt(sky_entry_t *entry, const request_t *request, uint64_t now_us,
-            sky_actions_t *out)
+static bool
+is_same_crash(const sky_rec_crash_t *a, const sky_rec_crash_t *b)
 {
-    doubt_t *doubt = calloc(1, sizeof *doubt);
+    return a->fingerprint == b->fingerprint && a->epoch == b->epoch &&
+           a->target == b->target;
+}
+
+static doubt_t *
+add_doubt(sky_entry_t *entry, const sky_rec_crash_t *crash, uint64_t now_us)
+{
+    doubt_t *doubt;
+    DL_FOREACH(entry->doubts, doubt)
+    {
+        if (is_same_crash(&doubt->crash, crash)) {
+            return NULL;
+        }
+    }
+    doubt = calloc(1, sizeof *doubt);
     if (doubt == NULL) {
         abort();
     }
-    doubt->crash.fingerprint = request->in.fingerprint;
-    doubt->crash.epoch = request->epoch;
-    doubt->crash.target = request->target;
+    doubt->crash = *crash;
     doubt->begun_us = now_us;
     DL_APPEND(entry->doubts, doubt);
-    append_doubt(entry, doubt, now_us, out);
+    return doubt;
 }
 
-static bool
-is_same_crash(const sky_rec_crash_t *a, const sky_rec_crash_t *b)
+/** With the log out, the other members keep the doubt as well. */
+static void
+tell_members(const sky_entry_t *entry, const sky_rec_crash_t *crash,
+             uint64_t now_us, sky_actions_t *out)
 {
-    return a->fingerprint == b->fingerprint && a->epoch == b->epoch &&
-           a->target == b->target;
+    size_t count;
+    const sky_member_t *members = SkyMembers_List(entry->members, &count);
+    if (SkyMembers_LogAgeUs(entry->members, now_us) < LOG_OUT_US) {
+        return;
+    }
+    for (size_t i = 0; i < count && i < TELL_MEMBERS_MAX; i++) {
+        if (members[i].host != SkyMembers_Self(entry->members)) {
+            SkyActions_Send(out, members[i].host, SKY_MSG_DOUBT)->u.doubt =
+                *crash;
+        }
+    }
+}
+
+/** Kept in the log, so that it outlives this host and the owner. */
+static void
+begin_doubt(sky_entry_t *entry, const request_t *request, uint64_t now_us,
+            sky_actions_t *out)
+{
+    sky_rec_crash_t crash = {request->in.fingerprint, request->epoch,
+                             request->target};
+    doubt_t *doubt = add_doubt(entry, &crash, now_us);
+    if (doubt != NULL) {
+        append_doubt(entry, doubt, now_us, out);
+        tell_members(entry, &crash, now_us, out);
+    }
+}
+
+void
+SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
+                   uint64_t now_us)
+{
+    add_doubt(entry, crash, now_us);
 }
 
 void
--- a/lib/decide/entry.h
+++ b/lib/decide/entry.h
@@ -69,6 +69,9 @@
 void
 SkyEntry_ClaimSeen(sky_entry_t *entry, const sky_key_t *key,
                    sky_request_id_t request, sky_actions_t *out);
+/** Keeps another host's doubt until the log has it. */
+void SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
+                        uint64_t now_us);
 /** A SUSPECT or CRASH record was read. */
 void
 SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash);
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -183,6 +183,17 @@
     }
 }
 
+static void
+take_doubt(sky_node_t *node, const sky_rec_crash_t *crash, uint64_t now_us)
+{
+    sky_shard_t *shard =
+        find_shard(node, crash->target / node->options.shard_targets);
+    SkyEntry_KeepDoubt(node->entry, crash, now_us);
+    if (shard != NULL) {
+        SkyShard_Hold(shard, crash, now_us);
+    }
+}
+
 /** What peers said holds until this host's own list has caught up. */
 static void
 return_to_list(sky_node_t *node, uint64_t now_us)
@@ -221,6 +232,9 @@
     case SKY_MSG_LEAVING:
         take_leaving(node, &in->msg.u.leaving, now_us);
         break;
+    case SKY_MSG_DOUBT:
+        take_doubt(node, &in->msg.u.doubt, now_us);
+        break;
     case SKY_MSG_CLAIM_ASK:
         SkyClaims_Ask(node->claims, in->from, &in->msg.u.claim_ask, now_us,
                       out);
--- a/lib/decide/shard.c
+++ b/lib/decide/shard.c
@@ -391,6 +391,13 @@
     shard->plan_due = true;
 }
 
+void
+SkyShard_Hold(sky_shard_t *shard, const sky_rec_crash_t *crash,
+              uint64_t now_us)
+{
+    SkySuspects_Hold(shard->suspects, crash, now_us);
+}
+
 void
 SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
                     uint64_t now_us)
--- a/lib/decide/shard.h
+++ b/lib/decide/shard.h
@@ -94,6 +94,10 @@
 SkyShard_SetWanted(sky_shard_t *shard, const sky_wanted_t *wanted,
                    uint32_t count);
 
+/** Holds a fingerprint back that another host has its doubts about. */
+void SkyShard_Hold(sky_shard_t *shard, const sky_rec_crash_t *crash,
+                   uint64_t now_us);
+
 /** Applies a SUSPECT or CRASH record. */
 void
 SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -79,6 +79,7 @@
     SKY_MSG_CLAIM_ANSWER,
     SKY_MSG_QUEUED,
     SKY_MSG_JOIN_ASK,
+    SKY_MSG_DOUBT,
 } sky_msg_kind_t;
 
 /** Sent to each monitor; the acknowledgement may vouch for the sender. */
@@ -172,6 +173,13 @@
     uint32_t code; /**< SKY_OK, SKY_E_CLAIMED or SKY_E_LOG_DOWN */
 } sky_msg_claim_answer_t;
 
+/** A broken exchange: one fingerprint on one target in one epoch. */
+typedef struct {
+    uint64_t fingerprint;
+    uint64_t epoch; /**< of the target, before it crashed */
+    uint32_t target;
+} sky_rec_crash_t;
+
 /** A host that is no member asks one to let it in. */
 typedef struct {
     uint64_t nonce;
@@ -195,6 +203,7 @@
         sky_msg_claim_ask_t claim_ask;
         sky_msg_claim_answer_t claim_answer;
         sky_msg_join_ask_t join_ask;
+        sky_rec_crash_t doubt; /**< DOUBT: told while the log is out */
         sky_request_id_t queued; /**< QUEUED: the owner has the request */
     } u;
 } sky_msg_t;
@@ -234,12 +243,6 @@
     sky_request_id_t requests[SKY_CLAIMS_PER_RECORD];
 } sky_rec_claims_t;
 
-typedef struct {
-    uint64_t fingerprint;
-    uint64_t epoch; /**< of the target, before it crashed */
-    uint32_t target;
-} sky_rec_crash_t;
-
 typedef enum {
     SKY_CONFIG_TEMPLATE = 1,
     SKY_CONFIG_WORKSPACE,
--- a/lib/peer/codec.c
+++ b/lib/peer/codec.c
@@ -140,6 +140,10 @@
     case SKY_MSG_CLAIM_ANSWER:
         return xdr_u64(xdr, &msg->u.claim_answer.request) &&
                xdr_u32(xdr, &msg->u.claim_answer.code);
+    case SKY_MSG_DOUBT:
+        return xdr_u64(xdr, &msg->u.doubt.fingerprint) &&
+               xdr_u64(xdr, &msg->u.doubt.epoch) &&
+               xdr_u32(xdr, &msg->u.doubt.target);
     case SKY_MSG_JOIN_ASK:
         return xdr_join_ask(xdr, &msg->u.join_ask);
     case SKY_MSG_QUEUED:
