Hold new work after a pause until the list of leaving targets is read

Causes: a host paused for 5 s dispatched to a target that had begun to leave meanwhile; a doubt begun just after the log was lost was not told to the other members.

--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -747,6 +747,7 @@
         }
         else if (now_us >= doubt->sent_us + DOUBT_RETRY_US) {
             append_doubt(entry, doubt, now_us, out);
+            tell_members(entry, &doubt->crash, now_us, out);
         }
     }
 }
--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -41,6 +41,7 @@
     uint64_t tail_read_us;
     uint64_t evict_after_us; /* a bootstrap was met in the log */
     uint64_t ask_begun_us;   /* first JOIN_ASK; 0: none */
+    uint64_t stale_until_us; /* what is known of targets may be old */
     uint64_t join_nonce;
     size_t ask_turn;
     uint64_t tick_us;
@@ -420,7 +421,7 @@
 bool
 SkyMembers_MayAct(const sky_members_t *members, uint64_t now_us)
 {
-    if (members->incarnation == 0) {
+    if (members->incarnation == 0 || now_us < members->stale_until_us) {
         return false;
     }
     if (SkyMembers_HoldsLease(members, now_us)) {
@@ -867,6 +868,12 @@
     return members->list;
 }
 
+void
+SkyMembers_NoteStale(sky_members_t *members, uint64_t until_us)
+{
+    members->stale_until_us = until_us;
+}
+
 sky_host_id_t
 SkyMembers_Self(const sky_members_t *members)
 {
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -102,6 +102,10 @@
 bool
 SkyMembers_MayAct(const sky_members_t *members, uint64_t now_us);
 
+/** No new work is given to targets before @p until_us: this host was paused
+ *  and has not read the list of leaving targets since. 0 ends it. */
+void SkyMembers_NoteStale(sky_members_t *members, uint64_t until_us);
+
 /** @return true if the view is complete and this host is in it. */
 bool
 SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us);
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -10,6 +10,8 @@
 #define WANTED_REFRESH_US UINT64_C(10000000)
 #define WANTED_AHEAD_MS 60000 /* events this much before their prewarm */
 #define TOLD_LEAVING_US UINT64_C(15000000) /* the list has caught up */
+#define PAUSE_US UINT64_C(1000000)     /* a longer gap was a pause */
+#define LIST_WAIT_US UINT64_C(2000000) /* for the list, after a pause */
 #define RESTATE_EVERY_US UINT64_C(1000000)
 
 struct sky_node {
@@ -32,6 +34,7 @@
     bool reading;
     uint64_t read_done_us;
     uint64_t restated_us;
+    uint64_t stepped_us;
     uint64_t wanted_us;
     bool wanted_due;
     sky_actions_t local; /* messages to this host itself */
@@ -499,6 +502,9 @@
 {
     size_t count;
     const sky_member_t *members = SkyMembers_List(node->members, &count);
+    if (list->count > 0) {
+        SkyMembers_NoteStale(node->members, 0);
+    }
     for (uint32_t i = 0; i < list->count; i++) {
         uint32_t target = list->states[i].target;
         bool leaving = list->states[i].leaving;
@@ -626,6 +632,10 @@
              uint64_t wall_ms, sky_actions_t *out)
 {
     size_t from = out->count;
+    if (now_us > node->stepped_us + PAUSE_US) {
+        SkyMembers_NoteStale(node->members, now_us + LIST_WAIT_US);
+    }
+    node->stepped_us = now_us;
     dispatch_input(node, input, now_us, wall_ms, out);
     deliver_local(node, from, now_us, out);
     SkyClaims_Tick(node->claims, SkyMembers_Nonce(node->members), now_us, out);
