Give orders the newest fence, and forget the store's failures in time

Causes: a restarted owner ordered with the fence of its former life, which the target refused; that refusal and failures of minutes ago counted as an outage of the store, so a request was refused at once.

--- a/lib/decide/shard.c
+++ b/lib/decide/shard.c
@@ -214,6 +214,7 @@
     size_t count;
     const sky_member_t *members = SkyMembers_List(shard->members, &count);
     shard->phase = SHARD_ACTIVE;
+    shard->fence = SkyMembers_View(shard->members);
     shard->active_us = now_us;
     shard->stats.takeovers++;
     shard->stats.takeover_wait_us = now_us - shard->view_us;
@@ -227,7 +228,7 @@
 static bool
 predecessor_let_go(const sky_shard_t *shard)
 {
-    return shard->handover_from != 0 && shard->handover_fence >= shard->fence;
+    return shard->handover_from != 0 && shard->handover_fence >= shard->takeover_fence;
 }
 
 static void
@@ -236,7 +237,7 @@
     shard->phase = SHARD_WAITING;
     shard->handover_to = 0;
     shard->view_us = now_us;
-    shard->fence = SkyMembers_View(shard->members);
+    shard->takeover_fence = SkyMembers_View(shard->members);
 }
 
 static void
--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -9,13 +9,15 @@
 #define WANTED_SLOT_SHARE 0.75 /* of a pool's slots, kept for openings */
 #define REFILL_HEAT_MIN 2.0
 #define STORE_FAILURES_MAX 3
+#define STORE_MEMORY_US UINT64_C(5000000)
 #define WEIGHT_MIDDLE 50.0
 #define URGENCY_STEPS 10
 
 bool
-ShardPolicy_StoreIsDown(const sky_shard_t *shard)
+ShardPolicy_StoreIsDown(const sky_shard_t *shard, uint64_t now_us)
 {
-    return shard->store_failures >= STORE_FAILURES_MAX;
+    return shard->store_failures >= STORE_FAILURES_MAX &&
+           now_us < shard->store_failed_us + STORE_MEMORY_US;
 }
 
 static bool
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -580,7 +580,7 @@
         else if (now_us >= request->deadline_us) {
             refuse(shard, request, SKY_E_DEADLINE, shard->load_us, out);
         }
-        else if (ShardPolicy_StoreIsDown(shard) &&
+        else if (ShardPolicy_StoreIsDown(shard, now_us) &&
                  request->adapter->copies == 0) {
             refuse(shard, request, SKY_E_LOAD_FAILED, STORE_DOWN_RETRY_US,
                    out);
--- a/lib/decide/shard_slots.c
+++ b/lib/decide/shard_slots.c
@@ -195,6 +195,7 @@
         doublings = BACKOFF_DOUBLINGS_MAX;
     }
     shard->stats.load_failures++;
+    shard->store_failed_us = now_us;
     adapter->retry_us = now_us + (FIRST_BACKOFF_US << doublings);
     if (++shard->store_failures >= STORE_FAILURES_MAX) {
         shard->store_retry_us = now_us + FIRST_BACKOFF_US * 2;
@@ -229,7 +230,11 @@
         note_load_failure(shard, adapter, now_us);
         set_state(shard, slot, SLOT_UNKNOWN, id, now_us);
         break;
-    default:
+    case SKY_ORDERED_FENCED: /* says nothing of the store */
+        adapter->retry_us = now_us + FIRST_BACKOFF_US;
+        set_state(shard, slot, SLOT_FREE, 0, now_us);
+        break;
+    case SKY_ORDERED_FAILED:
         note_load_failure(shard, adapter, now_us);
         set_state(shard, slot, SLOT_FREE, 0, now_us);
         break;
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -122,7 +122,8 @@
     sky_members_t *members;
     target_t *targets;
     shard_phase_t phase;
-    sky_fence_t fence;
+    sky_fence_t fence;          /**< of orders and grants */
+    sky_fence_t takeover_fence; /**< view that brought the shard here */
     sky_fence_t handover_fence;
     sky_host_id_t handover_from;
     sky_host_id_t owner;       /**< by the last view */
@@ -143,6 +144,7 @@
     uint32_t in_transit;
     uint64_t load_us; /**< moving average of one load */
     uint32_t store_failures;
+    uint64_t store_failed_us; /**< the last failure */
     uint64_t store_retry_us;
     sky_wanted_t *wanted;
     uint32_t wanted_count;
@@ -232,7 +234,6 @@
 ShardPolicy_PlanWanted(sky_shard_t *shard, uint64_t now_us);
 void
 ShardPolicy_Refill(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
-bool
-ShardPolicy_StoreIsDown(const sky_shard_t *shard);
+bool ShardPolicy_StoreIsDown(const sky_shard_t *shard, uint64_t now_us);
 
 #endif
