Hold no lease while a record could not be checked

Cause: a host that began to read after the log had dropped older records took an older incarnation for the current one and removed it; its view and so its fence differed from the others' for good. A JOIN of a host in the view is accepted by all alike, a restatement corrects the incarnation, and a host with an unchecked record neither removes nor owns.

--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -6,7 +6,7 @@
 #include <xxhash.h>
 
 #define US_PER_MS 1000
-#define JOIN_RETRY_US UINT64_C(300000)
+#define JOIN_RETRY_US UINT64_C(1000000)
 #define RESTATE_SLACK_US UINT64_C(10000000)
 #define RESTATE_RETRY_US UINT64_C(2000000)
 #define DENIAL_WAIT_US UINT64_C(400000)
@@ -37,6 +37,7 @@
     uint64_t join_sent_us;
     uint64_t stop_sent_us;
     uint64_t restated_us;
+    uint64_t unverified_until_us; /* the newest of all hosts' */
     uint64_t lease_until_us;
     uint64_t tail_read_us;
     uint64_t evict_after_us; /* a bootstrap was met in the log */
@@ -219,11 +220,8 @@
 static join_verdict_t
 judge_join(const sky_members_t *members, const sky_rec_member_t *rec)
 {
-    bool accepted =
-        rec->bootstrap ||
-        (rec->sponsor != 0 ? is_incarnation(members, rec->sponsor)
-                           : find_member(members, rec->host) != NULL);
-    if (accepted) {
+    if (rec->bootstrap || find_member(members, rec->host) != NULL ||
+        is_incarnation(members, rec->sponsor)) {
         return JOIN_ACCEPTED;
     }
     if (members->start > 1) {
@@ -232,12 +230,30 @@
     return members->count == 0 ? JOIN_ACCEPTED : JOIN_REFUSED;
 }
 
+static void
+mark_verified(sky_members_t *members, history_t *history)
+{
+    const history_t *entry;
+    if (history->unverified_until_us == 0) {
+        return;
+    }
+    history->unverified_until_us = 0;
+    members->unverified_until_us = 0;
+    for (entry = members->history; entry != NULL; entry = entry->hh.next) {
+        if (entry->unverified_until_us > members->unverified_until_us) {
+            members->unverified_until_us = entry->unverified_until_us;
+        }
+    }
+}
+
 /** A member restates itself in time; what stays unverified was none. */
 static void
 mark_unverified(sky_members_t *members, sky_host_id_t host, uint64_t now_us)
 {
-    history_of(members, host)->unverified_until_us =
+    uint64_t until_us =
         now_us + members->options.retention_us / 2 + RESTATE_SLACK_US;
+    history_of(members, host)->unverified_until_us = until_us;
+    members->unverified_until_us = until_us;
 }
 
 static void
@@ -314,14 +330,16 @@
         rec->incarnation == members->incarnation) {
         members->restated_us = now_us;
     }
+    if (member != NULL && member->incarnation == rec->incarnation) {
+        mark_verified(members, history);
+        return false;
+    }
     if (rec->as_of + 1 < members->start) {
-        if (member == NULL) {
-            mark_unverified(members, rec->host, now_us);
-        }
+        mark_unverified(members, rec->host, now_us);
         return false;
     }
-    history->unverified_until_us = 0;
-    if (member != NULL || history->changed > rec->as_of) {
+    mark_verified(members, history);
+    if (history->changed > rec->as_of) {
         return false;
     }
     set_member(members, rec, rec->incarnation, now_us);
@@ -360,7 +378,7 @@
         if (changed) {
             history_t *history = history_of(members, record->u.member.host);
             history->changed = record->offset;
-            history->unverified_until_us = 0;
+            mark_verified(members, history);
             members->view = record->offset;
         }
     }
@@ -403,7 +421,8 @@
 bool
 SkyMembers_HoldsLease(const sky_members_t *members, uint64_t now_us)
 {
-    return members->incarnation != 0 && now_us < members->lease_until_us;
+    return members->incarnation != 0 && now_us < members->lease_until_us &&
+           now_us >= members->unverified_until_us;
 }
 
 static bool
@@ -421,7 +440,8 @@
 bool
 SkyMembers_MayAct(const sky_members_t *members, uint64_t now_us)
 {
-    if (members->incarnation == 0 || now_us < members->stale_until_us) {
+    if (members->incarnation == 0 || now_us < members->stale_until_us ||
+        now_us < members->unverified_until_us) {
         return false;
     }
     if (SkyMembers_HoldsLease(members, now_us)) {
@@ -442,16 +462,8 @@
 bool
 SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us)
 {
-    if (members->incarnation == 0) {
-        return false;
-    }
-    const history_t *entry;
-    for (entry = members->history; entry != NULL; entry = entry->hh.next) {
-        if (entry->unverified_until_us > now_us) {
-            return false;
-        }
-    }
-    return true;
+    return members->incarnation != 0 &&
+           now_us >= members->unverified_until_us;
 }
 
 /* ---- heartbeats and suspicion ------------------------------------------ */
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -10,6 +10,7 @@
 #define WANTED_REFRESH_US UINT64_C(10000000)
 #define WANTED_AHEAD_MS 60000 /* events this much before their prewarm */
 #define TOLD_LEAVING_US UINT64_C(15000000) /* the list has caught up */
+#define JOINING_POLLS 4 /* times as often while this host joins */
 #define PAUSE_US UINT64_C(1000000)     /* a longer gap was a pause */
 #define LIST_WAIT_US UINT64_C(2000000) /* for the list, after a pause */
 #define RESTATE_EVERY_US UINT64_C(1000000)
@@ -368,11 +369,21 @@
     node->read_due = !read->reached_tail;
 }
 
+static bool
+is_member(const sky_node_t *node)
+{
+    return SkyMembers_Find(node->members, SkyMembers_Self(node->members)) !=
+           NULL;
+}
+
 static void
 read_log_if_due(sky_node_t *node, uint64_t now_us, sky_actions_t *out)
 {
-    bool due = node->read_due ||
-               now_us >= node->read_done_us + node->options.log_poll_us;
+    uint64_t poll_us = node->options.log_poll_us;
+    if (!is_member(node)) {
+        poll_us /= JOINING_POLLS; /* others append this host's JOIN */
+    }
+    bool due = node->read_due || now_us >= node->read_done_us + poll_us;
     bool waiting = node->reading && now_us < node->read_sent_us + READ_WAIT_US;
     if (!due || waiting || node->lost) {
         return;
