--- a/bench/driver_state.h
+++ b/bench/driver_state.h
@@ -48,7 +48,7 @@
     uint32_t generation;
     uint64_t clock_us; /* its clock is ahead of the driver's by this */
     uint64_t paused_until_us;
-    sky_offset_t revision;
+    sky_offset_t revisions[3]; /* of the last document of each kind */
 } host_t;
 
 typedef struct {
--- a/lib/decide/config.c
+++ b/lib/decide/config.c
@@ -4,20 +4,22 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <utlist.h>
 
 #include "core/invariant.h"
 
 #define CHANGE_WAIT_US UINT64_C(10000000)
-#define RESTATE_BATCH 16
+#define SNAPSHOT_BATCH 16
+#define SNAPSHOTS_PER_RETENTION 4
+#define SNAPSHOT_RETRY_US UINT64_C(5000000)
+#define US_PER_MS 1000
 
 typedef struct document {
     char id[SKY_NAME_BYTES + 2]; /* kind, ':' and name */
     sky_config_kind_t kind;
     char *body;
     sky_offset_t revision;
-    bool unverified;
-    uint64_t stated_us; /* time at which its newest record was appended */
-    sky_event_t event;  /* of a template */
+    sky_event_t event; /* of a template */
     sky_workspace_t workspace;
     UT_hash_handle hh;
 } document_t;
@@ -29,26 +31,77 @@
     UT_hash_handle hh;
 } change_t;
 
+/** A record kept until a snapshot tells what it builds upon. */
+typedef struct kept {
+    sky_record_t record;
+    struct kept *prev;
+    struct kept *next;
+} kept_t;
+
+/** The snapshot being read: one generation of restatements. */
+typedef struct {
+    uint64_t generation;
+    sky_offset_t as_of;
+    uint64_t wanted; /* documents it has, once its marker is read */
+    bool marked;
+    kept_t *restated;
+    uint64_t count;
+} snapshot_t;
+
 struct sky_config {
+    uint32_t off;
     uint64_t retention_us;
     sky_offset_t start;
     sky_offset_t revision;
     uint64_t skipped;
-    uint32_t unverified;
     document_t *documents;
     change_t *changes;
+    bool complete;    /* all documents in force are known */
+    kept_t *unjudged; /* changes met before that */
+    snapshot_t reading;
+    uint64_t snapshot_us; /* when the last whole snapshot was marked */
+    uint64_t begun_us;    /* when the last one was begun here */
+    uint64_t writing;     /* generation being written; 0: none */
+    sky_offset_t writing_as_of;
+    uint64_t written;
+    uint64_t to_write;
 };
 
 sky_config_t *
-SkyConfig_Create(uint64_t retention_us)
+SkyConfig_Create(uint64_t retention_us, uint32_t off)
 {
     sky_config_t *config = calloc(1, sizeof *config);
     if (config != NULL) {
         config->retention_us = retention_us;
+        config->off = off;
     }
     return config;
 }
 
+static void
+keep(kept_t **list, const sky_record_t *record)
+{
+    kept_t *kept = calloc(1, sizeof *kept);
+    if (kept == NULL) {
+        abort();
+    }
+    SkyRecord_Copy(&kept->record, record);
+    DL_APPEND(*list, kept);
+}
+
+static void
+forget_kept(kept_t **list)
+{
+    kept_t *kept;
+    kept_t *next;
+    DL_FOREACH_SAFE(*list, kept, next)
+    {
+        DL_DELETE(*list, kept);
+        SkyRecord_Free(&kept->record);
+        free(kept);
+    }
+}
+
 static void
 free_document(sky_config_t *config, document_t *document)
 {
@@ -77,6 +130,8 @@
         HASH_DEL(config->changes, change);
         free(change);
     }
+    forget_kept(&config->unjudged);
+    forget_kept(&config->reading.restated);
     free(config);
 }
 
@@ -85,6 +140,7 @@
 {
     if (config->start == 0) {
         config->start = oldest;
+        config->complete = oldest <= 1;
     }
 }
 
@@ -166,6 +222,10 @@
     char why[SKY_NAME_BYTES];
     document_t parsed = {0};
     sky_offset_t revision = current_revision(config, &in->config);
+    if (!config->complete) {
+        answer_change(in->token, SKY_E_NOT_READY, 0, out);
+        return;
+    }
     if (revision != in->config.base) {
         answer_change(in->token, SKY_E_CONFLICT, revision, out);
         return;
@@ -234,7 +294,6 @@
     document->event = parsed->event;
     document->workspace = parsed->workspace;
     document->revision = revision;
-    document->unverified = false;
     if (revision > config->revision) {
         config->revision = revision;
     }
@@ -245,14 +304,14 @@
 }
 
 static void
-apply_change(sky_config_t *config, const sky_record_t *record, uint64_t now_us,
+apply_change(sky_config_t *config, const sky_record_t *record,
              sky_actions_t *out)
 {
     const sky_rec_config_t *rec = &record->u.config;
     sky_offset_t revision = current_revision(config, rec);
     char why[SKY_NAME_BYTES];
     document_t parsed = {0};
-    if (rec->base != revision) {
+    if (rec->base != revision && !(config->off & SKY_OFF_BASE_CHECK)) {
         finish_change(config, record, SKY_E_CONFLICT, revision, out);
         return;
     }
@@ -263,86 +322,187 @@
         return;
     }
     document_t *document = find_or_add(config, rec->kind, rec->name);
-    document->stated_us = now_us - record->age_ms * 1000;
     put_in_force(config, document, rec, &parsed, record->offset, out);
     finish_change(config, record, SKY_OK, record->offset, out);
 }
 
-/** Counts only where all records after `as_of` have been read. */
+/* ---- snapshots ------------------------------------------------------------
+ */
+
 static void
-apply_restated(sky_config_t *config, const sky_record_t *record,
-               uint64_t now_us, sky_actions_t *out)
+install(sky_config_t *config, const sky_rec_config_t *rec, sky_actions_t *out)
 {
-    const sky_rec_config_t *rec = &record->u.config;
-    document_t *document = find_or_add(config, rec->kind, rec->name);
     char why[SKY_NAME_BYTES];
     document_t parsed = {0};
-    if (document->revision == rec->revision) {
-        document->stated_us = now_us - record->age_ms * 1000;
+    if (SkyResult_IsError(parse_body(config, rec, &parsed, why))) {
+        config->skipped++;
+        return;
     }
+    document_t *document = find_or_add(config, rec->kind, rec->name);
     if (document->revision >= rec->revision) {
+        SkyDocument_FreeWorkspace(&parsed.workspace);
         return;
     }
-    if (rec->as_of + 1 < config->start) {
-        document->unverified = true;
+    put_in_force(config, document, rec, &parsed, rec->revision, out);
+}
+
+static void
+install_kind(sky_config_t *config, sky_config_kind_t kind, sky_actions_t *out)
+{
+    const kept_t *kept;
+    DL_FOREACH(config->reading.restated, kept)
+    {
+        if (kept->record.u.config.kind == kind) {
+            install(config, &kept->record.u.config, out);
+        }
+    }
+}
+
+/** All that a snapshot builds on has been read: judge what came after it. */
+static void
+complete_from_snapshot(sky_config_t *config, sky_actions_t *out)
+{
+    const kept_t *kept;
+    install_kind(config, SKY_CONFIG_TEMPLATE, out);
+    install_kind(config, SKY_CONFIG_WORKSPACE, out);
+    DL_FOREACH(config->unjudged, kept)
+    {
+        if (kept->record.offset > config->reading.as_of) {
+            apply_change(config, &kept->record, out);
+        }
+    }
+    forget_kept(&config->unjudged);
+    config->complete = true;
+}
+
+static void
+begin_reading(sky_config_t *config, const sky_rec_config_t *rec)
+{
+    if (rec->generation == config->reading.generation) {
         return;
     }
-    if (SkyResult_IsError(parse_body(config, rec, &parsed, why))) {
-        document->unverified = true;
+    forget_kept(&config->reading.restated);
+    memset(&config->reading, 0, sizeof config->reading);
+    config->reading.generation = rec->generation;
+    config->reading.as_of = rec->as_of;
+}
+
+/** Takes a part of a snapshot; its parts may come in any order. */
+static void
+apply_snapshot(sky_config_t *config, const sky_record_t *record,
+               uint64_t now_us, sky_actions_t *out)
+{
+    const sky_rec_config_t *rec = &record->u.config;
+    snapshot_t *reading = &config->reading;
+    begin_reading(config, rec);
+    if (record->kind == SKY_REC_SNAPSHOT) {
+        reading->marked = true;
+        reading->wanted = rec->revision;
+    }
+    else {
+        reading->count++;
+        if (!config->complete) {
+            keep(&reading->restated, record);
+        }
+    }
+    if (!reading->marked || reading->count < reading->wanted) {
         return;
     }
-    document->stated_us = now_us - record->age_ms * 1000;
-    put_in_force(config, document, rec, &parsed, rec->revision, out);
+    config->snapshot_us = now_us - record->age_ms * US_PER_MS;
+    if (!config->complete && reading->as_of + 1 >= config->start) {
+        complete_from_snapshot(config, out);
+    }
+    forget_kept(&reading->restated);
 }
 
 void
 SkyConfig_Apply(sky_config_t *config, const sky_record_t *record,
                 uint64_t now_us, sky_actions_t *out)
 {
-    if (record->kind == SKY_REC_CONFIG) {
-        apply_change(config, record, now_us, out);
+    if (record->kind != SKY_REC_CONFIG) {
+        apply_snapshot(config, record, now_us, out);
+    }
+    else if (config->complete) {
+        apply_change(config, record, out);
     }
     else {
-        apply_restated(config, record, now_us, out);
+        keep(&config->unjudged, record);
+    }
+}
+
+static void
+append_part(const sky_config_t *config, sky_record_kind_t kind,
+            const document_t *document, uint64_t nonce, sky_actions_t *out)
+{
+    sky_record_t record = {.kind = kind, .nonce = nonce};
+    sky_rec_config_t *rec = &record.u.config;
+    rec->generation = config->writing;
+    rec->as_of = config->writing_as_of;
+    rec->revision = config->to_write;
+    if (document != NULL) {
+        rec->kind = document->kind;
+        rec->revision = document->revision;
+        rec->body = document->body;
+        snprintf(rec->name, SKY_NAME_BYTES, "%s", document->id + 2);
+    }
+    SkyRecord_Copy(&SkyActions_Add(out, SKY_ACT_APPEND)->u.append, &record);
+}
+
+static const document_t *
+nth_document(const sky_config_t *config, uint64_t n)
+{
+    const document_t *document = config->documents;
+    while (document != NULL && n-- > 0) {
+        document = document->hh.next;
+    }
+    return document;
+}
+
+static void
+write_parts(sky_config_t *config, uint64_t nonce, sky_actions_t *out)
+{
+    const document_t *document = nth_document(config, config->written);
+    for (uint32_t i = 0; i < SNAPSHOT_BATCH && document != NULL &&
+                         config->written < config->to_write;
+         i++) {
+        append_part(config, SKY_REC_CONFIG_RESTATE, document, nonce + 2 * i,
+                    out);
+        config->written++;
+        document = document->hh.next;
+    }
+    if (config->written == config->to_write) {
+        append_part(config, SKY_REC_SNAPSHOT, NULL, nonce + 1, out);
+        config->writing = 0;
     }
 }
 
 void
-SkyConfig_Restate(sky_config_t *config, sky_offset_t as_of, uint64_t nonce,
-                  uint64_t now_us, sky_actions_t *out)
+SkyConfig_WriteSnapshot(sky_config_t *config, sky_offset_t as_of, double wait,
+                        uint64_t nonce, uint64_t now_us, sky_actions_t *out)
 {
-    const document_t *document;
-    uint32_t sent = 0;
-    for (document = config->documents;
-         document != NULL && sent < RESTATE_BATCH;
-         document = document->hh.next) {
-        if (document->revision == 0 ||
-            now_us < document->stated_us + config->retention_us / 2) {
-            continue;
+    uint64_t every_us = config->retention_us / SNAPSHOTS_PER_RETENTION;
+    every_us += (uint64_t)((double)every_us * wait);
+    if (!config->complete) {
+        return;
+    }
+    if (config->writing == 0) {
+        if (now_us < config->snapshot_us + every_us ||
+            now_us < config->begun_us + SNAPSHOT_RETRY_US) {
+            return;
         }
-        sky_record_t record = {.kind = SKY_REC_CONFIG_RESTATE};
-        record.nonce = nonce + 2 * sent++;
-        record.u.config.kind = document->kind;
-        record.u.config.revision = document->revision;
-        record.u.config.as_of = as_of;
-        record.u.config.body = document->body;
-        snprintf(record.u.config.name, SKY_NAME_BYTES, "%s", document->id + 2);
-        SkyRecord_Copy(&SkyActions_Add(out, SKY_ACT_APPEND)->u.append,
-                       &record);
+        config->begun_us = now_us;
+        config->writing = nonce;
+        config->writing_as_of = as_of;
+        config->written = 0;
+        config->to_write = HASH_COUNT(config->documents);
     }
+    write_parts(config, nonce, out);
 }
 
 bool
 SkyConfig_IsComplete(const sky_config_t *config)
 {
-    const document_t *document;
-    for (document = config->documents; document != NULL;
-         document = document->hh.next) {
-        if (document->unverified) {
-            return false;
-        }
-    }
-    return true;
+    return config->complete;
 }
 
 static sky_document_t
--- a/lib/decide/config.h
+++ b/lib/decide/config.h
@@ -3,9 +3,10 @@
  * @brief Operators' configuration: a fold over the log.
  *
  * One record a change; its offset is its revision. A change names the revision
- * it was made from, and the first in log order wins. Documents are restated
- * before the log drops them; a restatement names the revision it restates, so
- * it never overtakes a newer change.
+ * it was made from, and the first in log order wins. Before the log drops
+ * records, one host appends a snapshot: a restatement of each document with
+ * its revision, and a marker with their number. A host that began to read too
+ * late for the first records judges no change before it has a snapshot.
  */
 #ifndef SKY_DECIDE_CONFIG_H
 #define SKY_DECIDE_CONFIG_H
@@ -34,9 +35,10 @@
     sky_event_t event;
 } sky_opening_t;
 
-/** @param retention_us for how long the log keeps a record. */
+/** @param retention_us for how long the log keeps a record.
+ *  @param off sky_off_t, for proofs only. */
 sky_config_t *
-SkyConfig_Create(uint64_t retention_us);
+SkyConfig_Create(uint64_t retention_us, uint32_t off);
 void
 SkyConfig_Free(sky_config_t *config);
 
@@ -58,12 +60,17 @@
 void
 SkyConfig_Tick(sky_config_t *config, uint64_t now_us, sky_actions_t *out);
 
-/** Appends restatements that are due; called by one host only. */
-void
-SkyConfig_Restate(sky_config_t *config, sky_offset_t as_of, uint64_t nonce,
-                  uint64_t now_us, sky_actions_t *out);
+/**
+ * Appends a part of a snapshot, where one is due.
+ * @param as_of last offset applied: what the snapshot stands for.
+ * @param wait share of the time between snapshots, 0 to 1, by which this host
+ *        waits longer than the one that is first to write them.
+ */
+void SkyConfig_WriteSnapshot(sky_config_t *config, sky_offset_t as_of,
+                             double wait, uint64_t nonce, uint64_t now_us, sky_actions_t *out);
 
-/** @return true if every document met could be verified. */
+/** @return true if all documents in force are known: the log was read from
+ *          its very beginning, or a whole snapshot was read. */
 bool
 SkyConfig_IsComplete(const sky_config_t *config);
 
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -360,7 +360,7 @@
     request->target = SKY_NO_TARGET;
     request->deadline_us = now_us + (uint64_t)in->timeout_ms * US_PER_MS;
     HASH_ADD(hh, entry->requests, in.request, sizeof in->request, request);
-    if (in->once) {
+    if (in->once && !(entry->options.off & SKY_OFF_CLAIMS)) {
         request->state = STATE_CLAIMING;
         ask_claim(entry, request, now_us, out);
     }
--- a/lib/decide/entry.h
+++ b/lib/decide/entry.h
@@ -18,6 +18,7 @@
 #endif
 
 typedef struct {
+    uint32_t off; /**< sky_off_t, for proofs only */
     uint32_t claim_writers_max;
     uint64_t key_life_us;    /**< an older idempotency key is refused */
     uint64_t claim_wait_us;  /**< for how long a claim may take */
@@ -70,8 +71,9 @@
 SkyEntry_ClaimSeen(sky_entry_t *entry, const sky_key_t *key,
                    sky_request_id_t request, sky_actions_t *out);
 /** Keeps another host's doubt until the log has it. */
-void SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
-                        uint64_t now_us);
+void
+SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
+                   uint64_t now_us);
 /** A SUSPECT or CRASH record was read. */
 void
 SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash);
--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -421,6 +421,9 @@
 bool
 SkyMembers_HoldsLease(const sky_members_t *members, uint64_t now_us)
 {
+    if (members->options.off & SKY_OFF_LEASE_CHECK) {
+        return members->incarnation != 0;
+    }
     return members->incarnation != 0 && now_us < members->lease_until_us &&
            now_us >= members->unverified_until_us;
 }
@@ -462,8 +465,7 @@
 bool
 SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us)
 {
-    return members->incarnation != 0 &&
-           now_us >= members->unverified_until_us;
+    return members->incarnation != 0 && now_us >= members->unverified_until_us;
 }
 
 /* ---- heartbeats and suspicion ------------------------------------------ */
@@ -700,7 +702,8 @@
         members->join_sent_us = now_us;
         join(members, now_us, out);
     }
-    else if (now_us >= members->restated_us + restate_after_us) {
+    else if (now_us >= members->restated_us + restate_after_us &&
+             !(members->options.off & SKY_OFF_RESTATE)) {
         members->join_sent_us = now_us;
         append_member(members, SKY_REC_MEMBER, out);
     }
@@ -910,6 +913,12 @@
     return members->options.lease_us + members->options.margin_us;
 }
 
+uint64_t
+SkyMembers_LeaseUntilUs(const sky_members_t *members)
+{
+    return members->lease_until_us;
+}
+
 bool
 SkyMembers_MayEvict(const sky_members_t *members, uint64_t now_us)
 {
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -25,6 +25,7 @@
     char address[SKY_ADDRESS_BYTES]; /**< where peers reach this host */
     uint32_t domain;
     uint64_t seed; /**< makes nonces unique over restarts */
+    uint32_t off;  /**< sky_off_t, for proofs only */
     uint64_t lease_us;
     uint64_t margin_us; /**< bound on clock drift and on delayed orders */
     uint64_t heartbeat_us;
@@ -83,10 +84,12 @@
                    uint64_t now_us, sky_actions_t *out);
 
 /** Begins to drain: no ownership once the log has it, still a member. */
-void SkyMembers_Drain(sky_members_t *members);
+void
+SkyMembers_Drain(sky_members_t *members);
 
 /** Ends the membership for good. */
-void SkyMembers_Leave(sky_members_t *members);
+void
+SkyMembers_Leave(sky_members_t *members);
 
 /** @return true while the lease is held: this host is surely a member. */
 bool
@@ -104,7 +107,8 @@
 
 /** No new work is given to targets before @p until_us: this host was paused
  *  and has not read the list of leaving targets since. 0 ends it. */
-void SkyMembers_NoteStale(sky_members_t *members, uint64_t until_us);
+void
+SkyMembers_NoteStale(sky_members_t *members, uint64_t until_us);
 
 /** @return true if the view is complete and this host is in it. */
 bool
@@ -136,6 +140,9 @@
 /** @return first offset of the log not yet applied. */
 sky_offset_t
 SkyMembers_Next(const sky_members_t *members);
+/** @return end of the lease by this host's clock; 0: none was ever held. */
+uint64_t
+SkyMembers_LeaseUntilUs(const sky_members_t *members);
 /** @return true if evictions are safe: no bootstrap is recent. */
 bool
 SkyMembers_MayEvict(const sky_members_t *members, uint64_t now_us);
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -10,8 +10,9 @@
 #define WANTED_REFRESH_US UINT64_C(10000000)
 #define WANTED_AHEAD_MS 60000 /* events this much before their prewarm */
 #define TOLD_LEAVING_US UINT64_C(15000000) /* the list has caught up */
-#define JOINING_POLLS 4 /* times as often while this host joins */
-#define PAUSE_US UINT64_C(1000000)     /* a longer gap was a pause */
+#define JOINING_POLLS 4            /* times as often while this host joins */
+#define SNAPSHOT_WAIT_MIN 0.25 /* of the time between snapshots */
+#define PAUSE_US UINT64_C(1000000) /* a longer gap was a pause */
 #define LIST_WAIT_US UINT64_C(2000000) /* for the list, after a pause */
 #define RESTATE_EVERY_US UINT64_C(1000000)
 
@@ -29,6 +30,7 @@
     bool draining;
     bool closing;
     bool lost;
+    bool log_begun;
     bool caught_up;
     bool read_due;
     uint64_t read_sent_us;
@@ -107,8 +109,13 @@
         return NULL;
     }
     node->options = *options;
+    node->options.members.off = options->off;
+    node->options.shard.off = options->off;
+    node->options.entry.off = options->off;
+    options = &node->options;
     node->members = SkyMembers_Create(&options->members);
-    node->config = SkyConfig_Create(options->members.retention_us);
+    node->config =
+        SkyConfig_Create(options->members.retention_us, options->off);
     node->claims = SkyClaims_Create(&options->claims);
     node->told_us = calloc(options->target_count, sizeof *node->told_us);
     node->leaving = calloc(options->target_count, sizeof *node->leaving);
@@ -337,6 +344,7 @@
         break;
     case SKY_REC_CONFIG:
     case SKY_REC_CONFIG_RESTATE:
+    case SKY_REC_SNAPSHOT:
         SkyConfig_Apply(node->config, record, now_us, out);
         node->wanted_due = true;
         break;
@@ -353,10 +361,11 @@
     if (!read->ok) {
         return;
     }
-    if (next > 1 && read->oldest > next) {
+    if (node->log_begun && read->oldest > next) {
         node->lost = true; /* records were dropped before they were read */
         return;
     }
+    node->log_begun = true;
     SkyMembers_NoteStart(node->members, read->oldest);
     SkyConfig_NoteStart(node->config, read->oldest);
     for (uint32_t i = 0; i < read->count; i++) {
@@ -481,16 +490,22 @@
 /* ---- time -----------------------------------------------------------------
  */
 
+/** The owner of the first shard writes snapshots; should it fail to, for it
+ *  may itself have begun to read too late, the others follow one by one. */
 static void
-restate_config(sky_node_t *node, uint64_t now_us, sky_actions_t *out)
+write_snapshot(sky_node_t *node, uint64_t now_us, sky_actions_t *out)
 {
-    if (node->shard_count == 0 || !SkyShard_IsActive(node->shards[0]) ||
+    if ((node->options.off & SKY_OFF_RESTATE) || !is_member(node) ||
         now_us < node->restated_us + RESTATE_EVERY_US) {
         return;
     }
+    bool first = node->shard_count > 0 && SkyShard_IsActive(node->shards[0]);
+    sky_host_id_t self = SkyMembers_Self(node->members);
+    double wait = first ? 0 : SNAPSHOT_WAIT_MIN + (double)(self % 1000) / 2000;
     node->restated_us = now_us;
-    SkyConfig_Restate(node->config, SkyMembers_Next(node->members) - 1,
-                      SkyMembers_Nonce(node->members), now_us, out);
+    SkyConfig_WriteSnapshot(node->config, SkyMembers_Next(node->members) - 1,
+                            wait, SkyMembers_Nonce(node->members), now_us,
+                            out);
 }
 
 static void
@@ -504,7 +519,7 @@
     }
     SkyEntry_Tick(node->entry, now_us, out);
     SkyConfig_Tick(node->config, now_us, out);
-    restate_config(node, now_us, out);
+    write_snapshot(node, now_us, out);
 }
 
 static void
@@ -513,6 +528,9 @@
 {
     size_t count;
     const sky_member_t *members = SkyMembers_List(node->members, &count);
+    if (node->options.off & SKY_OFF_LEAVING) {
+        return;
+    }
     if (list->count > 0) {
         SkyMembers_NoteStale(node->members, 0);
     }
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -26,6 +26,7 @@
     sky_entry_options_t entry;
     sky_claims_options_t claims;
     uint64_t log_poll_us;             /**< time between reads of the tail */
+    uint32_t off;                     /**< sky_off_t, for proofs only */
     uint32_t shard_targets;           /**< targets of one shard */
     const sky_target_info_t *targets; /**< outlive the node */
     uint32_t target_count;
--- a/lib/decide/shard.c
+++ b/lib/decide/shard.c
@@ -219,6 +219,9 @@
     shard->stats.takeovers++;
     shard->stats.takeover_wait_us = now_us - shard->view_us;
     shard->round++;
+    if (shard->options.off & SKY_OFF_COLLECT) {
+        count = 0;
+    }
     for (size_t i = 0; i < count; i++) {
         collect_from(shard, members[i].host, true, now_us, out);
     }
@@ -228,7 +231,8 @@
 static bool
 predecessor_let_go(const sky_shard_t *shard)
 {
-    return shard->handover_from != 0 && shard->handover_fence >= shard->takeover_fence;
+    return shard->handover_from != 0 &&
+           shard->handover_fence >= shard->takeover_fence;
 }
 
 static void
@@ -403,6 +407,9 @@
 SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
                     uint64_t now_us)
 {
+    if (shard->options.off & SKY_OFF_CRASH_COUNT) {
+        return;
+    }
     if (record->kind == SKY_REC_CRASH) {
         SkySuspects_Crash(shard->suspects, &record->u.crash, now_us);
     }
@@ -452,7 +459,9 @@
 void
 SkyShard_Tick(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out)
 {
-    uint64_t wait_us = SkyMembers_TakeoverUs(shard->members);
+    uint64_t wait_us = shard->options.off & SKY_OFF_TAKEOVER_WAIT
+                           ? 0
+                           : SkyMembers_TakeoverUs(shard->members);
     hand_over(shard, out);
     SkySuspects_Expire(shard->suspects, now_us);
     if (shard->phase == SHARD_WAITING &&
--- a/lib/decide/shard.h
+++ b/lib/decide/shard.h
@@ -25,6 +25,7 @@
 typedef struct {
     sky_policy_t policy;
     uint32_t batch_weight;  /**< 0: load stalls count; 100: batch efficiency */
+    uint32_t off;           /**< sky_off_t, for proofs only */
     uint32_t transit_max;   /**< loads of this shard at once */
     uint64_t load_us;       /**< first estimate of one load */
     uint64_t report_us;     /**< time between reports of a target */
@@ -95,8 +96,9 @@
                    uint32_t count);
 
 /** Holds a fingerprint back that another host has its doubts about. */
-void SkyShard_Hold(sky_shard_t *shard, const sky_rec_crash_t *crash,
-                   uint64_t now_us);
+void
+SkyShard_Hold(sky_shard_t *shard, const sky_rec_crash_t *crash,
+              uint64_t now_us);
 
 /** Applies a SUSPECT or CRASH record. */
 void
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -286,6 +286,9 @@
 suspect_must_wait(const sky_shard_t *shard, const request_t *request,
                   const target_t *target)
 {
+    if (shard->options.off & SKY_OFF_CRASH_COUNT) {
+        return false;
+    }
     if (SkySuspects_IsHeld(shard->suspects, request->fingerprint)) {
         return true;
     }
@@ -415,7 +418,8 @@
     request->missed = !is_resident(shard, adapter);
     enqueue(shard, request);
     uint64_t wait_us = ShardPolicy_ExpectedWait(shard, adapter, now_us);
-    if (request->arrived_us + wait_us > request->deadline_us) {
+    if (request->arrived_us + wait_us > request->deadline_us &&
+        !(shard->options.off & SKY_OFF_REFUSAL)) {
         refuse(shard, request, SKY_E_OVERLOADED, wait_us, out);
         return;
     }
@@ -454,7 +458,8 @@
 ShardQueue_CountCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
                       uint64_t now_us, sky_actions_t *out)
 {
-    if (!SkySuspects_Crash(shard->suspects, crash, now_us)) {
+    if ((shard->options.off & SKY_OFF_CRASH_COUNT) ||
+        !SkySuspects_Crash(shard->suspects, crash, now_us)) {
         return;
     }
     shard->stats.crashes++;
--- a/lib/decide/shard_slots.c
+++ b/lib/decide/shard_slots.c
@@ -76,7 +76,8 @@
                     const slot_t *slot, uint64_t now_us)
 {
     return slot->state == SLOT_RESIDENT && slot->permits == 0 &&
-           slot->doubt_us == 0 && target->made_us > shard->active_us &&
+           (slot->doubt_us == 0 || (shard->options.off & SKY_OFF_DOUBT)) &&
+           target->made_us > shard->active_us &&
            SkyMembers_MayEvict(shard->members, now_us) && !collecting(shard);
 }
 
@@ -141,6 +142,7 @@
     action->u.order.adapter = slot->adapter;
     action->u.order.fence = shard->fence;
     action->u.order.token = now_us;
+    action->u.order.expires_us = SkyMembers_LeaseUntilUs(shard->members);
     slot->ordered_us = now_us;
     target->orders++;
 }
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -234,6 +234,7 @@
 ShardPolicy_PlanWanted(sky_shard_t *shard, uint64_t now_us);
 void
 ShardPolicy_Refill(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
-bool ShardPolicy_StoreIsDown(const sky_shard_t *shard, uint64_t now_us);
+bool
+ShardPolicy_StoreIsDown(const sky_shard_t *shard, uint64_t now_us);
 
 #endif
--- a/lib/decide/suspects.h
+++ b/lib/decide/suspects.h
@@ -18,7 +18,6 @@
 /** Crashes after which a fingerprint is refused. */
 #define SKY_CRASH_LIMIT 2
 
-
 typedef struct sky_suspects sky_suspects_t;
 
 sky_suspects_t *
--- a/lib/decide/types.c
+++ b/lib/decide/types.c
@@ -47,7 +47,8 @@
 record_has_body(const sky_record_t *record)
 {
     return record->kind == SKY_REC_CONFIG ||
-           record->kind == SKY_REC_CONFIG_RESTATE;
+           record->kind == SKY_REC_CONFIG_RESTATE ||
+           record->kind == SKY_REC_SNAPSHOT;
 }
 
 void
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -52,6 +52,23 @@
     bool checks_fencing; /**< refuses an order with an older fence */
 } sky_target_info_t;
 
+/**
+ * Mechanisms that the proofs switch off, one at a time, to see the promise
+ * fail without them. Always 0 in service: no setting reaches them.
+ */
+typedef enum {
+    SKY_OFF_TAKEOVER_WAIT = 1 << 0, /**< a new owner acts at once */
+    SKY_OFF_COLLECT = 1 << 1,     /**< it evicts without asking for permits */
+    SKY_OFF_DOUBT = 1 << 2,       /**< a broken exchange proves idleness */
+    SKY_OFF_CLAIMS = 1 << 3,      /**< no claim before a dispatch */
+    SKY_OFF_CRASH_COUNT = 1 << 4, /**< crashing requests are not counted */
+    SKY_OFF_LEAVING = 1 << 5,     /**< the list of hosts is not heeded */
+    SKY_OFF_BASE_CHECK = 1 << 6,  /**< the last change wins */
+    SKY_OFF_LEASE_CHECK = 1 << 7, /**< a lapsed lease still counts */
+    SKY_OFF_RESTATE = 1 << 8,     /**< nothing is restated in the log */
+    SKY_OFF_REFUSAL = 1 << 9,     /**< no refusal before the deadline */
+} sky_off_t;
+
 /** How an exchange with a target ended, as the entry host saw it. */
 typedef enum {
     SKY_OUTCOME_ANSWERED,  /**< a whole answer with the right id came back */
@@ -203,7 +220,7 @@
         sky_msg_claim_ask_t claim_ask;
         sky_msg_claim_answer_t claim_answer;
         sky_msg_join_ask_t join_ask;
-        sky_rec_crash_t doubt; /**< DOUBT: told while the log is out */
+        sky_rec_crash_t doubt;   /**< DOUBT: told while the log is out */
         sky_request_id_t queued; /**< QUEUED: the owner has the request */
     } u;
 } sky_msg_t;
@@ -220,7 +237,8 @@
     SKY_REC_SUSPECT, /**< an exchange broke: did the target crash? */
     SKY_REC_CRASH,   /**< it did */
     SKY_REC_CONFIG,
-    SKY_REC_CONFIG_RESTATE,
+    SKY_REC_CONFIG_RESTATE, /**< a document of a snapshot */
+    SKY_REC_SNAPSHOT,       /**< marks a snapshot and counts its documents */
 } sky_record_kind_t;
 
 typedef struct {
@@ -252,8 +270,10 @@
     sky_config_kind_t kind;
     char name[SKY_NAME_BYTES];
     sky_offset_t base;     /**< revision it was made from; 0: a new one */
-    sky_offset_t revision; /**< RESTATE: the revision it restates */
-    sky_offset_t as_of;    /**< RESTATE: tail known when it was written */
+    sky_offset_t revision; /**< RESTATE: the revision it restates;
+                                SNAPSHOT: number of documents */
+    sky_offset_t as_of;    /**< RESTATE, SNAPSHOT: last record it covers */
+    uint64_t generation;   /**< RESTATE, SNAPSHOT: which snapshot */
     char *body;            /**< JSON text; owned by the record */
 } sky_rec_config_t;
 
@@ -346,7 +366,8 @@
     sky_order_kind_t kind;
     sky_adapter_id_t adapter;
     sky_fence_t fence;
-    uint64_t token; /**< tells answers to earlier orders apart */
+    uint64_t token;      /**< tells answers to earlier orders apart */
+    uint64_t expires_us; /**< not to be sent later: the lease's end */
 } sky_order_t;
 
 /** What became of an order. */
--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -6,10 +6,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "decide/types.h"
 
 #define MS_PER_S 1000
+#define US_PER_S 1000000
+#define NS_PER_US 1000
 #define PORT_MAX 65535
 
 sky_result_t
@@ -66,11 +69,50 @@
     return count == 0 ? SKY_OK : SKY_E_IO;
 }
 
+/** The body while it is sent. */
+typedef struct {
+    const sky_http_call_t *call;
+    size_t sent;
+    bool begun;
+} upload_t;
+
+static uint64_t
+now_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
+/** neon asks for the body once it is connected and the head is written; what
+ *  is out of date by then is not sent, and the target drops the head alone. */
+static ssize_t
+provide_body(void *context, char *buffer, size_t size)
+{
+    upload_t *upload = context;
+    const sky_http_call_t *call = upload->call;
+    if (size == 0) { /* the start of the body */
+        upload->sent = 0;
+        return 0;
+    }
+    if (!upload->begun && call->expires_us != 0 &&
+        now_us() >= call->expires_us) {
+        return -1;
+    }
+    size_t left = strlen(call->body) - upload->sent;
+    size_t count = left < size ? left : size;
+    upload->begun = true;
+    memcpy(buffer, call->body + upload->sent, count);
+    upload->sent += count;
+    return (ssize_t)count;
+}
+
 static sky_http_end_t
-run(ne_request *request, sky_http_answer_t *answer)
+run(ne_request *request, const upload_t *upload, sky_http_answer_t *answer)
 {
     int result = ne_begin_request(request);
-    if (result == NE_CONNECT || result == NE_LOOKUP) {
+    if (result == NE_CONNECT || result == NE_LOOKUP ||
+        (result != NE_OK && upload->call->body != NULL && !upload->begun)) {
         return SKY_HTTP_NOT_SENT;
     }
     if (result != NE_OK) {
@@ -91,6 +133,7 @@
 {
     char host[SKY_ADDRESS_BYTES];
     uint16_t port;
+    upload_t upload = {.call = call};
     memset(answer, 0, sizeof *answer);
     if (SkyResult_IsError(
             SkyHttp_SplitAddress(call->address, host, sizeof host, &port))) {
@@ -103,12 +146,13 @@
     ne_request *request = ne_request_create(session, call->method, call->path);
     if (call->body != NULL) {
         ne_add_request_header(request, "Content-Type", "application/json");
-        ne_set_request_body_buffer(request, call->body, strlen(call->body));
+        ne_set_request_body_provider(request, (ne_off_t)strlen(call->body),
+                                     provide_body, &upload);
     }
     if (call->header_name != NULL) {
         ne_add_request_header(request, call->header_name, call->header_value);
     }
-    sky_http_end_t end = run(request, answer);
+    sky_http_end_t end = run(request, &upload, answer);
     ne_request_destroy(request);
     ne_session_destroy(session);
     return end;
--- a/lib/platform/http.h
+++ b/lib/platform/http.h
@@ -5,6 +5,7 @@
 #ifndef SKY_PLATFORM_HTTP_H
 #define SKY_PLATFORM_HTTP_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -23,6 +24,8 @@
     const char *body;        /**< NULL: none */
     const char *header_name; /**< NULL: no further header */
     const char *header_value;
+    uint64_t expires_us; /**< the body is not sent after this time of the
+                              monotonic clock; 0: it always is */
     uint32_t connect_timeout_ms;
     uint32_t read_timeout_ms;
 } sky_http_call_t;
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -245,6 +245,7 @@
     call.body = body;
     call.header_name = "X-Fencing-Number";
     call.header_value = fence;
+    call.expires_us = order->expires_us;
     call.connect_timeout_ms = CONNECT_TIMEOUT_MS;
     call.read_timeout_ms = timeout_ms;
     sky_http_end_t end = SkyHttp_Call(&call, &answer);
--- a/lib/platform/record_json.c
+++ b/lib/platform/record_json.c
@@ -118,23 +118,28 @@
     set_number(object, "base", config->base);
     set_number(object, "revision", config->revision);
     set_number(object, "as_of", config->as_of);
+    set_hex(object, "generation", config->generation);
     json_object_set_new(object, "name", json_string(config->name));
-    json_object_set_new(object, "body", json_string(config->body));
+    json_object_set_new(object, "body",
+                        json_string(config->body ? config->body : ""));
 }
 
 static sky_result_t
-decode_config(const json_t *object, sky_rec_config_t *config)
+decode_config(const json_t *object, sky_record_kind_t record_kind,
+              sky_rec_config_t *config)
 {
     const char *body = json_string_value(json_object_get(object, "body"));
     uint64_t kind = get_number(object, "document");
-    if (body == NULL ||
-        (kind != SKY_CONFIG_TEMPLATE && kind != SKY_CONFIG_WORKSPACE)) {
+    bool is_document =
+        kind == SKY_CONFIG_TEMPLATE || kind == SKY_CONFIG_WORKSPACE;
+    if (body == NULL || (!is_document && record_kind != SKY_REC_SNAPSHOT)) {
         return SKY_E_BAD_REQUEST;
     }
     config->kind = (sky_config_kind_t)kind;
     config->base = get_number(object, "base");
     config->revision = get_number(object, "revision");
     config->as_of = get_number(object, "as_of");
+    config->generation = get_hex(object, "generation");
     get_text(object, "name", config->name, sizeof config->name);
     config->body = strdup(body);
     return config->body ? SKY_OK : SKY_E_MEMORY;
@@ -165,6 +170,7 @@
         break;
     case SKY_REC_CONFIG:
     case SKY_REC_CONFIG_RESTATE:
+    case SKY_REC_SNAPSHOT:
         encode_config(object, &record->u.config);
         break;
     }
@@ -195,7 +201,8 @@
         return SKY_OK;
     case SKY_REC_CONFIG:
     case SKY_REC_CONFIG_RESTATE:
-        return decode_config(data, &record->u.config);
+    case SKY_REC_SNAPSHOT:
+        return decode_config(data, record->kind, &record->u.config);
     }
     return SKY_E_BAD_REQUEST;
 }
--- a/tests/driver_world.h
+++ b/tests/driver_world.h
@@ -98,6 +98,18 @@
         return *Driver_Result(driver, index);
     }
 
+    /** @return revision of the template "opening" on a host; 0: none. */
+    static uint64_t
+    Revision(const sky_node_t *node)
+    {
+        sky_document_t document;
+        bool found = node != nullptr &&
+                     SkyConfig_Find(SkyNode_Config(node),
+                                    SKY_CONFIG_TEMPLATE, "opening",
+                                    &document);
+        return found ? document.revision : 0;
+    }
+
     /** Sum of all breaches seen from outside. */
     uint64_t
     Breaches() const
