Weigh a second copy of an adapter a tenth of a first one

Cause: at an unannounced opening a hot adapter with many waiting callers took the store's lanes for copies while others had no copy at all.

--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #define STARVING_SCORE 1e9
-#define COPY_SHARE 0.25        /* weight of a second copy against a first */
+#define COPY_SHARE 0.1         /* weight of a second copy against a first */
 #define WANTED_SLOT_SHARE 0.75 /* of a pool's slots, kept for openings */
 #define REFILL_HEAT_MIN 2.0
 #define STORE_FAILURES_MAX 3
