Load a first copy of every adapter of an opening before second copies

Cause: the opening's slots were shared by weight, so the hottest adapters got several copies ahead of time and the rare ones none; those loaded in the crowd.

--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -6,7 +6,8 @@
 
 #define STARVING_SCORE 1e9
 #define COPY_SHARE 0.1         /* weight of a second copy against a first */
-#define WANTED_SLOT_SHARE 0.75 /* of a pool's slots, kept for openings */
+#define WANTED_SLOT_SHARE 0.9  /* of a pool's slots, kept for openings */
+#define FIRST_COPY_SCORE 1e9
 #define REFILL_HEAT_MIN 2.0
 #define STORE_FAILURES_MAX 3
 #define STORE_MEMORY_US UINT64_C(5000000)
@@ -222,9 +223,18 @@
 /* ---- openings -------------------------------------------------------------
  */
 
+/** A first copy of any adapter goes before a second one of another: only the
+ *  first spares its callers a load. */
+static double
+wanted_score(double weight, uint32_t copies)
+{
+    return copies == 0 ? FIRST_COPY_SCORE + weight : weight / (copies + 1);
+}
+
 static adapter_t *
 most_wanted(sky_shard_t *shard, uint64_t now_us)
 {
+    double best_score = 0;
     adapter_t *best = NULL;
     for (uint32_t i = 0; i < shard->wanted_count; i++) {
         const sky_wanted_t *wanted = &shard->wanted[i];
@@ -234,9 +244,10 @@
         adapter_t *adapter = ShardSlots_Adapter(shard, wanted->adapter);
         if (adapter->copies < adapter->wanted_copies &&
             may_load(adapter, now_us) &&
-            (best == NULL || adapter->wanted_weight / (adapter->copies + 1) >
-                                 best->wanted_weight / (best->copies + 1))) {
+            wanted_score(adapter->wanted_weight, adapter->copies) >
+                best_score) {
             best = adapter;
+            best_score = wanted_score(adapter->wanted_weight, adapter->copies);
         }
     }
     return best;
@@ -271,7 +282,8 @@
             continue;
         }
         adapter_t *adapter = ShardSlots_Adapter(shard, wanted->adapter);
-        double share = adapter->wanted_weight / (adapter->wanted_copies + 1);
+        double share =
+            wanted_score(adapter->wanted_weight, adapter->wanted_copies);
         if (adapter->wanted_copies < targets && share > best_share) {
             best = adapter;
             best_share = share;
