Ask a target for a report as soon as an exchange with it fails

Cause: after an engine's crash the owner went on granting permits for it until three reports in a row had failed, about 3 s; a request was sent to the dead engine up to three times and then answered 'not run'. Ruled out: more attempts (the same target is chosen again). A permit that was not used at all is now told apart from a failed connection.

--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -455,7 +455,7 @@
         !may_dispatch(entry, grant, now_us)) {
         entry->stats.stale_grants++;
         return_permit(from, grant->request, grant->shard, grant->target,
-                      SKY_OUTCOME_NOT_SENT, out);
+                      SKY_OUTCOME_RETURNED, out);
         if (request != NULL && request->state == STATE_ACQUIRING) {
             ask_later(entry, request, now_us, out);
         }
@@ -633,6 +633,7 @@
     case SKY_OUTCOME_ANSWERED:
         return SKY_OK;
     case SKY_OUTCOME_NOT_SENT:
+    case SKY_OUTCOME_RETURNED:
         return SKY_E_NO_TARGET;
     case SKY_OUTCOME_REFUSED:
         return SKY_E_REFUSED;
@@ -796,7 +797,7 @@
         return_permit(SkyMembers_Owner(entry->members, request->shard,
                                        shard_domain(entry, request->shard)),
                       wire_id(request), request->shard, SKY_NO_TARGET,
-                      SKY_OUTCOME_NOT_SENT, out);
+                      SKY_OUTCOME_RETURNED, out);
     }
     finish_not_run(entry, request, SKY_E_CANCELLED, 0, out);
 }
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -516,6 +516,11 @@
     if (done->outcome == SKY_OUTCOME_BROKEN) {
         suspect_request(shard, request, target, now_us, out);
     }
+    if (done->outcome == SKY_OUTCOME_BROKEN ||
+        done->outcome == SKY_OUTCOME_NOT_SENT) {
+        target->unsure = true;
+        ShardSlots_AskReports(shard, now_us, out);
+    }
     release_permit(shard, request, in_doubt ? now_us : 0);
     delete_request(shard, request);
     ShardQueue_ServeTarget(shard, target, now_us, out);
--- a/lib/decide/shard_slots.c
+++ b/lib/decide/shard_slots.c
@@ -55,7 +55,7 @@
                     uint32_t pool)
 {
     return target->pool == pool && !target->leaving && !target->down &&
-           target->made_us > shard->active_us;
+           !target->unsure && target->made_us > shard->active_us;
 }
 
 static bool
@@ -451,6 +451,7 @@
     crash_context_t crashes = {shard, now_us, out};
     target->failed_reports = 0;
     target->down = false;
+    target->unsure = false;
     if (made_us <= target->made_us) {
         return;
     }
@@ -477,7 +478,7 @@
                                  : shard->active_us;
         bool asked = target->asked_us != 0 &&
                      now_us < target->asked_us + REPORT_WAIT_US;
-        bool first = target->made_us <= shard->active_us;
+        bool first = target->made_us <= shard->active_us || target->unsure;
         if (asked ||
             (!first && now_us < newest_us + shard->options.report_us)) {
             continue;
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -42,6 +42,7 @@
     uint32_t orders; /**< orders under way */
     bool leaving;
     bool down;
+    bool unsure; /**< an exchange failed; no grants before the next report */
     slot_t slots[SKY_TARGET_SLOTS_MAX];
 } target_t;
 
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -73,6 +73,7 @@
 typedef enum {
     SKY_OUTCOME_ANSWERED,  /**< a whole answer with the right id came back */
     SKY_OUTCOME_NOT_SENT,  /**< nothing reached the target */
+    SKY_OUTCOME_RETURNED,  /**< the permit was not used at all */
     SKY_OUTCOME_REFUSED,   /**< the target said that it did not run it */
     SKY_OUTCOME_BROKEN,    /**< sent, and the exchange broke */
     SKY_OUTCOME_CANCELLED, /**< sent, and the caller went away */
