Place an opening's adapters by the crowd that each target will meet

Change: the cost of a place counts the expected crowd of the openings on a target besides its fill, and a full batch weighs as much as 8 units of a victim's heat.

--- a/lib/decide/config.h
+++ b/lib/decide/config.h
@@ -66,8 +66,9 @@
  * @param wait share of the time between snapshots, 0 to 1, by which this host
  *        waits longer than the one that is first to write them.
  */
-void SkyConfig_WriteSnapshot(sky_config_t *config, sky_offset_t as_of,
-                             double wait, uint64_t nonce, uint64_t now_us, sky_actions_t *out);
+void
+SkyConfig_WriteSnapshot(sky_config_t *config, sky_offset_t as_of, double wait,
+                        uint64_t nonce, uint64_t now_us, sky_actions_t *out);
 
 /** @return true if all documents in force are known: the log was read from
  *          its very beginning, or a whole snapshot was read. */
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -11,7 +11,7 @@
 #define WANTED_AHEAD_MS 60000 /* events this much before their prewarm */
 #define TOLD_LEAVING_US UINT64_C(15000000) /* the list has caught up */
 #define JOINING_POLLS 4            /* times as often while this host joins */
-#define SNAPSHOT_WAIT_MIN 0.25 /* of the time between snapshots */
+#define SNAPSHOT_WAIT_MIN 0.25     /* of the time between snapshots */
 #define PAUSE_US UINT64_C(1000000) /* a longer gap was a pause */
 #define LIST_WAIT_US UINT64_C(2000000) /* for the list, after a pause */
 #define RESTATE_EVERY_US UINT64_C(1000000)
--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -5,13 +5,15 @@
 #include <stdlib.h>
 
 #define STARVING_SCORE 1e9
-#define COPY_SHARE 0.1         /* weight of a second copy against a first */
-#define WANTED_SLOT_SHARE 0.9  /* of a pool's slots, kept for openings */
+#define COPY_SHARE 0.1        /* weight of a second copy against a first */
+#define WANTED_SLOT_SHARE 0.9 /* of a pool's slots, kept for openings */
 #define FIRST_COPY_SCORE 1e9
 #define REFILL_HEAT_MIN 2.0
 #define STORE_FAILURES_MAX 3
 #define STORE_MEMORY_US UINT64_C(5000000)
 #define WEIGHT_MIDDLE 50.0
+#define CROWD_FULL 4.0 /* times the average crowd that fill a target */
+#define PACKING 8.0    /* worth of a full batch against a victim's heat */
 #define URGENCY_STEPS 10
 
 bool
@@ -106,15 +108,39 @@
     return ShardQueue_Heat(adapter, now_us) / adapter->copies;
 }
 
+/** @return expected share of the opening's crowd on a target; 1: average. */
 static double
-load_cost(const sky_shard_t *shard, const target_t *target)
+expected_crowd(sky_shard_t *shard, const target_t *target, uint64_t now_us)
+{
+    double weight = 0;
+    if (shard->wanted_weight <= 0) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < target->info->slots; i++) {
+        if (target->slots[i].state == SLOT_FREE) {
+            continue;
+        }
+        const adapter_t *adapter =
+            ShardSlots_Adapter(shard, target->slots[i].adapter);
+        if (now_us < adapter->wanted_until_us) {
+            weight += adapter->wanted_weight / adapter->copies;
+        }
+    }
+    return weight * shard->count / shard->wanted_weight;
+}
+
+/** Below a weight of 50 a busy target costs, above it is looked for. */
+static double
+load_cost(sky_shard_t *shard, const target_t *target, uint64_t now_us)
 {
     double fill = (double)target->permits / target->info->batch;
     if (shard->options.policy == SKY_POLICY_BASELINE) {
         return fill * DBL_MAX / 4; /* least loaded first, then LRU */
     }
     double weight = (double)shard->options.batch_weight;
-    return fill * (WEIGHT_MIDDLE - weight) / WEIGHT_MIDDLE;
+    double crowd = expected_crowd(shard, target, now_us) / CROWD_FULL;
+    double busy = fill + (crowd < 1.0 ? crowd : 1.0);
+    return PACKING * busy * (WEIGHT_MIDDLE - weight) / WEIGHT_MIDDLE;
 }
 
 typedef struct {
@@ -127,7 +153,7 @@
 consider_slots(sky_shard_t *shard, target_t *target, uint64_t now_us,
                place_t *best)
 {
-    double load = load_cost(shard, target);
+    double load = load_cost(shard, target, now_us);
     for (uint32_t i = 0; i < target->info->slots; i++) {
         slot_t *slot = &target->slots[i];
         double victim = victim_cost(shard, target, slot, now_us);
@@ -334,6 +360,12 @@
 ShardPolicy_PlanWanted(sky_shard_t *shard, uint64_t now_us)
 {
     reset_wanted(shard, now_us);
+    shard->wanted_weight = 0;
+    for (uint32_t i = 0; i < shard->wanted_count; i++) {
+        bool open = now_us >= shard->wanted[i].from_us &&
+                    now_us < shard->wanted[i].until_us;
+        shard->wanted_weight += open ? shard->wanted[i].weight : 0;
+    }
     for (uint32_t t = 0; t < shard->count; t++) {
         bool first = true;
         for (uint32_t u = 0; u < t; u++) {
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -149,8 +149,9 @@
     uint64_t store_retry_us;
     sky_wanted_t *wanted;
     uint32_t wanted_count;
-    bool plan_due;     /**< the wanted copies are to be worked out again */
-    bool opening_near; /**< some wanted copies are still missing */
+    double wanted_weight; /**< of all adapters wanted now */
+    bool plan_due;        /**< the wanted copies are to be worked out again */
+    bool opening_near;    /**< some wanted copies are still missing */
     uint64_t planned_us;
     sky_shard_stats_t stats;
 };
