--- /dev/null
+++ b/bench/bench_load.c
@@ -0,0 +1,204 @@
+/**
+ * @file bench_load.c
+ * @brief Load and experiment tool: streams from a host or from an engine.
+ *
+ * usage: load -a ADDRESS -m MODEL [-s SECRET] [-c STREAMS] [-n REQUESTS]
+ *             [-t TOKENS] [-l LABEL]
+ *
+ * -c streams run at once, each sends its share of the -n requests one after
+ * the other. Prints first-token times, tokens a second and failures.
+ */
+#include <ne_request.h>
+#include <ne_session.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "platform/http.h"
+
+#define READ_TIMEOUT_S 60
+#define STACK_BYTES (256 * 1024)
+#define REQUESTS_MAX 100000
+
+typedef struct {
+    const char *address;
+    const char *model;
+    const char *secret;
+    const char *label;
+    uint32_t streams;
+    uint32_t requests;
+    uint32_t tokens;
+} options_t;
+
+static options_t options = {.label = "load", .streams = 1, .requests = 1,
+                            .tokens = 8};
+static double first_ms[REQUESTS_MAX];
+static uint32_t taken;
+static uint32_t finished;
+static uint32_t failed;
+static uint64_t events;
+
+static double
+now_ms(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
+
+/** Counts the events of a stream. @return -1 unless it ended with [DONE]. */
+static int
+read_stream(ne_request *request, double sent_ms, uint32_t index)
+{
+    char block[8192];
+    char last[16] = "";
+    ssize_t count;
+    bool first = true;
+    while ((count = ne_read_response_block(request, block, sizeof block)) >
+           0) {
+        if (first) {
+            first_ms[index] = now_ms() - sent_ms;
+            first = false;
+        }
+        for (ssize_t i = 0; i + 6 < count; i++) {
+            events += memcmp(block + i, "data: ", 6) == 0;
+        }
+        size_t keep = (size_t)count < 14 ? (size_t)count : 14;
+        memcpy(last, block + count - keep, keep);
+        last[keep] = '\0';
+    }
+    return strstr(last, "[DONE]") != NULL ? 0 : -1;
+}
+
+static int
+one_request(uint32_t index)
+{
+    char host[48];
+    uint16_t port;
+    char body[512];
+    SkyHttp_SplitAddress(options.address, host, sizeof host, &port);
+    snprintf(body, sizeof body,
+             "{\"model\": \"%s\", \"prompt\": \"TOKENS %u number %u\", "
+             "\"stream\": true}",
+             options.model, options.tokens, index);
+    double sent_ms = now_ms();
+    ne_session *session = ne_session_create("http", host, port);
+    ne_set_read_timeout(session, READ_TIMEOUT_S);
+    ne_request *request =
+        ne_request_create(session, "POST", "/v1/completions");
+    if (options.secret != NULL) {
+        ne_print_request_header(request, "Authorization", "Bearer %s",
+                                options.secret);
+    }
+    ne_print_request_header(request, "X-Request-Id", "direct-%u", index);
+    ne_set_request_body_buffer(request, body, strlen(body));
+    int result = ne_begin_request(request);
+    if (result == NE_OK) {
+        result = ne_get_status(request)->code == 200
+                     ? read_stream(request, sent_ms, index)
+                     : -1;
+    }
+    ne_request_destroy(request);
+    ne_session_destroy(session);
+    return result;
+}
+
+static void *
+run_stream(void *context)
+{
+    uint32_t index;
+    (void)context;
+    while ((index = __atomic_fetch_add(&taken, 1, __ATOMIC_RELAXED)) <
+           options.requests) {
+        if (one_request(index) == 0) {
+            __atomic_add_fetch(&finished, 1, __ATOMIC_RELAXED);
+        }
+        else {
+            __atomic_add_fetch(&failed, 1, __ATOMIC_RELAXED);
+            first_ms[index] = -1;
+        }
+    }
+    return NULL;
+}
+
+static int
+by_value(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+static void
+report(double took_s)
+{
+    qsort(first_ms, options.requests, sizeof first_ms[0], by_value);
+    const double *good = first_ms + failed;
+    uint32_t count = options.requests - failed;
+    printf("%-24s %5u ok %3u failed  first token ms: median %.2f 99th %.2f  "
+           "%.0f events/s\n",
+           options.label, finished, failed, count ? good[count / 2] : 0,
+           count ? good[count * 99 / 100] : 0, (double)events / took_s);
+}
+
+static void
+parse(int argc, char **argv)
+{
+    int option;
+    while ((option = getopt(argc, argv, "a:m:s:c:n:t:l:")) != -1) {
+        switch (option) {
+        case 'a':
+            options.address = optarg;
+            break;
+        case 'm':
+            options.model = optarg;
+            break;
+        case 's':
+            options.secret = optarg;
+            break;
+        case 'c':
+            options.streams = (uint32_t)atoi(optarg);
+            break;
+        case 'n':
+            options.requests = (uint32_t)atoi(optarg);
+            break;
+        case 't':
+            options.tokens = (uint32_t)atoi(optarg);
+            break;
+        case 'l':
+            options.label = optarg;
+            break;
+        default:
+            exit(2);
+        }
+    }
+    if (options.address == NULL || options.model == NULL ||
+        options.requests > REQUESTS_MAX) {
+        fprintf(stderr, "load: -a and -m are needed\n");
+        exit(2);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    pthread_attr_t attributes;
+    parse(argc, argv);
+    SkyHttp_Init();
+    pthread_t *threads = calloc(options.streams, sizeof *threads);
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, STACK_BYTES);
+    double begun_ms = now_ms();
+    for (uint32_t i = 0; i < options.streams; i++) {
+        pthread_create(&threads[i], &attributes, run_stream, NULL);
+    }
+    for (uint32_t i = 0; i < options.streams; i++) {
+        pthread_join(threads[i], NULL);
+    }
+    report((now_ms() - begun_ms) / 1e3);
+    free(threads);
+    return failed == 0 ? 0 : 1;
+}
