Count only usable copies of an adapter, and give up what cannot be met

(2) the wait was reckoned from past loads only, so with a store that had become slow a caller was held until its deadline. (3) a planned stop with the log out waited for ever for a hand-over.

--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -205,9 +205,29 @@
            adapter->id != adapter->pool;
 }
 
+/** A copy on a target that leaves, is down or is being given up is none. */
+bool
+ShardPolicy_HasUsableCopy(sky_shard_t *shard, const adapter_t *adapter)
+{
+    if (adapter->id == adapter->pool) {
+        return true;
+    }
+    for (uint32_t t = 0; t < shard->count && adapter->copies > 0; t++) {
+        target_t *target = &shard->targets[t];
+        if (!ShardSlots_IsUsable(shard, target, adapter->pool)) {
+            continue;
+        }
+        const slot_t *slot = ShardSlots_Find(target, adapter->id);
+        if (slot != NULL && slot->state != SLOT_UNLOADING) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** @return 0 where nothing is to be loaded for the adapter. */
 static double
-load_score(const sky_shard_t *shard, const adapter_t *adapter, uint64_t now_us)
+load_score(sky_shard_t *shard, const adapter_t *adapter, uint64_t now_us)
 {
     uint64_t waited_us = now_us - adapter->waiting->arrived_us;
     double waiting = adapter->waiting_count;
@@ -215,9 +235,11 @@
         return 0;
     }
     if (shard->options.policy == SKY_POLICY_BASELINE) {
-        return adapter->copies == 0 ? 1.0 + (double)waited_us : 0;
+        return ShardPolicy_HasUsableCopy(shard, adapter)
+                   ? 0
+                   : 1.0 + (double)waited_us;
     }
-    if (adapter->copies > 0) {
+    if (ShardPolicy_HasUsableCopy(shard, adapter)) {
         bool pays =
             adapter->waiting_count > 1 && waited_us > shard->load_us / 2;
         double spread = 1.0 - shard->options.batch_weight / 100.0;
@@ -471,20 +493,62 @@
     }
 }
 
+/** @return time of one load: the average, or what the oldest has taken. */
+static uint64_t
+current_load_us(const sky_shard_t *shard, uint64_t now_us)
+{
+    uint64_t load_us = shard->load_us;
+    for (uint32_t t = 0; t < shard->count; t++) {
+        const target_t *target = &shard->targets[t];
+        for (uint32_t i = 0; i < target->info->slots; i++) {
+            const slot_t *slot = &target->slots[i];
+            if (slot->state == SLOT_LOADING &&
+                now_us - slot->ordered_us > load_us) {
+                load_us = now_us - slot->ordered_us;
+            }
+        }
+    }
+    return load_us;
+}
+
+/** @return time until the store has taken @p ahead loads and one more. */
+static uint64_t
+wait_behind(const sky_shard_t *shard, uint32_t ahead, uint64_t now_us)
+{
+    uint64_t wait_us = (uint64_t)(ahead + shard->in_transit) *
+                       current_load_us(shard, now_us) /
+                       shard->options.transit_max;
+    if (shard->store_retry_us > now_us) {
+        wait_us += shard->store_retry_us - now_us;
+    }
+    return wait_us;
+}
+
 uint64_t
-ShardPolicy_ExpectedWait(const sky_shard_t *shard, const adapter_t *adapter,
+ShardPolicy_ExpectedWait(sky_shard_t *shard, const adapter_t *adapter,
                          uint64_t now_us)
 {
-    if (adapter->id == adapter->pool || adapter->copies > adapter->loading) {
+    if (ShardPolicy_HasUsableCopy(shard, adapter)) {
         return 0;
     }
-    uint64_t ahead = shard->pending_adapters + shard->in_transit;
-    uint64_t wait_us = ahead * shard->load_us / shard->options.transit_max;
-    if (adapter->loading > 0) {
-        wait_us = 0;
+    return wait_behind(shard, shard->pending_adapters, now_us);
+}
+
+bool
+ShardPolicy_IsHopeless(sky_shard_t *shard, const adapter_t *adapter,
+                       uint64_t deadline_us, uint64_t now_us)
+{
+    uint32_t ahead = 0;
+    const adapter_t *other;
+    if (ShardPolicy_HasUsableCopy(shard, adapter)) {
+        return false;
     }
-    if (shard->store_retry_us > now_us) {
-        wait_us += shard->store_retry_us - now_us;
+    double score = load_score(shard, adapter, now_us);
+    DL_FOREACH(shard->queued, other)
+    {
+        double theirs = load_score(shard, other, now_us);
+        bool earlier = other->waiting->rank < adapter->waiting->rank;
+        ahead += theirs > score || (theirs == score && earlier);
     }
-    return wait_us;
+    return now_us + wait_behind(shard, ahead, now_us) > deadline_us;
 }
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -590,8 +590,13 @@
         else if (now_us >= request->deadline_us) {
             refuse(shard, request, SKY_E_DEADLINE, shard->load_us, out);
         }
+        else if (!(shard->options.off & SKY_OFF_REFUSAL) &&
+                 ShardPolicy_IsHopeless(shard, request->adapter,
+                                        request->deadline_us, now_us)) {
+            refuse(shard, request, SKY_E_OVERLOADED, shard->load_us, out);
+        }
         else if (ShardPolicy_StoreIsDown(shard, now_us) &&
-                 request->adapter->copies == 0) {
+                 !ShardPolicy_HasUsableCopy(shard, request->adapter)) {
             refuse(shard, request, SKY_E_LOAD_FAILED, STORE_DOWN_RETRY_US,
                    out);
         }
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -14,6 +14,7 @@
 
 #define STEP_MS 20
 #define LEAVE_WAIT_MS 3000
+#define HANDOVER_WAIT_MS 5000
 #define LOST_CHECK_MS 500
 #define NS_PER_MS 1000000
 
@@ -67,6 +68,30 @@
     SkyLog_Write(LOG_NOTICE, "left", "seen_in_log=%d", left);
 }
 
+/** However long they take: a planned stop cuts nothing off. */
+static void
+finish_requests(const sky_control_t *control)
+{
+    while (SkyControl_OpenCount(control) > 0) {
+        sleep_ms(STEP_MS);
+    }
+}
+
+/** With the log out nothing can be handed over; the successor then waits for
+ *  the lease to lapse instead. */
+static void
+wait_for_handover(sky_control_t *control)
+{
+    for (uint32_t i = 0; i < HANDOVER_WAIT_MS / STEP_MS; i++) {
+        if (is_idle(control)) {
+            return;
+        }
+        sleep_ms(STEP_MS);
+    }
+    SkyLog_Write(LOG_WARNING, "not_handed_over", "waited_ms=%d",
+                 HANDOVER_WAIT_MS);
+}
+
 static void
 stop_in_order(sky_control_t *control, sky_front_t *front)
 {
@@ -77,9 +102,8 @@
     sleep_ms(settings->balancer_wait_ms);
     SkyFront_StopListening(front);
     post(control, SKY_IN_CLOSE);
-    while (!is_idle(control)) {
-        sleep_ms(STEP_MS);
-    }
+    finish_requests(control);
+    wait_for_handover(control);
     leave(control);
 }
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -135,11 +135,24 @@
         "http://$(host_address "$host")/v1/completions"
 }
 
-# stop_all: SIGTERM to each process this script started, by pid
+# stop_all: ends each process this script started, by pid, in bounded time
 stop_all() {
     for pid in $PIDS; do
+        kill -CONT "$pid" 2>/dev/null
         kill "$pid" 2>/dev/null
     done
-    wait
+    tries=120
+    while [ "$tries" -gt 0 ]; do
+        left=""
+        for pid in $PIDS; do
+            kill -0 "$pid" 2>/dev/null && left="$left $pid"
+        done
+        [ -z "$left" ] && break
+        sleep 0.1
+        tries=$((tries - 1))
+    done
+    for pid in $left; do
+        kill -9 "$pid" 2>/dev/null
+    done
     PIDS=""
 }
--- /dev/null
+++ b/tests/test_shard.cc
@@ -0,0 +1,209 @@
+/** @file test_shard.cc @brief Focused scenes for the owner of a shard. */
+#include <gtest/gtest.h>
+
+#include "driver_world.h"
+
+namespace {
+
+/** Makes adapters resident by asking for them. */
+void
+Warm(World &world, uint32_t first, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        world.Ask(0, first + i);
+        world.Run(3 * SECOND);
+    }
+}
+
+uint32_t
+TargetOf(const World &world, uint32_t adapter)
+{
+    uint32_t owner = Driver_Owner(world.driver, 0);
+    const sky_shard_t *shard =
+        SkyNode_Shard(Driver_Node(world.driver, owner), 0);
+    for (uint32_t t = 0; t < SkyShard_TargetCount(shard); t++) {
+        sky_target_status_t status;
+        SkyShard_Describe(shard, t, &status);
+        for (uint32_t i = 0; i < status.resident_count; i++) {
+            if (status.resident[i] == 1000 + adapter) {
+                return t;
+            }
+        }
+    }
+    return SKY_NO_TARGET;
+}
+
+TEST(Shard, AnAdapterOnALeavingTargetIsLoadedElsewhere)
+{
+    World world(5, 3, 3, 3);
+    world.Start();
+    Warm(world, 1, 1);
+    Driver_SetLeaving(world.driver, TargetOf(world, 1), true);
+    world.Run(4 * SECOND);
+    uint32_t request = world.Ask(0, 1);
+    world.Run(10 * SECOND);
+    EXPECT_EQ(world.Result(request).code, SKY_OK);
+    EXPECT_EQ(world.Result(request).runs, 1u);
+}
+
+TEST(Shard, TheRarestAdapterIsAnsweredInTheCrowd)
+{
+    /* Nobody starves: 10 s of starvation_us, then one load. */
+    World world(6, 3, 2, 2);
+    world.Start();
+    uint32_t rare = 0;
+    for (uint32_t step = 0; step < 200; step++) {
+        for (uint32_t a = 1; a <= 6; a++) {
+            world.Ask(step % 3, a, 60000, 10);
+        }
+        if (step == 100) {
+            rare = world.Ask(0, 99, 60000, 10);
+        }
+        world.Run(100000);
+    }
+    world.Run(20 * SECOND);
+    const driver_result_t &result = world.Result(rare);
+    EXPECT_EQ(result.code, SKY_OK);
+    EXPECT_LT(result.dispatched_us - result.arrived_us, 15 * SECOND);
+}
+
+TEST(Shard, GivenUpRequestsAreAnsweredAtOnce)
+{
+    World world(7, 3, 2, 2);
+    world.Start();
+    Driver_StoreSlow(world.driver, 100.0);
+    std::vector<uint32_t> requests;
+    for (uint32_t a = 1; a <= 40; a++) {
+        requests.push_back(world.Ask(a % 3, a, 20000));
+    }
+    world.Run(4 * SECOND);
+    uint32_t refused = 0;
+    for (uint32_t request : requests) {
+        const driver_result_t &result = world.Result(request);
+        if (result.answered) {
+            refused++;
+            EXPECT_EQ(result.code, SKY_E_OVERLOADED);
+            EXPECT_GE(result.retry_after_ms, 200u);
+        }
+    }
+    EXPECT_GT(refused, 10u);
+}
+
+TEST(Shard, AKilledOwnerIsReplacedWithinItsBound)
+{
+    /* Silence 1.2 s, denial 0.4 s, lease 1.5 s, margin 1 s, ticks. */
+    World world(8);
+    world.Start();
+    Warm(world, 1, 1);
+    uint32_t owner = Driver_Owner(world.driver, 0);
+    uint64_t killed_us = Driver_Now(world.driver);
+    Driver_Kill(world.driver, owner);
+    uint32_t request = world.Ask((owner + 1) % 4, 1);
+    world.Run(10 * SECOND);
+    EXPECT_EQ(world.Result(request).code, SKY_OK);
+    EXPECT_LT(world.Result(request).dispatched_us - killed_us, 6 * SECOND);
+}
+
+TEST(Shard, APlannedStopHandsOverWithoutTheWait)
+{
+    World world(9);
+    world.Start();
+    Warm(world, 1, 1);
+    uint32_t owner = Driver_Owner(world.driver, 0);
+    uint64_t drained_us = Driver_Now(world.driver);
+    Driver_Drain(world.driver, owner);
+    uint32_t request = world.Ask((owner + 1) % 4, 1);
+    world.Run(10 * SECOND);
+    EXPECT_EQ(world.Result(request).code, SKY_OK);
+    EXPECT_LT(world.Result(request).dispatched_us - drained_us, 2 * SECOND);
+    EXPECT_FALSE(Driver_IsAlive(world.driver, owner));
+}
+
+TEST(Shard, ResidentAdaptersGoOnWithTheLogOut)
+{
+    World world(10);
+    world.Start();
+    Warm(world, 1, 1);
+    Driver_LogDown(world.driver, true);
+    world.Run(20 * SECOND);
+    uint32_t resident = world.Ask(0, 1);
+    uint32_t other = world.Ask(1, 2, 3000);
+    uint32_t booked = world.Book(2, 5);
+    world.Run(5 * SECOND);
+    EXPECT_EQ(world.Result(resident).code, SKY_OK);
+    EXPECT_NE(world.Result(other).code, SKY_OK);
+    EXPECT_EQ(world.Result(booked).code, SKY_E_LOG_DOWN);
+    EXPECT_EQ(world.Result(booked).runs, 0u);
+}
+
+TEST(Shard, AHostThatLostTheLogIsVouchedFor)
+{
+    World world(11);
+    world.Start();
+    Warm(world, 1, 1);
+    uint32_t owner = Driver_Owner(world.driver, 0);
+    Driver_CutLog(world.driver, owner, true);
+    world.Run(20 * SECOND);
+    EXPECT_EQ(Driver_Owner(world.driver, 0), owner);
+    uint32_t request = world.Ask(owner, 2);
+    world.Run(5 * SECOND);
+    EXPECT_EQ(world.Result(request).code, SKY_OK);
+}
+
+TEST(Shard, AChangeIsInForceEverywhereWithinSeconds)
+{
+    World world(12, 8);
+    world.Start();
+    uint64_t begun_us = Driver_Now(world.driver);
+    Driver_Change(world.driver, 3, SKY_CONFIG_TEMPLATE, "opening", 0,
+                  "{\"pool\": \"desk\"}");
+    uint32_t behind = 8;
+    while (behind > 0 && Driver_Now(world.driver) < begun_us + 30 * SECOND) {
+        world.Run(50000);
+        behind = 0;
+        for (uint32_t h = 0; h < 8; h++) {
+            behind += World::Revision(Driver_Node(world.driver, h)) == 0;
+        }
+    }
+    EXPECT_LT(Driver_Now(world.driver) - begun_us, 13 * SECOND);
+}
+
+TEST(Shard, EveryHostIsReplacedInTurnWithoutLoss)
+{
+    World world(13);
+    world.Start();
+    Warm(world, 1, 3);
+    std::vector<uint32_t> requests;
+    for (uint32_t host = 0; host < 4; host++) {
+        for (uint32_t i = 0; i < 10; i++) {
+            requests.push_back(world.Ask(host, 1 + i % 3, 20000, 50));
+        }
+        world.Run(100000);
+        Driver_Drain(world.driver, host);
+        world.Run(15 * SECOND);
+        ASSERT_FALSE(Driver_IsAlive(world.driver, host));
+        Driver_Start(world.driver, host);
+        world.Run(10 * SECOND);
+    }
+    for (uint32_t request : requests) {
+        EXPECT_EQ(world.Result(request).code, SKY_OK);
+        EXPECT_FALSE(world.Result(request).lost);
+    }
+}
+
+TEST(Shard, AllHostsRestartedAtOnceAnswerAgain)
+{
+    World world(14);
+    world.Start();
+    Warm(world, 1, 2);
+    for (uint32_t host = 0; host < 4; host++) {
+        Driver_Kill(world.driver, host);
+        Driver_Start(world.driver, host);
+    }
+    world.Run(10 * SECOND);
+    uint32_t request = world.Ask(2, 3);
+    world.Run(10 * SECOND);
+    EXPECT_EQ(world.Result(request).code, SKY_OK);
+}
+
+} // namespace
