--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -33,8 +33,8 @@
     uint32_t tokens;
 } options_t;
 
-static options_t options = {.label = "load", .streams = 1, .requests = 1,
-                            .tokens = 8};
+static options_t options = {
+    .label = "load", .streams = 1, .requests = 1, .tokens = 8};
 static double first_ms[REQUESTS_MAX];
 static uint32_t taken;
 static uint32_t finished;
