--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -16,8 +16,7 @@
 #include "peer/codec.h"
 #include "platform/record_json.h"
 
-namespace
-{
+namespace {
 
 const char KEY[] = "key-between-hosts-for-tests";
 const int MUTATIONS = 20000;
@@ -160,8 +159,13 @@
 TEST(RecordJson, ForeignRecordsAreRefused)
 {
     const char *const FOREIGN[] = {
-        "{}", "[]", "7", "{\"kind\": 99}", "{\"kind\": 9}",
-        "{\"kind\": 1, \"host\": 5}", "{\"kind\": 9, \"body\": 7}",
+        "{}",
+        "[]",
+        "7",
+        "{\"kind\": 99}",
+        "{\"kind\": 9}",
+        "{\"kind\": 1, \"host\": 5}",
+        "{\"kind\": 9, \"body\": 7}",
         "{\"kind\": 9, \"body\": \"{}\", \"document\": 3}",
     };
     for (const char *text : FOREIGN) {
@@ -176,7 +180,8 @@
     "{\"template\": \"opening\", \"credential\": "
     "\"0123456789012345678901234567890123456789012345678901234567890123\", "
     "\"parameters\": {\"urgency\": 7, \"opens_at_s\": 1800000000}, "
-    "\"adapters\": [{\"name\": \"notes\", \"version\": \"3\", \"weight\": 2}]}";
+    "\"adapters\": [{\"name\": \"notes\", \"version\": \"3\", \"weight\": "
+    "2}]}";
 
 TEST(Document, AWorkspaceIsRead)
 {
@@ -220,7 +225,8 @@
     uint32_t refused = 0;
     for (int i = 0; i < MUTATIONS; i++) {
         std::string body = WORKSPACE;
-        body[nrand48(random) % body.size()] = (char)(32 + nrand48(random) % 95);
+        body[nrand48(random) % body.size()] =
+            (char)(32 + nrand48(random) % 95);
         sky_workspace_t workspace;
         char why[SKY_NAME_BYTES];
         if (SkyDocument_ParseWorkspace(body.c_str(), &workspace, why) ==
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -8,8 +8,7 @@
 
 #include "serve/settings.h"
 
-namespace
-{
+namespace {
 
 const char GOOD[] = "[host]\nname = \"a\"\nlisten = \"127.0.0.1:1\"\n"
                     "peer = \"127.0.0.1:2\"\n"
@@ -50,10 +49,12 @@
         const char *line;
         const char *wanted;
     } const BAD[] = {
-        {"[lease]\nlease_ms = 5\n", ":19: lease.lease_ms: an integer from 200"},
+        {"[lease]\nlease_ms = 5\n",
+         ":19: lease.lease_ms: an integer from 200"},
         {"[lease]\nleese_ms = 5\n", ":19: lease.leese_ms: not a known key"},
         {"[lease]\nlease_ms = \"x\"\n", ":19: lease.lease_ms: an integer"},
-        {"[[target]]\nname = \"w2\"\nslots = 65\n", "target.slots: an integer"},
+        {"[[target]]\nname = \"w2\"\nslots = 65\n",
+         "target.slots: an integer"},
         {"[[target]]\nname = \"w2\"\n", "name, address, pool and batch"},
         {"[platform\n", ":18: "},
     };
