Test a doubt about a target that is down

A run of tests/proc_answers.sh once took 32 s over its crashing request, 1 s in every later run. Tried: settling doubts that come in after a target went down; the scene passes without the change as well, so it was taken back. The cause of the slow run is not found.

--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -108,7 +108,9 @@
 
 # A request that crashes its engine takes down two at the most.
 for host in 1 2 3 1 2 3; do
-    complete $host notes2 "CRASH please" >/dev/null 2>&1
+    answer=$(complete $host notes2 "CRASH please" 2>/dev/null)
+    echo "crashing request at host$host: $(code_of "$answer")" \
+        "($(($(date +%s) - STARTED)) s)"
 done
 alive=0
 for n in 1 2 3; do
--- a/tests/test_shard.cc
+++ b/tests/test_shard.cc
@@ -191,6 +191,31 @@
     }
 }
 
+TEST(Shard, ADoubtAboutATargetThatIsDownIsSettledAtOnce)
+{
+    /* The owner hears of the broken exchange from the log only, after it has
+     * found the target down. */
+    World world(15, 4, 3, 3);
+    world.options.restart_us = 300 * SECOND;
+    world.Start();
+    Warm(world, 1, 1);
+    uint32_t owner = Driver_Owner(world.driver, 0);
+    uint32_t entry = (owner + 1) % 4;
+    driver_request_t request = World::Request(1, 30000, 20);
+    request.fingerprint = 0xdead;
+    request.crashes = true;
+    uint32_t crashing = Driver_Request(world.driver, entry, &request);
+    while (world.Result(crashing).runs == 0) {
+        world.Run(100);
+    }
+    Driver_Cut(world.driver, entry, owner, true);
+    world.Run(5 * SECOND);
+    request.crashes = false;
+    uint32_t again = Driver_Request(world.driver, (owner + 2) % 4, &request);
+    world.Run(8 * SECOND);
+    EXPECT_EQ(world.Result(again).code, SKY_OK);
+}
+
 TEST(Shard, AllHostsRestartedAtOnceAnswerAgain)
 {
     World world(14);
