--- a/bench/driver.h
+++ b/bench/driver.h
@@ -101,89 +101,58 @@
 typedef struct driver driver_t;
 
 /** Fills in everything but seed, hosts and targets. */
-void
-Driver_Defaults(driver_options_t *options);
-driver_t *
-Driver_Create(const driver_options_t *options);
-void
-Driver_Free(driver_t *driver);
+void Driver_Defaults(driver_options_t *options);
+driver_t *Driver_Create(const driver_options_t *options);
+void Driver_Free(driver_t *driver);
 
 /** Runs until the virtual time is reached. */
-void
-Driver_Run(driver_t *driver, uint64_t until_us);
-uint64_t
-Driver_Now(const driver_t *driver);
+void Driver_Run(driver_t *driver, uint64_t until_us);
+uint64_t Driver_Now(const driver_t *driver);
 /** @return a number from 0 to @p below - 1, from the seed. */
-uint32_t
-Driver_Random(driver_t *driver, uint32_t below);
+uint32_t Driver_Random(driver_t *driver, uint32_t below);
 /** @return a number in [0, 1), from the seed. */
-double
-Driver_Uniform(driver_t *driver);
+double Driver_Uniform(driver_t *driver);
 
 /** Sends a request to a host. @return its index. */
-uint32_t
-Driver_Request(driver_t *driver, uint32_t host,
-               const driver_request_t *request);
-const driver_result_t *
-Driver_Result(const driver_t *driver, uint32_t index);
-uint32_t
-Driver_ResultCount(const driver_t *driver);
+uint32_t Driver_Request(driver_t *driver, uint32_t host,
+                        const driver_request_t *request);
+const driver_result_t *Driver_Result(const driver_t *driver, uint32_t index);
+uint32_t Driver_ResultCount(const driver_t *driver);
 
 /** An operator's change at a host. @return token. */
-uint64_t
-Driver_Change(driver_t *driver, uint32_t host, sky_config_kind_t kind,
-              const char *name, sky_offset_t base, const char *body);
+uint64_t Driver_Change(driver_t *driver, uint32_t host, sky_config_kind_t kind,
+                       const char *name, sky_offset_t base, const char *body);
 /** @return false while the change has no answer. */
-bool
-Driver_ChangeResult(const driver_t *driver, uint64_t token,
-                    sky_act_changed_t *changed);
+bool Driver_ChangeResult(const driver_t *driver, uint64_t token,
+                         sky_act_changed_t *changed);
 
 /* Faults. */
-void
-Driver_Kill(driver_t *driver, uint32_t host);
-void
-Driver_Start(driver_t *driver, uint32_t host);
-void
-Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us);
-void
-Driver_Drain(driver_t *driver, uint32_t host);
-void
-Driver_Cut(driver_t *driver, uint32_t from, uint32_t to, bool cut);
-void
-Driver_CutLog(driver_t *driver, uint32_t host, bool cut);
-void
-Driver_CutTarget(driver_t *driver, uint32_t host, uint32_t target, bool cut);
-void
-Driver_LogDown(driver_t *driver, bool down);
-void
-Driver_LoseAnswers(driver_t *driver, double share);
-void
-Driver_StoreDown(driver_t *driver, bool down);
-void
-Driver_StoreSlow(driver_t *driver, double factor);
-void
-Driver_CrashTarget(driver_t *driver, uint32_t target);
-void
-Driver_SetLeaving(driver_t *driver, uint32_t target, bool leaving);
-
-bool
-Driver_IsAlive(const driver_t *driver, uint32_t host);
-bool
-Driver_IsReady(const driver_t *driver, uint32_t host);
+void Driver_Kill(driver_t *driver, uint32_t host);
+void Driver_Start(driver_t *driver, uint32_t host);
+void Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us);
+void Driver_Drain(driver_t *driver, uint32_t host);
+void Driver_Cut(driver_t *driver, uint32_t from, uint32_t to, bool cut);
+void Driver_CutLog(driver_t *driver, uint32_t host, bool cut);
+void Driver_CutTarget(driver_t *driver, uint32_t host, uint32_t target,
+                      bool cut);
+void Driver_LogDown(driver_t *driver, bool down);
+void Driver_LoseAnswers(driver_t *driver, double share);
+void Driver_StoreDown(driver_t *driver, bool down);
+void Driver_StoreSlow(driver_t *driver, double factor);
+void Driver_CrashTarget(driver_t *driver, uint32_t target);
+void Driver_SetLeaving(driver_t *driver, uint32_t target, bool leaving);
+
+bool Driver_IsAlive(const driver_t *driver, uint32_t host);
+bool Driver_IsReady(const driver_t *driver, uint32_t host);
 /** @return the decision logic of a live host. */
-const sky_node_t *
-Driver_Node(const driver_t *driver, uint32_t host);
+const sky_node_t *Driver_Node(const driver_t *driver, uint32_t host);
 /** @return the host that acts as owner of a shard, or DRIVER_HOSTS_MAX. */
-uint32_t
-Driver_Owner(const driver_t *driver, uint32_t shard);
+uint32_t Driver_Owner(const driver_t *driver, uint32_t shard);
 /** @return true if the adapter is resident on any target. */
-bool
-Driver_IsResident(const driver_t *driver, sky_adapter_id_t adapter);
+bool Driver_IsResident(const driver_t *driver, sky_adapter_id_t adapter);
 
-const driver_breaches_t *
-Driver_Breaches(const driver_t *driver);
-const driver_stats_t *
-Driver_Stats(const driver_t *driver);
+const driver_breaches_t *Driver_Breaches(const driver_t *driver);
+const driver_stats_t *Driver_Stats(const driver_t *driver);
 
 #ifdef __cplusplus
 }
--- a/bench/driver_state.h
+++ b/bench/driver_state.h
@@ -168,36 +168,25 @@
 
 /* driver.c */
 /** Prints one line of the trace, where one is wanted. */
-void
-DriverState_Trace(const driver_t *driver, const char *format, ...)
+void DriverState_Trace(const driver_t *driver, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
-event_t *
-DriverState_Push(driver_t *driver, event_kind_t kind, uint64_t at_us);
+event_t *DriverState_Push(driver_t *driver, event_kind_t kind, uint64_t at_us);
 /** Queues an input for a host; @return it for filling in. */
-sky_input_t *
-DriverState_Input(driver_t *driver, uint32_t host, uint32_t generation,
-                  sky_input_kind_t kind, uint64_t at_us);
-uint64_t
-DriverState_Jitter(driver_t *driver, uint64_t base_us);
-driver_result_t *
-DriverState_Result(driver_t *driver, sky_request_id_t id, uint32_t *index);
+sky_input_t *DriverState_Input(driver_t *driver, uint32_t host,
+                               uint32_t generation, sky_input_kind_t kind,
+                               uint64_t at_us);
+uint64_t DriverState_Jitter(driver_t *driver, uint64_t base_us);
+driver_result_t *DriverState_Result(driver_t *driver, sky_request_id_t id,
+                                    uint32_t *index);
 
 /* driver_targets.c */
-void
-DriverTargets_Order(driver_t *driver, const event_t *event);
-void
-DriverTargets_Dispatch(driver_t *driver, const event_t *event);
-void
-DriverTargets_RunDone(driver_t *driver, const event_t *event);
-void
-DriverTargets_Store(driver_t *driver, const event_t *event);
-void
-DriverTargets_Loaded(driver_t *driver, const event_t *event);
-void
-DriverTargets_Snapshot(driver_t *driver, const event_t *event);
-void
-DriverTargets_Report(driver_t *driver, const event_t *event);
-void
-DriverTargets_Restarted(driver_t *driver, const event_t *event);
+void DriverTargets_Order(driver_t *driver, const event_t *event);
+void DriverTargets_Dispatch(driver_t *driver, const event_t *event);
+void DriverTargets_RunDone(driver_t *driver, const event_t *event);
+void DriverTargets_Store(driver_t *driver, const event_t *event);
+void DriverTargets_Loaded(driver_t *driver, const event_t *event);
+void DriverTargets_Snapshot(driver_t *driver, const event_t *event);
+void DriverTargets_Report(driver_t *driver, const event_t *event);
+void DriverTargets_Restarted(driver_t *driver, const event_t *event);
 
 #endif
--- a/bench/driver_targets.c
+++ b/bench/driver_targets.c
@@ -123,8 +123,7 @@
     return NULL;
 }
 
-static void
-plan_store(driver_t *driver);
+static void plan_store(driver_t *driver);
 
 static void
 begin_load(driver_t *driver, target_t *target, const event_t *event)
--- a/bench/oracle.h
+++ b/bench/oracle.h
@@ -22,8 +22,7 @@
  * store's rate holds it back.
  * @return the percentile of its load stalls in milliseconds.
  */
-double
-Oracle_Percentile(const driver_t *driver, const oracle_options_t *options,
-                  double share);
+double Oracle_Percentile(const driver_t *driver,
+                         const oracle_options_t *options, double share);
 
 #endif
--- a/lib/core/invariant.h
+++ b/lib/core/invariant.h
@@ -35,16 +35,13 @@
 } sky_invariant_t;
 
 /** Counts a breach and, in test builds, stops the process. */
-void
-SkyInvariant_Breach(sky_invariant_t id, const char *file, int line);
+void SkyInvariant_Breach(sky_invariant_t id, const char *file, int line);
 
 /** @return breaches counted since start. */
-uint64_t
-SkyInvariant_Count(sky_invariant_t id);
+uint64_t SkyInvariant_Count(sky_invariant_t id);
 
 /** @return the name used in /metrics and docs/PROOFS.md. */
-const char *
-SkyInvariant_Name(sky_invariant_t id);
+const char *SkyInvariant_Name(sky_invariant_t id);
 
 /** Asserts that @p condition holds; evaluated exactly once. */
 #define SKY_INVARIANT(id, condition)                                          \
--- a/lib/core/logging.h
+++ b/lib/core/logging.h
@@ -15,12 +15,10 @@
 #endif
 
 /** Sets the host's name shown in each line. Call before other threads run. */
-void
-SkyLog_SetName(const char *name);
+void SkyLog_SetName(const char *name);
 
 /** Writes one line. @param priority LOG_ERR, LOG_WARNING, LOG_NOTICE... */
-void
-SkyLog_Write(int priority, const char *event, const char *format, ...)
+void SkyLog_Write(int priority, const char *event, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
 #ifdef __cplusplus
--- a/lib/core/metrics.h
+++ b/lib/core/metrics.h
@@ -36,36 +36,29 @@
     uint64_t sum_ms;
 } sky_histogram_t;
 
-sky_metrics_t *
-SkyMetrics_Create(void);
-void
-SkyMetrics_Free(sky_metrics_t *metrics);
+sky_metrics_t *SkyMetrics_Create(void);
+void SkyMetrics_Free(sky_metrics_t *metrics);
 
 /** Adds a value in milliseconds to a workspace's histogram. */
-void
-SkyMetrics_Observe(sky_metrics_t *metrics, const char *workspace,
-                   sky_histogram_id_t id, uint64_t value_ms);
+void SkyMetrics_Observe(sky_metrics_t *metrics, const char *workspace,
+                        sky_histogram_id_t id, uint64_t value_ms);
 
 /** Counts a final answer of a workspace by its result code. */
-void
-SkyMetrics_CountAnswer(sky_metrics_t *metrics, const char *workspace,
-                       const char *code);
+void SkyMetrics_CountAnswer(sky_metrics_t *metrics, const char *workspace,
+                            const char *code);
 
 /** Calls @p visit for each workspace with its histogram @p id. */
-void
-SkyMetrics_ForEach(sky_metrics_t *metrics, sky_histogram_id_t id,
-                   void (*visit)(const char *workspace,
-                                 const sky_histogram_t *histogram,
-                                 void *context),
-                   void *context);
+void SkyMetrics_ForEach(sky_metrics_t *metrics, sky_histogram_id_t id,
+                        void (*visit)(const char *workspace,
+                                      const sky_histogram_t *histogram,
+                                      void *context),
+                        void *context);
 
 /** @return all series as Prometheus text; free() it. NULL: out of memory. */
-char *
-SkyMetrics_Text(sky_metrics_t *metrics);
+char *SkyMetrics_Text(sky_metrics_t *metrics);
 
 /** @return name of a histogram, as in /metrics without its prefix. */
-const char *
-SkyMetrics_HistogramName(sky_histogram_id_t id);
+const char *SkyMetrics_HistogramName(sky_histogram_id_t id);
 
 #ifdef __cplusplus
 }
--- a/lib/core/result.h
+++ b/lib/core/result.h
@@ -66,21 +66,17 @@
 }
 
 /** @return symbol of the code, for example "SKY_E_CLAIMED". */
-const char *
-SkyResult_Symbol(sky_result_t result);
+const char *SkyResult_Symbol(sky_result_t result);
 
 /** @return one line of text for people. */
-const char *
-SkyResult_Text(sky_result_t result);
+const char *SkyResult_Text(sky_result_t result);
 
 /** @return "answered", "not_run" or "unknown"; only "not_run" may be sent
  *          again by a caller without risk. */
-const char *
-SkyResult_Kind(sky_result_t result);
+const char *SkyResult_Kind(sky_result_t result);
 
 /** @return HTTP status to answer with. */
-uint32_t
-SkyResult_HttpStatus(sky_result_t result);
+uint32_t SkyResult_HttpStatus(sky_result_t result);
 
 #ifdef __cplusplus
 }
--- a/lib/core/toml_file.h
+++ b/lib/core/toml_file.h
@@ -46,13 +46,11 @@
 /** Visits each leaf in turn. @return SKY_E_SETTINGS with @p error filled in
  *          if the file cannot be read or parsed, else the first error of
  *          @p visit. @param error SKY_ERROR_BYTES long. */
-sky_result_t
-SkyToml_ForEach(const char *path, sky_toml_visit_t visit, void *context,
-                char *error);
+sky_result_t SkyToml_ForEach(const char *path, sky_toml_visit_t visit,
+                             void *context, char *error);
 
 /** Reads a file as JSON text; free() the text. */
-sky_result_t
-SkyToml_ToJson(const char *path, char **json, char *error);
+sky_result_t SkyToml_ToJson(const char *path, char **json, char *error);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/document.h
+++ b/lib/decide/document.h
@@ -52,21 +52,19 @@
 
 /** Parses a template's body. @return SKY_OK or SKY_E_BAD_CONFIG; @p why
  *  (SKY_NAME_BYTES long) then says which key is wrong. */
-sky_result_t
-SkyDocument_ParseTemplate(const char *body, sky_event_t *event, char *why);
+sky_result_t SkyDocument_ParseTemplate(const char *body, sky_event_t *event,
+                                       char *why);
 
 /** Parses a workspace's body; free with SkyDocument_FreeWorkspace(). */
-sky_result_t
-SkyDocument_ParseWorkspace(const char *body, sky_workspace_t *workspace,
-                           char *why);
+sky_result_t SkyDocument_ParseWorkspace(const char *body,
+                                        sky_workspace_t *workspace, char *why);
 
 /** Frees what a workspace owns. */
-void
-SkyDocument_FreeWorkspace(sky_workspace_t *workspace);
+void SkyDocument_FreeWorkspace(sky_workspace_t *workspace);
 
 /** @return @p over laid on top of @p base. */
-sky_event_t
-SkyDocument_Merge(const sky_event_t *base, const sky_event_t *over);
+sky_event_t SkyDocument_Merge(const sky_event_t *base,
+                              const sky_event_t *over);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -3,15 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
-#include <utlist.h>
 
 #include "core/invariant.h"
 
 #define US_PER_MS 1000
-#define LOG_OUT_US UINT64_C(1500000)
-#define TELL_MEMBERS_MAX 32
-#define DOUBT_RETRY_US UINT64_C(2000000)
-#define DOUBT_MAX_US UINT64_C(600000000)
 #define ATTEMPT_BITS 4 /* low bits of a request id on the wire */
 #define ATTEMPTS_LIMIT 15
 #define RETRY_AFTER_MS 1000
@@ -55,15 +50,6 @@
     UT_hash_handle hh;
 } abandoned_t;
 
-/** A broken exchange whose SUSPECT record has not been read back yet. */
-typedef struct doubt {
-    sky_rec_crash_t crash;
-    uint64_t begun_us;
-    uint64_t sent_us;
-    struct doubt *prev;
-    struct doubt *next;
-} doubt_t;
-
 struct sky_entry {
     sky_entry_options_t options;
     const sky_target_info_t *targets;
@@ -75,7 +61,7 @@
     bool *leaving;
     request_t *requests;
     abandoned_t *abandoned; /* oldest first */
-    doubt_t *doubts;
+    sky_doubts_t *doubts;
     uint64_t now_us; /* of the last tick */
     double retry_tokens;
     sky_entry_stats_t stats;
@@ -84,7 +70,8 @@
 sky_entry_t *
 SkyEntry_Create(const sky_entry_options_t *options,
                 const sky_target_info_t *targets, uint32_t target_count,
-                uint32_t shard_targets, sky_members_t *members)
+                uint32_t shard_targets, sky_members_t *members,
+                sky_doubts_t *doubts)
 {
     sky_entry_t *entry = calloc(1, sizeof *entry);
     if (entry == NULL) {
@@ -96,6 +83,7 @@
     entry->shard_targets = shard_targets;
     entry->shard_count = (target_count + shard_targets - 1) / shard_targets;
     entry->members = members;
+    entry->doubts = doubts;
     entry->retry_tokens = options->retry_burst;
     entry->promises = calloc(entry->shard_count, sizeof *entry->promises);
     entry->leaving = calloc(target_count, sizeof *entry->leaving);
@@ -126,13 +114,6 @@
         HASH_DEL(entry->abandoned, claim);
         free(claim);
     }
-    doubt_t *doubt;
-    doubt_t *next_doubt;
-    DL_FOREACH_SAFE(entry->doubts, doubt, next_doubt)
-    {
-        DL_DELETE(entry->doubts, doubt);
-        free(doubt);
-    }
     free(entry->promises);
     free(entry->leaving);
     free(entry);
@@ -644,113 +625,13 @@
     }
 }
 
-static void
-append_doubt(sky_entry_t *entry, doubt_t *doubt, uint64_t now_us,
-             sky_actions_t *out)
-{
-    sky_record_t *record = &SkyActions_Add(out, SKY_ACT_APPEND)->u.append;
-    record->kind = SKY_REC_SUSPECT;
-    record->nonce = SkyMembers_Nonce(entry->members);
-    record->u.crash = doubt->crash;
-    doubt->sent_us = now_us;
-}
-
-static bool
-is_same_crash(const sky_rec_crash_t *a, const sky_rec_crash_t *b)
-{
-    return a->fingerprint == b->fingerprint && a->epoch == b->epoch &&
-           a->target == b->target;
-}
-
-static doubt_t *
-add_doubt(sky_entry_t *entry, const sky_rec_crash_t *crash, uint64_t now_us)
-{
-    doubt_t *doubt;
-    DL_FOREACH(entry->doubts, doubt)
-    {
-        if (is_same_crash(&doubt->crash, crash)) {
-            return NULL;
-        }
-    }
-    doubt = calloc(1, sizeof *doubt);
-    if (doubt == NULL) {
-        abort();
-    }
-    doubt->crash = *crash;
-    doubt->begun_us = now_us;
-    DL_APPEND(entry->doubts, doubt);
-    return doubt;
-}
-
-/** With the log out, the other members keep the doubt as well. */
-static void
-tell_members(const sky_entry_t *entry, const sky_rec_crash_t *crash,
-             uint64_t now_us, sky_actions_t *out)
-{
-    size_t count;
-    const sky_member_t *members = SkyMembers_List(entry->members, &count);
-    if (SkyMembers_LogAgeUs(entry->members, now_us) < LOG_OUT_US) {
-        return;
-    }
-    for (size_t i = 0; i < count && i < TELL_MEMBERS_MAX; i++) {
-        if (members[i].host != SkyMembers_Self(entry->members)) {
-            SkyActions_Send(out, members[i].host, SKY_MSG_DOUBT)->u.doubt =
-                *crash;
-        }
-    }
-}
-
-/** Kept in the log, so that it outlives this host and the owner. */
 static void
 begin_doubt(sky_entry_t *entry, const request_t *request, uint64_t now_us,
             sky_actions_t *out)
 {
     sky_rec_crash_t crash = {request->in.fingerprint, request->epoch,
                              request->target};
-    doubt_t *doubt = add_doubt(entry, &crash, now_us);
-    if (doubt != NULL) {
-        append_doubt(entry, doubt, now_us, out);
-        tell_members(entry, &crash, now_us, out);
-    }
-}
-
-void
-SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
-                   uint64_t now_us)
-{
-    add_doubt(entry, crash, now_us);
-}
-
-void
-SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash)
-{
-    doubt_t *doubt;
-    doubt_t *next;
-    DL_FOREACH_SAFE(entry->doubts, doubt, next)
-    {
-        if (is_same_crash(&doubt->crash, crash)) {
-            DL_DELETE(entry->doubts, doubt);
-            free(doubt);
-        }
-    }
-}
-
-static void
-retry_doubts(sky_entry_t *entry, uint64_t now_us, sky_actions_t *out)
-{
-    doubt_t *doubt;
-    doubt_t *next;
-    DL_FOREACH_SAFE(entry->doubts, doubt, next)
-    {
-        if (now_us >= doubt->begun_us + DOUBT_MAX_US) {
-            DL_DELETE(entry->doubts, doubt);
-            free(doubt);
-        }
-        else if (now_us >= doubt->sent_us + DOUBT_RETRY_US) {
-            append_doubt(entry, doubt, now_us, out);
-            tell_members(entry, &doubt->crash, now_us, out);
-        }
-    }
+    SkyDoubts_Begin(entry->doubts, &crash, now_us, out);
 }
 
 void
@@ -839,7 +720,6 @@
         HASH_DEL(entry->abandoned, claim);
         free(claim);
     }
-    retry_doubts(entry, now_us, out);
     HASH_ITER(hh, entry->requests, request, next)
     {
         tick_request(entry, request, now_us, out);
--- a/lib/decide/entry.h
+++ b/lib/decide/entry.h
@@ -10,6 +10,7 @@
 #define SKY_DECIDE_ENTRY_H
 
 #include "decide/claims.h"
+#include "decide/doubts.h"
 #include "decide/members.h"
 #include "decide/types.h"
 
@@ -42,55 +43,42 @@
 typedef struct sky_entry sky_entry_t;
 
 /** @param targets all targets of the deployment; they outlive the entry. */
-sky_entry_t *
-SkyEntry_Create(const sky_entry_options_t *options,
-                const sky_target_info_t *targets, uint32_t target_count,
-                uint32_t shard_targets, sky_members_t *members);
-void
-SkyEntry_Free(sky_entry_t *entry);
+sky_entry_t *SkyEntry_Create(const sky_entry_options_t *options,
+                             const sky_target_info_t *targets,
+                             uint32_t target_count, uint32_t shard_targets,
+                             sky_members_t *members, sky_doubts_t *doubts);
+void SkyEntry_Free(sky_entry_t *entry);
 
-void
-SkyEntry_Request(sky_entry_t *entry, const sky_in_request_t *request,
-                 uint64_t now_us, sky_actions_t *out);
-void
-SkyEntry_Outcome(sky_entry_t *entry, const sky_in_outcome_t *outcome,
-                 uint64_t now_us, sky_actions_t *out);
+void SkyEntry_Request(sky_entry_t *entry, const sky_in_request_t *request,
+                      uint64_t now_us, sky_actions_t *out);
+void SkyEntry_Outcome(sky_entry_t *entry, const sky_in_outcome_t *outcome,
+                      uint64_t now_us, sky_actions_t *out);
 /** The caller went away before a dispatch. */
-void
-SkyEntry_Cancel(sky_entry_t *entry, sky_request_id_t request,
-                sky_actions_t *out);
+void SkyEntry_Cancel(sky_entry_t *entry, sky_request_id_t request,
+                     sky_actions_t *out);
 /** GRANT, REFUSE, COLLECT and CLAIM_ANSWER. */
-void
-SkyEntry_Message(sky_entry_t *entry, const sky_in_message_t *in,
-                 uint64_t now_us, sky_actions_t *out);
+void SkyEntry_Message(sky_entry_t *entry, const sky_in_message_t *in,
+                      uint64_t now_us, sky_actions_t *out);
 /** Asks the new owners at once. */
-void
-SkyEntry_ViewChanged(sky_entry_t *entry, uint64_t now_us, sky_actions_t *out);
+void SkyEntry_ViewChanged(sky_entry_t *entry, uint64_t now_us,
+                          sky_actions_t *out);
 /** A claim of this host was read back from the log. */
-void
-SkyEntry_ClaimSeen(sky_entry_t *entry, const sky_key_t *key,
-                   sky_request_id_t request, sky_actions_t *out);
+void SkyEntry_ClaimSeen(sky_entry_t *entry, const sky_key_t *key,
+                        sky_request_id_t request, sky_actions_t *out);
 /** Keeps another host's doubt until the log has it. */
-void
-SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
-                   uint64_t now_us);
+void SkyEntry_KeepDoubt(sky_entry_t *entry, const sky_rec_crash_t *crash,
+                        uint64_t now_us);
 /** A SUSPECT or CRASH record was read. */
-void
-SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash);
-void
-SkyEntry_Tick(sky_entry_t *entry, uint64_t now_us, sky_actions_t *out);
-void
-SkyEntry_SetLeaving(sky_entry_t *entry, uint32_t target, bool leaving);
+void SkyEntry_SuspectSeen(sky_entry_t *entry, const sky_rec_crash_t *crash);
+void SkyEntry_Tick(sky_entry_t *entry, uint64_t now_us, sky_actions_t *out);
+void SkyEntry_SetLeaving(sky_entry_t *entry, uint32_t target, bool leaving);
 
 /** @return the shard that serves an adapter first, or SKY_NO_TARGET. */
-uint32_t
-SkyEntry_ShardOf(const sky_entry_t *entry, sky_adapter_id_t adapter,
-                 uint32_t pool);
+uint32_t SkyEntry_ShardOf(const sky_entry_t *entry, sky_adapter_id_t adapter,
+                          uint32_t pool);
 /** @return requests without a final answer. */
-uint32_t
-SkyEntry_OpenCount(const sky_entry_t *entry);
-const sky_entry_stats_t *
-SkyEntry_Stats(const sky_entry_t *entry);
+uint32_t SkyEntry_OpenCount(const sky_entry_t *entry);
+const sky_entry_stats_t *SkyEntry_Stats(const sky_entry_t *entry);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -53,47 +53,39 @@
 typedef struct sky_members sky_members_t;
 
 /** @return a view without members, or NULL when memory is out. */
-sky_members_t *
-SkyMembers_Create(const sky_members_options_t *options);
-void
-SkyMembers_Free(sky_members_t *members);
+sky_members_t *SkyMembers_Create(const sky_members_options_t *options);
+void SkyMembers_Free(sky_members_t *members);
 
 /** Applies one record. @return true if the view changed. */
-bool
-SkyMembers_Apply(sky_members_t *members, const sky_record_t *record,
-                 uint64_t now_us);
+bool SkyMembers_Apply(sky_members_t *members, const sky_record_t *record,
+                      uint64_t now_us);
 
 /** Notes, before the first record is applied, where the kept log begins. */
-void
-SkyMembers_NoteStart(sky_members_t *members, sky_offset_t oldest);
+void SkyMembers_NoteStart(sky_members_t *members, sky_offset_t oldest);
 
 /**
  * Notes a read of the log once its records are applied; renews the lease if
  * the read reached the tail.
  */
-void
-SkyMembers_NoteRead(sky_members_t *members, const sky_in_log_read_t *read);
+void SkyMembers_NoteRead(sky_members_t *members,
+                         const sky_in_log_read_t *read);
 
 /** Heartbeats, suspicion, joining and restating. */
-void
-SkyMembers_Tick(sky_members_t *members, uint64_t now_us, sky_actions_t *out);
+void SkyMembers_Tick(sky_members_t *members, uint64_t now_us,
+                     sky_actions_t *out);
 
 /** Handles HEARTBEAT, HEARTBEAT_ACK, SUSPECT and JOIN_ASK. */
-void
-SkyMembers_Message(sky_members_t *members, const sky_in_message_t *in,
-                   uint64_t now_us, sky_actions_t *out);
+void SkyMembers_Message(sky_members_t *members, const sky_in_message_t *in,
+                        uint64_t now_us, sky_actions_t *out);
 
 /** Begins to drain: no ownership once the log has it, still a member. */
-void
-SkyMembers_Drain(sky_members_t *members);
+void SkyMembers_Drain(sky_members_t *members);
 
 /** Ends the membership for good. */
-void
-SkyMembers_Leave(sky_members_t *members);
+void SkyMembers_Leave(sky_members_t *members);
 
 /** @return true while the lease is held: this host is surely a member. */
-bool
-SkyMembers_HoldsLease(const sky_members_t *members, uint64_t now_us);
+bool SkyMembers_HoldsLease(const sky_members_t *members, uint64_t now_us);
 
 /**
  * @return true if no host can have been removed: the lease is held, or every
@@ -102,59 +94,46 @@
  *         is, or by bootstrap, after which nothing is evicted for as long as
  *         a host may act with the log out.
  */
-bool
-SkyMembers_MayAct(const sky_members_t *members, uint64_t now_us);
+bool SkyMembers_MayAct(const sky_members_t *members, uint64_t now_us);
 
 /** No new work is given to targets before @p until_us: this host was paused
  *  and has not read the list of leaving targets since. 0 ends it. */
-void
-SkyMembers_NoteStale(sky_members_t *members, uint64_t until_us);
+void SkyMembers_NoteStale(sky_members_t *members, uint64_t until_us);
 
 /** @return true if the view is complete and this host is in it. */
-bool
-SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us);
+bool SkyMembers_IsReady(const sky_members_t *members, uint64_t now_us);
 
 /** @return owner of a shard in @p domain, 0 if there is no member. */
-sky_host_id_t
-SkyMembers_Owner(const sky_members_t *members, uint64_t shard,
-                 uint32_t domain);
+sky_host_id_t SkyMembers_Owner(const sky_members_t *members, uint64_t shard,
+                               uint32_t domain);
 
 /** @return the host that appends claims for keys of @p hash. */
-sky_host_id_t
-SkyMembers_ClaimWriter(const sky_members_t *members, uint64_t hash,
-                       uint32_t writers_max);
+sky_host_id_t SkyMembers_ClaimWriter(const sky_members_t *members,
+                                     uint64_t hash, uint32_t writers_max);
 
 /** @return members in ring order; @p count receives their number. */
-const sky_member_t *
-SkyMembers_List(const sky_members_t *members, size_t *count);
+const sky_member_t *SkyMembers_List(const sky_members_t *members,
+                                    size_t *count);
 
 /** @return the member @p host, or NULL. */
-const sky_member_t *
-SkyMembers_Find(const sky_members_t *members, sky_host_id_t host);
+const sky_member_t *SkyMembers_Find(const sky_members_t *members,
+                                    sky_host_id_t host);
 
-sky_host_id_t
-SkyMembers_Self(const sky_members_t *members);
+sky_host_id_t SkyMembers_Self(const sky_members_t *members);
 /** @return log offset of the last change of the view: the fence. */
-sky_offset_t
-SkyMembers_View(const sky_members_t *members);
+sky_offset_t SkyMembers_View(const sky_members_t *members);
 /** @return first offset of the log not yet applied. */
-sky_offset_t
-SkyMembers_Next(const sky_members_t *members);
+sky_offset_t SkyMembers_Next(const sky_members_t *members);
 /** @return end of the lease by this host's clock; 0: none was ever held. */
-uint64_t
-SkyMembers_LeaseUntilUs(const sky_members_t *members);
+uint64_t SkyMembers_LeaseUntilUs(const sky_members_t *members);
 /** @return true if evictions are safe: no bootstrap is recent. */
-bool
-SkyMembers_MayEvict(const sky_members_t *members, uint64_t now_us);
+bool SkyMembers_MayEvict(const sky_members_t *members, uint64_t now_us);
 /** @return microseconds since the last read that reached the tail. */
-uint64_t
-SkyMembers_LogAgeUs(const sky_members_t *members, uint64_t now_us);
+uint64_t SkyMembers_LogAgeUs(const sky_members_t *members, uint64_t now_us);
 /** @return how long a successor waits before it acts. */
-uint64_t
-SkyMembers_TakeoverUs(const sky_members_t *members);
+uint64_t SkyMembers_TakeoverUs(const sky_members_t *members);
 /** @return a nonce that no other host or start has used. */
-uint64_t
-SkyMembers_Nonce(sky_members_t *members);
+uint64_t SkyMembers_Nonce(sky_members_t *members);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -21,6 +21,7 @@
     sky_members_t *members;
     sky_config_t *config;
     sky_claims_t *claims;
+    sky_doubts_t *doubts;
     sky_entry_t *entry;
     sky_shard_t **shards;
     uint32_t shard_count;
@@ -122,14 +123,15 @@
     node->listed_leaving =
         calloc(options->target_count, sizeof *node->listed_leaving);
     if (node->members != NULL) {
-        node->entry = SkyEntry_Create(&options->entry, options->targets,
-                                      options->target_count,
-                                      options->shard_targets, node->members);
+        node->doubts = SkyDoubts_Create(node->members);
+        node->entry = SkyEntry_Create(
+            &options->entry, options->targets, options->target_count,
+            options->shard_targets, node->members, node->doubts);
     }
     if (node->members == NULL || node->config == NULL ||
-        node->claims == NULL || node->entry == NULL || node->leaving == NULL ||
-        node->told_us == NULL || node->listed_leaving == NULL ||
-        !create_shards(node)) {
+        node->claims == NULL || node->doubts == NULL || node->entry == NULL ||
+        node->leaving == NULL || node->told_us == NULL ||
+        node->listed_leaving == NULL || !create_shards(node)) {
         SkyNode_Free(node);
         return NULL;
     }
@@ -147,6 +149,7 @@
     }
     free(node->shards);
     SkyEntry_Free(node->entry);
+    SkyDoubts_Free(node->doubts);
     SkyClaims_Free(node->claims);
     SkyConfig_Free(node->config);
     SkyMembers_Free(node->members);
@@ -199,7 +202,7 @@
 {
     sky_shard_t *shard =
         find_shard(node, crash->target / node->options.shard_targets);
-    SkyEntry_KeepDoubt(node->entry, crash, now_us);
+    SkyDoubts_Keep(node->doubts, crash, now_us);
     if (shard != NULL) {
         SkyShard_Hold(shard, crash, now_us);
     }
@@ -315,7 +318,7 @@
     uint32_t target = record->u.crash.target;
     sky_shard_t *shard =
         find_shard(node, target / node->options.shard_targets);
-    SkyEntry_SuspectSeen(node->entry, &record->u.crash);
+    SkyDoubts_Seen(node->doubts, &record->u.crash);
     if (shard != NULL) {
         SkyShard_ApplyCrash(shard, record, now_us);
     }
@@ -517,6 +520,7 @@
     for (uint32_t i = 0; i < node->shard_count; i++) {
         SkyShard_Tick(node->shards[i], now_us, out);
     }
+    SkyDoubts_Tick(node->doubts, now_us, out);
     SkyEntry_Tick(node->entry, now_us, out);
     SkyConfig_Tick(node->config, now_us, out);
     write_snapshot(node, now_us, out);
--- a/lib/decide/node.h
+++ b/lib/decide/node.h
@@ -35,13 +35,10 @@
 typedef struct sky_node sky_node_t;
 
 /** Fills in the defaults of everything but the targets and the host. */
-void
-SkyNode_Defaults(sky_node_options_t *options);
+void SkyNode_Defaults(sky_node_options_t *options);
 
-sky_node_t *
-SkyNode_Create(const sky_node_options_t *options);
-void
-SkyNode_Free(sky_node_t *node);
+sky_node_t *SkyNode_Create(const sky_node_options_t *options);
+void SkyNode_Free(sky_node_t *node);
 
 /**
  * Takes one input.
@@ -49,33 +46,23 @@
  * @param wall_ms Unix time in milliseconds, for openings only.
  * @param out receives the actions, in the order to perform them in.
  */
-void
-SkyNode_Step(sky_node_t *node, const sky_input_t *input, uint64_t now_us,
-             uint64_t wall_ms, sky_actions_t *out);
+void SkyNode_Step(sky_node_t *node, const sky_input_t *input, uint64_t now_us,
+                  uint64_t wall_ms, sky_actions_t *out);
 
 /** @return true if the host may take requests. */
-bool
-SkyNode_IsReady(const sky_node_t *node, uint64_t now_us);
+bool SkyNode_IsReady(const sky_node_t *node, uint64_t now_us);
 /** @return true if a drained host has nothing left to do. */
-bool
-SkyNode_IsIdle(const sky_node_t *node);
+bool SkyNode_IsIdle(const sky_node_t *node);
 /** @return true if the log has dropped records that were not read: the host
  *          cannot go on and has to start anew. */
-bool
-SkyNode_IsLost(const sky_node_t *node);
+bool SkyNode_IsLost(const sky_node_t *node);
 
-const sky_members_t *
-SkyNode_Members(const sky_node_t *node);
-const sky_config_t *
-SkyNode_Config(const sky_node_t *node);
-const sky_claims_t *
-SkyNode_Claims(const sky_node_t *node);
-const sky_entry_t *
-SkyNode_Entry(const sky_node_t *node);
-const sky_shard_t *
-SkyNode_Shard(const sky_node_t *node, uint32_t index);
-uint32_t
-SkyNode_ShardCount(const sky_node_t *node);
+const sky_members_t *SkyNode_Members(const sky_node_t *node);
+const sky_config_t *SkyNode_Config(const sky_node_t *node);
+const sky_claims_t *SkyNode_Claims(const sky_node_t *node);
+const sky_entry_t *SkyNode_Entry(const sky_node_t *node);
+const sky_shard_t *SkyNode_Shard(const sky_node_t *node, uint32_t index);
+uint32_t SkyNode_ShardCount(const sky_node_t *node);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/shard.h
+++ b/lib/decide/shard.h
@@ -62,63 +62,50 @@
 
 /** @param targets the deployment's targets; the shard uses @p first to
  *         @p first + @p count - 1. They outlive the shard. */
-sky_shard_t *
-SkyShard_Create(const sky_shard_options_t *options, uint32_t index,
-                const sky_target_info_t *targets, uint32_t first,
-                uint32_t count, sky_members_t *members);
-void
-SkyShard_Free(sky_shard_t *shard);
+sky_shard_t *SkyShard_Create(const sky_shard_options_t *options,
+                             uint32_t index, const sky_target_info_t *targets,
+                             uint32_t first, uint32_t count,
+                             sky_members_t *members);
+void SkyShard_Free(sky_shard_t *shard);
 
 /** The view of members has changed: take over, go on, or let go. */
-void
-SkyShard_ViewChanged(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
+void SkyShard_ViewChanged(sky_shard_t *shard, uint64_t now_us,
+                          sky_actions_t *out);
 
 /** ACQUIRE, DONE, INFLIGHT and HANDOVER from @p in->from. */
-void
-SkyShard_Message(sky_shard_t *shard, const sky_in_message_t *in,
-                 uint64_t now_us, sky_actions_t *out);
+void SkyShard_Message(sky_shard_t *shard, const sky_in_message_t *in,
+                      uint64_t now_us, sky_actions_t *out);
 
-void
-SkyShard_Report(sky_shard_t *shard, const sky_in_report_t *report,
-                uint64_t now_us, sky_actions_t *out);
+void SkyShard_Report(sky_shard_t *shard, const sky_in_report_t *report,
+                     uint64_t now_us, sky_actions_t *out);
 
-void
-SkyShard_OrderDone(sky_shard_t *shard, const sky_in_order_done_t *done,
-                   uint64_t now_us, sky_actions_t *out);
+void SkyShard_OrderDone(sky_shard_t *shard, const sky_in_order_done_t *done,
+                        uint64_t now_us, sky_actions_t *out);
 
 /** Marks a target as leaving or live. */
-void
-SkyShard_SetLeaving(sky_shard_t *shard, uint32_t target, bool leaving);
+void SkyShard_SetLeaving(sky_shard_t *shard, uint32_t target, bool leaving);
 
 /** Replaces what is wanted for openings. @p wanted is copied. */
-void
-SkyShard_SetWanted(sky_shard_t *shard, const sky_wanted_t *wanted,
-                   uint32_t count);
+void SkyShard_SetWanted(sky_shard_t *shard, const sky_wanted_t *wanted,
+                        uint32_t count);
 
 /** Holds a fingerprint back that another host has its doubts about. */
-void
-SkyShard_Hold(sky_shard_t *shard, const sky_rec_crash_t *crash,
-              uint64_t now_us);
+void SkyShard_Hold(sky_shard_t *shard, const sky_rec_crash_t *crash,
+                   uint64_t now_us);
 
 /** Applies a SUSPECT or CRASH record. */
-void
-SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
-                    uint64_t now_us);
+void SkyShard_ApplyCrash(sky_shard_t *shard, const sky_record_t *record,
+                         uint64_t now_us);
 
-void
-SkyShard_Tick(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
+void SkyShard_Tick(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
 
 /** @return true if this host owns the shard and may grant permits. */
-bool
-SkyShard_IsActive(const sky_shard_t *shard);
+bool SkyShard_IsActive(const sky_shard_t *shard);
 /** @return requests that wait for a permit. */
-uint32_t
-SkyShard_WaitingCount(const sky_shard_t *shard);
+uint32_t SkyShard_WaitingCount(const sky_shard_t *shard);
 /** @return true if a planned stop may go on: no order is under way. */
-bool
-SkyShard_IsQuiet(const sky_shard_t *shard);
-const sky_shard_stats_t *
-SkyShard_Stats(const sky_shard_t *shard);
+bool SkyShard_IsQuiet(const sky_shard_t *shard);
+const sky_shard_stats_t *SkyShard_Stats(const sky_shard_t *shard);
 
 /** State of one target, for `status`. */
 typedef struct {
@@ -132,11 +119,9 @@
 } sky_target_status_t;
 
 /** Describes the @p nth target of the shard. */
-void
-SkyShard_Describe(const sky_shard_t *shard, uint32_t nth,
-                  sky_target_status_t *status);
-uint32_t
-SkyShard_TargetCount(const sky_shard_t *shard);
+void SkyShard_Describe(const sky_shard_t *shard, uint32_t nth,
+                       sky_target_status_t *status);
+uint32_t SkyShard_TargetCount(const sky_shard_t *shard);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -157,93 +157,67 @@
 };
 
 /* shard_slots.c: targets, slots, orders and reports */
-target_t *
-ShardSlots_Target(sky_shard_t *shard, uint32_t index);
-slot_t *
-ShardSlots_Find(target_t *target, sky_adapter_id_t adapter);
-bool
-ShardSlots_IsUsable(const sky_shard_t *shard, const target_t *target,
-                    uint32_t pool);
-bool
-ShardSlots_MayEvict(const sky_shard_t *shard, const target_t *target,
-                    const slot_t *slot, uint64_t now_us);
-void
-ShardSlots_Load(sky_shard_t *shard, target_t *target, slot_t *slot,
-                adapter_t *adapter, uint64_t now_us, sky_actions_t *out);
-void
-ShardSlots_Clear(sky_shard_t *shard, target_t *target);
-void
-ShardSlots_AskReports(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
-void
-ShardSlots_DoubtAll(sky_shard_t *shard, uint64_t until_us);
-adapter_t *
-ShardSlots_Adapter(sky_shard_t *shard, sky_adapter_id_t id);
+target_t *ShardSlots_Target(sky_shard_t *shard, uint32_t index);
+slot_t *ShardSlots_Find(target_t *target, sky_adapter_id_t adapter);
+bool ShardSlots_IsUsable(const sky_shard_t *shard, const target_t *target,
+                         uint32_t pool);
+bool ShardSlots_MayEvict(const sky_shard_t *shard, const target_t *target,
+                         const slot_t *slot, uint64_t now_us);
+void ShardSlots_Load(sky_shard_t *shard, target_t *target, slot_t *slot,
+                     adapter_t *adapter, uint64_t now_us, sky_actions_t *out);
+void ShardSlots_Clear(sky_shard_t *shard, target_t *target);
+void ShardSlots_AskReports(sky_shard_t *shard, uint64_t now_us,
+                           sky_actions_t *out);
+void ShardSlots_DoubtAll(sky_shard_t *shard, uint64_t until_us);
+adapter_t *ShardSlots_Adapter(sky_shard_t *shard, sky_adapter_id_t id);
 
 /* shard_queue.c: requests and permits */
-void
-ShardQueue_Acquire(sky_shard_t *shard, sky_host_id_t from,
-                   const sky_msg_acquire_t *ask, uint64_t now_us,
-                   sky_actions_t *out);
-void
-ShardQueue_Done(sky_shard_t *shard, const sky_msg_done_t *done,
-                uint64_t now_us, sky_actions_t *out);
-void
-ShardQueue_Adopt(sky_shard_t *shard, sky_host_id_t from,
-                 const sky_permit_t *permit, uint64_t now_us);
-void
-ShardQueue_Drop(sky_shard_t *shard, request_t *request, uint64_t now_us,
-                sky_actions_t *out);
-void
-ShardQueue_CountCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
-                      uint64_t now_us, sky_actions_t *out);
-void
-ShardQueue_TargetLost(sky_shard_t *shard, target_t *target, uint64_t now_us,
+void ShardQueue_Acquire(sky_shard_t *shard, sky_host_id_t from,
+                        const sky_msg_acquire_t *ask, uint64_t now_us,
+                        sky_actions_t *out);
+void ShardQueue_Done(sky_shard_t *shard, const sky_msg_done_t *done,
+                     uint64_t now_us, sky_actions_t *out);
+void ShardQueue_Adopt(sky_shard_t *shard, sky_host_id_t from,
+                      const sky_permit_t *permit, uint64_t now_us);
+void ShardQueue_Drop(sky_shard_t *shard, request_t *request, uint64_t now_us,
+                     sky_actions_t *out);
+void ShardQueue_CountCrash(sky_shard_t *shard, const sky_rec_crash_t *crash,
+                           uint64_t now_us, sky_actions_t *out);
+void ShardQueue_TargetLost(sky_shard_t *shard, target_t *target,
+                           uint64_t now_us, sky_actions_t *out);
+void ShardQueue_Serve(sky_shard_t *shard, adapter_t *adapter, uint64_t now_us,
                       sky_actions_t *out);
-void
-ShardQueue_Serve(sky_shard_t *shard, adapter_t *adapter, uint64_t now_us,
-                 sky_actions_t *out);
-void
-ShardQueue_ServeTarget(sky_shard_t *shard, target_t *target, uint64_t now_us,
-                       sky_actions_t *out);
+void ShardQueue_ServeTarget(sky_shard_t *shard, target_t *target,
+                            uint64_t now_us, sky_actions_t *out);
 /** @return permits for an adapter on a target, whatever their age. */
-uint32_t
-ShardQueue_CountPermits(const sky_shard_t *shard, const target_t *target,
-                        sky_adapter_id_t adapter);
+uint32_t ShardQueue_CountPermits(const sky_shard_t *shard,
+                                 const target_t *target,
+                                 sky_adapter_id_t adapter);
 /** @return true if the fingerprint may run on the target now: copies of one
  *          request never run on more targets than it may crash. */
-bool
-ShardQueue_MayRunOn(const sky_shard_t *shard, const request_t *request,
-                    const target_t *target);
-void
-ShardQueue_Expire(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
-void
-ShardQueue_Clear(sky_shard_t *shard);
-void
-ShardQueue_HeatTouch(adapter_t *adapter, uint64_t now_us);
-double
-ShardQueue_Heat(const adapter_t *adapter, uint64_t now_us);
+bool ShardQueue_MayRunOn(const sky_shard_t *shard, const request_t *request,
+                         const target_t *target);
+void ShardQueue_Expire(sky_shard_t *shard, uint64_t now_us,
+                       sky_actions_t *out);
+void ShardQueue_Clear(sky_shard_t *shard);
+void ShardQueue_HeatTouch(adapter_t *adapter, uint64_t now_us);
+double ShardQueue_Heat(const adapter_t *adapter, uint64_t now_us);
 
 /* shard_policy.c: choices only, no change of state but ordering loads */
-target_t *
-ShardPolicy_ChooseTarget(sky_shard_t *shard, const adapter_t *adapter,
-                         const request_t *request);
-void
-ShardPolicy_Pump(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
-uint64_t
-ShardPolicy_ExpectedWait(sky_shard_t *shard, const adapter_t *adapter,
-                         uint64_t now_us);
-void
-ShardPolicy_PlanWanted(sky_shard_t *shard, uint64_t now_us);
-void
-ShardPolicy_Refill(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
+target_t *ShardPolicy_ChooseTarget(sky_shard_t *shard,
+                                   const adapter_t *adapter,
+                                   const request_t *request);
+void ShardPolicy_Pump(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out);
+uint64_t ShardPolicy_ExpectedWait(sky_shard_t *shard, const adapter_t *adapter,
+                                  uint64_t now_us);
+void ShardPolicy_PlanWanted(sky_shard_t *shard, uint64_t now_us);
+void ShardPolicy_Refill(sky_shard_t *shard, uint64_t now_us,
+                        sky_actions_t *out);
 /** @return true if a request of the adapter needs no load to be run. */
-bool
-ShardPolicy_HasUsableCopy(sky_shard_t *shard, const adapter_t *adapter);
+bool ShardPolicy_HasUsableCopy(sky_shard_t *shard, const adapter_t *adapter);
 /** @return true if the adapter will not be there before the deadline. */
-bool
-ShardPolicy_IsHopeless(sky_shard_t *shard, const adapter_t *adapter,
-                       uint64_t deadline_us, uint64_t now_us);
-bool
-ShardPolicy_StoreIsDown(const sky_shard_t *shard, uint64_t now_us);
+bool ShardPolicy_IsHopeless(sky_shard_t *shard, const adapter_t *adapter,
+                            uint64_t deadline_us, uint64_t now_us);
+bool ShardPolicy_StoreIsDown(const sky_shard_t *shard, uint64_t now_us);
 
 #endif
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -509,36 +509,29 @@
 } sky_actions_t;
 
 /** Adds a zeroed action of @p kind and returns it for filling in. */
-sky_action_t *
-SkyActions_Add(sky_actions_t *actions, sky_action_kind_t kind);
+sky_action_t *SkyActions_Add(sky_actions_t *actions, sky_action_kind_t kind);
 
 /** Adds a SKY_ACT_SEND and returns its message for filling in. */
-sky_msg_t *
-SkyActions_Send(sky_actions_t *actions, sky_host_id_t to, sky_msg_kind_t kind);
+sky_msg_t *SkyActions_Send(sky_actions_t *actions, sky_host_id_t to,
+                           sky_msg_kind_t kind);
 
 /** Frees the list's memory, not what the actions own. */
-void
-SkyActions_Free(sky_actions_t *actions);
+void SkyActions_Free(sky_actions_t *actions);
 
 /** Frees what a record owns. */
-void
-SkyRecord_Free(sky_record_t *record);
+void SkyRecord_Free(sky_record_t *record);
 
 /** Copies a record with what it owns. */
-void
-SkyRecord_Copy(sky_record_t *to, const sky_record_t *from);
+void SkyRecord_Copy(sky_record_t *to, const sky_record_t *from);
 
 /** @return id of "name@version"; never 0. */
-sky_adapter_id_t
-SkyAdapter_Id(const char *name, const char *version);
+sky_adapter_id_t SkyAdapter_Id(const char *name, const char *version);
 
 /** @return 64-bit hash of a name; never 0. */
-uint64_t
-SkyName_Hash(const char *name);
+uint64_t SkyName_Hash(const char *name);
 
 /** @return rendezvous score of the pair; the highest score wins. */
-uint64_t
-SkyRendezvous_Score(uint64_t node, uint64_t item);
+uint64_t SkyRendezvous_Score(uint64_t node, uint64_t item);
 
 #ifdef __cplusplus
 }
--- a/lib/peer/peers.h
+++ b/lib/peer/peers.h
@@ -34,19 +34,16 @@
 typedef struct sky_peers sky_peers_t;
 
 /** Starts the listener; @p options->receive is called on its thread. */
-sky_result_t
-SkyPeers_Create(const sky_peers_options_t *options, sky_peers_t **peers);
+sky_result_t SkyPeers_Create(const sky_peers_options_t *options,
+                             sky_peers_t **peers);
 /** Stops all threads and frees everything. */
-void
-SkyPeers_Free(sky_peers_t *peers);
+void SkyPeers_Free(sky_peers_t *peers);
 
 /** Queues a message. @param address where the host is reached now. */
-void
-SkyPeers_Send(sky_peers_t *peers, sky_host_id_t to, const char *address,
-              const sky_msg_t *msg);
+void SkyPeers_Send(sky_peers_t *peers, sky_host_id_t to, const char *address,
+                   const sky_msg_t *msg);
 
-sky_peers_stats_t
-SkyPeers_Stats(const sky_peers_t *peers);
+sky_peers_stats_t SkyPeers_Stats(const sky_peers_t *peers);
 
 #ifdef __cplusplus
 }
--- a/lib/platform/http.h
+++ b/lib/platform/http.h
@@ -44,18 +44,16 @@
 } sky_http_end_t;
 
 /** Sets neon up; once for a process, before other threads run. */
-sky_result_t
-SkyHttp_Init(void);
+sky_result_t SkyHttp_Init(void);
 
 /** Makes one call on a connection of its own, so that nothing is sent twice.
  *  @p answer is filled in on SKY_HTTP_ANSWERED only. */
-sky_http_end_t
-SkyHttp_Call(const sky_http_call_t *call, sky_http_answer_t *answer);
+sky_http_end_t SkyHttp_Call(const sky_http_call_t *call,
+                            sky_http_answer_t *answer);
 
 /** Splits "address:port". @return SKY_E_SETTINGS if it is not one. */
-sky_result_t
-SkyHttp_SplitAddress(const char *text, char *host, size_t host_size,
-                     uint16_t *port);
+sky_result_t SkyHttp_SplitAddress(const char *text, char *host,
+                                  size_t host_size, uint16_t *port);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -78,7 +78,8 @@
                 sky_act_changed_t *changed)
 {
     sky_input_t input = {.kind = SKY_IN_CHANGE};
-    sky_exchange_t *exchange = SkyControl_Open(control);
+    sky_exchange_t *exchange =
+        SkyExchanges_Open(SkyControl_Exchanges(control));
     if (exchange == NULL) {
         free(config->body);
         return SKY_E_MEMORY;
@@ -87,7 +88,7 @@
     input.u.change.config = *config;
     SkyControl_Post(control, &input);
     sky_decision_t decision = SkyExchange_Wait(exchange, CHANGE_WAIT_MS);
-    SkyControl_Close(control, exchange);
+    SkyExchanges_Close(SkyControl_Exchanges(control), exchange);
     if (decision.kind != SKY_DECIDED_CHANGED) {
         return SKY_E_UNKNOWN;
     }
--- a/lib/serve/admin.h
+++ b/lib/serve/admin.h
@@ -25,9 +25,8 @@
 
 /** Answers a call below /admin. @param answer receives JSON text to free();
  *  it may stay NULL on an error. */
-sky_result_t
-SkyAdmin_Run(sky_control_t *control, const sky_admin_call_t *call,
-             char **answer);
+sky_result_t SkyAdmin_Run(sky_control_t *control, const sky_admin_call_t *call,
+                          char **answer);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/call.c
+++ b/lib/serve/call.c
@@ -50,7 +50,7 @@
     call->control = control;
     call->input = *input;
     call->arrived_us = SkyClock_NowUs();
-    call->exchange = SkyControl_Open(control);
+    call->exchange = SkyExchanges_Open(SkyControl_Exchanges(control));
     if (call->exchange == NULL) {
         free(call);
         return NULL;
@@ -430,7 +430,7 @@
         SkyCall_Finish(call, SKY_OUTCOME_CANCELLED);
     }
     SkyRelay_Close(call->relay);
-    SkyControl_Close(call->control, call->exchange);
+    SkyExchanges_Close(SkyControl_Exchanges(call->control), call->exchange);
     json_decref(call->root);
     free(call->body);
     free(call);
--- a/lib/serve/call.h
+++ b/lib/serve/call.h
@@ -32,27 +32,22 @@
 typedef struct sky_call sky_call_t;
 
 /** @return a new call, or NULL when memory is out. */
-sky_call_t *
-SkyCall_Create(sky_control_t *control, const sky_call_input_t *input);
+sky_call_t *SkyCall_Create(sky_control_t *control,
+                           const sky_call_input_t *input);
 
 /** Runs all steps up to the first part of the answer. @return SKY_OK if
  *  there is an answer to relay. */
-sky_result_t
-SkyCall_Run(sky_call_t *call);
+sky_result_t SkyCall_Run(sky_call_t *call);
 
 /** @return the exchange to relay from after SKY_OK. */
-sky_relay_t *
-SkyCall_Relay(sky_call_t *call);
+sky_relay_t *SkyCall_Relay(sky_call_t *call);
 /** @return with any other result: when to come back; 0: never. */
-uint32_t
-SkyCall_RetryAfterMs(const sky_call_t *call);
+uint32_t SkyCall_RetryAfterMs(const sky_call_t *call);
 
 /** Notes how relaying ended; once. */
-void
-SkyCall_Finish(sky_call_t *call, sky_outcome_t outcome);
+void SkyCall_Finish(sky_call_t *call, sky_outcome_t outcome);
 
-void
-SkyCall_Free(sky_call_t *call);
+void SkyCall_Free(sky_call_t *call);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/control.c
+++ b/lib/serve/control.c
@@ -13,25 +13,17 @@
 #include "serve/workers.h"
 
 #define TICK_MS 50
+#define CALL_STEP_MS 1000
 #define WORKER_THREADS 40
 #define REPORT_TIMEOUT_MS 1000
 #define PEER_TIMEOUT_MS 1000
 #define US_PER_MS 1000
-#define ATTEMPT_MASK UINT64_C(15)
-
-struct sky_exchange {
-    uint64_t id;
-    pthread_mutex_t lock;
-    pthread_cond_t wake;
-    sky_decision_t decision;
-    UT_hash_handle hh;
-};
 
 typedef struct item {
     sky_input_t input;
     void (*visit)(sky_node_t *node, void *context); /* instead of an input */
     void *context;
-    sky_exchange_t *done;
+    uint64_t done; /* exchange to answer after the visit */
     struct item *prev;
     struct item *next;
 } item_t;
@@ -50,9 +42,7 @@
     bool stopping;
     bool ready;
     bool lost;
-    pthread_mutex_t exchange_lock;
-    sky_exchange_t *exchanges;
-    uint32_t open_count;
+    sky_exchanges_t *exchanges;
     uint64_t hosts_read_us;
     sky_offset_t view_offset; /* last membership written to the log lines */
 };
@@ -67,100 +57,6 @@
     pthread_condattr_destroy(&attributes);
 }
 
-/* ---- exchanges ------------------------------------------------------------
- */
-
-static sky_exchange_t *
-new_exchange(void)
-{
-    sky_exchange_t *exchange = calloc(1, sizeof *exchange);
-    if (exchange == NULL) {
-        return NULL;
-    }
-    pthread_mutex_init(&exchange->lock, NULL);
-    init_condition(&exchange->wake);
-    randombytes_buf(&exchange->id, sizeof exchange->id);
-    exchange->id &= ~ATTEMPT_MASK;
-    return exchange;
-}
-
-static void
-free_exchange(sky_exchange_t *exchange)
-{
-    pthread_mutex_destroy(&exchange->lock);
-    pthread_cond_destroy(&exchange->wake);
-    free(exchange);
-}
-
-sky_exchange_t *
-SkyControl_Open(sky_control_t *control)
-{
-    sky_exchange_t *exchange = new_exchange();
-    if (exchange == NULL) {
-        return NULL;
-    }
-    pthread_mutex_lock(&control->exchange_lock);
-    HASH_ADD(hh, control->exchanges, id, sizeof exchange->id, exchange);
-    control->open_count++;
-    pthread_mutex_unlock(&control->exchange_lock);
-    return exchange;
-}
-
-void
-SkyControl_Close(sky_control_t *control, sky_exchange_t *exchange)
-{
-    pthread_mutex_lock(&control->exchange_lock);
-    HASH_DEL(control->exchanges, exchange);
-    control->open_count--;
-    pthread_mutex_unlock(&control->exchange_lock);
-    free_exchange(exchange);
-}
-
-uint64_t
-SkyExchange_Id(const sky_exchange_t *exchange)
-{
-    return exchange->id;
-}
-
-sky_decision_t
-SkyExchange_Wait(sky_exchange_t *exchange, uint32_t wait_ms)
-{
-    struct timespec until = SkyClock_In(wait_ms);
-    int expired = 0;
-    pthread_mutex_lock(&exchange->lock);
-    while (exchange->decision.kind == SKY_DECIDED_NOTHING && !expired) {
-        expired =
-            pthread_cond_timedwait(&exchange->wake, &exchange->lock, &until);
-    }
-    sky_decision_t decision = exchange->decision;
-    exchange->decision.kind = SKY_DECIDED_NOTHING;
-    pthread_mutex_unlock(&exchange->lock);
-    return decision;
-}
-
-static void
-decide(sky_exchange_t *exchange, const sky_decision_t *decision)
-{
-    pthread_mutex_lock(&exchange->lock);
-    exchange->decision = *decision;
-    pthread_cond_signal(&exchange->wake);
-    pthread_mutex_unlock(&exchange->lock);
-}
-
-/** @return false if nobody waits under the id any more. */
-static bool
-deliver(sky_control_t *control, uint64_t id, const sky_decision_t *decision)
-{
-    sky_exchange_t *exchange;
-    pthread_mutex_lock(&control->exchange_lock);
-    HASH_FIND(hh, control->exchanges, &id, sizeof id, exchange);
-    if (exchange != NULL) {
-        decide(exchange, decision);
-    }
-    pthread_mutex_unlock(&control->exchange_lock);
-    return exchange != NULL;
-}
-
 /* ---- queue of inputs ------------------------------------------------------
  */
 
@@ -206,18 +102,18 @@
 SkyControl_Call(sky_control_t *control,
                 void (*visit)(sky_node_t *node, void *context), void *context)
 {
-    sky_exchange_t *done = new_exchange();
+    sky_exchange_t *done = SkyExchanges_Open(control->exchanges);
     item_t *item = calloc(1, sizeof *item);
     if (item == NULL || done == NULL) {
         abort();
     }
     item->visit = visit;
     item->context = context;
-    item->done = done;
+    item->done = SkyExchange_Id(done);
     push(control, item);
-    while (SkyExchange_Wait(done, US_PER_MS).kind == SKY_DECIDED_NOTHING) {
+    while (SkyExchange_Wait(done, CALL_STEP_MS).kind == SKY_DECIDED_NOTHING) {
     }
-    free_exchange(done);
+    SkyExchanges_Close(control->exchanges, done);
 }
 
 /* ---- blocking jobs --------------------------------------------------------
@@ -351,7 +247,8 @@
 {
     sky_decision_t decision = {.kind = SKY_DECIDED_DISPATCH};
     decision.dispatch = *dispatch;
-    if (!deliver(control, dispatch->request, &decision)) {
+    if (!SkyExchanges_Deliver(control->exchanges, dispatch->request,
+                              &decision)) {
         sky_input_t input = {.kind = SKY_IN_OUTCOME};
         input.u.outcome.request = dispatch->request;
         input.u.outcome.outcome = SKY_OUTCOME_CANCELLED;
@@ -364,7 +261,7 @@
 {
     sky_decision_t decision = {.kind = SKY_DECIDED_ANSWER};
     decision.answer = *answer;
-    deliver(control, answer->request, &decision);
+    SkyExchanges_Deliver(control->exchanges, answer->request, &decision);
 }
 
 static void
@@ -372,7 +269,7 @@
 {
     sky_decision_t decision = {.kind = SKY_DECIDED_CHANGED};
     decision.changed = *changed;
-    deliver(control, changed->token, &decision);
+    SkyExchanges_Deliver(control->exchanges, changed->token, &decision);
 }
 
 typedef struct {
@@ -516,7 +413,7 @@
     if (item->visit != NULL) {
         sky_decision_t done = {.kind = SKY_DECIDED_ANSWER};
         item->visit(control->node, item->context);
-        decide(item->done, &done);
+        SkyExchanges_Deliver(control->exchanges, item->done, &done);
     }
     else {
         step(control, &item->input, actions);
@@ -595,7 +492,7 @@
     SkyMetrics_Free(control->metrics);
     pthread_mutex_destroy(&control->lock);
     pthread_cond_destroy(&control->wake);
-    pthread_mutex_destroy(&control->exchange_lock);
+    SkyExchanges_Free(control->exchanges);
     free(control);
 }
 
@@ -612,15 +509,16 @@
     control->settings = settings;
     pthread_mutex_init(&control->lock, NULL);
     init_condition(&control->wake);
-    pthread_mutex_init(&control->exchange_lock, NULL);
+    control->exchanges = SkyExchanges_Create();
     randombytes_buf(&seed, sizeof seed);
     SkySettings_ToNode(settings, seed, &options);
     control->node = SkyNode_Create(&options);
     control->view = SkyView_Create();
     control->metrics = SkyMetrics_Create();
     control->workers = SkyWorkers_Create(WORKER_THREADS);
-    if (control->node == NULL || control->view == NULL ||
-        control->metrics == NULL || control->workers == NULL) {
+    if (control->exchanges == NULL || control->node == NULL ||
+        control->view == NULL || control->metrics == NULL ||
+        control->workers == NULL) {
         goto fail;
     }
     result = start(control);
@@ -667,10 +565,10 @@
     return __atomic_load_n(&control->lost, __ATOMIC_ACQUIRE);
 }
 
-uint32_t
-SkyControl_OpenCount(const sky_control_t *control)
+sky_exchanges_t *
+SkyControl_Exchanges(sky_control_t *control)
 {
-    return __atomic_load_n(&control->open_count, __ATOMIC_ACQUIRE);
+    return control->exchanges;
 }
 
 sky_view_t *
--- a/lib/serve/control.h
+++ b/lib/serve/control.h
@@ -9,6 +9,7 @@
 #include "core/metrics.h"
 #include "decide/node.h"
 #include "peer/peers.h"
+#include "serve/exchange.h"
 #include "serve/settings.h"
 #include "serve/view.h"
 
@@ -17,72 +18,35 @@
 #endif
 
 typedef struct sky_control sky_control_t;
-typedef struct sky_exchange sky_exchange_t;
 
-/** What the control thread decided for a waiting thread. */
-typedef struct {
-    enum {
-        SKY_DECIDED_NOTHING,
-        SKY_DECIDED_DISPATCH,
-        SKY_DECIDED_ANSWER,
-        SKY_DECIDED_CHANGED,
-    } kind;
-    sky_act_dispatch_t dispatch;
-    sky_act_answer_t answer;
-    sky_act_changed_t changed;
-} sky_decision_t;
-
-sky_result_t
-SkyControl_Create(const sky_settings_t *settings, sky_control_t **control);
+sky_result_t SkyControl_Create(const sky_settings_t *settings,
+                               sky_control_t **control);
 /** Stops the thread and all I/O. No exchange may be open. */
-void
-SkyControl_Free(sky_control_t *control);
-
-/** Opens an exchange under a new id; its low bits are free for attempts. */
-sky_exchange_t *
-SkyControl_Open(sky_control_t *control);
-uint64_t
-SkyExchange_Id(const sky_exchange_t *exchange);
-/** Waits for the next decision, at most @p wait_ms. */
-sky_decision_t
-SkyExchange_Wait(sky_exchange_t *exchange, uint32_t wait_ms);
-void
-SkyControl_Close(sky_control_t *control, sky_exchange_t *exchange);
+void SkyControl_Free(sky_control_t *control);
 
 /** Hands an input to the decision logic. What the input owns goes with it. */
-void
-SkyControl_Post(sky_control_t *control, const sky_input_t *input);
+void SkyControl_Post(sky_control_t *control, const sky_input_t *input);
 
 /** Runs @p visit on the control thread and waits for it. */
-void
-SkyControl_Call(sky_control_t *control,
-                void (*visit)(sky_node_t *node, void *context), void *context);
+void SkyControl_Call(sky_control_t *control,
+                     void (*visit)(sky_node_t *node, void *context),
+                     void *context);
 
 /** @return true if the host may take requests. Any thread. */
-bool
-SkyControl_IsReady(const sky_control_t *control);
-/** @return open exchanges. Any thread. */
-uint32_t
-SkyControl_OpenCount(const sky_control_t *control);
+bool SkyControl_IsReady(const sky_control_t *control);
 /** @return true once the log has dropped records that were not read. */
-bool
-SkyControl_IsLost(const sky_control_t *control);
+bool SkyControl_IsLost(const sky_control_t *control);
 
-sky_view_t *
-SkyControl_View(sky_control_t *control);
-sky_metrics_t *
-SkyControl_Metrics(sky_control_t *control);
-sky_peers_t *
-SkyControl_Peers(sky_control_t *control);
-const sky_settings_t *
-SkyControl_Settings(const sky_control_t *control);
+sky_exchanges_t *SkyControl_Exchanges(sky_control_t *control);
+sky_view_t *SkyControl_View(sky_control_t *control);
+sky_metrics_t *SkyControl_Metrics(sky_control_t *control);
+sky_peers_t *SkyControl_Peers(sky_control_t *control);
+const sky_settings_t *SkyControl_Settings(const sky_control_t *control);
 
 /** @return microseconds of the monotonic clock. */
-uint64_t
-SkyControl_NowUs(void);
+uint64_t SkyControl_NowUs(void);
 /** @return milliseconds of Unix time. */
-uint64_t
-SkyControl_WallMs(void);
+uint64_t SkyControl_WallMs(void);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/relay.h
+++ b/lib/serve/relay.h
@@ -40,20 +40,15 @@
  *        SKY_OUTCOME_ANSWERED, that is: as far as read, all is well.
  * @param detail receives the reason of any other outcome.
  */
-sky_outcome_t
-SkyRelay_Open(const sky_relay_options_t *options, sky_relay_t **relay,
-              sky_result_t *detail);
+sky_outcome_t SkyRelay_Open(const sky_relay_options_t *options,
+                            sky_relay_t **relay, sky_result_t *detail);
 
 /** @return true if the answer is a stream of events. */
-bool
-SkyRelay_IsStream(const sky_relay_t *relay);
-uint32_t
-SkyRelay_Status(const sky_relay_t *relay);
-const char *
-SkyRelay_ContentType(const sky_relay_t *relay);
+bool SkyRelay_IsStream(const sky_relay_t *relay);
+uint32_t SkyRelay_Status(const sky_relay_t *relay);
+const char *SkyRelay_ContentType(const sky_relay_t *relay);
 /** @return the whole answer of an exchange that is not a stream. */
-const char *
-SkyRelay_Body(const sky_relay_t *relay, size_t *size);
+const char *SkyRelay_Body(const sky_relay_t *relay, size_t *size);
 
 /**
  * Copies checked events of a stream.
@@ -61,13 +56,11 @@
  * @return bytes copied; 0 with @p end false if the stream broke, then
  *         @p detail says why.
  */
-size_t
-SkyRelay_ReadEvents(sky_relay_t *relay, char *buffer, size_t size, bool *end,
-                    sky_result_t *detail);
+size_t SkyRelay_ReadEvents(sky_relay_t *relay, char *buffer, size_t size,
+                           bool *end, sky_result_t *detail);
 
 /** Closes the connection, which cancels what still runs. */
-void
-SkyRelay_Close(sky_relay_t *relay);
+void SkyRelay_Close(sky_relay_t *relay);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -41,7 +41,7 @@
 is_idle(sky_control_t *control)
 {
     bool idle = false;
-    if (SkyControl_OpenCount(control) > 0) {
+    if (SkyExchanges_Count(SkyControl_Exchanges(control)) > 0) {
         return false;
     }
     SkyControl_Call(control, check_idle, &idle);
@@ -70,9 +70,9 @@
 
 /** However long they take: a planned stop cuts nothing off. */
 static void
-finish_requests(const sky_control_t *control)
+finish_requests(sky_control_t *control)
 {
-    while (SkyControl_OpenCount(control) > 0) {
+    while (SkyExchanges_Count(SkyControl_Exchanges(control)) > 0) {
         sleep_ms(STEP_MS);
     }
 }
@@ -97,7 +97,7 @@
 {
     const sky_settings_t *settings = SkyControl_Settings(control);
     SkyLog_Write(LOG_NOTICE, "draining", "open_requests=%u",
-                 SkyControl_OpenCount(control));
+                 SkyExchanges_Count(SkyControl_Exchanges(control)));
     post(control, SKY_IN_DRAIN);
     sleep_ms(settings->balancer_wait_ms);
     SkyFront_StopListening(front);
--- a/lib/serve/server.h
+++ b/lib/serve/server.h
@@ -16,8 +16,7 @@
  * the balancer, close the listener, finish what is in flight, hand over the
  * shards, leave the membership.
  */
-sky_result_t
-SkyServer_Run(const sky_settings_t *settings);
+sky_result_t SkyServer_Run(const sky_settings_t *settings);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/settings.h
+++ b/lib/serve/settings.h
@@ -62,21 +62,18 @@
 
 /** Reads and checks a settings file. @param error SKY_ERROR_BYTES long: on
  *  SKY_E_SETTINGS it names file, line, key and the allowed range. */
-sky_result_t
-SkySettings_Load(const char *path, sky_settings_t *settings, char *error);
-void
-SkySettings_Free(sky_settings_t *settings);
+sky_result_t SkySettings_Load(const char *path, sky_settings_t *settings,
+                              char *error);
+void SkySettings_Free(sky_settings_t *settings);
 
 /** Fills in the options of the decision logic. */
-void
-SkySettings_ToNode(const sky_settings_t *settings, uint64_t seed,
-                   sky_node_options_t *options);
+void SkySettings_ToNode(const sky_settings_t *settings, uint64_t seed,
+                        sky_node_options_t *options);
 
 /** Prints each key with unit, default, range and meaning as a Markdown table;
  *  docs/SETTINGS.md is its output. */
-void
-SkySettings_PrintTable(void (*print)(const char *line, void *context),
-                       void *context);
+void SkySettings_PrintTable(void (*print)(const char *line, void *context),
+                            void *context);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/status.h
+++ b/lib/serve/status.h
@@ -15,17 +15,14 @@
 
 /** @return members, shards, targets and the revision in force; a new
  *          reference. */
-json_t *
-SkyStatus_Json(sky_control_t *control);
+json_t *SkyStatus_Json(sky_control_t *control);
 
 /** @return one histogram of every workspace; a new reference, or NULL if
  *          there is no histogram @p name. */
-json_t *
-SkyStatus_Histogram(sky_control_t *control, const char *name);
+json_t *SkyStatus_Histogram(sky_control_t *control, const char *name);
 
 /** @return the whole of /metrics; free() it. */
-char *
-SkyStatus_Metrics(sky_control_t *control);
+char *SkyStatus_Metrics(sky_control_t *control);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/view.h
+++ b/lib/serve/view.h
@@ -25,22 +25,18 @@
     uint32_t urgency;
 } sky_access_t;
 
-sky_view_t *
-SkyView_Create(void);
-void
-SkyView_Free(sky_view_t *view);
+sky_view_t *SkyView_Create(void);
+void SkyView_Free(sky_view_t *view);
 
 /** Puts a workspace in force. Control thread only. */
-sky_result_t
-SkyView_Put(sky_view_t *view, const sky_opening_t *opening);
+sky_result_t SkyView_Put(sky_view_t *view, const sky_opening_t *opening);
 
 /** @return "name@version" of an adapter, or NULL. Control thread only. */
-const char *
-SkyView_AdapterName(const sky_view_t *view, sky_adapter_id_t id);
+const char *SkyView_AdapterName(const sky_view_t *view, sky_adapter_id_t id);
 
 /** Hashes a caller's secret to the credential that configuration holds. */
-void
-SkyView_HashSecret(const char *secret, char credential[SKY_CREDENTIAL_BYTES]);
+void SkyView_HashSecret(const char *secret,
+                        char credential[SKY_CREDENTIAL_BYTES]);
 
 /**
  * Looks a credential and a model up, from any thread.
@@ -48,9 +44,8 @@
  * @return SKY_E_UNAUTHORIZED, or SKY_E_UNKNOWN_ADAPTER alike for an adapter
  *         that does not exist and for one of another workspace.
  */
-sky_result_t
-SkyView_Find(sky_view_t *view, const char *credential, const char *model,
-             sky_access_t *access);
+sky_result_t SkyView_Find(sky_view_t *view, const char *credential,
+                          const char *model, sky_access_t *access);
 
 #ifdef __cplusplus
 }
--- a/lib/serve/workers.h
+++ b/lib/serve/workers.h
@@ -16,14 +16,12 @@
 typedef struct sky_workers sky_workers_t;
 typedef void (*sky_job_t)(void *context);
 
-sky_workers_t *
-SkyWorkers_Create(uint32_t threads);
+sky_workers_t *SkyWorkers_Create(uint32_t threads);
 /** Finishes the jobs that run, drops those that wait, joins all threads. */
-void
-SkyWorkers_Free(sky_workers_t *workers);
+void SkyWorkers_Free(sky_workers_t *workers);
 /** Queues a job. @return SKY_E_MEMORY if it could not be queued. */
-sky_result_t
-SkyWorkers_Submit(sky_workers_t *workers, sky_job_t job, void *context);
+sky_result_t SkyWorkers_Submit(sky_workers_t *workers, sky_job_t job,
+                               void *context);
 
 #ifdef __cplusplus
 }
--- a/programs/commands.h
+++ b/programs/commands.h
@@ -25,19 +25,12 @@
     bool table;
 } sky_arguments_t;
 
-sky_result_t
-Command_Serve(const sky_arguments_t *arguments);
-sky_result_t
-Command_Check(const sky_arguments_t *arguments);
-sky_result_t
-Command_Publish(const sky_arguments_t *arguments);
-sky_result_t
-Command_Amend(const sky_arguments_t *arguments);
-sky_result_t
-Command_Show(const sky_arguments_t *arguments);
-sky_result_t
-Command_Status(const sky_arguments_t *arguments);
-sky_result_t
-Command_Drain(const sky_arguments_t *arguments);
+sky_result_t Command_Serve(const sky_arguments_t *arguments);
+sky_result_t Command_Check(const sky_arguments_t *arguments);
+sky_result_t Command_Publish(const sky_arguments_t *arguments);
+sky_result_t Command_Amend(const sky_arguments_t *arguments);
+sky_result_t Command_Show(const sky_arguments_t *arguments);
+sky_result_t Command_Status(const sky_arguments_t *arguments);
+sky_result_t Command_Drain(const sky_arguments_t *arguments);
 
 #endif
--- a/tests/driver_world.h
+++ b/tests/driver_world.h
@@ -42,8 +42,7 @@
     }
 
     World(const World &) = delete;
-    World &
-    operator=(const World &) = delete;
+    World &operator=(const World &) = delete;
 
     void
     Start(uint64_t run_us = 5 * SECOND)
