Hash the pools of targets once, not for each request

Cause: the entry host's part of a decision hashed the pool's name of all 1,600 targets for each request; make slopes had not measured that part.

--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -281,6 +281,36 @@
     (void)granted;
 }
 
+/** The entry host's part: from the request to the question to the owner. */
+static void
+measure_entry(uint32_t shard_targets)
+{
+    static double took_us[DECISIONS];
+    sky_actions_t out = {0};
+    make_targets(1600);
+    sky_node_t *node = single_owner(shard_targets, &out);
+    uint64_t at_us = 9 * SECOND_US + 700000;
+    for (uint32_t i = 0; i < DECISIONS; i++) {
+        sky_input_t ask = {.kind = SKY_IN_REQUEST};
+        ask.u.request.request = ((uint64_t)i + 1) << 8;
+        ask.u.request.adapter = SkyRendezvous_Score(i, 1) | 1;
+        ask.u.request.pool = (uint32_t)SkyName_Hash(targets[i % 5].pool);
+        ask.u.request.timeout_ms = 30000;
+        double begun = now_us();
+        step(node, &ask, at_us, &out);
+        took_us[i] = now_us() - begun;
+        sky_input_t cancel = {.kind = SKY_IN_CANCEL};
+        cancel.u.cancel = ask.u.request.request;
+        step(node, &cancel, at_us, &out);
+    }
+    Stats_Sort(took_us, DECISIONS);
+    printf("%6u targets a shard, entry: median %.2f us, 99th %.2f us\n",
+           shard_targets, Stats_Percentile(took_us, DECISIONS, 0.50),
+           Stats_Percentile(took_us, DECISIONS, 0.99));
+    SkyActions_Free(&out);
+    SkyNode_Free(node);
+}
+
 /* ---- adapters -------------------------------------------------------------
  */
 
@@ -346,6 +376,8 @@
     printf("one decision at 1,600 targets\n");
     measure_decision(5);
     measure_decision(32);
+    measure_entry(5);
+    measure_entry(32);
     printf("configuration of a host\n");
     measure_adapters(14000);
     measure_adapters(70000);
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -59,6 +59,7 @@
     sky_members_t *members;
     promise_t *promises;
     bool *leaving;
+    uint32_t *pools; /* hash of each target's pool */
     request_t *requests;
     abandoned_t *abandoned; /* oldest first */
     sky_doubts_t *doubts;
@@ -87,10 +88,15 @@
     entry->retry_tokens = options->retry_burst;
     entry->promises = calloc(entry->shard_count, sizeof *entry->promises);
     entry->leaving = calloc(target_count, sizeof *entry->leaving);
-    if (entry->promises == NULL || entry->leaving == NULL) {
+    entry->pools = calloc(target_count, sizeof *entry->pools);
+    if (entry->promises == NULL || entry->leaving == NULL ||
+        entry->pools == NULL) {
         SkyEntry_Free(entry);
         return NULL;
     }
+    for (uint32_t t = 0; t < target_count; t++) {
+        entry->pools[t] = (uint32_t)SkyName_Hash(targets[t].pool);
+    }
     return entry;
 }
 
@@ -116,6 +122,7 @@
     }
     free(entry->promises);
     free(entry->leaving);
+    free(entry->pools);
     free(entry);
 }
 
@@ -213,8 +220,7 @@
     uint32_t first = shard * entry->shard_targets;
     uint32_t last = first + entry->shard_targets;
     for (uint32_t t = first; t < last && t < entry->target_count; t++) {
-        if ((uint32_t)SkyName_Hash(entry->targets[t].pool) == pool &&
-            !entry->leaving[t]) {
+        if (entry->pools[t] == pool && !entry->leaving[t]) {
             return true;
         }
     }
