Prove the lease's assumption and an hour of lost regions

Regions: one hour of virtual time, three hosts cut from the log and the other three; the side with the log answers all, nothing is broken, all is well after.

--- a/tests/seeded_run.h
+++ b/tests/seeded_run.h
@@ -283,10 +283,12 @@
 
 /** One run of 1,200 random steps, then all faults end. */
 static inline run_t
-RunSeed(uint64_t seed, bool checks_fencing, uint32_t off = 0)
+RunSeed(uint64_t seed, bool checks_fencing, uint32_t off = 0,
+        uint64_t log_lag_us = 0)
 {
     World world(seed, SEEDED_HOSTS, 4, 3, checks_fencing);
     world.options.trace = getenv("SKY_TRACE") != nullptr;
+    world.options.log_lag_us = log_lag_us;
     world.options.retention_us = 120 * SECOND;
     world.options.node.off = off;
     world.options.node.members.degraded_us = 20 * SECOND;
--- a/tests/test_promises.cc
+++ b/tests/test_promises.cc
@@ -16,10 +16,10 @@
  *          off, or 0 if none of the seeds does. */
 template <typename count_t>
 uint64_t
-SeedWithout(uint32_t off, count_t count)
+SeedWithout(uint32_t off, count_t count, uint64_t log_lag_us = 0)
 {
     for (uint64_t seed = 1; seed <= SEEDS_MAX; seed++) {
-        if (count(RunSeed(seed, false, off)) > 0) {
+        if (count(RunSeed(seed, false, off, log_lag_us)) > 0) {
             printf("off 0x%x: broken at seed %lu\n", off, seed);
             return seed;
         }
@@ -53,6 +53,19 @@
     EXPECT_GT(SeedWithout(SKY_OFF_COLLECT | SKY_OFF_DOUBT, Evictions), 0u);
 }
 
+TEST(Promises, LeasesNeedATailThatIsBehindByLessThanTheMargin)
+{
+    EXPECT_GT(SeedWithout(0, Evictions, 20 * SECOND), 0u);
+}
+
+TEST(Promises, LeasesBearATailThatIsBehindByHalfOfTheMargin)
+{
+    for (uint64_t seed = 1; seed <= 30; seed++) {
+        run_t run = RunSeed(seed, false, 0, SECOND / 2);
+        EXPECT_EQ(run.breach_count, 0u) << seed << " " << run.breach_text;
+    }
+}
+
 TEST(Promises, AtMostOnceNeedsClaims)
 {
     EXPECT_GT(
--- a/tests/test_shard.cc
+++ b/tests/test_shard.cc
@@ -191,6 +191,47 @@
     }
 }
 
+TEST(Shard, RegionsLoseEachOtherForAnHour)
+{
+    /* Hosts 0 to 2 lose hosts 3 to 5 and the log; targets stay in reach. */
+    World world(16, 6, 3, 3);
+    world.options.node.members.degraded_us = 60 * SECOND;
+    world.Start();
+    Warm(world, 1, 3);
+    for (uint32_t a = 0; a < 3; a++) {
+        Driver_CutLog(world.driver, a, true);
+        for (uint32_t b = 3; b < 6; b++) {
+            Driver_Cut(world.driver, a, b, true);
+            Driver_Cut(world.driver, b, a, true);
+        }
+    }
+    std::vector<uint32_t> with_log;
+    for (uint32_t minute = 0; minute < 60; minute++) {
+        for (uint32_t i = 0; i < 6; i++) {
+            uint32_t request = world.Ask(i, 1 + (minute + i) % 8, 20000);
+            if (i >= 3 && minute > 0) {
+                with_log.push_back(request);
+            }
+        }
+        world.Run(60 * SECOND);
+    }
+    for (uint32_t request : with_log) {
+        EXPECT_EQ(world.Result(request).code, SKY_OK);
+    }
+    for (uint32_t a = 0; a < 3; a++) {
+        Driver_CutLog(world.driver, a, false);
+        for (uint32_t b = 3; b < 6; b++) {
+            Driver_Cut(world.driver, a, b, false);
+            Driver_Cut(world.driver, b, a, false);
+        }
+    }
+    world.Run(20 * SECOND);
+    uint32_t healed = world.Ask(0, 2);
+    world.Run(10 * SECOND);
+    EXPECT_EQ(world.Result(healed).code, SKY_OK);
+    EXPECT_EQ(world.Breaches(), 0u) << world.BreachText();
+}
+
 TEST(Shard, ADoubtAboutATargetThatIsDownIsSettledAtOnce)
 {
     /* The owner hears of the broken exchange from the log only, after it has
