Let the demo end with its own exit code

Cause: under set -e the clean-up stopped at the first process that had ended already, so make demo exited 1 after all had gone well. After: exits 0.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -138,21 +138,25 @@
 # stop_all: ends each process this script started, by pid, in bounded time
 stop_all() {
     for pid in $PIDS; do
-        kill -CONT "$pid" 2>/dev/null
-        kill "$pid" 2>/dev/null
+        kill -CONT "$pid" 2>/dev/null || true
+        kill "$pid" 2>/dev/null || true
     done
     tries=120
     while [ "$tries" -gt 0 ]; do
         left=""
         for pid in $PIDS; do
-            kill -0 "$pid" 2>/dev/null && left="$left $pid"
+            if kill -0 "$pid" 2>/dev/null; then
+                left="$left $pid"
+            fi
         done
-        [ -z "$left" ] && break
+        if [ -z "$left" ]; then
+            break
+        fi
         sleep 0.1
         tries=$((tries - 1))
     done
     for pid in $left; do
-        kill -9 "$pid" 2>/dev/null
+        kill -9 "$pid" 2>/dev/null || true
     done
     PIDS=""
 }
