Ask a plain service for /healthz, not for a report

Cause: owners polled /report of plain services as well, which such a service may take for a call. Test first: 'nothing else reached the service' got 3 instead of 2; after: 2.

--- a/lib/core/result.h
+++ b/lib/core/result.h
@@ -29,7 +29,7 @@
     X(SKY_E_UNAUTHORIZED, 12, 401, "not_run", "credential not known")         \
     X(SKY_E_UNKNOWN_ADAPTER, 13, 404, "not_run",                              \
       "no such adapter or version")                                           \
-    X(SKY_E_NOT_FOUND, 14, 404, "not_run", "no such path")                    \
+    X(SKY_E_NOT_FOUND, 14, 404, "not_run", "no such path or document")        \
     X(SKY_E_KEY_REQUIRED, 15, 400, "not_run",                                 \
       "the route needs an idempotency key")                                   \
     X(SKY_E_KEY_EXPIRED, 16, 409, "not_run", "idempotency key too old")       \
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -15,6 +15,7 @@
 #define STATUS_SERVER_ERROR 500
 #define US_PER_MS 1000
 #define FENCE_BYTES 24
+#define SERVICE_EPOCH 1 /* restarts of a plain service are not seen */
 
 static sky_http_end_t
 get_json(const char *address, const char *path, uint32_t timeout_ms,
@@ -182,12 +183,28 @@
     slot->loading = json_is_true(json_object_get(item, "loading"));
 }
 
+/** A plain service has no report: it is up if it answers at all. */
+static bool
+probe_service(const sky_target_info_t *target, uint32_t timeout_ms,
+              sky_report_t *report)
+{
+    json_t *root;
+    sky_http_end_t end =
+        get_json(target->address, "/healthz", timeout_ms, &root);
+    json_decref(root);
+    report->epoch = SERVICE_EPOCH;
+    return end == SKY_HTTP_ANSWERED;
+}
+
 bool
 SkyPlatform_ReadReport(const sky_target_info_t *target, uint32_t timeout_ms,
                        sky_report_t *report)
 {
     json_t *root;
     memset(report, 0, sizeof *report);
+    if (target->slots == 0) {
+        return probe_service(target, timeout_ms, report);
+    }
     get_json(target->address, "/report", timeout_ms, &root);
     if (!json_is_object(root)) {
         json_decref(root);
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -34,7 +34,8 @@
                                uint32_t target_count, uint32_t timeout_ms,
                                sky_host_state_t *states);
 
-/** Asks a target for its load report. @return false on an error. */
+/** Asks an engine for its load report, a plain service for `/healthz`.
+ *  @return false on an error. */
 bool SkyPlatform_ReadReport(const sky_target_info_t *target,
                             uint32_t timeout_ms, sky_report_t *report);
 
--- a/tests/fakes/platform.c
+++ b/tests/fakes/platform.c
@@ -261,6 +261,9 @@
     if (Fake_TakeFault(request, &result)) {
         return result;
     }
+    if (strcmp(request->path, "/healthz") == 0) {
+        return Fake_ReplyText(request, 200, "ok\n");
+    }
     pthread_mutex_lock(&lock);
     if (strcmp(request->path, "/stats") == 0) {
         json_t *copy = json_deep_copy(calls);
--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -138,6 +138,8 @@
     "http://$(host_address 1)/svc/ledger/book")")" SKY_E_KEY_REQUIRED
 check "service ran slot-1 once" "$(stat_of 20 slot-1)" 1
 check "service ran slot-2 once" "$(stat_of 20 slot-2)" 1
+check "nothing else reached the service" "$(curl -sS -m 5 \
+    "http://127.0.0.1:$((BASE + 20))/stats" | grep -o '":' | wc -l)" 2
 
 # Crossed and truncated answers never reach the caller as theirs.
 for n in 1 2 3; do fault $n '{"cross": 9}'; done
