--- a/lib/core/metrics.c
+++ b/lib/core/metrics.c
@@ -28,13 +28,19 @@
 };
 
 static const char *const HISTOGRAM_NAMES[] = {
-#define X(symbol, name, help) name,
+#define X(symbol, name, unit, help) name,
     SKY_HISTOGRAM_TABLE(X)
 #undef X
 };
 
 static const char *const HISTOGRAM_HELP[] = {
-#define X(symbol, name, help) help,
+#define X(symbol, name, unit, help) help,
+    SKY_HISTOGRAM_TABLE(X)
+#undef X
+};
+
+static const char *const HISTOGRAM_UNITS[] = {
+#define X(symbol, name, unit, help) unit,
     SKY_HISTOGRAM_TABLE(X)
 #undef X
 };
@@ -96,10 +102,10 @@
 }
 
 static uint32_t
-bucket_of(uint64_t value_ms)
+bucket_of(uint64_t value)
 {
     uint32_t bucket = 0;
-    while (bucket + 1 < SKY_BUCKETS && value_ms > (UINT64_C(1) << bucket)) {
+    while (bucket + 1 < SKY_BUCKETS && value > (UINT64_C(1) << bucket)) {
         bucket++;
     }
     return bucket;
@@ -107,15 +113,15 @@
 
 void
 SkyMetrics_Observe(sky_metrics_t *metrics, const char *workspace,
-                   sky_histogram_id_t id, uint64_t value_ms)
+                   sky_histogram_id_t id, uint64_t value)
 {
     pthread_mutex_lock(&metrics->lock);
     series_t *series = find_or_add(metrics, workspace);
     if (series != NULL) {
         sky_histogram_t *histogram = &series->histograms[id];
-        histogram->buckets[bucket_of(value_ms)]++;
+        histogram->buckets[bucket_of(value)]++;
         histogram->count++;
-        histogram->sum_ms += value_ms;
+        histogram->sum += value;
     }
     pthread_mutex_unlock(&metrics->lock);
 }
@@ -163,6 +169,12 @@
     pthread_mutex_unlock(&metrics->lock);
 }
 
+const char *
+SkyMetrics_HistogramUnit(sky_histogram_id_t id)
+{
+    return HISTOGRAM_UNITS[id];
+}
+
 const char *
 SkyMetrics_HistogramName(sky_histogram_id_t id)
 {
@@ -170,21 +182,24 @@
 }
 
 static void
-print_histogram(FILE *text, const char *name, const series_t *series,
-                const sky_histogram_t *histogram)
+print_histogram(FILE *text, sky_histogram_id_t id, const series_t *series)
 {
+    const sky_histogram_t *histogram = &series->histograms[id];
+    const char *name = HISTOGRAM_NAMES[id];
+    const char *unit = HISTOGRAM_UNITS[id];
     uint64_t cumulative = 0;
     for (uint32_t i = 0; i + 1 < SKY_BUCKETS; i++) {
         cumulative += histogram->buckets[i];
-        fprintf(text, "sky_%s_ms_bucket{workspace=\"%s\",le=\"%llu\"} %llu\n",
-                name, series->workspace, 1ULL << i,
+        fprintf(text, "sky_%s_%s_bucket{workspace=\"%s\",le=\"%llu\"} %llu\n",
+                name, unit, series->workspace, 1ULL << i,
                 (unsigned long long)cumulative);
     }
-    fprintf(text, "sky_%s_ms_bucket{workspace=\"%s\",le=\"+Inf\"} %llu\n",
-            name, series->workspace, (unsigned long long)histogram->count);
-    fprintf(text, "sky_%s_ms_sum{workspace=\"%s\"} %llu\n", name,
-            series->workspace, (unsigned long long)histogram->sum_ms);
-    fprintf(text, "sky_%s_ms_count{workspace=\"%s\"} %llu\n", name,
+    fprintf(text, "sky_%s_%s_bucket{workspace=\"%s\",le=\"+Inf\"} %llu\n",
+            name, unit, series->workspace,
+            (unsigned long long)histogram->count);
+    fprintf(text, "sky_%s_%s_sum{workspace=\"%s\"} %llu\n", name, unit,
+            series->workspace, (unsigned long long)histogram->sum);
+    fprintf(text, "sky_%s_%s_count{workspace=\"%s\"} %llu\n", name, unit,
             series->workspace, (unsigned long long)histogram->count);
 }
 
@@ -204,12 +219,12 @@
 {
     const series_t *series;
     for (int id = 0; id < SKY_HIST_COUNT; id++) {
-        fprintf(text, "# HELP sky_%s_ms %s\n# TYPE sky_%s_ms histogram\n",
-                HISTOGRAM_NAMES[id], HISTOGRAM_HELP[id], HISTOGRAM_NAMES[id]);
+        fprintf(text, "# HELP sky_%s_%s %s\n# TYPE sky_%s_%s histogram\n",
+                HISTOGRAM_NAMES[id], HISTOGRAM_UNITS[id], HISTOGRAM_HELP[id],
+                HISTOGRAM_NAMES[id], HISTOGRAM_UNITS[id]);
         for (series = metrics->series; series != NULL;
              series = series->hh.next) {
-            print_histogram(text, HISTOGRAM_NAMES[id], series,
-                            &series->histograms[id]);
+            print_histogram(text, (sky_histogram_id_t)id, series);
         }
     }
     fprintf(text, "# HELP sky_answers_total final answers by result code\n"
--- a/lib/core/metrics.h
+++ b/lib/core/metrics.h
@@ -11,17 +11,18 @@
 extern "C" {
 #endif
 
-#define SKY_BUCKETS 22 /**< bounds 1 ms, 2 ms, 4 ms ... and "more" */
+#define SKY_BUCKETS 22 /**< bounds 1, 2, 4 ... and "more" */
 
-/** X(symbol, name, help) */
+/** X(symbol, name, unit, help) */
 #define SKY_HISTOGRAM_TABLE(X)                                                \
-    X(SKY_HIST_LOAD_STALL, "load_stall", "wait for the adapter, ms")          \
-    X(SKY_HIST_QUEUE_WAIT, "queue_wait", "arrival to dispatch, ms")           \
-    X(SKY_HIST_FIRST_TOKEN, "first_token", "arrival to first token, ms")      \
-    X(SKY_HIST_TOTAL, "total", "arrival to end of answer, ms")
+    X(SKY_HIST_LOAD_STALL, "load_stall", "ms", "wait for the adapter")        \
+    X(SKY_HIST_QUEUE_WAIT, "queue_wait", "ms", "arrival to dispatch")         \
+    X(SKY_HIST_FIRST_TOKEN, "first_token", "ms", "arrival to first token")    \
+    X(SKY_HIST_TOTAL, "total", "ms", "arrival to end of answer")              \
+    X(SKY_HIST_BATCH_FILL, "batch_fill", "percent", "fill at the grant")
 
 typedef enum {
-#define X(symbol, name, help) symbol,
+#define X(symbol, name, unit, help) symbol,
     SKY_HISTOGRAM_TABLE(X)
 #undef X
     SKY_HIST_COUNT
@@ -29,19 +30,19 @@
 
 typedef struct sky_metrics sky_metrics_t;
 
-/** Histogram of one series. Bucket i counts values up to 2^i ms. */
+/** Histogram of one series. Bucket i counts values up to 2^i units. */
 typedef struct {
     uint64_t buckets[SKY_BUCKETS];
     uint64_t count;
-    uint64_t sum_ms;
+    uint64_t sum;
 } sky_histogram_t;
 
 sky_metrics_t *SkyMetrics_Create(void);
 void SkyMetrics_Free(sky_metrics_t *metrics);
 
-/** Adds a value in milliseconds to a workspace's histogram. */
+/** Adds a value, in the histogram's unit, to a workspace's histogram. */
 void SkyMetrics_Observe(sky_metrics_t *metrics, const char *workspace,
-                        sky_histogram_id_t id, uint64_t value_ms);
+                        sky_histogram_id_t id, uint64_t value);
 
 /** Counts a final answer of a workspace by its result code. */
 void SkyMetrics_CountAnswer(sky_metrics_t *metrics, const char *workspace,
@@ -59,6 +60,8 @@
 
 /** @return name of a histogram, as in /metrics without its prefix. */
 const char *SkyMetrics_HistogramName(sky_histogram_id_t id);
+/** @return its unit. */
+const char *SkyMetrics_HistogramUnit(sky_histogram_id_t id);
 
 #ifdef __cplusplus
 }
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -409,6 +409,7 @@
     action->u.dispatch.attempt = request->attempt;
     action->u.dispatch.expires_us = now_us + entry->options.send_within_us;
     action->u.dispatch.stall_ms = grant->stall_ms;
+    action->u.dispatch.fill_percent = grant->fill_percent;
     entry->stats.dispatches++;
 }
 
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -228,6 +228,7 @@
     msg->u.grant.target = request->target;
     msg->u.grant.epoch = request->epoch;
     msg->u.grant.stall_ms = request->stall_ms;
+    msg->u.grant.fill_percent = request->fill_percent;
 }
 
 static void
@@ -246,6 +247,7 @@
     uint64_t stall_us = request->missed ? now_us - request->arrived_us : 0;
     request->stall_ms = (uint32_t)(stall_us / US_PER_MS);
     target->permits++;
+    request->fill_percent = 100 * target->permits / target->info->batch;
     if (slot != NULL) {
         slot->permits++;
         slot->used_us = now_us;
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -92,7 +92,8 @@
     uint32_t granted_round;
     uint32_t listed_round;
     uint32_t stall_ms;
-    bool missed; /**< its adapter was not resident when it came */
+    uint32_t fill_percent; /**< of the batch, when granted */
+    bool missed;           /**< its adapter was not resident when it came */
     struct shard_request *prev;
     struct shard_request *next;
     UT_hash_handle hh;
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -132,8 +132,9 @@
     uint32_t round; /**< grows with every COLLECT of the owner */
     uint32_t shard;
     uint32_t target;
-    uint64_t epoch;    /**< of the target, as the owner knows it */
-    uint32_t stall_ms; /**< time spent waiting for the adapter */
+    uint64_t epoch;        /**< of the target, as the owner knows it */
+    uint32_t stall_ms;     /**< time spent waiting for the adapter */
+    uint32_t fill_percent; /**< of the target's batch, with this request */
 } sky_msg_grant_t;
 
 typedef struct {
@@ -463,6 +464,7 @@
     uint32_t attempt;
     uint64_t expires_us;
     uint32_t stall_ms;
+    uint32_t fill_percent;
 } sky_act_dispatch_t;
 
 /** Final answer of a request that does not run (again). */
--- a/lib/peer/codec.c
+++ b/lib/peer/codec.c
@@ -38,7 +38,7 @@
     return xdr_u64(xdr, &msg->request) && xdr_u64(xdr, &msg->fence) &&
            xdr_u32(xdr, &msg->round) && xdr_u32(xdr, &msg->shard) &&
            xdr_u32(xdr, &msg->target) && xdr_u64(xdr, &msg->epoch) &&
-           xdr_u32(xdr, &msg->stall_ms);
+           xdr_u32(xdr, &msg->stall_ms) && xdr_u32(xdr, &msg->fill_percent);
 }
 
 static bool_t
--- a/lib/serve/call.c
+++ b/lib/serve/call.c
@@ -35,6 +35,7 @@
     bool finished;
     uint32_t retry_after_ms;
     uint32_t stall_ms;
+    uint32_t fill_percent;
     uint64_t arrived_us;
     uint64_t dispatched_us;
     uint64_t first_token_us;
@@ -310,6 +311,7 @@
     snprintf(options.request_id, sizeof options.request_id, "%016" PRIx64,
              wire_id);
     call->stall_ms = order->stall_ms;
+    call->fill_percent = order->fill_percent;
     call->dispatched_us = SkyClock_NowUs();
     return SkyRelay_Open(&options, &call->relay, detail);
 }
@@ -365,6 +367,8 @@
     }
     SkyMetrics_Observe(metrics, workspace, SKY_HIST_LOAD_STALL,
                        call->stall_ms);
+    SkyMetrics_Observe(metrics, workspace, SKY_HIST_BATCH_FILL,
+                       call->fill_percent);
     SkyMetrics_Observe(metrics, workspace, SKY_HIST_QUEUE_WAIT,
                        since_ms(call, call->dispatched_us));
     SkyMetrics_Observe(metrics, workspace, SKY_HIST_FIRST_TOKEN,
--- a/lib/serve/status.c
+++ b/lib/serve/status.c
@@ -146,10 +146,17 @@
 /* ---- histograms -----------------------------------------------------------
  */
 
+/** A list of histograms and the unit of their values. */
+typedef struct {
+    json_t *array;
+    const char *unit;
+} named_t;
+
 static void
 add_histogram(const char *workspace, const sky_histogram_t *histogram,
               void *opaque)
 {
+    const named_t *named = opaque;
     json_t *item = json_object();
     json_t *buckets = json_array();
     for (uint32_t i = 0; i < SKY_BUCKETS; i++) {
@@ -157,9 +164,10 @@
     }
     json_object_set_new(item, "workspace", json_string(workspace));
     json_object_set_new(item, "count", number(histogram->count));
-    json_object_set_new(item, "sum_ms", number(histogram->sum_ms));
+    json_object_set_new(item, "sum", number(histogram->sum));
     json_object_set_new(item, "buckets", buckets);
-    json_array_append_new(opaque, item);
+    json_object_set_new(item, "unit", json_string(named->unit));
+    json_array_append_new(named->array, item);
 }
 
 json_t *
@@ -167,10 +175,10 @@
 {
     for (int id = 0; id < SKY_HIST_COUNT; id++) {
         if (strcmp(name, SkyMetrics_HistogramName(id)) == 0) {
-            json_t *array = json_array();
+            named_t named = {json_array(), SkyMetrics_HistogramUnit(id)};
             SkyMetrics_ForEach(SkyControl_Metrics(control), id, add_histogram,
-                               array);
-            return array;
+                               &named);
+            return named.array;
         }
     }
     return NULL;
--- a/programs/commands.c
+++ b/programs/commands.c
@@ -354,7 +354,8 @@
     {
         long long count = (long long)json_integer_value(value);
         if (count > 0) {
-            printf("%10lld ms %8lld ", 1LL << index, count);
+            printf("%10lld %-7s %8lld ", 1LL << index, text_of(series, "unit"),
+                   count);
             print_bar((uint64_t)count, (uint64_t)largest);
         }
     }
--- a/programs/skylarkspar.c
+++ b/programs/skylarkspar.c
@@ -36,7 +36,7 @@
     {"key-file", 'k', "FILE", 0, "file with the operators' key", 0},
     {"base", 'b', "REVISION", 0, "revision the amendment was made from", 0},
     {"histogram", 'g', "NAME", 0,
-     "draw load_stall, queue_wait, first_token or total", 0},
+     "draw load_stall, queue_wait, first_token, total, batch_fill", 0},
     {"json", 'j', NULL, 0, "print JSON", 0},
     {"table", OPTION_TABLE, NULL, 0, "check: print the table of settings", 0},
     {0},
