Answer a claim that is won after the deadline; wait for documents in tests

Cause, found by reading: the answer to a claim could come between the deadline and the next tick, and the time left then wrapped round. Test first: EntryTest.AClaimWonAfterTheDeadlineIsAnsweredAndGivenBack failed, holds now. The tests with processes waited one second for a document; they wait until it is in force. Section comments fit on one line.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -125,8 +125,7 @@
     return Driver_Create(&options);
 }
 
-/* ---- load -----------------------------------------------------------------
- */
+/* ---- load ---- */
 
 /* Arrivals are drawn apart from the driver's own numbers, so that every policy
  * meets the very same ones. */
@@ -312,8 +311,7 @@
     Driver_Run(driver, END_US + 90 * SECOND_US);
 }
 
-/* ---- figures --------------------------------------------------------------
- */
+/* ---- figures ---- */
 
 static void
 fill_percentiles(double *values, uint32_t count, double out[4])
--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -172,8 +172,7 @@
     Driver_Free(driver);
 }
 
-/* ---- one decision ---------------------------------------------------------
- */
+/* ---- one decision ---- */
 
 static double
 now_us(void)
@@ -311,8 +310,7 @@
     SkyNode_Free(node);
 }
 
-/* ---- adapters -------------------------------------------------------------
- */
+/* ---- adapters ---- */
 
 /** Memory of a host that knows all workspaces, by number of adapters. */
 static void
--- a/bench/driver.c
+++ b/bench/driver.c
@@ -37,8 +37,7 @@
     SkyNode_Defaults(&options->node);
 }
 
-/* ---- event queue ----------------------------------------------------------
- */
+/* ---- event queue ---- */
 
 static bool
 is_before(const event_t *a, const event_t *b)
@@ -142,8 +141,7 @@
     putchar('\n');
 }
 
-/* ---- randomness -----------------------------------------------------------
- */
+/* ---- randomness ---- */
 
 uint32_t
 Driver_Random(driver_t *driver, uint32_t below)
@@ -163,8 +161,7 @@
     return base_us + (uint64_t)(Driver_Uniform(driver) * (double)base_us / 4);
 }
 
-/* ---- hosts ----------------------------------------------------------------
- */
+/* ---- hosts ---- */
 
 static uint32_t
 domain_of(const driver_t *driver, uint32_t host)
@@ -249,8 +246,7 @@
     }
 }
 
-/* ---- log ------------------------------------------------------------------
- */
+/* ---- log ---- */
 
 static void
 trim_log(driver_t *driver)
@@ -350,8 +346,7 @@
     driver->stats.log_records_read += read->count;
 }
 
-/* ---- actions of a host ----------------------------------------------------
- */
+/* ---- actions of a host ---- */
 
 static void
 send_message(driver_t *driver, uint32_t from, const sky_act_send_t *send)
@@ -589,8 +584,7 @@
     next->host = host;
 }
 
-/* ---- main loop ------------------------------------------------------------
- */
+/* ---- main loop ---- */
 
 static bool
 is_for_host(const event_t *event)
@@ -800,8 +794,7 @@
     free(driver);
 }
 
-/* ---- load -----------------------------------------------------------------
- */
+/* ---- load ---- */
 
 driver_result_t *
 DriverState_Result(driver_t *driver, sky_request_id_t id, uint32_t *index)
@@ -912,8 +905,7 @@
     return false;
 }
 
-/* ---- faults and views -----------------------------------------------------
- */
+/* ---- faults and views ---- */
 
 void
 Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us)
--- a/bench/driver_targets.c
+++ b/bench/driver_targets.c
@@ -8,8 +8,7 @@
 #define LEAVING_BOUND_US UINT64_C(5000000)
 #define US_PER_S 1e6
 
-/* ---- batch fill -----------------------------------------------------------
- */
+/* ---- batch fill ---- */
 
 static void
 integrate(driver_t *driver, target_t *target)
@@ -53,8 +52,7 @@
     return false;
 }
 
-/* ---- orders ---------------------------------------------------------------
- */
+/* ---- orders ---- */
 
 static void
 answer_order(driver_t *driver, uint32_t host, uint32_t generation,
@@ -177,8 +175,7 @@
     }
 }
 
-/* ---- store: lanes are shared, then each load is in transit ----------------
- */
+/* ---- store: lanes are shared, then each load is in transit ---- */
 
 static uint32_t
 count_loads(const driver_t *driver, bool in_transit)
@@ -285,8 +282,7 @@
                  SKY_ORDERED_DONE);
 }
 
-/* ---- runs -----------------------------------------------------------------
- */
+/* ---- runs ---- */
 
 static void
 answer_run(driver_t *driver, uint32_t host, uint32_t generation,
@@ -477,8 +473,7 @@
     driver->targets[event->target].down = false;
 }
 
-/* ---- reports --------------------------------------------------------------
- */
+/* ---- reports ---- */
 
 void
 DriverTargets_Snapshot(driver_t *driver, const event_t *event)
--- a/lib/decide/config.c
+++ b/lib/decide/config.c
@@ -326,8 +326,7 @@
     finish_change(config, record, SKY_OK, record->offset, out);
 }
 
-/* ---- snapshots ------------------------------------------------------------
- */
+/* ---- snapshots ---- */
 
 static void
 install(sky_config_t *config, const sky_rec_config_t *rec, sky_actions_t *out)
--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -211,8 +211,7 @@
     forget(entry, request);
 }
 
-/* ---- which shard ----------------------------------------------------------
- */
+/* ---- which shard ---- */
 
 static bool
 shard_serves(const sky_entry_t *entry, uint32_t shard, uint32_t pool)
@@ -268,8 +267,7 @@
     return entry->targets[shard * entry->shard_targets].domain;
 }
 
-/* ---- asking ---------------------------------------------------------------
- */
+/* ---- asking ---- */
 
 static void
 ask_claim(sky_entry_t *entry, request_t *request, uint64_t now_us,
@@ -287,6 +285,10 @@
 ask_permit(sky_entry_t *entry, request_t *request, uint64_t now_us,
            sky_actions_t *out)
 {
+    if (now_us >= request->deadline_us) {
+        finish_not_run(entry, request, SKY_E_DEADLINE, RETRY_AFTER_MS, out);
+        return;
+    }
     if (request->unanswered == ASKS_PER_CHOICE) {
         request->unanswered = 0;
         request->choice++;
@@ -356,8 +358,7 @@
     }
 }
 
-/* ---- grants ---------------------------------------------------------------
- */
+/* ---- grants ---- */
 
 static void
 return_permit(sky_host_id_t owner, sky_request_id_t wire, uint32_t shard,
@@ -503,8 +504,7 @@
     free(claim);
 }
 
-/* ---- collecting -----------------------------------------------------------
- */
+/* ---- collecting ---- */
 
 static uint32_t
 count_running(const sky_entry_t *entry, uint32_t shard)
@@ -598,8 +598,7 @@
     }
 }
 
-/* ---- outcomes -------------------------------------------------------------
- */
+/* ---- outcomes ---- */
 
 static bool
 may_try_again(sky_entry_t *entry, const request_t *request,
@@ -690,8 +689,7 @@
     finish_not_run(entry, request, SKY_E_CANCELLED, 0, out);
 }
 
-/* ---- time -----------------------------------------------------------------
- */
+/* ---- time ---- */
 
 static void
 tick_request(sky_entry_t *entry, request_t *request, uint64_t now_us,
--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -427,7 +427,7 @@
     return members->incarnation != 0 && now_us >= members->unverified_until_us;
 }
 
-/* ---- views -------------------------------------------------------------- */
+/* ---- views ---- */
 
 sky_host_id_t
 SkyMembers_Owner(const sky_members_t *members, uint64_t shard, uint32_t domain)
--- a/lib/decide/node.c
+++ b/lib/decide/node.c
@@ -160,8 +160,7 @@
     free(node);
 }
 
-/* ---- messages -------------------------------------------------------------
- */
+/* ---- messages ---- */
 
 static sky_shard_t *
 find_shard(sky_node_t *node, uint32_t index)
@@ -288,8 +287,7 @@
     out->count = kept;
 }
 
-/* ---- log ------------------------------------------------------------------
- */
+/* ---- log ---- */
 
 static void
 view_changed(sky_node_t *node, uint64_t now_us, sky_actions_t *out)
@@ -407,7 +405,7 @@
         SkyMembers_Next(node->members);
 }
 
-/* ---- openings */
+/* ---- openings ---- */
 
 static void
 refresh_wanted(sky_node_t *node, uint64_t now_us, uint64_t wall_ms)
@@ -429,8 +427,7 @@
     }
 }
 
-/* ---- time -----------------------------------------------------------------
- */
+/* ---- time ---- */
 
 /** The owner of the first shard writes snapshots; should it fail to, for it
  *  may itself have begun to read too late, the others follow one by one. */
@@ -615,8 +612,7 @@
     read_log_if_due(node, now_us, out);
 }
 
-/* ---- views ----------------------------------------------------------------
- */
+/* ---- views ---- */
 
 bool
 SkyNode_IsReady(const sky_node_t *node, uint64_t now_us)
--- a/lib/decide/shard.c
+++ b/lib/decide/shard.c
@@ -89,8 +89,7 @@
     free(shard);
 }
 
-/* ---- collecting permits ---------------------------------------------------
- */
+/* ---- collecting permits ---- */
 
 static void
 send_collect(sky_shard_t *shard, collect_t *collect, uint64_t now_us,
@@ -205,8 +204,7 @@
     }
 }
 
-/* ---- ownership ------------------------------------------------------------
- */
+/* ---- ownership ---- */
 
 static void
 become_active(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out)
@@ -326,8 +324,7 @@
     shard->handover_to = 0;
 }
 
-/* ---- messages and time ----------------------------------------------------
- */
+/* ---- messages and time ---- */
 
 static void
 acquire(sky_shard_t *shard, const sky_in_message_t *in, uint64_t now_us,
--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -77,8 +77,7 @@
     return best;
 }
 
-/* ---- slots ----------------------------------------------------------------
- */
+/* ---- slots ---- */
 
 static bool
 is_kept(const adapter_t *adapter, uint64_t now_us)
@@ -195,8 +194,7 @@
     return true;
 }
 
-/* ---- which load next ------------------------------------------------------
- */
+/* ---- which load next ---- */
 
 static bool
 may_load(const adapter_t *adapter, uint64_t now_us)
@@ -268,8 +266,7 @@
     return best;
 }
 
-/* ---- openings -------------------------------------------------------------
- */
+/* ---- openings ---- */
 
 /** A first copy of any adapter goes before a second one of another: only the
  *  first spares its callers a load. */
@@ -399,8 +396,7 @@
     }
 }
 
-/* ---- pump -----------------------------------------------------------------
- */
+/* ---- pump ---- */
 
 static bool
 load_ahead(sky_shard_t *shard, uint64_t now_us, sky_actions_t *out)
--- a/lib/decide/shard_slots.c
+++ b/lib/decide/shard_slots.c
@@ -320,7 +320,7 @@
     }
 }
 
-/* ---- reports ------------------------------------------------------------ */
+/* ---- reports ---- */
 
 static const sky_report_slot_t *
 find_reported(const sky_report_t *report, sky_adapter_id_t adapter)
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -79,7 +79,7 @@
     SKY_OUTCOME_CANCELLED, /**< sent, and the caller went away */
 } sky_outcome_t;
 
-/* ---- messages between hosts ------------------------------------------- */
+/* ---- messages between hosts ---- */
 
 typedef enum {
     SKY_MSG_HEARTBEAT = 1,
@@ -227,7 +227,7 @@
     } u;
 } sky_msg_t;
 
-/* ---- records of the log ------------------------------------------------ */
+/* ---- records of the log ---- */
 
 typedef enum {
     SKY_REC_JOIN = 1,
@@ -292,7 +292,7 @@
     } u;
 } sky_record_t;
 
-/* ---- reports of targets ------------------------------------------------ */
+/* ---- reports of targets ---- */
 
 typedef struct {
     sky_adapter_id_t adapter;
@@ -309,7 +309,7 @@
     sky_report_slot_t slots[SKY_TARGET_SLOTS_MAX];
 } sky_report_t;
 
-/* ---- inputs ------------------------------------------------------------ */
+/* ---- inputs ---- */
 
 typedef enum {
     SKY_IN_TICK = 1,
@@ -436,7 +436,7 @@
     } u;
 } sky_input_t;
 
-/* ---- actions ----------------------------------------------------------- */
+/* ---- actions ---- */
 
 typedef enum {
     SKY_ACT_SEND = 1,
--- a/lib/peer/peers.c
+++ b/lib/peer/peers.c
@@ -65,8 +65,7 @@
     return __atomic_load_n(&peers->stopping, __ATOMIC_ACQUIRE);
 }
 
-/* ---- sending --------------------------------------------------------------
- */
+/* ---- sending ---- */
 
 static int
 wait_connected(int fd, uint32_t timeout_ms)
@@ -301,8 +300,7 @@
     }
 }
 
-/* ---- receiving ------------------------------------------------------------
- */
+/* ---- receiving ---- */
 
 static void
 receive_one(const sky_in_message_t *in, void *context)
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -34,8 +34,7 @@
     return end;
 }
 
-/* ---- log ------------------------------------------------------------------
- */
+/* ---- log ---- */
 
 static void
 take_records(const json_t *list, sky_in_log_read_t *read)
@@ -122,8 +121,7 @@
     return appended;
 }
 
-/* ---- hosts ----------------------------------------------------------------
- */
+/* ---- hosts ---- */
 
 static bool
 find_target(const sky_target_info_t *targets, uint32_t count, const char *name,
@@ -161,8 +159,7 @@
     return count;
 }
 
-/* ---- targets --------------------------------------------------------------
- */
+/* ---- targets ---- */
 
 static uint64_t
 number_of(const json_t *object, const char *key)
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -49,8 +49,7 @@
     return text;
 }
 
-/* ---- change ---------------------------------------------------------------
- */
+/* ---- change ---- */
 
 static sky_result_t
 read_change(const json_t *root, sky_rec_config_t *config)
@@ -115,8 +114,7 @@
     return result;
 }
 
-/* ---- show -----------------------------------------------------------------
- */
+/* ---- show ---- */
 
 typedef struct {
     const sky_admin_call_t *call;
--- a/lib/serve/call.c
+++ b/lib/serve/call.c
@@ -59,8 +59,7 @@
     return call;
 }
 
-/* ---- parse ----------------------------------------------------------------
- */
+/* ---- parse ---- */
 
 static bool
 is_service(const sky_call_t *call)
@@ -159,8 +158,7 @@
     return parse_key(call);
 }
 
-/* ---- admit ----------------------------------------------------------------
- */
+/* ---- admit ---- */
 
 static uint64_t
 hash_parts(const char *a, const char *b, const char *c, uint64_t seed)
@@ -235,8 +233,7 @@
     return result;
 }
 
-/* ---- decide ---------------------------------------------------------------
- */
+/* ---- decide ---- */
 
 static bool
 caller_is_gone(const sky_call_t *call)
@@ -287,8 +284,7 @@
     SkyControl_Post(call->control, &input);
 }
 
-/* ---- dispatch -------------------------------------------------------------
- */
+/* ---- dispatch ---- */
 
 static sky_outcome_t
 dispatch(sky_call_t *call, const sky_act_dispatch_t *order,
@@ -346,8 +342,7 @@
     }
 }
 
-/* ---- account --------------------------------------------------------------
- */
+/* ---- account ---- */
 
 static uint64_t
 since_ms(const sky_call_t *call, uint64_t at_us)
--- a/lib/serve/control.c
+++ b/lib/serve/control.c
@@ -57,8 +57,7 @@
     pthread_condattr_destroy(&attributes);
 }
 
-/* ---- queue of inputs ------------------------------------------------------
- */
+/* ---- queue of inputs ---- */
 
 static void
 free_input(sky_input_t *input)
@@ -116,8 +115,7 @@
     SkyExchanges_Close(control->exchanges, done);
 }
 
-/* ---- blocking jobs --------------------------------------------------------
- */
+/* ---- blocking jobs ---- */
 
 typedef struct {
     sky_control_t *control;
@@ -213,8 +211,7 @@
     free(job);
 }
 
-/* ---- actions --------------------------------------------------------------
- */
+/* ---- actions ---- */
 
 static void
 send_message(sky_control_t *control, const sky_act_send_t *send)
@@ -343,8 +340,7 @@
     }
 }
 
-/* ---- thread ---------------------------------------------------------------
- */
+/* ---- thread ---- */
 
 static void
 step(sky_control_t *control, const sky_input_t *input, sky_actions_t *actions)
@@ -550,8 +546,7 @@
     free_parts(control);
 }
 
-/* ---- views ----------------------------------------------------------------
- */
+/* ---- views ---- */
 
 bool
 SkyControl_IsReady(const sky_control_t *control)
--- a/lib/serve/front.c
+++ b/lib/serve/front.c
@@ -36,8 +36,7 @@
     bool too_large;
 } upload_t;
 
-/* ---- answers --------------------------------------------------------------
- */
+/* ---- answers ---- */
 
 static enum MHD_Result
 send_text(struct MHD_Connection *connection, uint32_t status, char *text,
@@ -87,8 +86,7 @@
     return result;
 }
 
-/* ---- streams --------------------------------------------------------------
- */
+/* ---- streams ---- */
 
 typedef struct {
     sky_call_t *call;
@@ -177,8 +175,7 @@
     return result;
 }
 
-/* ---- routes ---------------------------------------------------------------
- */
+/* ---- routes ---- */
 
 static const char *
 header(struct MHD_Connection *connection, const char *name)
@@ -294,8 +291,7 @@
     return send_error(connection, SKY_E_NOT_FOUND, 0);
 }
 
-/* ---- libmicrohttpd --------------------------------------------------------
- */
+/* ---- libmicrohttpd ---- */
 
 static void
 take_upload(const sky_front_t *front, upload_t *upload, const char *data,
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -45,8 +45,7 @@
     sky_result_t failure;
 };
 
-/* ---- sending --------------------------------------------------------------
- */
+/* ---- sending ---- */
 
 /** neon asks for the body once the head has been written. */
 static ssize_t
@@ -109,8 +108,7 @@
     return SKY_OK;
 }
 
-/* ---- reading --------------------------------------------------------------
- */
+/* ---- reading ---- */
 
 static bool
 make_room(sky_relay_t *relay)
@@ -242,8 +240,7 @@
     return check_part(relay, relay->data, relay->size);
 }
 
-/* ---- outcome --------------------------------------------------------------
- */
+/* ---- outcome ---- */
 
 /** A target answers these before it runs anything. */
 static bool
--- a/lib/serve/status.c
+++ b/lib/serve/status.c
@@ -20,8 +20,7 @@
     return json_integer((json_int_t)value);
 }
 
-/* ---- JSON -----------------------------------------------------------------
- */
+/* ---- JSON ---- */
 
 static void
 add_members(const sky_members_t *members, json_t *root)
@@ -143,8 +142,7 @@
     return context.root;
 }
 
-/* ---- histograms -----------------------------------------------------------
- */
+/* ---- histograms ---- */
 
 /** A list of histograms and the unit of their values. */
 typedef struct {
@@ -184,8 +182,7 @@
     return NULL;
 }
 
-/* ---- Prometheus text ------------------------------------------------------
- */
+/* ---- Prometheus text ---- */
 
 static void
 print_counter(FILE *text, const char *name, uint64_t value)
--- a/programs/commands.c
+++ b/programs/commands.c
@@ -16,8 +16,7 @@
 #define BAR_WIDTH 50
 #define BEARER_BYTES 300
 
-/* ---- serve and check ------------------------------------------------------
- */
+/* ---- serve and check ---- */
 
 static sky_result_t
 load_settings(const sky_arguments_t *arguments, sky_settings_t *settings)
@@ -72,8 +71,7 @@
     return result;
 }
 
-/* ---- calls to a host ------------------------------------------------------
- */
+/* ---- calls to a host ---- */
 
 /** @return the host's answer, or NULL with @p result set. */
 static json_t *
@@ -128,8 +126,7 @@
     putchar('\n');
 }
 
-/* ---- publish and amend ----------------------------------------------------
- */
+/* ---- publish and amend ---- */
 
 /** A workspace file may give the caller's secret; only its hash is sent. */
 static sky_result_t
@@ -253,8 +250,7 @@
     return result;
 }
 
-/* ---- status ---------------------------------------------------------------
- */
+/* ---- status ---- */
 
 static const char *
 text_of(const json_t *object, const char *key)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -126,6 +126,22 @@
             "$DIR/workspace.toml"
 }
 
+# wait_in_force HOST...: until the workspace is in force on each of them
+wait_in_force() {
+    for number in "$@"; do
+        tries=100
+        until "$BIN" show -H "$(host_address "$number")" workspace guild \
+            >/dev/null 2>&1; do
+            tries=$((tries - 1))
+            if [ "$tries" -eq 0 ]; then
+                echo "host$number: the workspace is not in force" >&2
+                return 1
+            fi
+            sleep 0.1
+        done
+    done
+}
+
 # complete HOST MODEL PROMPT [curl options]
 complete() {
     host=$1 model=$2 prompt=$3
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,7 +20,7 @@
 
 echo "== publishing a template and a workspace with 6 adapters"
 publish_documents 1 6
-sleep 1
+wait_in_force 1 2 3
 
 echo "== requests for several adapters through different hosts"
 for n in 1 2 3 4 5 6; do
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -96,8 +96,7 @@
     return false;
 }
 
-/* ---- orders ---------------------------------------------------------------
- */
+/* ---- orders ---- */
 
 static bool
 fetch_weights(const char *store)
@@ -179,8 +178,7 @@
     return result;
 }
 
-/* ---- completions ----------------------------------------------------------
- */
+/* ---- completions ---- */
 
 typedef struct {
     char id[64];
@@ -397,8 +395,7 @@
                     : send_whole(request, stream);
 }
 
-/* ---- reports --------------------------------------------------------------
- */
+/* ---- reports ---- */
 
 static void *
 keep_history(void *opaque)
--- a/tests/fakes/platform.c
+++ b/tests/fakes/platform.c
@@ -45,8 +45,7 @@
 static uint32_t transit_peak;
 static uint64_t loads;
 
-/* ---- log ------------------------------------------------------------------
- */
+/* ---- log ---- */
 
 static void
 trim(void)
@@ -128,8 +127,7 @@
                                                 : read_log(request);
 }
 
-/* ---- list of hosts --------------------------------------------------------
- */
+/* ---- list of hosts ---- */
 
 static enum MHD_Result
 change_hosts(const fake_request_t *request)
@@ -166,8 +164,7 @@
     return Fake_ReplyJson(request, 200, json_pack("{s:o}", "hosts", list));
 }
 
-/* ---- weight store ---------------------------------------------------------
- */
+/* ---- weight store ---- */
 
 /** Each lane gives its share of the rate; more loads share the lanes. */
 static void
@@ -248,8 +245,7 @@
     return Fake_Serve(argv[2], 60, handle_platform);
 }
 
-/* ---- plain service --------------------------------------------------------
- */
+/* ---- plain service ---- */
 
 static json_t *calls;
 
--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -15,7 +15,7 @@
 done
 for n in 1 2 3; do wait_ready $n || exit 1; done
 publish_documents 1 6
-sleep 1
+wait_in_force 1 2 3
 
 # Every host answers for every adapter, by the right one.
 for host in 1 2 3; do
--- a/tests/proc_faults.sh
+++ b/tests/proc_faults.sh
@@ -15,7 +15,7 @@
 done
 for n in 1 2 3 4; do wait_ready $n || exit 1; done
 publish_documents 1 10
-sleep 1
+wait_in_force 1 2 3 4
 check "first answer" "$(until_ok 1 notes1 "hello" 20)" SKY_OK
 
 # The owner is killed with requests in flight: those go on.
--- /dev/null
+++ b/tests/test_entry.cc
@@ -0,0 +1,170 @@
+/** @file test_entry.cc @brief The entry host's part, driven by hand. */
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "decide/entry.h"
+
+namespace
+{
+
+const uint64_t SECOND = 1000000;
+
+/** An entry on a host that is the only member and holds its lease. */
+class EntryTest : public ::testing::Test
+{
+  protected:
+    void
+    SetUp() override
+    {
+        sky_members_options_t member_options = {};
+        strcpy(member_options.name, "host");
+        member_options.lease_us = 10 * SECOND;
+        member_options.retention_us = 1000 * SECOND;
+        members = SkyMembers_Create(&member_options);
+        sky_record_t join = {};
+        join.kind = SKY_REC_JOIN;
+        join.offset = 1;
+        join.u.member.host = SkyName_Hash("host");
+        SkyMembers_NoteStart(members, 1);
+        SkyMembers_Apply(members, &join, SECOND);
+        sky_in_log_read_t read = {};
+        read.ok = true;
+        read.reached_tail = true;
+        read.begun_us = SECOND;
+        read.next = 2;
+        SkyMembers_NoteRead(members, &read);
+        strcpy(target.pool, "desk");
+        target.batch = 1;
+        sky_entry_options_t options = {};
+        options.key_life_us = 100 * SECOND;
+        options.claim_wait_us = 2 * SECOND;
+        options.ask_again_us = SECOND / 2;
+        options.attempts_max = 3;
+        options.retry_burst = 5;
+        options.claim_writers_max = 1;
+        doubts = SkyDoubts_Create(members);
+        entry = SkyEntry_Create(&options, &target, 1, 1, members, doubts);
+    }
+
+    void
+    TearDown() override
+    {
+        SkyActions_Free(&out);
+        SkyEntry_Free(entry);
+        SkyDoubts_Free(doubts);
+        SkyMembers_Free(members);
+    }
+
+    void
+    Ask(bool once, uint32_t timeout_ms)
+    {
+        sky_in_request_t in = {};
+        in.request = 0x100;
+        in.adapter = 7;
+        in.pool = (uint32_t)SkyName_Hash("desk");
+        in.timeout_ms = timeout_ms;
+        in.once = once;
+        in.key.low = 9;
+        SkyEntry_Request(entry, &in, SECOND, &out);
+    }
+
+    void
+    Tell(sky_msg_kind_t kind, uint64_t now_us, uint32_t code = 0)
+    {
+        sky_in_message_t in = {};
+        in.from = SkyName_Hash("host");
+        in.msg.kind = kind;
+        if (kind == SKY_MSG_GRANT) {
+            in.msg.u.grant.request = 0x100;
+            in.msg.u.grant.fence = 1;
+        }
+        else {
+            in.msg.u.claim_answer.request = 0x100;
+            in.msg.u.claim_answer.code = code;
+        }
+        SkyEntry_Message(entry, &in, now_us, &out);
+    }
+
+    uint32_t
+    Count(sky_action_kind_t kind) const
+    {
+        uint32_t count = 0;
+        for (size_t i = 0; i < out.count; i++) {
+            count += out.items[i].kind == kind;
+        }
+        return count;
+    }
+
+    sky_members_t *members = nullptr;
+    sky_doubts_t *doubts = nullptr;
+    sky_entry_t *entry = nullptr;
+    sky_target_info_t target = {};
+    sky_actions_t out = {};
+};
+
+TEST_F(EntryTest, NothingIsDispatchedBeforeTheClaimIsWon)
+{
+    Ask(true, 5000);
+    Tell(SKY_MSG_GRANT, SECOND);
+    EXPECT_EQ(Count(SKY_ACT_DISPATCH), 0u);
+    Tell(SKY_MSG_CLAIM_ANSWER, SECOND);
+    Tell(SKY_MSG_GRANT, SECOND);
+    EXPECT_EQ(Count(SKY_ACT_DISPATCH), 1u);
+}
+
+TEST_F(EntryTest, AClaimWonAfterTheDeadlineIsAnsweredAndGivenBack)
+{
+    Ask(true, 100);
+    Tell(SKY_MSG_CLAIM_ANSWER, 2 * SECOND);
+    ASSERT_EQ(Count(SKY_ACT_ANSWER), 1u);
+    EXPECT_EQ(SkyEntry_OpenCount(entry), 0u);
+    EXPECT_EQ(Count(SKY_ACT_APPEND), 1u); /* the release */
+}
+
+TEST_F(EntryTest, ALostClaimIsUnknownAndNotReleased)
+{
+    Ask(true, 5000);
+    Tell(SKY_MSG_CLAIM_ANSWER, SECOND, SKY_E_CLAIMED);
+    ASSERT_EQ(Count(SKY_ACT_ANSWER), 1u);
+    EXPECT_EQ(Count(SKY_ACT_APPEND), 0u);
+}
+
+TEST_F(EntryTest, ABrokenExchangeOfANonIdempotentRequestIsNotTriedAgain)
+{
+    Ask(true, 5000);
+    Tell(SKY_MSG_CLAIM_ANSWER, SECOND);
+    Tell(SKY_MSG_GRANT, SECOND);
+    sky_in_outcome_t outcome = {0x100, SKY_OUTCOME_BROKEN, false};
+    SkyEntry_Outcome(entry, &outcome, SECOND, &out);
+    EXPECT_EQ(Count(SKY_ACT_DISPATCH), 1u);
+    EXPECT_EQ(SkyEntry_Stats(entry)->unknown, 1u);
+    EXPECT_EQ(SkyEntry_OpenCount(entry), 0u);
+}
+
+TEST_F(EntryTest, AGrantWithoutALeaseIsReturned)
+{
+    Ask(false, 60000);
+    Tell(SKY_MSG_GRANT, 800 * SECOND);
+    EXPECT_EQ(Count(SKY_ACT_DISPATCH), 0u);
+    EXPECT_EQ(SkyEntry_Stats(entry)->stale_grants, 1u);
+}
+
+TEST_F(EntryTest, RetriesHaveABudget)
+{
+    Ask(false, 60000);
+    for (int i = 0; i < 5; i++) {
+        sky_in_message_t in = {};
+        in.from = SkyName_Hash("host");
+        in.msg.kind = SKY_MSG_GRANT;
+        in.msg.u.grant.request = 0x100 + (uint64_t)i;
+        in.msg.u.grant.fence = 1;
+        SkyEntry_Message(entry, &in, SECOND, &out);
+        sky_in_outcome_t outcome = {0x100, SKY_OUTCOME_NOT_SENT, false};
+        SkyEntry_Outcome(entry, &outcome, SECOND, &out);
+    }
+    EXPECT_EQ(Count(SKY_ACT_DISPATCH), 3u); /* attempts_max */
+    EXPECT_EQ(SkyEntry_Stats(entry)->not_run, 1u);
+}
+
+} // namespace
