Show the revision in force on each host, and the oldest

Cause: status knew the revision of the host asked only. A member's record now says where operators reach it, and the command asks each; one that does not answer is shown as such. Seen: three hosts, revision and lease of each.

--- a/lib/decide/members.c
+++ b/lib/decide/members.c
@@ -151,6 +151,7 @@
     member->heard_us = now_us;
     memcpy(member->name, rec->name, sizeof member->name);
     memcpy(member->address, rec->address, sizeof member->address);
+    memcpy(member->listen, rec->listen, sizeof member->listen);
 }
 
 static bool
--- a/lib/decide/members.h
+++ b/lib/decide/members.h
@@ -23,6 +23,7 @@
 typedef struct {
     char name[SKY_NAME_BYTES];
     char address[SKY_ADDRESS_BYTES]; /**< where peers reach this host */
+    char listen[SKY_ADDRESS_BYTES];  /**< where operators reach it */
     uint32_t domain;
     uint64_t seed; /**< makes nonces unique over restarts */
     uint32_t off;  /**< sky_off_t, for proofs only */
@@ -43,7 +44,7 @@
     bool draining;
     char name[SKY_NAME_BYTES];
     char address[SKY_ADDRESS_BYTES];
-
+    char listen[SKY_ADDRESS_BYTES];
     uint64_t heard_us;   /**< last heartbeat received from it */
     uint64_t suspect_us; /**< when SUSPECT was sent; 0: not suspected */
     uint64_t acked_us;   /**< send time of the last heartbeat it answered */
--- a/lib/decide/members_watch.c
+++ b/lib/decide/members_watch.c
@@ -77,6 +77,7 @@
     rec->draining = members->draining;
     memcpy(rec->name, options->name, sizeof rec->name);
     memcpy(rec->address, options->address, sizeof rec->address);
+    memcpy(rec->listen, options->listen, sizeof rec->listen);
 }
 
 static sky_record_t *
@@ -177,6 +178,7 @@
     ask->domain = options->domain;
     memcpy(ask->name, options->name, sizeof ask->name);
     memcpy(ask->address, options->address, sizeof ask->address);
+    memcpy(ask->listen, options->listen, sizeof ask->listen);
 }
 
 static void
@@ -342,6 +344,7 @@
     rec->draining = 0;
     memcpy(rec->name, ask->name, sizeof rec->name);
     memcpy(rec->address, ask->address, sizeof rec->address);
+    memcpy(rec->listen, ask->listen, sizeof rec->listen);
 }
 
 void
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -205,6 +205,7 @@
     uint32_t domain;
     char name[SKY_NAME_BYTES];
     char address[SKY_ADDRESS_BYTES];
+    char listen[SKY_ADDRESS_BYTES];
 } sky_msg_join_ask_t;
 
 typedef struct {
@@ -254,7 +255,8 @@
     sky_offset_t
         sponsor; /**< JOIN: incarnation of the member that let it in */
     char name[SKY_NAME_BYTES];
-    char address[SKY_ADDRESS_BYTES];
+    char address[SKY_ADDRESS_BYTES]; /**< for other hosts */
+    char listen[SKY_ADDRESS_BYTES];  /**< for callers and operators */
 } sky_rec_member_t;
 
 typedef struct {
--- a/lib/peer/codec.c
+++ b/lib/peer/codec.c
@@ -98,7 +98,9 @@
 {
     bool_t ok = xdr_u64(xdr, &msg->nonce) && xdr_u32(xdr, &msg->domain) &&
                 xdr_opaque(xdr, msg->name, sizeof msg->name) &&
-                xdr_opaque(xdr, msg->address, sizeof msg->address);
+                xdr_opaque(xdr, msg->address, sizeof msg->address) &&
+                xdr_opaque(xdr, msg->listen, sizeof msg->listen);
+    msg->listen[sizeof msg->listen - 1] = '\0';
     msg->name[sizeof msg->name - 1] = '\0';
     msg->address[sizeof msg->address - 1] = '\0';
     return ok;
--- a/lib/platform/record_json.c
+++ b/lib/platform/record_json.c
@@ -62,6 +62,7 @@
     set_number(object, "sponsor", member->sponsor);
     json_object_set_new(object, "name", json_string(member->name));
     json_object_set_new(object, "address", json_string(member->address));
+    json_object_set_new(object, "listen", json_string(member->listen));
 }
 
 static void
@@ -77,6 +78,7 @@
     member->sponsor = get_number(object, "sponsor");
     get_text(object, "name", member->name, sizeof member->name);
     get_text(object, "address", member->address, sizeof member->address);
+    get_text(object, "listen", member->listen, sizeof member->listen);
 }
 
 static void
--- a/lib/serve/settings.c
+++ b/lib/serve/settings.c
@@ -340,6 +340,7 @@
     SkyNode_Defaults(options);
     memcpy(options->members.name, settings->host_name, SKY_NAME_BYTES);
     memcpy(options->members.address, settings->host_peer, SKY_ADDRESS_BYTES);
+    memcpy(options->members.listen, settings->host_listen, SKY_ADDRESS_BYTES);
     options->members.domain = settings->domain;
     options->members.seed = seed;
     options->members.lease_us = to_us(settings->lease_ms);
--- a/lib/serve/status.c
+++ b/lib/serve/status.c
@@ -32,6 +32,7 @@
         json_t *item = json_object();
         json_object_set_new(item, "name", json_string(list[i].name));
         json_object_set_new(item, "address", json_string(list[i].address));
+        json_object_set_new(item, "listen", json_string(list[i].listen));
         json_object_set_new(item, "domain", number(list[i].domain));
         json_object_set_new(item, "incarnation", number(list[i].incarnation));
         json_object_set_new(item, "draining", json_boolean(list[i].draining));
--- a/programs/commands.c
+++ b/programs/commands.c
@@ -2,10 +2,12 @@
 
 #include <inttypes.h>
 #include <jansson.h>
+#include <limits.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "platform/http.h"
 #include "serve/server.h"
@@ -179,6 +181,9 @@
         json_pack("{s:s, s:s, s:I, s:o}", "kind", arguments->kind, "name",
                   arguments->name, "base", (json_int_t)base, "body", body);
     char *text = json_dumps(change, JSON_COMPACT);
+    if (isatty(STDERR_FILENO)) {
+        fprintf(stderr, "waiting for the change to be read back...\n");
+    }
     json_t *answer =
         call_host(arguments, "POST", "/admin/config", text, &result);
     free(text);
@@ -265,19 +270,58 @@
     return (long long)json_integer_value(json_object_get(object, key));
 }
 
+/** Asks each member for its own state; "status" stays away where it does not
+ *  answer. */
+static void
+ask_members(const sky_arguments_t *arguments, json_t *root)
+{
+    size_t index;
+    json_t *member;
+    json_array_foreach(json_object_get(root, "members"), index, member)
+    {
+        sky_arguments_t own = *arguments;
+        sky_result_t result;
+        own.host = json_string_value(json_object_get(member, "listen"));
+        json_t *answer =
+            call_host(&own, "GET", "/admin/status", NULL, &result);
+        if (answer != NULL && json_object_get(answer, "error") == NULL) {
+            json_object_set(member, "revision",
+                            json_object_get(answer, "revision"));
+            json_object_set(member, "lease", json_object_get(answer, "lease"));
+        }
+        json_decref(answer);
+    }
+}
+
 static void
 print_members(const json_t *root)
 {
     size_t index;
     const json_t *member;
-    printf("%-24s %-22s %6s %s\n", "HOST", "ADDRESS", "DOMAIN", "STATE");
+    long long oldest = LLONG_MAX;
+    printf("%-24s %-22s %6s %8s %-8s %s\n", "HOST", "ADDRESS", "DOMAIN",
+           "REVISION", "LEASE", "STATE");
     json_array_foreach(json_object_get(root, "members"), index, member)
     {
         bool draining = json_is_true(json_object_get(member, "draining"));
-        printf("%-24s %-22s %6lld %s\n", text_of(member, "name"),
-               text_of(member, "address"), number_of(member, "domain"),
+        const json_t *revision = json_object_get(member, "revision");
+        if (revision == NULL) {
+            printf("%-24s %-22s %6lld %8s %-8s no answer\n",
+                   text_of(member, "name"), text_of(member, "listen"),
+                   number_of(member, "domain"), "-", "-");
+            continue;
+        }
+        long long value = (long long)json_integer_value(revision);
+        oldest = value < oldest ? value : oldest;
+        printf("%-24s %-22s %6lld %8lld %-8s %s\n", text_of(member, "name"),
+               text_of(member, "listen"), number_of(member, "domain"), value,
+               json_is_true(json_object_get(member, "lease")) ? "held"
+                                                              : "not held",
                draining ? "draining" : "member");
     }
+    if (oldest != LLONG_MAX) {
+        printf("oldest revision in force: %lld\n", oldest);
+    }
 }
 
 static void
@@ -377,6 +421,9 @@
         json_decref(answer);
         return result;
     }
+    if (arguments->histogram == NULL) {
+        ask_members(arguments, answer);
+    }
     if (arguments->json) {
         print_json(answer);
     }
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -5,14 +5,12 @@
 
 #include "decide/entry.h"
 
-namespace
-{
+namespace {
 
 const uint64_t SECOND = 1000000;
 
 /** An entry on a host that is the only member and holds its lease. */
-class EntryTest : public ::testing::Test
-{
+class EntryTest : public ::testing::Test {
   protected:
     void
     SetUp() override
