--- a/bench/driver.c
+++ b/bench/driver.c
@@ -9,7 +9,6 @@
 
 #define FIRST_US UINT64_C(1000000)
 #define WALL_MS UINT64_C(1800000000000)
-#define READ_PAGE 500
 #define HOSTS_EVERY_US UINT64_C(1000000)
 #define ANSWER_SLACK_US UINT64_C(1500000)
 #define ATTEMPT_MASK UINT64_C(15)
@@ -177,8 +176,8 @@
                                            : driver->options.far_us);
 }
 
-static uint64_t
-host_clock(const driver_t *driver, uint32_t host)
+uint64_t
+DriverState_HostClock(const driver_t *driver, uint32_t host)
 {
     return driver->now_us + driver->hosts[host].clock_us;
 }
@@ -246,106 +245,6 @@
     }
 }
 
-/* ---- log ---- */
-
-static void
-trim_log(driver_t *driver)
-{
-    while (driver->log_oldest <= driver->log_count &&
-           driver->log[driver->log_oldest].at_us +
-                   driver->options.retention_us <
-               driver->now_us) {
-        SkyRecord_Free(&driver->log[driver->log_oldest].record);
-        driver->log_oldest++;
-    }
-}
-
-static void
-append_to_log(driver_t *driver, sky_record_t *record)
-{
-    if (driver->log_count + 2 > driver->log_capacity) {
-        driver->log_capacity = 2 * driver->log_capacity + 1024;
-        driver->log =
-            realloc(driver->log, driver->log_capacity * sizeof *driver->log);
-        if (driver->log == NULL) {
-            abort();
-        }
-    }
-    log_entry_t *entry = &driver->log[++driver->log_count];
-    entry->at_us = driver->now_us;
-    entry->record = *record;
-    entry->record.offset = driver->log_count;
-    driver->stats.appends++;
-    DriverState_Trace(driver, "log %lu: kind %d host %lx incarnation %lu",
-                      driver->log_count, (int)record->kind,
-                      record->u.member.host, record->u.member.incarnation);
-}
-
-static void
-take_append(driver_t *driver, event_t *event)
-{
-    host_t *host = &driver->hosts[event->host];
-    uint64_t nonce = event->record->nonce;
-    bool refused = driver->log_down || host->log_cut;
-    bool lost = Driver_Uniform(driver) < driver->lose_share;
-    if (refused) {
-        SkyRecord_Free(event->record);
-    }
-    else {
-        append_to_log(driver, event->record);
-    }
-    free(event->record);
-    sky_input_t *input = DriverState_Input(
-        driver, event->host, event->generation, SKY_IN_APPENDED,
-        driver->now_us + DriverState_Jitter(driver, driver->options.log_us));
-    input->u.appended.nonce = nonce;
-    input->u.appended.known = !refused && !lost;
-    input->u.appended.offset = driver->log_count;
-}
-
-/** @return first offset that a read does not show yet. */
-static uint64_t
-visible_end(const driver_t *driver)
-{
-    uint64_t end = driver->log_count + 1;
-    while (end > driver->log_oldest && driver->options.log_lag_us > 0 &&
-           driver->log[end - 1].at_us + driver->options.log_lag_us >
-               driver->now_us) {
-        end--;
-    }
-    return end;
-}
-
-static void
-take_read(driver_t *driver, const event_t *event)
-{
-    const host_t *host = &driver->hosts[event->host];
-    sky_input_t *input = DriverState_Input(
-        driver, event->host, event->generation, SKY_IN_LOG_READ,
-        driver->now_us + DriverState_Jitter(driver, driver->options.log_us));
-    sky_in_log_read_t *read = &input->u.log_read;
-    read->begun_us = event->begun_us;
-    read->ok = !driver->log_down && !host->log_cut;
-    if (!read->ok) {
-        return;
-    }
-    trim_log(driver);
-    uint64_t end = visible_end(driver);
-    uint64_t at =
-        event->from > driver->log_oldest ? event->from : driver->log_oldest;
-    read->oldest = driver->log_oldest;
-    read->records = calloc(READ_PAGE, sizeof *read->records);
-    for (; at < end && read->count < READ_PAGE; at++) {
-        sky_record_t *record = &read->records[read->count++];
-        SkyRecord_Copy(record, &driver->log[at].record);
-        record->age_ms = (driver->now_us - driver->log[at].at_us) / 1000;
-    }
-    read->next = at;
-    read->reached_tail = at >= end;
-    driver->stats.log_reads++;
-    driver->stats.log_records_read += read->count;
-}
-
 /* ---- actions of a host ---- */
 
 static void
@@ -375,7 +274,7 @@
     event->generation = driver->hosts[host].generation;
     event->target = target;
     event->opened_us = driver->now_us;
-    event->begun_us = host_clock(driver, host);
+    event->begun_us = DriverState_HostClock(driver, host);
     return event;
 }
 
@@ -448,7 +347,7 @@
         event->host = host;
         event->generation = driver->hosts[host].generation;
         event->from = action->u.read_from;
-        event->begun_us = host_clock(driver, host);
+        event->begun_us = DriverState_HostClock(driver, host);
         break;
     case SKY_ACT_REPORT:
         send_to_target(driver, EVENT_ASK_REPORT, host,
@@ -484,8 +383,8 @@
     }
 }
 
-static void
-step(driver_t *driver, uint32_t host, const sky_input_t *input)
+void
+DriverState_Step(driver_t *driver, uint32_t host, const sky_input_t *input)
 {
     sky_actions_t actions = driver->actions;
     driver->actions.items = NULL; /* a step never nests, but be sure */
@@ -493,7 +392,8 @@
     driver->actions.capacity = 0;
     actions.count = 0;
     driver->stats.steps++;
-    SkyNode_Step(driver->hosts[host].node, input, host_clock(driver, host),
+    SkyNode_Step(driver->hosts[host].node, input,
+                 DriverState_HostClock(driver, host),
                  WALL_MS + driver->now_us / 1000, &actions);
     for (size_t i = 0; i < actions.count; i++) {
         perform(driver, host, &actions.items[i]);
@@ -532,10 +432,10 @@
         }
         return;
     }
-    step(driver, index, &close);
+    DriverState_Step(driver, index, &close);
     if (SkyNode_IsIdle(host->node)) {
         host->leaving = true;
-        step(driver, index, &leave);
+        DriverState_Step(driver, index, &leave);
     }
 }
 
@@ -544,7 +444,7 @@
 {
     sky_input_t input = {.kind = SKY_IN_TICK};
     host_t *host = &driver->hosts[event->host];
-    step(driver, event->host, &input);
+    DriverState_Step(driver, event->host, &input);
     stop_if_drained(driver, event->host);
     if (!host->alive) {
         return;
@@ -576,7 +476,7 @@
     uint32_t host = event->host;
     if (driver->hosts[host].alive &&
         driver->now_us >= driver->hosts[host].paused_until_us) {
-        step(driver, host, &input);
+        DriverState_Step(driver, host, &input);
     }
     event_t *next = DriverState_Push(
         driver, EVENT_HOSTS,
@@ -644,14 +544,14 @@
         break;
     case EVENT_INPUT:
         note_arrival(driver, event->input);
-        step(driver, event->host, event->input);
+        DriverState_Step(driver, event->host, event->input);
         free_input(event->input);
         break;
     case EVENT_APPEND:
-        take_append(driver, event);
+        DriverLog_Append(driver, event);
         break;
     case EVENT_READ:
-        take_read(driver, event);
+        DriverLog_Read(driver, event);
         break;
     case EVENT_ORDER:
         DriverTargets_Order(driver, event);
@@ -904,132 +804,3 @@
     }
     return false;
 }
-
-/* ---- faults and views ---- */
-
-void
-Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us)
-{
-    DriverState_Trace(driver, "pause host%u for %lu us", host, pause_us);
-    uint64_t until_us = driver->now_us + pause_us;
-    if (until_us > driver->hosts[host].paused_until_us) {
-        driver->hosts[host].paused_until_us = until_us;
-    }
-}
-
-void
-Driver_Drain(driver_t *driver, uint32_t index)
-{
-    sky_input_t input = {.kind = SKY_IN_DRAIN};
-    host_t *host = &driver->hosts[index];
-    if (host->alive && !host->drained &&
-        driver->now_us >= host->paused_until_us) {
-        DriverState_Trace(driver, "drain host%u", index);
-        host->drained = true;
-        step(driver, index, &input);
-    }
-}
-
-void
-Driver_Cut(driver_t *driver, uint32_t from, uint32_t to, bool cut)
-{
-    DriverState_Trace(driver, "cut host%u to host%u: %d", from, to, cut);
-    driver->cuts[from][to] = cut;
-}
-
-void
-Driver_CutLog(driver_t *driver, uint32_t host, bool cut)
-{
-    DriverState_Trace(driver, "cut host%u from the log: %d", host, cut);
-    driver->hosts[host].log_cut = cut;
-}
-
-void
-Driver_CutTarget(driver_t *driver, uint32_t host, uint32_t target, bool cut)
-{
-    DriverState_Trace(driver, "cut host%u from target%u: %d", host, target,
-                      cut);
-    driver->target_cuts[host * driver->options.node.target_count + target] =
-        cut;
-}
-
-void
-Driver_LogDown(driver_t *driver, bool down)
-{
-    DriverState_Trace(driver, "log down: %d", down);
-    driver->log_down = down;
-}
-
-void
-Driver_LoseAnswers(driver_t *driver, double share)
-{
-    driver->lose_share = share;
-}
-
-void
-Driver_StoreDown(driver_t *driver, bool down)
-{
-    driver->store_down = down;
-}
-
-void
-Driver_StoreSlow(driver_t *driver, double factor)
-{
-    driver->store_slow = factor;
-}
-
-void
-Driver_SetLeaving(driver_t *driver, uint32_t target, bool leaving)
-{
-    DriverState_Trace(driver, "target%u leaving: %d", target, leaving);
-    driver->targets[target].leaving_us = leaving ? driver->now_us : 0;
-}
-
-uint64_t
-Driver_Now(const driver_t *driver)
-{
-    return driver->now_us;
-}
-
-bool
-Driver_IsAlive(const driver_t *driver, uint32_t host)
-{
-    return driver->hosts[host].alive;
-}
-
-bool
-Driver_IsReady(const driver_t *driver, uint32_t host)
-{
-    return driver->hosts[host].alive &&
-           SkyNode_IsReady(driver->hosts[host].node, host_clock(driver, host));
-}
-
-const sky_node_t *
-Driver_Node(const driver_t *driver, uint32_t host)
-{
-    return driver->hosts[host].node;
-}
-
-uint32_t
-Driver_Owner(const driver_t *driver, uint32_t shard)
-{
-    for (uint32_t h = 0; h < driver->options.hosts; h++) {
-        if (driver->hosts[h].alive &&
-            SkyShard_IsActive(SkyNode_Shard(driver->hosts[h].node, shard))) {
-            return h;
-        }
-    }
-    return DRIVER_HOSTS_MAX;
-}
-
-const driver_breaches_t *
-Driver_Breaches(const driver_t *driver)
-{
-    return &driver->breaches;
-}
-
-const driver_stats_t *
-Driver_Stats(const driver_t *driver)
-{
-    return &driver->stats;
-}
--- /dev/null
+++ b/bench/driver_faults.c
@@ -0,0 +1,130 @@
+/** @file driver_faults.c @brief Faults that a test brings about, and views. */
+#include "bench/driver_state.h"
+
+void
+Driver_Pause(driver_t *driver, uint32_t host, uint64_t pause_us)
+{
+    DriverState_Trace(driver, "pause host%u for %lu us", host, pause_us);
+    uint64_t until_us = driver->now_us + pause_us;
+    if (until_us > driver->hosts[host].paused_until_us) {
+        driver->hosts[host].paused_until_us = until_us;
+    }
+}
+
+void
+Driver_Drain(driver_t *driver, uint32_t index)
+{
+    sky_input_t input = {.kind = SKY_IN_DRAIN};
+    host_t *host = &driver->hosts[index];
+    if (host->alive && !host->drained &&
+        driver->now_us >= host->paused_until_us) {
+        DriverState_Trace(driver, "drain host%u", index);
+        host->drained = true;
+        DriverState_Step(driver, index, &input);
+    }
+}
+
+void
+Driver_Cut(driver_t *driver, uint32_t from, uint32_t to, bool cut)
+{
+    DriverState_Trace(driver, "cut host%u to host%u: %d", from, to, cut);
+    driver->cuts[from][to] = cut;
+}
+
+void
+Driver_CutLog(driver_t *driver, uint32_t host, bool cut)
+{
+    DriverState_Trace(driver, "cut host%u from the log: %d", host, cut);
+    driver->hosts[host].log_cut = cut;
+}
+
+void
+Driver_CutTarget(driver_t *driver, uint32_t host, uint32_t target, bool cut)
+{
+    DriverState_Trace(driver, "cut host%u from target%u: %d", host, target,
+                      cut);
+    driver->target_cuts[host * driver->options.node.target_count + target] =
+        cut;
+}
+
+void
+Driver_LogDown(driver_t *driver, bool down)
+{
+    DriverState_Trace(driver, "log down: %d", down);
+    driver->log_down = down;
+}
+
+void
+Driver_LoseAnswers(driver_t *driver, double share)
+{
+    driver->lose_share = share;
+}
+
+void
+Driver_StoreDown(driver_t *driver, bool down)
+{
+    driver->store_down = down;
+}
+
+void
+Driver_StoreSlow(driver_t *driver, double factor)
+{
+    driver->store_slow = factor;
+}
+
+void
+Driver_SetLeaving(driver_t *driver, uint32_t target, bool leaving)
+{
+    DriverState_Trace(driver, "target%u leaving: %d", target, leaving);
+    driver->targets[target].leaving_us = leaving ? driver->now_us : 0;
+}
+
+uint64_t
+Driver_Now(const driver_t *driver)
+{
+    return driver->now_us;
+}
+
+bool
+Driver_IsAlive(const driver_t *driver, uint32_t host)
+{
+    return driver->hosts[host].alive;
+}
+
+bool
+Driver_IsReady(const driver_t *driver, uint32_t host)
+{
+    return driver->hosts[host].alive &&
+           SkyNode_IsReady(driver->hosts[host].node,
+                           DriverState_HostClock(driver, host));
+}
+
+const sky_node_t *
+Driver_Node(const driver_t *driver, uint32_t host)
+{
+    return driver->hosts[host].node;
+}
+
+uint32_t
+Driver_Owner(const driver_t *driver, uint32_t shard)
+{
+    for (uint32_t h = 0; h < driver->options.hosts; h++) {
+        if (driver->hosts[h].alive &&
+            SkyShard_IsActive(SkyNode_Shard(driver->hosts[h].node, shard))) {
+            return h;
+        }
+    }
+    return DRIVER_HOSTS_MAX;
+}
+
+const driver_breaches_t *
+Driver_Breaches(const driver_t *driver)
+{
+    return &driver->breaches;
+}
+
+const driver_stats_t *
+Driver_Stats(const driver_t *driver)
+{
+    return &driver->stats;
+}
--- a/bench/driver_state.h
+++ b/bench/driver_state.h
@@ -179,6 +179,16 @@
 driver_result_t *DriverState_Result(driver_t *driver, sky_request_id_t id,
                                     uint32_t *index);
 
+/** @return the time by a host's own clock. */
+uint64_t DriverState_HostClock(const driver_t *driver, uint32_t host);
+/** Gives a host one input and performs what follows. */
+void DriverState_Step(driver_t *driver, uint32_t host,
+                      const sky_input_t *input);
+
+/* driver_log.c */
+void DriverLog_Append(driver_t *driver, event_t *event);
+void DriverLog_Read(driver_t *driver, const event_t *event);
+
 /* driver_targets.c */
 void DriverTargets_Order(driver_t *driver, const event_t *event);
 void DriverTargets_Dispatch(driver_t *driver, const event_t *event);
--- a/lib/decide/shard_policy.c
+++ b/lib/decide/shard_policy.c
@@ -67,7 +67,7 @@
         if (target->permits >= target->info->batch ||
             !ShardSlots_IsUsable(shard, target, adapter->pool) ||
             !holds(target, adapter) ||
-            !ShardQueue_MayRunOn(shard, request, target)) {
+            !ShardRunning_MayRunOn(shard, request, target)) {
             continue;
         }
         if (is_better_target(shard, target, best)) {
--- a/lib/decide/shard_queue.c
+++ b/lib/decide/shard_queue.c
@@ -85,71 +85,6 @@
     count_waiting(shard, adapter, -1, request->urgency);
 }
 
-static void
-run_on(sky_shard_t *shard, const request_t *request)
-{
-    uint64_t fingerprint = request->fingerprint;
-    running_t *running;
-    HASH_FIND(hh, shard->running, &fingerprint, sizeof fingerprint, running);
-    if (running == NULL) {
-        running = calloc(1, sizeof *running);
-        if (running == NULL) {
-            abort();
-        }
-        running->fingerprint = fingerprint;
-        HASH_ADD(hh, shard->running, fingerprint, sizeof fingerprint, running);
-    }
-    for (uint32_t i = 0; i < SKY_CRASH_LIMIT; i++) {
-        if (running->permits[i] == 0 ||
-            running->targets[i] == request->target) {
-            running->targets[i] = request->target;
-            running->permits[i]++;
-            return;
-        }
-    }
-}
-
-static void
-stop_running(sky_shard_t *shard, const request_t *request)
-{
-    uint64_t fingerprint = request->fingerprint;
-    uint32_t left = 0;
-    running_t *running;
-    HASH_FIND(hh, shard->running, &fingerprint, sizeof fingerprint, running);
-    if (running == NULL) {
-        return;
-    }
-    for (uint32_t i = 0; i < SKY_CRASH_LIMIT; i++) {
-        if (running->permits[i] > 0 &&
-            running->targets[i] == request->target) {
-            running->permits[i]--;
-        }
-        left += running->permits[i];
-    }
-    if (left == 0) {
-        HASH_DEL(shard->running, running);
-        free(running);
-    }
-}
-
-bool
-ShardQueue_MayRunOn(const sky_shard_t *shard, const request_t *request,
-                    const target_t *target)
-{
-    uint64_t fingerprint = request->fingerprint;
-    running_t *running;
-    HASH_FIND(hh, shard->running, &fingerprint, sizeof fingerprint, running);
-    if (running == NULL) {
-        return true;
-    }
-    for (uint32_t i = 0; i < SKY_CRASH_LIMIT; i++) {
-        if (running->permits[i] == 0 || running->targets[i] == target->index) {
-            return true;
-        }
-    }
-    return false;
-}
-
 uint32_t
 ShardQueue_CountPermits(const sky_shard_t *shard, const target_t *target,
                         sky_adapter_id_t adapter)
@@ -171,7 +106,7 @@
     if (target->permits > 0) {
         target->permits--;
     }
-    stop_running(shard, request);
+    ShardRunning_Remove(shard, request);
     slot_t *slot = ShardSlots_Find(target, request->adapter->id);
     if (slot == NULL) {
         return;
@@ -252,7 +187,7 @@
         slot->permits++;
         slot->used_us = now_us;
     }
-    run_on(shard, request);
+    ShardRunning_Add(shard, request);
     shard->stats.grants++;
     send_grant(shard, request, out);
 }
@@ -551,7 +486,7 @@
     request->granted_round = shard->round;
     request->listed_round = shard->round;
     target->permits++;
-    run_on(shard, request);
+    ShardRunning_Add(shard, request);
     slot_t *slot = ShardSlots_Find(target, permit->adapter);
     if (slot != NULL) {
         slot->permits++;
@@ -617,13 +552,7 @@
         }
         delete_request(shard, request);
     }
-    running_t *running;
-    running_t *next_running;
-    HASH_ITER(hh, shard->running, running, next_running)
-    {
-        HASH_DEL(shard->running, running);
-        free(running);
-    }
+    ShardRunning_Clear(shard);
     for (uint32_t t = 0; t < shard->count; t++) {
         shard->targets[t].permits = 0;
     }
--- a/lib/decide/shard_state.h
+++ b/lib/decide/shard_state.h
@@ -192,16 +192,21 @@
 uint32_t ShardQueue_CountPermits(const sky_shard_t *shard,
                                  const target_t *target,
                                  sky_adapter_id_t adapter);
-/** @return true if the fingerprint may run on the target now: copies of one
- *          request never run on more targets than it may crash. */
-bool ShardQueue_MayRunOn(const sky_shard_t *shard, const request_t *request,
-                         const target_t *target);
 void ShardQueue_Expire(sky_shard_t *shard, uint64_t now_us,
                        sky_actions_t *out);
 void ShardQueue_Clear(sky_shard_t *shard);
 void ShardQueue_HeatTouch(adapter_t *adapter, uint64_t now_us);
 double ShardQueue_Heat(const adapter_t *adapter, uint64_t now_us);
 
+/* shard_running.c: copies of one request */
+void ShardRunning_Add(sky_shard_t *shard, const request_t *request);
+void ShardRunning_Remove(sky_shard_t *shard, const request_t *request);
+void ShardRunning_Clear(sky_shard_t *shard);
+/** @return true if the fingerprint may run on the target now: copies of one
+ *          request never run on more targets than it may crash. */
+bool ShardRunning_MayRunOn(const sky_shard_t *shard, const request_t *request,
+                           const target_t *target);
+
 /* shard_policy.c: choices only, no change of state but ordering loads */
 target_t *ShardPolicy_ChooseTarget(sky_shard_t *shard,
                                    const adapter_t *adapter,
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -69,6 +69,17 @@
     }
 }
 
+TEST(Settings, TheExampleIsGood)
+{
+    sky_settings_t settings;
+    char error[SKY_ERROR_BYTES] = "";
+    ASSERT_EQ(SkySettings_Load("docs/examples/host1.toml", &settings, error),
+              SKY_OK)
+        << error;
+    EXPECT_EQ(settings.target_count, 2u);
+    SkySettings_Free(&settings);
+}
+
 TEST(Settings, AMissingKeyIsNamed)
 {
     sky_settings_t settings;
