--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -663,6 +663,9 @@
         return;
     }
     sky_result_t code = final_code(outcome->outcome);
+    if (code == SKY_E_UNKNOWN && (entry->options.off & SKY_OFF_UNKNOWN)) {
+        code = SKY_E_REFUSED;
+    }
     bool was_not_run = SkyResult_Kind(code)[0] == 'n';
     if (was_not_run) {
         request->state = STATE_ACQUIRING;
--- a/lib/decide/types.h
+++ b/lib/decide/types.h
@@ -67,6 +67,7 @@
     SKY_OFF_LEASE_CHECK = 1 << 7, /**< a lapsed lease still counts */
     SKY_OFF_RESTATE = 1 << 8,     /**< nothing is restated in the log */
     SKY_OFF_REFUSAL = 1 << 9,     /**< no refusal before the deadline */
+    SKY_OFF_UNKNOWN = 1 << 10,    /**< a broken exchange is "not run" */
 } sky_off_t;
 
 /** How an exchange with a target ended, as the entry host saw it. */
--- a/tests/test_promises.cc
+++ b/tests/test_promises.cc
@@ -74,6 +74,15 @@
         0u);
 }
 
+TEST(Promises, NotRunNeedsTheThirdKindOfAnswer)
+{
+    EXPECT_GT(SeedWithout(SKY_OFF_UNKNOWN,
+                          [](const run_t &run) {
+                              return run.breaches.run_after_not_run;
+                          }),
+              0u);
+}
+
 TEST(Promises, TwoCrashesAtMostNeedTheCount)
 {
     EXPECT_GT(SeedWithout(SKY_OFF_CRASH_COUNT,
