Run on the users' platform: event loop, store feed, ownership, placement, relay

The thin path: one loop a host reads configuration and targets from the platform's store, owns shards of targets through a group of the store, has cold adapters loaded by order and relays requests and streams.

--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 CXX ?= g++
 SAN ?=
 comma := ,
-BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
+BUILD ?= build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
 PACKAGES := neon jansson libsodium libmicrohttpd libtirpc liburcu-bp liburcu-cds
 DEP_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
-DEP_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lxxhash -lm -lpthread
+DEP_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lev -lhttp_parser -lxxhash -lm -lpthread
 SANFLAGS := $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
 WARN := -Wall -Wextra -Werror
 OPT ?= -O2 -g
@@ -20,7 +20,7 @@
 CXXFLAGS += -std=c++17 $(OPT) $(WARN) $(SANFLAGS)
 LDFLAGS += $(SANFLAGS)
 
-LIB_C := $(wildcard lib/*/*.c) lib/peer/gen/skypeer_xdr.c
+LIB_C := $(wildcard lib/*/*.c) $(wildcard platform/*.c) lib/peer/gen/skypeer_xdr.c
 LIB_CXX := $(wildcard lib/*/*.cpp)
 LIB_O := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
 PROG_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/*.c))
--- a/lib/core/clock.c
+++ b/lib/core/clock.c
@@ -32,3 +32,20 @@
     at.tv_nsec = (long)(ns % NS_PER_S);
     return at;
 }
+
+uint64_t
+SkyClock_NowMs(void)
+{
+    return SkyClock_NowUs() / 1000;
+}
+
+uint64_t
+SkyClock_SuspendedMs(void)
+{
+    struct timespec since_boot;
+    clock_gettime(CLOCK_BOOTTIME, &since_boot);
+    uint64_t boot_us = (uint64_t)since_boot.tv_sec * 1000000u +
+                       (uint64_t)since_boot.tv_nsec / 1000u;
+    uint64_t steady_us = SkyClock_NowUs();
+    return boot_us > steady_us ? (boot_us - steady_us) / 1000 : 0;
+}
--- a/lib/core/clock.h
+++ b/lib/core/clock.h
@@ -14,6 +14,11 @@
 
 /** @return microseconds of the monotonic clock. */
 uint64_t SkyClock_NowUs(void);
+/** @return milliseconds of the monotonic clock. */
+uint64_t SkyClock_NowMs(void);
+/** @return milliseconds for which the machine stood still since its start:
+ *          the steady clock does not count them. */
+uint64_t SkyClock_SuspendedMs(void);
 /** @return milliseconds of Unix time. */
 uint64_t SkyClock_WallMs(void);
 /** @return monotonic time @p wait_ms from now, for timed waits. */
--- /dev/null
+++ b/lib/decide/deployment.c
@@ -0,0 +1,118 @@
+#include "decide/deployment.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+sky_deployment_t *
+SkyDeployment_Create(void)
+{
+    sky_deployment_t *deployment = calloc(1, sizeof *deployment);
+    if (deployment != NULL) {
+        deployment->references = 1;
+    }
+    return deployment;
+}
+
+sky_deployment_t *
+SkyDeployment_Hold(sky_deployment_t *deployment)
+{
+    deployment->references++;
+    return deployment;
+}
+
+static void
+free_route(sky_route_t *route)
+{
+    free(route->name);
+    free(route->host);
+    free(route->prefix);
+    free(route->shares);
+}
+
+static void
+free_service(sky_service_t *service)
+{
+    for (uint32_t i = 0; i < service->engine.model_count; i++) {
+        free(service->engine.models[i].name);
+    }
+    free(service->engine.models);
+    free(service->name);
+    free(service->health_path);
+}
+
+void
+SkyDeployment_Release(sky_deployment_t *deployment)
+{
+    if (deployment == NULL || --deployment->references > 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < deployment->route_count; i++) {
+        free_route(&deployment->routes[i]);
+    }
+    for (uint32_t i = 0; i < deployment->service_count; i++) {
+        free_service(&deployment->services[i]);
+    }
+    free(deployment->routes);
+    free(deployment->services);
+    free(deployment);
+}
+
+uint32_t
+SkyDeployment_FindService(const sky_deployment_t *deployment, const char *name)
+{
+    for (uint32_t i = 0; i < deployment->service_count; i++) {
+        if (strcmp(deployment->services[i].name, name) == 0) {
+            return i;
+        }
+    }
+    return UINT32_MAX;
+}
+
+static bool
+same_host(const char *host, const char *wanted)
+{
+    size_t size = strcspn(host, ":");
+    return strlen(wanted) == size && strncasecmp(host, wanted, size) == 0;
+}
+
+const sky_route_t *
+SkyDeployment_Match(const sky_deployment_t *deployment, const char *host,
+                    const char *path)
+{
+    const sky_route_t *best = NULL;
+    size_t best_size = 0;
+    size_t path_size = strcspn(path, "?#");
+    for (uint32_t i = 0; i < deployment->route_count; i++) {
+        const sky_route_t *route = &deployment->routes[i];
+        size_t size = strlen(route->prefix);
+        if (size <= path_size && (best == NULL || size > best_size) &&
+            memcmp(route->prefix, path, size) == 0 &&
+            same_host(host, route->host)) {
+            best = route;
+            best_size = size;
+        }
+    }
+    return best;
+}
+
+const sky_service_t *
+SkyDeployment_Pick(const sky_deployment_t *deployment,
+                   const sky_route_t *route, uint64_t hash)
+{
+    uint64_t total = 0;
+    for (uint32_t i = 0; i < route->share_count; i++) {
+        total += route->shares[i].weight;
+    }
+    if (total == 0) {
+        return NULL;
+    }
+    uint64_t point = hash % total;
+    for (uint32_t i = 0; i < route->share_count; i++) {
+        if (point < route->shares[i].weight) {
+            return &deployment->services[route->shares[i].service];
+        }
+        point -= route->shares[i].weight;
+    }
+    return NULL;
+}
--- /dev/null
+++ b/lib/decide/target_entry.h
@@ -0,0 +1,66 @@
+/**
+ * @file target_entry.h
+ * @brief What a target says of itself in the list of targets.
+ */
+#ifndef SKY_DECIDE_TARGET_ENTRY_H
+#define SKY_DECIDE_TARGET_ENTRY_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SKY_TARGET_ID_BYTES 40
+#define SKY_ADAPTER_NAME_BYTES 32
+#define SKY_SERVICE_NAME_BYTES 40
+
+/** An adapter at a target; "" is the model itself. */
+typedef struct {
+    char model[SKY_ADAPTER_NAME_BYTES];
+    char adapter[SKY_ADAPTER_NAME_BYTES];
+    uint32_t version;
+} sky_resident_t;
+
+typedef enum {
+    SKY_TARGET_READY,
+    SKY_TARGET_LEAVING,
+} sky_target_state_t;
+
+typedef struct {
+    char id[SKY_TARGET_ID_BYTES];
+    char service[SKY_SERVICE_NAME_BYTES];
+    char domain[SKY_SERVICE_NAME_BYTES];
+    struct sockaddr_in address;
+    sky_target_state_t state;
+    uint32_t slots;
+    uint64_t born_ms; /**< Unix time of its start; tells two starts apart */
+    uint64_t order_count;      /**< orders accepted since its start */
+    sky_resident_t *residents; /**< models and adapters it holds */
+    uint32_t resident_count;
+} sky_target_entry_t;
+
+/** Load of a target and what it holds, some hundred ms old. */
+typedef struct {
+    uint64_t born_ms; /**< 0: not told */
+    uint64_t order_count;
+    bool busy; /**< loads or drops a model */
+    uint32_t running;
+    uint32_t queued;
+    uint32_t memory_used_tokens;
+    uint32_t memory_total_tokens;
+    sky_resident_t *residents;
+    uint32_t resident_count;
+    sky_resident_t *coming; /**< in transit to it */
+    uint32_t coming_count;
+} sky_target_report_t;
+
+void SkyTargetEntry_Clear(sky_target_entry_t *entry);
+void SkyTargetReport_Clear(sky_target_report_t *report);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/lib/edge/ownership.c
@@ -0,0 +1,403 @@
+#include "edge/ownership.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/logging.h"
+
+#define GROUP "sky-targets"
+#define TOPIC_PREFIX "sky-shards-"
+/** Topics of the group: with the store's partitions a topic, about twice the
+ *  hosts or targets of the largest deployment run so far. */
+#define TOPIC_COUNT 8
+/** Membership lasts a multiple of the store's shortest one, so that a slow
+ *  answer does not cost it. */
+#define TTL_FACTOR 2
+#define JOINS_PER_TTL 4    /**< three may be lost before membership is */
+#define OWNERS_DELAY_MS 60 /**< others learn of a change about as late */
+#define OWNERS_RETRY_MS 400
+#define MEMBERS_MAX 512
+#define MEMBER_BYTES (SKY_HOST_ADDRESS_BYTES + 24)
+
+typedef struct {
+    bool mine;
+    uint64_t fence;
+    uint64_t order_at_ms; /**< not before */
+    int16_t owner;        /**< index of a member, -1: not known */
+} shard_t;
+
+struct sky_ownership {
+    sky_ownership_options_t options;
+    char member[MEMBER_BYTES]; /**< control address and start */
+    uint32_t ttl_ms;
+    uint64_t generation;
+    uint64_t owners_generation; /**< at which the owners were read */
+    bool joining;
+    bool reading_owners;
+    bool left;
+    bool joined;
+    uint32_t failures;
+    uint64_t joined_at_ms; /**< begin of the last join that was answered */
+    uint64_t join_begun_ms;
+    ev_timer join_timer;
+    ev_timer owners_timer;
+    uint32_t shard_count;
+    shard_t *shards;
+    char members[MEMBERS_MAX][MEMBER_BYTES];
+    uint32_t member_count;
+};
+
+static void
+start_timer(const sky_ownership_t *ownership, ev_timer *timer,
+            uint32_t wait_ms)
+{
+    ev_timer_stop(ownership->options.loop, timer);
+    ev_timer_set(timer, wait_ms / 1000.0, 0.0);
+    ev_timer_start(ownership->options.loop, timer);
+}
+
+static uint32_t
+index_of(const sky_ownership_t *ownership, const sky_store_part_t *part)
+{
+    size_t prefix = strlen(TOPIC_PREFIX);
+    if (strncmp(part->topic, TOPIC_PREFIX, prefix) != 0) {
+        return UINT32_MAX;
+    }
+    unsigned long topic = strtoul(part->topic + prefix, NULL, 10);
+    uint32_t parts = ownership->options.settings->store.parts;
+    if (topic >= TOPIC_COUNT || part->part >= parts) {
+        return UINT32_MAX;
+    }
+    return (uint32_t)topic * parts + part->part;
+}
+
+/* Notes the shards that this host holds at a generation. */
+static void
+take_shards(sky_ownership_t *ownership, const sky_store_answer_t *answer)
+{
+    uint64_t now = SkyClock_NowMs();
+    uint32_t lease_ms = ownership->options.settings->bounds.lease_ms;
+    uint32_t gained = 0;
+    uint32_t lost = 0;
+    bool *listed = calloc(ownership->shard_count, sizeof *listed);
+    if (listed == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < answer->part_count; i++) {
+        uint32_t index = index_of(ownership, &answer->parts[i]);
+        if (index != UINT32_MAX) {
+            listed[index] = true;
+        }
+    }
+    for (uint32_t i = 0; i < ownership->shard_count; i++) {
+        shard_t *shard = &ownership->shards[i];
+        if (listed[i] && !shard->mine) {
+            shard->fence = answer->generation;
+            shard->order_at_ms = now + lease_ms;
+            gained++;
+        }
+        lost += !listed[i] && shard->mine ? 1 : 0;
+        shard->mine = listed[i];
+    }
+    free(listed);
+    if (gained + lost > 0) {
+        SkyLog_Write(LOG_NOTICE, "shards_dealt",
+                     "generation=%llu held=%zu gained=%u lost=%u "
+                     "orders_in_ms=%u",
+                     (unsigned long long)answer->generation,
+                     answer->part_count, gained, lost, lease_ms);
+        ownership->options.on_change(ownership->options.context);
+    }
+}
+
+static void
+on_joined(void *context, const sky_store_answer_t *answer)
+{
+    sky_ownership_t *ownership = context;
+    uint32_t interval_ms = ownership->ttl_ms / JOINS_PER_TTL;
+    ownership->joining = false;
+    if (ownership->left) {
+        return;
+    }
+    start_timer(ownership, &ownership->join_timer, interval_ms);
+    if (answer->end != SKY_STORE_DONE) {
+        if (ownership->failures++ == 0) {
+            SkyLog_Write(LOG_WARNING, "group_lost",
+                         "reason=%s generation=%llu",
+                         SkyStore_EndName(answer->end),
+                         (unsigned long long)ownership->generation);
+        }
+        return;
+    }
+    if (ownership->failures > 0) {
+        SkyLog_Write(LOG_NOTICE, "group_regained",
+                     "failures=%u generation=%llu", ownership->failures,
+                     (unsigned long long)answer->generation);
+    }
+    ownership->failures = 0;
+    ownership->joined = true;
+    ownership->joined_at_ms = ownership->join_begun_ms;
+    bool changed = answer->generation != ownership->generation;
+    ownership->generation = answer->generation;
+    take_shards(ownership, answer);
+    if (changed) {
+        /* Joining again at once gives back what was dealt to others. */
+        start_timer(ownership, &ownership->join_timer, OWNERS_DELAY_MS / 2);
+    }
+    if (ownership->owners_generation != ownership->generation &&
+        !ownership->reading_owners &&
+        !ev_is_active(&ownership->owners_timer)) {
+        start_timer(ownership, &ownership->owners_timer, OWNERS_DELAY_MS);
+    }
+}
+
+static void
+on_join_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_ownership_t *ownership = watcher->data;
+    if (ownership->joining || ownership->left) {
+        return;
+    }
+    ownership->joining = true;
+    ownership->join_begun_ms = SkyClock_NowMs();
+    sky_store_join_t join = {
+        .group = GROUP,
+        .member = ownership->member,
+        .topic_prefix = TOPIC_PREFIX,
+        .topic_count = TOPIC_COUNT,
+        .ttl_ms = ownership->ttl_ms,
+        .generation = ownership->generation,
+    };
+    SkyStore_Join(ownership->options.store, &join, on_joined, ownership);
+}
+
+static int16_t
+member_index(sky_ownership_t *ownership, const char *member)
+{
+    for (uint32_t i = 0; i < ownership->member_count; i++) {
+        if (strcmp(ownership->members[i], member) == 0) {
+            return (int16_t)i;
+        }
+    }
+    if (ownership->member_count >= MEMBERS_MAX ||
+        strlen(member) >= MEMBER_BYTES) {
+        return -1;
+    }
+    snprintf(ownership->members[ownership->member_count], MEMBER_BYTES, "%s",
+             member);
+    return (int16_t)ownership->member_count++;
+}
+
+static void
+on_owners(void *context, const sky_store_answer_t *answer)
+{
+    sky_ownership_t *ownership = context;
+    ownership->reading_owners = false;
+    if (answer->end != SKY_STORE_DONE) {
+        start_timer(ownership, &ownership->owners_timer, OWNERS_RETRY_MS);
+        return;
+    }
+    uint32_t owned = 0;
+    ownership->member_count = 0;
+    for (uint32_t i = 0; i < ownership->shard_count; i++) {
+        ownership->shards[i].owner = -1;
+    }
+    for (size_t i = 0; i < answer->part_count; i++) {
+        uint32_t index = index_of(ownership, &answer->parts[i]);
+        if (index != UINT32_MAX && answer->parts[i].member[0] != '\0') {
+            ownership->shards[index].owner =
+                member_index(ownership, answer->parts[i].member);
+            owned++;
+        }
+    }
+    ownership->owners_generation =
+        answer->generation ? answer->generation : ownership->generation;
+    if (owned < ownership->shard_count) {
+        start_timer(ownership, &ownership->owners_timer, OWNERS_RETRY_MS);
+    }
+    SkyLog_Write(LOG_NOTICE, "owners_read",
+                 "generation=%llu members=%u owned=%u shards=%u",
+                 (unsigned long long)ownership->generation,
+                 ownership->member_count, owned, ownership->shard_count);
+    ownership->options.on_change(ownership->options.context);
+}
+
+static void
+on_owners_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_ownership_t *ownership = watcher->data;
+    if (!ownership->reading_owners && !ownership->left) {
+        ownership->reading_owners = true;
+        SkyStore_ReadOwners(ownership->options.store, GROUP, on_owners,
+                            ownership);
+    }
+}
+
+uint32_t
+SkyOwnership_ShardOf(const sky_ownership_t *ownership, uint64_t hash)
+{
+    return (uint32_t)(hash % ownership->shard_count);
+}
+
+bool
+SkyOwnership_IsMine(const sky_ownership_t *ownership, uint32_t shard)
+{
+    return !ownership->left && ownership->shards[shard].mine;
+}
+
+/* Without fencing at the targets nothing but time keeps two owners apart. */
+static bool
+is_lease_current(const sky_ownership_t *ownership)
+{
+    const sky_bounds_t *bounds = &ownership->options.settings->bounds;
+    return bounds->fencing ||
+           SkyClock_NowMs() < ownership->joined_at_ms + ownership->ttl_ms;
+}
+
+bool
+SkyOwnership_MayOrder(const sky_ownership_t *ownership, uint32_t shard,
+                      uint64_t *fence)
+{
+    const shard_t *self = &ownership->shards[shard];
+    *fence = self->fence;
+    return SkyOwnership_IsMine(ownership, shard) &&
+           self->order_at_ms <= SkyClock_NowMs() &&
+           is_lease_current(ownership);
+}
+
+void
+SkyOwnership_NoteFenced(sky_ownership_t *ownership, uint32_t shard)
+{
+    /* The shard was dealt to another and back between two joins, or is
+     * another's by now: the next join tells. */
+    SkyLog_Write(LOG_WARNING, "fenced", "shard=%u fence=%llu", shard,
+                 (unsigned long long)ownership->shards[shard].fence);
+    ownership->shards[shard].mine = false;
+    ownership->options.on_change(ownership->options.context);
+}
+
+void
+SkyOwnership_NotePause(sky_ownership_t *ownership)
+{
+    for (uint32_t i = 0; i < ownership->shard_count; i++) {
+        ownership->shards[i].mine = false;
+    }
+    start_timer(ownership, &ownership->join_timer, 0);
+    ownership->options.on_change(ownership->options.context);
+}
+
+static void
+on_left(void *context, const sky_store_answer_t *answer)
+{
+    (void)context;
+    SkyLog_Write(LOG_NOTICE, "group_left", "answer=%s",
+                 SkyStore_EndName(answer->end));
+}
+
+void
+SkyOwnership_Leave(sky_ownership_t *ownership)
+{
+    if (!ownership->left) {
+        ownership->left = true;
+        ev_timer_stop(ownership->options.loop, &ownership->join_timer);
+        ev_timer_stop(ownership->options.loop, &ownership->owners_timer);
+        SkyStore_Leave(ownership->options.store, GROUP, ownership->member,
+                       on_left, ownership);
+    }
+}
+
+/* A member's name is its control address, a mark, and its start. */
+static const char *
+address_of(const char *member)
+{
+    static char address[SKY_HOST_ADDRESS_BYTES];
+    size_t size = strcspn(member, "#");
+    if (size == 0 || size >= sizeof address) {
+        return NULL;
+    }
+    memcpy(address, member, size);
+    address[size] = '\0';
+    return address;
+}
+
+const char *
+SkyOwnership_OwnerOf(const sky_ownership_t *ownership, uint32_t shard)
+{
+    int16_t owner = ownership->shards[shard].owner;
+    return owner >= 0 ? address_of(ownership->members[owner]) : NULL;
+}
+
+uint32_t
+SkyOwnership_Hosts(const sky_ownership_t *ownership)
+{
+    uint32_t least = ownership->options.settings->seed_count;
+    uint32_t known = ownership->member_count;
+    return known > least ? known : (least > 0 ? least : 1);
+}
+
+const char *
+SkyOwnership_SomePeer(const sky_ownership_t *ownership, uint32_t turn)
+{
+    const sky_host_settings_t *settings = ownership->options.settings;
+    uint32_t total = ownership->member_count + settings->seed_count;
+    for (uint32_t i = 0; i < total; i++) {
+        uint32_t at = (turn + i) % total;
+        const char *address =
+            at < ownership->member_count
+                ? address_of(ownership->members[at])
+                : settings->seeds[at - ownership->member_count];
+        if (address != NULL && strcmp(address, settings->control) != 0) {
+            return address;
+        }
+    }
+    return NULL;
+}
+
+sky_result_t
+SkyOwnership_Create(const sky_ownership_options_t *options,
+                    sky_ownership_t **ownership)
+{
+    sky_ownership_t *self = calloc(1, sizeof *self);
+    if (self == NULL) {
+        return SKY_E_MEMORY;
+    }
+    self->options = *options;
+    self->ttl_ms = options->settings->store.ttl_min_ms * TTL_FACTOR;
+    self->shard_count = TOPIC_COUNT * options->settings->store.parts;
+    self->shards = calloc(self->shard_count, sizeof *self->shards);
+    if (self->shards == NULL) {
+        free(self);
+        return SKY_E_MEMORY;
+    }
+    for (uint32_t i = 0; i < self->shard_count; i++) {
+        self->shards[i].owner = -1;
+    }
+    snprintf(self->member, sizeof self->member, "%s#%llx",
+             options->settings->control,
+             (unsigned long long)SkyClock_WallMs());
+    ev_init(&self->join_timer, on_join_timer);
+    ev_init(&self->owners_timer, on_owners_timer);
+    self->join_timer.data = self;
+    self->owners_timer.data = self;
+    start_timer(self, &self->join_timer, 0);
+    *ownership = self;
+    return SKY_OK;
+}
+
+void
+SkyOwnership_Free(sky_ownership_t *ownership)
+{
+    if (ownership == NULL) {
+        return;
+    }
+    ev_timer_stop(ownership->options.loop, &ownership->join_timer);
+    ev_timer_stop(ownership->options.loop, &ownership->owners_timer);
+    free(ownership->shards);
+    free(ownership);
+}
--- /dev/null
+++ b/lib/edge/placement.h
@@ -0,0 +1,75 @@
+/**
+ * @file placement.h
+ * @brief Has an adapter loaded at a target, through the target's owner.
+ */
+#ifndef SKY_EDGE_PLACEMENT_H
+#define SKY_EDGE_PLACEMENT_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/result.h"
+#include "decide/fleet.h"
+#include "edge/directory.h"
+#include "edge/ownership.h"
+#include "edge/host_calls.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct sky_placement sky_placement_t;
+typedef struct sky_placement_ask sky_placement_ask_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    const sky_host_settings_t *settings;
+    sky_directory_t *directory;
+    sky_ownership_t *ownership;
+    sky_client_t *client;
+    sky_host_calls_t *peers;
+} sky_placement_options_t;
+
+sky_result_t SkyPlacement_Create(const sky_placement_options_t *options,
+                                 sky_placement_t **placement);
+void SkyPlacement_Free(sky_placement_t *placement);
+/** Takes up targets that this host came to own, and lets others go. */
+void SkyPlacement_Reconcile(sky_placement_t *placement);
+
+typedef struct {
+    sky_fleet_query_t query;
+    uint32_t version; /**< at least; 0: any */
+    uint32_t urgency; /**< 0 first */
+    uint64_t due_ms;  /**< of no use after this time */
+} sky_placement_wish_t;
+
+typedef struct {
+    bool placed;
+    const char *target_id; /**< where the adapter is now */
+    uint32_t version;
+    uint32_t retry_after_ms; /**< if not placed */
+    const char *reason;      /**< if not placed, for the log */
+} sky_placement_result_t;
+
+typedef void (*sky_placement_done_t)(void *context,
+                                     const sky_placement_result_t *result);
+
+/** Asks for an adapter. @p done follows once, from the loop.
+ *  @return NULL if memory ran out; then no event follows. */
+sky_placement_ask_t *SkyPlacement_Ask(sky_placement_t *placement,
+                                      const sky_placement_wish_t *wish,
+                                      sky_placement_done_t done,
+                                      void *context);
+/** The answer is no longer wanted. */
+void SkyPlacement_Cancel(sky_placement_ask_t *ask);
+
+/** Tells owners, now and then, which adapters are in use. */
+void SkyPlacement_NoteUse(sky_placement_t *placement,
+                          const sky_fleet_target_t *target,
+                          sky_adapter_key_t adapter);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/lib/edge/traffic.c
@@ -0,0 +1,781 @@
+#include "edge/traffic.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "core/clock.h"
+#include "core/logging.h"
+#include "decide/retry_budget.h"
+#include "net/event_stream.h"
+#include "platform/wire.h"
+
+#define SENDS_MAX 4   /**< of one request, refused ones included */
+#define TOUCHED_MAX 8 /**< distinct targets remembered of one request */
+/** Answers up to this size are read whole before any of it is passed on, so
+ *  that one cut short can still be repeated. */
+#define WHOLE_ANSWER_BYTES (256u * 1024u)
+#define LEAST_TIME_MS 20 /**< a target could not answer in less */
+#define CONNECT_TIMEOUT_MS                                                    \
+    400 /**< a lost opening packet is sent again later */
+#define RETRY_AFTER_START_MS 500  /**< until a host that starts knows enough  \
+                                   */
+#define RETRY_AFTER_FULL_MS 200   /**< a slot is free again after about this */
+#define RETRY_AFTER_SPREAD_MS 300 /**< callers must not return together */
+#define NO_URGENCY 255            /**< plain services have none */
+/** Longest idle time of a connection on which something that must not run
+ *  twice is sent: a server's own close crosses it less likely. */
+#define UNREPEATABLE_REUSE_MS 4000
+
+typedef struct {
+    uint16_t status;
+    sky_answer_facts_t facts;
+    sky_buffer_t fields;
+    sky_buffer_t body;
+    bool has_length;
+    uint64_t length;
+    bool bad; /**< a success that is not the target's whole own answer */
+} answer_t;
+
+typedef struct job {
+    sky_traffic_t *traffic;
+    sky_visit_t *visit;
+    sky_deployment_t *deployment;
+    const sky_route_t *route;
+    const sky_service_t *service;
+    sky_request_facts_t facts;
+    uint64_t arrived_ms;
+    uint64_t due_ms; /**< by then the caller has a final answer */
+    ev_timer due;
+    sky_placement_ask_t *ask;
+    sky_sending_t *sending;
+    sky_fleet_target_t *target;
+    uint64_t touched[TOUCHED_MAX];
+    uint32_t touched_count;
+    uint64_t failed[TOUCHED_MAX];
+    uint32_t failed_count;
+    uint32_t sends;
+    uint32_t asks;
+    uint32_t version; /**< of the adapter, as sent */
+    bool may_have_run;
+    bool relaying; /**< the answer's head is with the caller */
+    answer_t answer;
+    sky_event_stream_t events;
+    struct job *prev;
+    struct job *next;
+} job_t;
+
+typedef struct budget {
+    char service[SKY_SERVICE_NAME_BYTES];
+    sky_retry_budget_t budget;
+    struct budget *next;
+} budget_t;
+
+struct sky_traffic {
+    sky_traffic_options_t options;
+    sky_retry_budget_options_t budget_options;
+    budget_t *budgets;
+    job_t *jobs;
+    uint32_t open;
+};
+
+static void dispatch(job_t *job);
+
+static sky_retry_budget_t *
+budget_of(sky_traffic_t *traffic, const char *service)
+{
+    budget_t *budget;
+    LL_FOREACH(traffic->budgets, budget)
+    {
+        if (strcmp(budget->service, service) == 0) {
+            return &budget->budget;
+        }
+    }
+    budget = calloc(1, sizeof *budget);
+    if (budget == NULL) {
+        return NULL;
+    }
+    snprintf(budget->service, sizeof budget->service, "%s", service);
+    LL_PREPEND(traffic->budgets, budget);
+    return &budget->budget;
+}
+
+static uint64_t
+spread_of(const job_t *job)
+{
+    return XXH3_64bits(job->facts.id, strlen(job->facts.id));
+}
+
+static void
+clear_answer(answer_t *answer)
+{
+    SkyBuffer_Clear(&answer->fields);
+    SkyBuffer_Clear(&answer->body);
+    *answer = (answer_t){0};
+}
+
+static void
+end_sending(job_t *job, sky_fared_t fared)
+{
+    sky_traffic_t *traffic = job->traffic;
+    if (job->target != NULL) {
+        SkyFleet_End(traffic->options.directory->fleet, job->target, fared,
+                     SkyClock_NowMs());
+        job->target = NULL;
+    }
+    job->sending = NULL;
+}
+
+static void
+stop_waiting(job_t *job)
+{
+    if (job->ask != NULL) {
+        SkyPlacement_Cancel(job->ask);
+        job->ask = NULL;
+    }
+    if (job->sending != NULL) {
+        SkySending_Cancel(job->sending);
+        end_sending(job, SKY_FARED_UNKNOWN);
+    }
+}
+
+static void
+log_end(const job_t *job, int priority, uint16_t status, const char *outcome,
+        const char *reason)
+{
+    SkyLog_Write(
+        priority, "request_end",
+        "id=%s route=%s service=%s adapter=%s/%s status=%u outcome=%s "
+        "reason=%s ms=%llu sends=%u asks=%u config=%llu",
+        job->facts.id, job->route ? job->route->name : "-",
+        job->service ? job->service->name : "-",
+        job->facts.model[0] ? job->facts.model : "-",
+        job->facts.adapter[0] ? job->facts.adapter : "-", status, outcome,
+        reason, (unsigned long long)(SkyClock_NowMs() - job->arrived_ms),
+        job->sends, job->asks,
+        (unsigned long long)(job->deployment ? job->deployment->version : 0));
+}
+
+static void
+free_job(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    stop_waiting(job);
+    ev_timer_stop(traffic->options.loop, &job->due);
+    DL_DELETE(traffic->jobs, job);
+    traffic->open--;
+    clear_answer(&job->answer);
+    SkyEventStream_Clear(&job->events);
+    SkyDeployment_Release(job->deployment);
+    free(job);
+}
+
+/* A final answer of this host's own. */
+static void
+answer_own(job_t *job, uint16_t status, uint32_t retry_after_ms,
+           const char *reason)
+{
+    sky_buffer_t fields = {0};
+    if (retry_after_ms > 0) {
+        retry_after_ms += (uint32_t)(spread_of(job) % RETRY_AFTER_SPREAD_MS);
+    }
+    SkyWire_PutOwnFields(&fields, job->facts.id, retry_after_ms);
+    log_end(job, LOG_NOTICE, status, "refused", reason);
+    SkyMetrics_CountAnswer(job->traffic->options.metrics,
+                           job->service ? job->service->name : "-", reason);
+    SkyVisit_Answer(job->visit, status, SkyBuffer_Data(&fields), "", 0);
+    SkyBuffer_Clear(&fields);
+    free_job(job);
+}
+
+/* No target gave an answer that may be passed on. */
+static void
+give_up(job_t *job, uint32_t retry_after_ms, const char *reason)
+{
+    if (job->relaying) {
+        log_end(job, LOG_NOTICE, job->answer.status, "broken_off", reason);
+        SkyVisit_Abort(job->visit);
+        free_job(job);
+    }
+    else if (job->may_have_run) {
+        bool late = SkyClock_NowMs() >= job->due_ms;
+        answer_own(job, late ? 504 : 502, 0, reason);
+    }
+    else {
+        answer_own(job, 503,
+                   retry_after_ms ? retry_after_ms : RETRY_AFTER_FULL_MS,
+                   reason);
+    }
+}
+
+static void
+pass_answer_on(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    answer_t *answer = &job->answer;
+    log_end(job, LOG_INFO, answer->status, "answered", "-");
+    SkyMetrics_CountAnswer(traffic->options.metrics, job->service->name,
+                           answer->status < 400 ? "ok" : "target_failure");
+    SkyMetrics_Observe(traffic->options.metrics, job->service->name,
+                       SKY_HIST_TOTAL, SkyClock_NowMs() - job->arrived_ms);
+    SkyVisit_Answer(
+        job->visit, answer->status, SkyBuffer_Data(&answer->fields),
+        SkyBuffer_Data(&answer->body), SkyBuffer_Size(&answer->body));
+    free_job(job);
+}
+
+static void
+note_failed(job_t *job, uint64_t hash)
+{
+    if (job->failed_count < TOUCHED_MAX) {
+        job->failed[job->failed_count++] = hash;
+    }
+}
+
+static bool
+may_run_again(const job_t *job)
+{
+    return !job->may_have_run || job->route->repeat != SKY_REPEAT_NEVER;
+}
+
+/* Sends the request once more, if that is allowed and of use. */
+static void
+repeat(job_t *job, uint32_t retry_after_ms, const char *reason)
+{
+    sky_traffic_t *traffic = job->traffic;
+    uint64_t now = SkyClock_NowMs();
+    sky_retry_budget_t *budget = budget_of(traffic, job->service->name);
+    const char *stop = NULL;
+    if (!may_run_again(job)) {
+        stop = "not_repeatable";
+    }
+    else if (job->sends >= SENDS_MAX) {
+        stop = "sends";
+    }
+    else if (now + LEAST_TIME_MS >= job->due_ms) {
+        stop = "time";
+    }
+    else if (budget == NULL ||
+             !SkyRetryBudget_Take(budget, &traffic->budget_options,
+                                  traffic->options.directory->hosts, now)) {
+        stop = "budget";
+    }
+    SkyLog_Write(LOG_NOTICE, "repeat",
+                 "id=%s reason=%s allowed=%s sends=%u left_ms=%lld",
+                 job->facts.id, reason, stop ? stop : "yes", job->sends,
+                 (long long)(job->due_ms - now));
+    if (stop == NULL) {
+        SkyEventStream_Rewind(&job->events);
+        if (!job->relaying) {
+            clear_answer(&job->answer);
+        }
+        dispatch(job);
+    }
+    else if (!job->relaying && job->answer.status >= 500 &&
+             job->answer.facts.sealed && !job->answer.facts.not_run) {
+        pass_answer_on(job); /* the target's own failure, whole */
+    }
+    else {
+        give_up(job, retry_after_ms, reason);
+    }
+}
+
+static bool
+on_answer_head(void *context, const sky_http_head_t *head)
+{
+    job_t *job = context;
+    answer_t *answer = &job->answer;
+    sky_answer_facts_t facts;
+    SkyWire_ReadAnswer(head, &facts);
+    if (job->relaying) {
+        /* A resumed stream keeps the head that the caller has. */
+        bool goes_on = head->status == 200 && facts.sealed && !facts.encoded;
+        answer->facts.not_run = facts.not_run;
+        answer->bad = !goes_on;
+        return true;
+    }
+    clear_answer(answer);
+    answer->status = head->status;
+    answer->facts = facts;
+    answer->has_length = head->has_length;
+    answer->length = head->content_bytes;
+    answer->bad = head->status < 400 && (!facts.sealed || facts.encoded);
+    if (facts.encoded && head->status >= 400) {
+        answer->bad = true;
+    }
+    SkyWire_PutAnswerFields(&answer->fields, head);
+    return true;
+}
+
+static bool
+is_relayed(const job_t *job)
+{
+    const answer_t *answer = &job->answer;
+    return answer->status < 400 && !answer->bad && !answer->facts.not_run &&
+           (job->route->streaming || answer->facts.events ||
+            answer->length > WHOLE_ANSWER_BYTES);
+}
+
+static void
+begin_relay(job_t *job)
+{
+    answer_t *answer = &job->answer;
+    bool events = answer->facts.events;
+    sky_framing_t framing = events || !answer->has_length || !answer->length
+                                ? SKY_FRAMING_CHUNKS
+                                : SKY_FRAMING_LENGTH;
+    SkyVisit_Begin(job->visit, answer->status, SkyBuffer_Data(&answer->fields),
+                   framing, answer->length);
+    job->relaying = true;
+    SkyMetrics_Observe(job->traffic->options.metrics, job->service->name,
+                       SKY_HIST_FIRST_TOKEN,
+                       SkyClock_NowMs() - job->arrived_ms);
+}
+
+static void
+relay_bytes(job_t *job, const char *bytes, size_t size)
+{
+    if (!job->answer.facts.events) {
+        SkyVisit_Write(job->visit, bytes, size);
+        return;
+    }
+    sky_buffer_t ready = {0};
+    SkyEventStream_Feed(&job->events, bytes, size, &ready);
+    SkyVisit_Write(job->visit, SkyBuffer_Data(&ready), SkyBuffer_Size(&ready));
+    SkyBuffer_Clear(&ready);
+}
+
+static void
+on_answer_body(void *context, const char *bytes, size_t size)
+{
+    job_t *job = context;
+    if (job->answer.bad) {
+        return;
+    }
+    if (job->relaying) {
+        relay_bytes(job, bytes, size);
+    }
+    else if (is_relayed(job)) {
+        begin_relay(job);
+        relay_bytes(job, bytes, size);
+    }
+    else {
+        SkyBuffer_Append(&job->answer.body, bytes, size);
+    }
+}
+
+static void
+log_sending_end(const job_t *job, const char *how)
+{
+    SkyLog_Write(LOG_NOTICE, "sending_end",
+                 "id=%s target=%s how=%s status=%u not_run=%d bad=%d "
+                 "failure=%.2f in_flight=%u",
+                 job->facts.id, job->target->entry.id, how, job->answer.status,
+                 job->answer.facts.not_run, job->answer.bad,
+                 job->target->failure, job->target->in_flight);
+}
+
+/* The target says that it did not run the request. */
+static void
+take_refusal(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    bool wrong = job->answer.facts.wrong_target;
+    uint64_t hash = job->target->hash;
+    log_sending_end(job, "refused");
+    if (wrong && job->service->engine.present) {
+        sky_belief_t absent = {
+            .adapter = SkyFleet_KeyOf(job->facts.model, job->facts.adapter)};
+        SkyFleet_Learn(traffic->options.directory->fleet, job->target, &absent,
+                       SkyClock_NowMs());
+    }
+    else {
+        note_failed(job, hash);
+    }
+    end_sending(job, wrong ? SKY_FARED_UNKNOWN : SKY_FARED_FULL);
+    repeat(job, RETRY_AFTER_FULL_MS,
+           wrong ? "adapter_missing" : "target_full");
+}
+
+static void
+take_failure(job_t *job, const char *how)
+{
+    log_sending_end(job, how);
+    note_failed(job, job->target->hash);
+    end_sending(job, SKY_FARED_FAILED);
+    repeat(job, 0, how);
+}
+
+static void
+finish_relay(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    if (SkyBuffer_Size(&job->events.held) > 0) {
+        /* Complete by its framing, but in the middle of an event. */
+        take_failure(job, "cut_event");
+        return;
+    }
+    end_sending(job, SKY_FARED_WELL);
+    log_end(job, LOG_INFO, job->answer.status, "answered", "-");
+    SkyMetrics_CountAnswer(traffic->options.metrics, job->service->name, "ok");
+    SkyMetrics_Observe(traffic->options.metrics, job->service->name,
+                       SKY_HIST_TOTAL, SkyClock_NowMs() - job->arrived_ms);
+    SkyVisit_End(job->visit);
+    free_job(job);
+}
+
+static void
+take_answer(job_t *job)
+{
+    answer_t *answer = &job->answer;
+    if (answer->facts.not_run) {
+        take_refusal(job);
+        return;
+    }
+    job->may_have_run = true;
+    if (answer->bad) {
+        take_failure(job, "bad_answer");
+        return;
+    }
+    if (job->relaying) {
+        finish_relay(job);
+        return;
+    }
+    if (answer->status >= 500) {
+        take_failure(job, "target_error");
+        return;
+    }
+    if (is_relayed(job)) {
+        begin_relay(job);
+        finish_relay(job);
+        return;
+    }
+    end_sending(job, SKY_FARED_WELL);
+    pass_answer_on(job);
+}
+
+static void
+on_answer_end(void *context, sky_sending_end_t end)
+{
+    job_t *job = context;
+    job->sending = NULL;
+    switch (end) {
+    case SKY_SENDING_COMPLETE:
+        take_answer(job);
+        break;
+    case SKY_SENDING_UNSENT:
+        log_sending_end(job, "unreachable");
+        note_failed(job, job->target->hash);
+        end_sending(job, SKY_FARED_UNREACHABLE);
+        repeat(job, RETRY_AFTER_FULL_MS, "unreachable");
+        break;
+    case SKY_SENDING_BROKEN:
+    case SKY_SENDING_GARBLED:
+        job->may_have_run = true;
+        job->answer.status = job->relaying ? job->answer.status : 0;
+        take_failure(job, SkySending_EndName(end));
+        break;
+    }
+}
+
+static bool
+is_touched(const job_t *job, uint64_t hash)
+{
+    for (uint32_t i = 0; i < job->touched_count; i++) {
+        if (job->touched[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_touched(job_t *job, uint64_t hash)
+{
+    if (!is_touched(job, hash) && job->touched_count < TOUCHED_MAX) {
+        job->touched[job->touched_count++] = hash;
+    }
+}
+
+static void
+put_request(job_t *job, sky_buffer_t *out)
+{
+    uint64_t now = SkyClock_NowMs();
+    size_t size;
+    const char *body = SkyVisit_Body(job->visit, &size);
+    sky_forward_t forward = {
+        .deadline_ms = (uint32_t)(job->due_ms - now),
+        .target_id = job->target->entry.id,
+        .version = job->version,
+        .urgency = job->service->engine.present
+                       ? (job->route->urgency < 9 ? job->route->urgency : 9)
+                       : NO_URGENCY,
+        .resumes = job->events.has_id,
+        .resume_after = job->events.last_id,
+    };
+    SkyWire_PutRequest(out, SkyVisit_Head(job->visit), body, size, &forward);
+}
+
+static void
+send_to(job_t *job, const sky_fleet_choice_t *choice)
+{
+    sky_traffic_t *traffic = job->traffic;
+    sky_buffer_t request = {0};
+    job->target = choice->target;
+    job->version = choice->version;
+    job->sends++;
+    note_touched(job, choice->target->hash);
+    SkyFleet_Begin(job->target);
+    put_request(job, &request);
+    sky_sending_options_t options = {
+        .address = job->target->entry.address,
+        .request = &request,
+        .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .reuse_ms =
+            job->route->repeat == SKY_REPEAT_NEVER ? UNREPEATABLE_REUSE_MS : 0,
+        .bodyless = SkyVisit_Head(job->visit)->method == HTTP_HEAD,
+        .echo_field = SkyWire_EchoField(),
+        .echo_value = job->facts.id,
+        .events = {on_answer_head, on_answer_body, on_answer_end},
+        .context = job,
+    };
+    job->sending = SkyClient_Send(traffic->options.client, &options);
+    SkyBuffer_Clear(&request);
+    if (job->sending == NULL) {
+        end_sending(job, SKY_FARED_UNKNOWN);
+        give_up(job, RETRY_AFTER_FULL_MS, "memory");
+        return;
+    }
+    if (job->service->engine.present) {
+        SkyPlacement_NoteUse(
+            traffic->options.placement, job->target,
+            SkyFleet_KeyOf(job->facts.model, job->facts.adapter));
+    }
+}
+
+static void
+on_placed(void *context, const sky_placement_result_t *result)
+{
+    job_t *job = context;
+    sky_traffic_t *traffic = job->traffic;
+    sky_fleet_t *fleet = traffic->options.directory->fleet;
+    job->ask = NULL;
+    sky_fleet_target_t *target =
+        result->placed ? SkyFleet_Find(fleet, result->target_id) : NULL;
+    if (target == NULL) {
+        give_up(job, result->retry_after_ms,
+                result->placed ? "target_left" : result->reason);
+        return;
+    }
+    sky_belief_t held = {
+        .adapter = SkyFleet_KeyOf(job->facts.model, job->facts.adapter),
+        .version = result->version,
+        .present = true};
+    SkyFleet_Learn(fleet, target, &held, SkyClock_NowMs());
+    dispatch(job);
+}
+
+static void
+ask_for_place(job_t *job, const sky_fleet_query_t *query)
+{
+    sky_traffic_t *traffic = job->traffic;
+    sky_placement_wish_t wish = {
+        .query = *query,
+        .version = SkyFleet_Announced(
+            traffic->options.directory->fleet,
+            SkyFleet_KeyOf(job->facts.model, job->facts.adapter)),
+        .urgency = job->route->urgency,
+        .due_ms = job->due_ms,
+    };
+    job->asks++;
+    if (job->asks > SENDS_MAX) {
+        give_up(job, RETRY_AFTER_FULL_MS, "adapter_keeps_leaving");
+        return;
+    }
+    job->ask =
+        SkyPlacement_Ask(traffic->options.placement, &wish, on_placed, job);
+    if (job->ask == NULL) {
+        give_up(job, RETRY_AFTER_FULL_MS, "memory");
+    }
+}
+
+static void
+dispatch(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    bool confined = job->touched_count >= job->route->targets_max;
+    sky_fleet_query_t query = {
+        .service = job->service->name,
+        .engine = job->service->engine.present,
+        .model = job->facts.model,
+        .adapter = job->facts.adapter,
+        .avoid = job->failed,
+        .avoid_count = job->failed_count,
+        .only = job->touched,
+        .only_count = confined ? job->touched_count : 0,
+        .spread = spread_of(job),
+    };
+    sky_fleet_choice_t choice;
+    SkyFleet_Choose(traffic->options.directory->fleet, &query,
+                    SkyClock_NowMs(), &choice);
+    if (choice.target != NULL) {
+        send_to(job, &choice);
+    }
+    else if (choice.misses_adapter && choice.usable_targets) {
+        ask_for_place(job, &query);
+    }
+    else {
+        give_up(job, RETRY_AFTER_START_MS,
+                choice.usable_targets ? "no_other_target" : "no_target");
+    }
+}
+
+static void
+on_due(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    job_t *job = watcher->data;
+    if (job->sending != NULL) {
+        job->may_have_run =
+            job->may_have_run || SkySending_IsSent(job->sending);
+        log_sending_end(job, "deadline");
+    }
+    stop_waiting(job);
+    give_up(job, RETRY_AFTER_FULL_MS, "deadline");
+}
+
+static void
+refuse_unrouted(job_t *job, uint16_t status, uint32_t retry_after_ms,
+                const char *reason)
+{
+    job->due_ms = job->arrived_ms;
+    answer_own(job, status, retry_after_ms, reason);
+}
+
+static void
+route(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    const sky_http_head_t *head = SkyVisit_Head(job->visit);
+    const char *host = SkyHttp_Field(head, "Host");
+    if (traffic->options.directory->deployment == NULL ||
+        !traffic->options.directory->targets_known) {
+        refuse_unrouted(job, 503, RETRY_AFTER_START_MS, "not_configured");
+        return;
+    }
+    job->deployment =
+        SkyDeployment_Hold(traffic->options.directory->deployment);
+    if (SkyResult_IsError(SkyWire_ReadRequest(head, &job->facts))) {
+        refuse_unrouted(job, 400, 0, "bad_request");
+        return;
+    }
+    job->route = SkyDeployment_Match(job->deployment, host ? host : "",
+                                     SkyHttp_Url(head));
+    job->service = job->route ? SkyDeployment_Pick(job->deployment, job->route,
+                                                   spread_of(job))
+                              : NULL;
+    if (job->service == NULL) {
+        refuse_unrouted(job, 404, 0, "no_route");
+        return;
+    }
+    uint32_t limit_ms = job->route->timeout_ms < job->facts.deadline_ms
+                            ? job->route->timeout_ms
+                            : job->facts.deadline_ms;
+    job->due_ms = job->arrived_ms + limit_ms;
+    ev_timer_set(&job->due, limit_ms / 1000.0, 0.0);
+    ev_timer_start(traffic->options.loop, &job->due);
+    sky_retry_budget_t *budget = budget_of(traffic, job->service->name);
+    if (budget != NULL) {
+        SkyRetryBudget_NoteRequest(budget, &traffic->budget_options,
+                                   job->arrived_ms);
+    }
+    dispatch(job);
+}
+
+static void
+on_request(void *context, sky_visit_t *visit)
+{
+    sky_traffic_t *traffic = context;
+    job_t *job = calloc(1, sizeof *job);
+    if (job == NULL) {
+        SkyLog_Write(LOG_ERR, "request_dropped", "reason=memory");
+        SkyVisit_Answer(visit, 503, "", "", 0);
+        return;
+    }
+    job->traffic = traffic;
+    job->visit = visit;
+    job->arrived_ms = SkyClock_NowMs();
+    job->facts.id = "";
+    ev_init(&job->due, on_due);
+    job->due.data = job;
+    DL_APPEND(traffic->jobs, job);
+    traffic->open++;
+    SkyVisit_SetUser(visit, job);
+    route(job);
+}
+
+static void
+on_gone(void *context, sky_visit_t *visit)
+{
+    (void)context;
+    job_t *job = SkyVisit_User(visit);
+    if (job != NULL) {
+        log_end(job, LOG_INFO, 0, "caller_left", "-");
+        free_job(job);
+    }
+}
+
+sky_listener_events_t
+SkyTraffic_Events(void)
+{
+    return (sky_listener_events_t){.on_request = on_request,
+                                   .on_gone = on_gone};
+}
+
+sky_result_t
+SkyTraffic_Create(const sky_traffic_options_t *options,
+                  sky_traffic_t **traffic)
+{
+    sky_traffic_t *self = calloc(1, sizeof *self);
+    if (self == NULL) {
+        return SKY_E_MEMORY;
+    }
+    const sky_bounds_t *bounds = &options->settings->bounds;
+    self->options = *options;
+    self->budget_options =
+        (sky_retry_budget_options_t){.ratio = bounds->retry_ratio,
+                                     .slack = bounds->retry_slack,
+                                     .window_ms = bounds->retry_window_ms};
+    *traffic = self;
+    return SKY_OK;
+}
+
+void
+SkyTraffic_Free(sky_traffic_t *traffic)
+{
+    if (traffic == NULL) {
+        return;
+    }
+    job_t *job;
+    job_t *next;
+    DL_FOREACH_SAFE(traffic->jobs, job, next)
+    {
+        free_job(job);
+    }
+    budget_t *budget;
+    budget_t *after;
+    LL_FOREACH_SAFE(traffic->budgets, budget, after)
+    {
+        free(budget);
+    }
+    free(traffic);
+}
+
+uint32_t
+SkyTraffic_Open(const sky_traffic_t *traffic)
+{
+    return traffic->open;
+}
--- a/programs/commands.c
+++ b/programs/commands.c
@@ -1,3 +1,5 @@
+#include "edge/edge.h"
+#include "platform/settings.h"
 #include "programs/commands.h"
 
 #include <inttypes.h>
@@ -49,6 +51,18 @@
     return result;
 }
 
+sky_result_t
+Command_Edge(const sky_arguments_t *arguments)
+{
+    const char *path =
+        arguments->settings ? arguments->settings : SkyPlatform_SettingsPath();
+    if (path == NULL) {
+        fprintf(stderr, "skylarkspar: no settings file is named\n");
+        return SKY_E_USAGE;
+    }
+    return SkyEdge_Run(path);
+}
+
 static void
 print_line(const char *line, void *context)
 {
--- a/programs/commands.h
+++ b/programs/commands.h
@@ -26,6 +26,7 @@
 } sky_arguments_t;
 
 sky_result_t Command_Serve(const sky_arguments_t *arguments);
+sky_result_t Command_Edge(const sky_arguments_t *arguments);
 sky_result_t Command_Check(const sky_arguments_t *arguments);
 sky_result_t Command_Publish(const sky_arguments_t *arguments);
 sky_result_t Command_Amend(const sky_arguments_t *arguments);
--- a/programs/skylarkspar.c
+++ b/programs/skylarkspar.c
@@ -11,6 +11,7 @@
 const char *argp_program_version = "skylarkspar " VERSION;
 
 static const char USAGE[] = "serve SETTINGS\n"
+                            "edge [SETTINGS]\n"
                             "check SETTINGS\n"
                             "publish (template|workspace) NAME FILE\n"
                             "amend (template|workspace) NAME FILE\n"
@@ -21,7 +22,8 @@
 
 static const char HELP[] =
     "A serving layer for very many LoRA adapters.\v"
-    "serve runs a host until SIGTERM; check reads its settings and says what "
+    "serve runs a host until SIGTERM; edge runs one on the users' platform. "
+    "check reads its settings and says what "
     "is wrong. publish creates a document, amend replaces one; FILE is TOML. "
     "show prints what is in force, status the state of a host, drain stops a "
     "host in order. Operators' commands need --host and the operators' key, "
@@ -123,10 +125,10 @@
 } command_t;
 
 static const command_t COMMANDS[] = {
-    {"serve", Command_Serve},     {"check", Command_Check},
-    {"publish", Command_Publish}, {"amend", Command_Amend},
-    {"show", Command_Show},       {"status", Command_Status},
-    {"drain", Command_Drain},
+    {"serve", Command_Serve},   {"edge", Command_Edge},
+    {"check", Command_Check},   {"publish", Command_Publish},
+    {"amend", Command_Amend},   {"show", Command_Show},
+    {"status", Command_Status}, {"drain", Command_Drain},
 };
 
 static sky_result_t
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -3,7 +3,8 @@
 set -eu
 packages="gcc g++ make pkg-config liburcu-dev libtirpc-dev libmicrohttpd-dev
 libneon27-gnutls-dev libtomlplusplus-dev libjansson-dev libxxhash-dev
-libsodium-dev uthash-dev libgtest-dev curl"
+libsodium-dev uthash-dev libev-dev
+libhttp-parser-dev libgtest-dev curl"
 [ "${1:-}" = ci ] && packages="$packages clang clang-format clang-tidy cppcheck
 libclang-rt-14-dev doxygen"
 missing=""
