Count orders as targets do; give a target's own failure back

Polls and loads that hold already are not counted by a target; an unload is, and one that waits for its runs is polled until it is done. Failures that a target gave itself were answered 502 when no other target was left.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -163,7 +163,8 @@
 static uint32_t
 count_taken(const sky_placer_t *placer)
 {
-    return count_in(placer, SKY_PLACE_HELD) + count_coming(placer);
+    return count_in(placer, SKY_PLACE_HELD) +
+           count_in(placer, SKY_PLACE_GOING) + count_coming(placer);
 }
 
 static bool
@@ -213,8 +214,7 @@
     DL_FOREACH_SAFE(placer->places, place, next)
     {
         place->poll_ms = 0;
-        if (place->state == SKY_PLACE_HELD ||
-            place->state == SKY_PLACE_COMING) {
+        if (place->state != SKY_PLACE_QUEUED) {
             place->state =
                 place->due_ms > now_ms ? SKY_PLACE_QUEUED : SKY_PLACE_NONE;
         }
@@ -339,10 +339,13 @@
         }
         place->state = SKY_PLACE_QUEUED;
     }
-    raise_want(place, want, now_ms);
     add_heat(place, 1.0, now_ms);
     place->used_ms = now_ms;
-    return SkyPlacer_StateOf(placer, key, want->version);
+    sky_place_state_t state = SkyPlacer_StateOf(placer, key, want->version);
+    if (state != SKY_PLACE_HELD) {
+        raise_want(place, want, now_ms);
+    }
+    return state;
 }
 
 void
@@ -452,7 +455,10 @@
 {
     const place_t *poll = next_poll(placer);
     if (poll != NULL && poll->poll_ms <= now_ms) {
-        fill_action(placer, poll, SKY_PLACER_LOAD, action);
+        fill_action(placer, poll,
+                    poll->state == SKY_PLACE_GOING ? SKY_PLACER_UNLOAD
+                                                   : SKY_PLACER_LOAD,
+                    action);
         return true;
     }
     const place_t *want = next_want(placer, now_ms);
@@ -521,6 +527,7 @@
     }
     place->state = SKY_PLACE_HELD;
     place->poll_ms = 0;
+    place->due_ms = 0;
     place->version = version > 0 ? version : 1;
     place->used_ms = now_ms;
     if (place->wanted_version <= place->version) {
@@ -528,7 +535,7 @@
     }
 }
 
-/* The target has taken an order. */
+/* The target has taken an order, and counts it. */
 static void
 apply(sky_placer_t *placer, const sky_placer_action_t *action, uint64_t now_ms)
 {
@@ -538,25 +545,33 @@
     if (place == NULL) {
         return;
     }
-    if (action->step == SKY_PLACER_UNLOAD) {
-        drop(placer, place);
-        return;
-    }
-    if (place->state != SKY_PLACE_HELD) {
-        place->state = SKY_PLACE_COMING;
-    }
     if (!is_adapter(place)) {
         /* A model takes seconds; the report tells when it is there. */
+        place->state = SKY_PLACE_COMING;
         placer->known = false;
         placer->report_at_ms = now_ms + MODEL_REPORT_MS;
-        return;
     }
-    if (place->ordered_ms == 0) {
-        place->ordered_ms = now_ms;
-        place->poll_ms =
-            now_ms + (uint64_t)(placer->load_ms * POLL_FIRST_SHARE);
+    else if (action->step == SKY_PLACER_UNLOAD) {
+        place->state = SKY_PLACE_GOING;
+        place->poll_ms = now_ms + POLL_MS;
     }
     else {
+        if (place->state != SKY_PLACE_HELD) {
+            place->state = SKY_PLACE_COMING;
+        }
+        place->ordered_ms = now_ms;
+        place->poll_ms = now_ms + (uint64_t)placer->load_ms;
+    }
+}
+
+/* The order is still being carried out; the target does not count it again. */
+static void
+take_pending(sky_placer_t *placer, const sky_placer_action_t *action,
+             uint64_t now_ms)
+{
+    place_t *place =
+        find(placer, SkyFleet_KeyOf(action->model, action->adapter));
+    if (place != NULL) {
         place->poll_ms = now_ms + POLL_MS;
     }
 }
@@ -571,7 +586,12 @@
         return;
     }
     if (action->step == SKY_PLACER_UNLOAD) {
-        drop(placer, place);
+        /* Done at once, an unload counts as an order. */
+        placer->orders += action->poll ? 0 : 1;
+        place->state = SKY_PLACE_QUEUED;
+        place->poll_ms = 0;
+        place->version = 0;
+        drop_overdue(placer, now_ms);
     }
     else {
         note_loaded(placer, place, action->version, now_ms);
@@ -617,6 +637,10 @@
     placer->last_order_ms = now_ms;
     switch (answer) {
     case SKY_ORDERED_ACCEPTED:
+        if (action.poll) {
+            take_pending(placer, &action, now_ms);
+            break;
+        }
         placer->unanswered = false;
         apply(placer, &action, now_ms);
         break;
@@ -630,7 +654,7 @@
         take_refused(placer, &action, now_ms);
         break;
     case SKY_ORDERED_UNANSWERED:
-        if (!placer->unanswered) {
+        if (!placer->unanswered && !action.poll) {
             placer->unanswered = true;
             placer->unanswered_action = action;
         }
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -37,6 +37,7 @@
     SKY_PLACE_QUEUED, /**< waits for a place */
     SKY_PLACE_COMING, /**< being loaded */
     SKY_PLACE_HELD,   /**< requests can run */
+    SKY_PLACE_GOING,  /**< leaves when the requests on it have ended */
 } sky_place_state_t;
 
 typedef enum {
@@ -53,6 +54,7 @@
     char adapter[SKY_ADAPTER_NAME_BYTES];
     uint32_t version;         /**< 0: the newest */
     uint64_t expected_orders; /**< to be named in the order */
+    bool poll; /**< repeats an order under way, to learn whether it is done */
 } sky_placer_action_t;
 
 typedef enum {
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -279,7 +279,6 @@
     SkyLog_Write(LOG_WARNING, "fenced", "shard=%u fence=%llu", shard,
                  (unsigned long long)ownership->shards[shard].fence);
     ownership->shards[shard].mine = false;
-    ownership->options.on_change(ownership->options.context);
 }
 
 void
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -166,6 +166,7 @@
             break;
         case SKY_PLACE_QUEUED:
         case SKY_PLACE_COMING:
+        case SKY_PLACE_GOING:
             break;
         }
     }
@@ -602,6 +603,7 @@
         return true;
     case SKY_PLACE_QUEUED:
     case SKY_PLACE_COMING:
+    case SKY_PLACE_GOING:
         ask->managed = managed;
         step(managed);
         return true;
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -82,6 +82,7 @@
 };
 
 static void dispatch(job_t *job);
+static bool has_target(const job_t *job);
 
 static sky_retry_budget_t *
 budget_of(sky_traffic_t *traffic, const char *service)
@@ -254,6 +255,9 @@
     else if (job->sends >= SENDS_MAX) {
         stop = "sends";
     }
+    else if (!has_target(job)) {
+        stop = "no_other_target";
+    }
     else if (now + LEAST_TIME_MS >= job->due_ms) {
         stop = "time";
     }
@@ -602,11 +606,10 @@
 }
 
 static void
-dispatch(job_t *job)
+fill_query(const job_t *job, sky_fleet_query_t *query)
 {
-    sky_traffic_t *traffic = job->traffic;
     bool confined = job->touched_count >= job->route->targets_max;
-    sky_fleet_query_t query = {
+    *query = (sky_fleet_query_t){
         .service = job->service->name,
         .engine = job->service->engine.present,
         .model = job->facts.model,
@@ -617,7 +620,31 @@
         .only_count = confined ? job->touched_count : 0,
         .spread = spread_of(job),
     };
+}
+
+/* Whether any target could take the request, if need be after a load. */
+static bool
+has_target(const job_t *job)
+{
+    const sky_fleet_t *fleet = job->traffic->options.directory->fleet;
+    uint64_t now = SkyClock_NowMs();
+    sky_fleet_query_t query;
+    sky_fleet_choice_t choice;
+    sky_fleet_target_t *home;
+    fill_query(job, &query);
+    SkyFleet_Choose(fleet, &query, now, &choice);
+    return choice.target != NULL ||
+           (choice.misses_adapter &&
+            SkyFleet_RankHomes(fleet, &query, now, &home, 1) > 0);
+}
+
+static void
+dispatch(job_t *job)
+{
+    sky_traffic_t *traffic = job->traffic;
+    sky_fleet_query_t query;
     sky_fleet_choice_t choice;
+    fill_query(job, &query);
     SkyFleet_Choose(traffic->options.directory->fleet, &query,
                     SkyClock_NowMs(), &choice);
     if (choice.target != NULL) {
