--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -7,9 +7,8 @@
 #include <utlist.h>
 
 #define HEAT_HALF_LIFE_MS 4000.0 /**< popularity shifts within seconds */
+#define POLL_FIRST_SHARE 0.4 /**< of a load's usual time: some are warm */
 #define POLL_MS 25 /**< between two questions whether a load is done */
-#define POLL_FIRST_SHARE 1.0 /**< of the expected duration, before the first  \
-                              */
 #define LOAD_GAIN 0.3 /**< weight of the last load in the expected duration   \
                        */
 #define BUSY_MS 200   /**< a victim that is in use is left alone so long */
@@ -364,8 +363,9 @@
 fill_action(const sky_placer_t *placer, const place_t *place,
             sky_placer_step_t step, sky_placer_action_t *action)
 {
-    *action =
-        (sky_placer_action_t){.step = step, .expected_orders = placer->orders};
+    *action = (sky_placer_action_t){.step = step,
+                                    .expected_orders = placer->orders,
+                                    .poll = place->poll_ms > 0};
     snprintf(action->model, sizeof action->model, "%s", place->model);
     snprintf(action->adapter, sizeof action->adapter, "%s", place->adapter);
     if (step == SKY_PLACER_LOAD) {
@@ -560,7 +560,8 @@
             place->state = SKY_PLACE_COMING;
         }
         place->ordered_ms = now_ms;
-        place->poll_ms = now_ms + (uint64_t)placer->load_ms;
+        place->poll_ms =
+            now_ms + (uint64_t)(placer->load_ms * POLL_FIRST_SHARE);
     }
 }
 
