Share load and residency with owners; copy crowded adapters; wait for room

Each host now tells an owner its load every 300 ms and gets the load of the others and what the target holds; a holder that fills up gets another copy; requests beyond 1.25 a slot wait at the host, urgent ones first.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -8,12 +8,18 @@
 #include <xxhash.h>
 
 /* Weights of a target's score, in units of one whole batch. */
-#define OTHER_DOMAIN_WEIGHT 0.10 /**< some ms and priced bytes, not a queue   \
-                                  */
+#define OTHER_DOMAIN_WEIGHT                                                   \
+    0.10                   /**< some ms and priced bytes, not a queue         \
+                            */
 #define FAILURE_WEIGHT 2.0 /**< failing half of its requests: as if full */
 #define FULL_WEIGHT 1.0    /**< refused a moment ago */
-/** A batch this full, by this host's share alone, wants a second copy. */
-#define CROWDED_FILL 0.9
+/** A batch this full wants another copy: loading one takes some hundred ms,
+ *  in which a growing crowd fills the rest. */
+#define CROWDED_FILL 0.6
+/** Targets as full as this are the last choice for another adapter. */
+#define HOME_FILL 0.8
+#define WORD_MS 1500      /**< an owner's word counts for so long */
+#define WORD_LAG_MS 200   /**< learned beliefs this young are newer than it */
 #define FAILURE_GAIN 0.25 /**< weight of the last answer */
 #define BLOCK_MS 400      /**< after a refused connection; doubles */
 #define BLOCK_DOUBLINGS 3 /**< a crashed target is back after some seconds */
@@ -136,8 +142,14 @@
     return true;
 }
 
+static bool
+is_word_current(const sky_fleet_target_t *target, uint64_t now_ms)
+{
+    return target->told_at_ms > 0 && now_ms < target->told_at_ms + WORD_MS;
+}
+
 sky_fleet_target_t *
-SkyFleet_Apply(sky_fleet_t *fleet, sky_target_entry_t *entry)
+SkyFleet_Apply(sky_fleet_t *fleet, sky_target_entry_t *entry, uint64_t now_ms)
 {
     sky_fleet_target_t *target = SkyFleet_Find(fleet, entry->id);
     if (target != NULL && target->entry.born_ms != entry->born_ms) {
@@ -158,7 +170,9 @@
     target->entry = *entry;
     target->drop_at_ms = 0;
     *entry = (sky_target_entry_t){0};
-    return index_entry(target) ? target : NULL;
+    /* Its owner's word is newer than its own last one. */
+    bool keep = is_word_current(target, now_ms);
+    return keep || index_entry(target) ? target : NULL;
 }
 
 void
@@ -257,6 +271,7 @@
         target->learned_capacity = capacity;
     }
     target->learned[kept] = *belief;
+    target->learned[kept].learned_ms = now_ms;
     target->learned[kept].until_ms = now_ms + fleet->options.belief_ms;
     target->learned_count = kept + 1;
 }
@@ -306,17 +321,43 @@
            strcmp(target->entry.service, service) == 0;
 }
 
-static double
-fill_of(const sky_fleet_target_t *target)
+double
+SkyFleet_Fill(const sky_fleet_target_t *target, uint64_t now_ms)
+{
+    uint32_t others = is_word_current(target, now_ms) ? target->others : 0;
+    return (double)(target->in_flight + others) / target->entry.slots;
+}
+
+void
+SkyFleet_TakeOwnersWord(sky_fleet_target_t *target, uint32_t others,
+                        const sky_belief_t *held, uint32_t count,
+                        uint64_t now_ms)
 {
-    return (double)target->in_flight / target->entry.slots;
+    sky_belief_t *listed = calloc(count ? count : 1, sizeof *listed);
+    if (listed == NULL) {
+        return;
+    }
+    memcpy(listed, held, count * sizeof *listed);
+    free(target->listed_adapters);
+    target->listed_adapters = listed;
+    target->listed_count = count;
+    target->others = others;
+    target->told_at_ms = now_ms;
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < target->learned_count; i++) {
+        if (target->learned[i].learned_ms + WORD_LAG_MS > now_ms) {
+            target->learned[kept++] = target->learned[i];
+        }
+    }
+    target->learned_count = kept;
 }
 
 static double
 score_of(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
          uint64_t now_ms)
 {
-    double score = fill_of(target) + FAILURE_WEIGHT * target->failure;
+    double score =
+        SkyFleet_Fill(target, now_ms) + FAILURE_WEIGHT * target->failure;
     if (strcmp(target->entry.domain, fleet->domain) != 0) {
         score += OTHER_DOMAIN_WEIGHT;
     }
@@ -365,14 +406,35 @@
         }
     }
     choice->misses_adapter = query->engine && !held;
-    choice->crowded =
-        choice->target != NULL && fill_of(choice->target) > CROWDED_FILL;
+    choice->fill =
+        choice->target ? SkyFleet_Fill(choice->target, now_ms) : 0.0;
+    choice->crowded = choice->fill > CROWDED_FILL;
     if (news != NULL && choice->target != NULL) {
         choice->version =
             strict || best_version >= news->version ? best_version : 0;
     }
 }
 
+/* Rank of a target for an adapter; full ones come after all others. */
+static uint64_t
+home_rank(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
+          uint64_t now_ms)
+{
+    uint64_t weight =
+        XXH3_64bits_withSeed(&adapter, sizeof adapter, target->hash) >> 1;
+    bool full = SkyFleet_Fill(target, now_ms) > HOME_FILL;
+    return full ? weight : weight | (UINT64_C(1) << 63);
+}
+
+static bool
+may_be_home(const sky_fleet_target_t *target, const sky_fleet_query_t *query,
+            sky_adapter_key_t adapter, uint64_t now_ms)
+{
+    return is_usable(target, query->service) &&
+           target->blocked_until_ms <= now_ms && is_allowed(query, target) &&
+           !(query->lacking && version_at(target, adapter, now_ms) > 0);
+}
+
 uint32_t
 SkyFleet_RankHomes(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
                    uint64_t now_ms, sky_fleet_target_t **homes, uint32_t most)
@@ -382,16 +444,12 @@
     sky_fleet_target_t *target;
     DL_FOREACH(fleet->targets, target)
     {
-        if (!is_usable(target, query->service) ||
-            target->blocked_until_ms > now_ms || !is_allowed(query, target)) {
+        if (!may_be_home(target, query, adapter, now_ms)) {
             continue;
         }
-        uint64_t weight =
-            XXH3_64bits_withSeed(&adapter, sizeof adapter, target->hash);
+        uint64_t rank = home_rank(target, adapter, now_ms);
         uint32_t at = count < most ? count++ : most;
-        while (at > 0 &&
-               weight > XXH3_64bits_withSeed(&adapter, sizeof adapter,
-                                             homes[at - 1]->hash)) {
+        while (at > 0 && rank > home_rank(homes[at - 1], adapter, now_ms)) {
             if (at < most) {
                 homes[at] = homes[at - 1];
             }
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -32,18 +32,21 @@
     sky_adapter_key_t adapter;
     uint32_t version;
     bool present;
+    uint64_t learned_ms;
     uint64_t until_ms; /**< learned beliefs yield to the list after this */
 } sky_belief_t;
 
 typedef struct sky_fleet_target {
     sky_target_entry_t entry;
-    uint64_t hash;             /**< of its id */
-    bool listed;               /**< false: gone, kept for its requests */
-    uint64_t drop_at_ms;       /**< missing from the list; gone at this time */
-    uint32_t references;       /**< requests of this host on it */
-    uint32_t in_flight;        /**< of them, being worked on */
-    double failure;            /**< share of late failures, 0 to 1 */
-    uint32_t refusals;         /**< connections refused in a row */
+    uint64_t hash;       /**< of its id */
+    bool listed;         /**< false: gone, kept for its requests */
+    uint64_t drop_at_ms; /**< missing from the list; gone at this time */
+    uint32_t references; /**< requests of this host on it */
+    uint32_t in_flight;  /**< of them, being worked on */
+    uint32_t others;     /**< requests of other hosts on it */
+    uint64_t told_at_ms; /**< when its owner told that, and what it holds */
+    double failure;      /**< share of late failures, 0 to 1 */
+    uint32_t refusals;   /**< connections refused in a row */
     uint64_t blocked_until_ms; /**< not reachable a moment ago */
     uint64_t full_until_ms;    /**< it refused work for want of room */
     sky_belief_t *listed_adapters;
@@ -68,7 +71,7 @@
 /** Takes an entry of the list; the entry is moved out of @p entry.
  *  @return the target, or NULL if memory ran out. */
 sky_fleet_target_t *SkyFleet_Apply(sky_fleet_t *fleet,
-                                   sky_target_entry_t *entry);
+                                   sky_target_entry_t *entry, uint64_t now_ms);
 /** A target is missing from the list: it is gone at @p at_ms. */
 void SkyFleet_Drop(sky_fleet_t *fleet, const char *id, uint64_t at_ms);
 /** Drops what is due. */
@@ -103,6 +106,7 @@
     const uint64_t *only; /**< hashes of targets it is confined to */
     uint32_t only_count;  /**< 0: any target */
     uint64_t spread;      /**< any number, breaks ties */
+    bool lacking;         /**< rank only targets that lack the adapter */
 } sky_fleet_query_t;
 
 typedef struct {
@@ -110,9 +114,19 @@
     uint32_t version;           /**< the target must have; 0: any */
     bool usable_targets;        /**< the service has any target at all */
     bool misses_adapter;        /**< none of them holds the adapter */
-    bool crowded;               /**< those that hold it are full */
+    bool crowded;               /**< a copy elsewhere would help */
+    double fill; /**< requests on the target for each slot of its batch */
 } sky_fleet_choice_t;
 
+/** Takes what a target's owner told: requests of all hosts but this one, and
+ *  all adapters that it holds. */
+void SkyFleet_TakeOwnersWord(sky_fleet_target_t *target, uint32_t others,
+                             const sky_belief_t *held, uint32_t count,
+                             uint64_t now_ms);
+
+/** @return requests on a target for each slot of its batch. */
+double SkyFleet_Fill(const sky_fleet_target_t *target, uint64_t now_ms);
+
 /** Chooses a target that can run a request now. */
 void SkyFleet_Choose(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
                      uint64_t now_ms, sky_fleet_choice_t *choice);
--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -7,11 +7,12 @@
 #include <utlist.h>
 
 #define HEAT_HALF_LIFE_MS 4000.0 /**< popularity shifts within seconds */
-#define POLL_FIRST_SHARE 0.4 /**< of a load's usual time: some are warm */
+#define POLL_FIRST_SHARE 0.4     /**< of a load's usual time: some are warm */
 #define POLL_MS 25 /**< between two questions whether a load is done */
-#define LOAD_GAIN 0.3 /**< weight of the last load in the expected duration   \
-                       */
-#define BUSY_MS 200   /**< a victim that is in use is left alone so long */
+#define LOAD_GAIN                                                             \
+    0.3             /**< weight of the last load in the expected duration     \
+                     */
+#define BUSY_MS 200 /**< a victim that is in use is left alone so long */
 #define REPORT_RETRY_MS 250
 #define CONFLICT_WAIT_MS 100 /**< before the target is asked again */
 #define MODEL_REPORT_MS 300  /**< between reports while a model is loaded */
@@ -246,6 +247,12 @@
     placer->report_at_ms = now_ms;
 }
 
+bool
+SkyPlacer_IsKnown(const sky_placer_t *placer)
+{
+    return placer->known;
+}
+
 sky_place_state_t
 SkyPlacer_StateOf(const sky_placer_t *placer, sky_adapter_key_t adapter,
                   uint32_t version)
@@ -268,6 +275,22 @@
                                                            : 0;
 }
 
+uint32_t
+SkyPlacer_List(const sky_placer_t *placer, sky_belief_t *held, uint32_t most)
+{
+    uint32_t count = 0;
+    const place_t *place;
+    DL_FOREACH(placer->places, place)
+    {
+        if (place->state == SKY_PLACE_HELD && count < most) {
+            held[count++] = (sky_belief_t){.adapter = place->key,
+                                           .version = place->version,
+                                           .present = true};
+        }
+    }
+    return count;
+}
+
 void
 SkyPlacer_NoteUse(sky_placer_t *placer, sky_adapter_key_t adapter,
                   uint32_t count, uint64_t now_ms)
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -89,12 +89,17 @@
 sky_place_state_t SkyPlacer_Want(sky_placer_t *placer,
                                  const sky_placer_want_t *want,
                                  uint64_t now_ms);
+/** @return whether the target's state was read and is current. */
+bool SkyPlacer_IsKnown(const sky_placer_t *placer);
 sky_place_state_t SkyPlacer_StateOf(const sky_placer_t *placer,
                                     sky_adapter_key_t adapter,
                                     uint32_t version);
 /** @return version held, 0 if none. */
 uint32_t SkyPlacer_VersionOf(const sky_placer_t *placer,
                              sky_adapter_key_t adapter);
+/** Lists the adapters held. @return how many were written. */
+uint32_t SkyPlacer_List(const sky_placer_t *placer, sky_belief_t *held,
+                        uint32_t most);
 /** An adapter was used @p count times since the last call. */
 void SkyPlacer_NoteUse(sky_placer_t *placer, sky_adapter_key_t adapter,
                        uint32_t count, uint64_t now_ms);
--- a/lib/decide/request_facts.h
+++ b/lib/decide/request_facts.h
@@ -14,8 +14,9 @@
 extern "C" {
 #endif
 
-#define SKY_PROMPT_PARTS_MAX 8 /**< longer lists count by their first parts   \
-                                */
+#define SKY_PROMPT_PARTS_MAX                                                  \
+    8 /**< longer lists count by their first parts                            \
+       */
 
 /** A part of a prompt that requests may share. */
 typedef struct {
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -41,8 +41,9 @@
 /** The balancer needs two probes, a second apart, to stop sending callers. */
 #define DRAIN_LEAST_MS 3200
 #define DRAIN_IDLE_MS 2500
-#define DRAIN_MARGIN_MS 400 /**< left of the grace period at the latest exit  \
-                             */
+#define DRAIN_MARGIN_MS                                                       \
+    400 /**< left of the grace period at the latest exit                      \
+         */
 #define READY_HEAD_BYTES 4096
 
 typedef struct {
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -171,7 +171,7 @@
                      entry.slots, (unsigned long long)entry.born_ms,
                      entry.resident_count);
     }
-    if (SkyFleet_Apply(fleet, &entry) == NULL) {
+    if (SkyFleet_Apply(fleet, &entry, SkyClock_NowMs()) == NULL) {
         SkyLog_Write(LOG_ERR, "target_entry_ignored",
                      "target=%s reason=memory", record->key);
     }
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -23,12 +23,26 @@
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
 #define REMOTE_MARGIN_MS 30   /**< way of an answer between hosts */
 #define RECONCILE_S 0.25
-#define USE_FLUSH_S 0.25   /**< uses told to other owners; heat lives seconds \
-                            */
+#define SHARE_S 0.3    /**< load is told to owners; a run takes as long */
+#define SHARE_MS 1000  /**< load told before is no longer counted */
+#define SHARES_MAX 128 /**< hosts with requests on one target */
+#define HELD_MAX 256   /**< adapters of one target that are told */
+#define COPIES_MOST 8  /**< asked for at once by one host */
+#define COPY_INTERVAL_MS 400 /**< of one adapter: a load takes about as long  \
+                              */
+#define COPIES_REMEMBERED 64
+#define CROWDED_FILL 1.0   /**< its batch is full: another home is better */
 #define MODEL_DUE_MS 60000 /**< a target without its model always needs it */
 #define RETRY_AFTER_NO_OWNER_MS 800 /**< an owner is found within a lease */
 #define USES_MAX 256 /**< distinct uses kept between two flushes */
 
+/** Requests of one host on a target. */
+typedef struct {
+    char host[SKY_HOST_NAME_BYTES];
+    uint32_t in_flight;
+    uint64_t at_ms;
+} share_t;
+
 typedef struct managed {
     sky_placement_t *placement;
     char id[SKY_TARGET_ID_BYTES];
@@ -43,7 +57,8 @@
     uint16_t status;
     sky_buffer_t body;
     ev_timer timer; /**< wakes the placer, or bounds an order */
-    bool stepping;
+    share_t shares[SHARES_MAX];
+    uint32_t share_count;
     struct managed *prev;
     struct managed *next;
 } managed_t;
@@ -72,20 +87,26 @@
 };
 
 typedef struct {
-    char target[SKY_TARGET_ID_BYTES];
-    uint32_t shard;
+    uint64_t target; /**< hash of its id */
     sky_adapter_key_t adapter;
     uint32_t count;
 } use_t;
 
+typedef struct {
+    sky_adapter_key_t adapter;
+    uint64_t at_ms;
+} copy_t;
+
 struct sky_placement {
     sky_placement_options_t options;
     managed_t *managed;
     sky_placement_ask_t *asks;
     ev_timer reconcile;
-    ev_timer flush;
+    ev_timer share;
     use_t uses[USES_MAX];
     uint32_t use_count;
+    copy_t copied[COPIES_REMEMBERED];
+    uint32_t copies; /**< asked for and not answered */
 };
 
 static void step(managed_t *managed);
@@ -588,6 +609,15 @@
     return ask->call != NULL;
 }
 
+static bool
+is_crowded(const managed_t *managed)
+{
+    const sky_fleet_target_t *target = SkyFleet_Find(
+        managed->placement->options.directory->fleet, managed->id);
+    return target != NULL &&
+           SkyFleet_Fill(target, SkyClock_NowMs()) > CROWDED_FILL;
+}
+
 /* Asks this host's own placer; true if the ask waits there or has ended. */
 static bool
 ask_here(sky_placement_ask_t *ask, managed_t *managed)
@@ -597,6 +627,12 @@
                               .version = ask->version,
                               .urgency = ask->urgency,
                               .due_ms = ask->due_ms};
+    if (is_crowded(managed) && ask->home_next < ask->home_count &&
+        SkyPlacer_StateOf(managed->placer, ask->key, ask->version) ==
+            SKY_PLACE_NONE) {
+        ask->reason = "target_crowded";
+        return false;
+    }
     switch (SkyPlacer_Want(managed->placer, &want, SkyClock_NowMs())) {
     case SKY_PLACE_HELD:
         grant(ask, SkyPlacer_VersionOf(managed->placer, ask->key));
@@ -772,27 +808,164 @@
     }
 }
 
+/* Requests of all hosts but one on a managed target. */
+static uint32_t
+others_on(const managed_t *managed, const char *but)
+{
+    const sky_placement_options_t *options = &managed->placement->options;
+    uint64_t now = SkyClock_NowMs();
+    uint32_t total = 0;
+    for (uint32_t i = 0; i < managed->share_count; i++) {
+        const share_t *share = &managed->shares[i];
+        if (share->at_ms + SHARE_MS > now && strcmp(share->host, but) != 0) {
+            total += share->in_flight;
+        }
+    }
+    const sky_fleet_target_t *target =
+        SkyFleet_Find(options->directory->fleet, managed->id);
+    if (target != NULL && strcmp(options->settings->name, but) != 0) {
+        total += target->in_flight;
+    }
+    return total;
+}
+
+static void
+note_share(managed_t *managed, const char *host, uint32_t in_flight)
+{
+    uint64_t now = SkyClock_NowMs();
+    share_t *found = NULL;
+    for (uint32_t i = 0; i < managed->share_count; i++) {
+        share_t *share = &managed->shares[i];
+        if (strcmp(share->host, host) == 0) {
+            found = share;
+            break;
+        }
+        if (found == NULL && share->at_ms + SHARE_MS <= now) {
+            found = share;
+        }
+    }
+    if (found == NULL && managed->share_count < SHARES_MAX) {
+        found = &managed->shares[managed->share_count++];
+    }
+    if (found != NULL) {
+        snprintf(found->host, sizeof found->host, "%s", host);
+        found->in_flight = in_flight;
+        found->at_ms = now;
+    }
+}
+
+/* Tells this host's own part of the system what it knows as an owner. */
+static void
+share_with_self(managed_t *managed)
+{
+    const sky_placement_options_t *options = &managed->placement->options;
+    sky_fleet_target_t *target =
+        SkyFleet_Find(options->directory->fleet, managed->id);
+    sky_belief_t held[HELD_MAX];
+    if (target != NULL && SkyPlacer_IsKnown(managed->placer)) {
+        uint32_t count = SkyPlacer_List(managed->placer, held, HELD_MAX);
+        SkyFleet_TakeOwnersWord(target,
+                                others_on(managed, options->settings->name),
+                                held, count, SkyClock_NowMs());
+    }
+}
+
+static json_t *
+owners_word(const managed_t *managed, const char *host)
+{
+    sky_belief_t held[HELD_MAX];
+    uint32_t count = SkyPlacer_List(managed->placer, held, HELD_MAX);
+    json_t *rows = json_array();
+    for (uint32_t i = 0; i < count; i++) {
+        json_array_append_new(rows,
+                              json_pack("[I,I]", (json_int_t)held[i].adapter,
+                                        (json_int_t)held[i].version));
+    }
+    return json_pack("[s,I,o]", managed->id,
+                     (json_int_t)others_on(managed, host), rows);
+}
+
+/* Another host tells its load on targets that this one owns. */
 static void
-on_use(void *context, sky_visit_t *visit, const json_t *body)
+on_share(void *context, sky_visit_t *visit, const json_t *body)
 {
     sky_placement_t *placement = context;
+    const char *host = json_string_value(json_object_get(body, "host"));
+    json_t *answer = json_array();
     size_t index;
     json_t *row;
-    json_array_foreach(json_object_get(body, "uses"), index, row)
+    json_array_foreach(json_object_get(body, "targets"), index, row)
     {
         const char *target = NULL;
-        json_int_t adapter = 0;
-        json_int_t count = 0;
-        if (json_unpack(row, "[s,I,I]", &target, &adapter, &count) != 0) {
+        json_int_t in_flight = 0;
+        json_t *uses = NULL;
+        if (host == NULL ||
+            json_unpack(row, "[s,I,o]", &target, &in_flight, &uses) != 0) {
             continue;
         }
         managed_t *managed = find_managed(placement, target);
-        if (managed != NULL) {
-            SkyPlacer_NoteUse(managed->placer, (sky_adapter_key_t)adapter,
-                              (uint32_t)count, SkyClock_NowMs());
+        if (managed == NULL || !SkyPlacer_IsKnown(managed->placer)) {
+            continue;
+        }
+        note_share(managed, host, (uint32_t)in_flight);
+        size_t i;
+        json_t *use;
+        json_array_foreach(uses, i, use)
+        {
+            SkyPlacer_NoteUse(
+                managed->placer,
+                (sky_adapter_key_t)json_integer_value(json_array_get(use, 0)),
+                (uint32_t)json_integer_value(json_array_get(use, 1)),
+                SkyClock_NowMs());
+        }
+        json_array_append_new(answer, owners_word(managed, host));
+    }
+    SkyHostCalls_Answer(visit, json_pack("{s:o}", "targets", answer));
+}
+
+static void
+take_owners_word(sky_placement_t *placement, const json_t *row)
+{
+    const char *id = NULL;
+    json_int_t others = 0;
+    json_t *rows = NULL;
+    sky_belief_t held[HELD_MAX];
+    uint32_t count = 0;
+    if (json_unpack((json_t *)row, "[s,I,o]", &id, &others, &rows) != 0) {
+        return;
+    }
+    sky_fleet_target_t *target =
+        SkyFleet_Find(placement->options.directory->fleet, id);
+    size_t index;
+    json_t *item;
+    json_array_foreach(rows, index, item)
+    {
+        json_int_t adapter = 0;
+        json_int_t version = 0;
+        if (count < HELD_MAX &&
+            json_unpack(item, "[I,I]", &adapter, &version) == 0) {
+            held[count++] =
+                (sky_belief_t){.adapter = (sky_adapter_key_t)adapter,
+                               .version = (uint32_t)version,
+                               .present = true};
         }
     }
-    SkyHostCalls_Answer(visit, json_object());
+    if (target != NULL) {
+        SkyFleet_TakeOwnersWord(target, (uint32_t)others, held, count,
+                                SkyClock_NowMs());
+    }
+}
+
+static void
+on_shared(void *context, const json_t *body)
+{
+    /* Without an answer, load and residency are known less well. */
+    size_t index;
+    json_t *row;
+    json_array_foreach(json_object_get(body, "targets"), index, row)
+    {
+        take_owners_word(context, row);
+    }
 }
 
 void
@@ -807,68 +980,119 @@
     }
     for (uint32_t i = 0; i < placement->use_count; i++) {
         use_t *use = &placement->uses[i];
-        if (use->adapter == adapter &&
-            strcmp(use->target, target->entry.id) == 0) {
+        if (use->adapter == adapter && use->target == target->hash) {
             use->count++;
             return;
         }
     }
     if (placement->use_count < USES_MAX) {
-        use_t *use = &placement->uses[placement->use_count++];
-        *use = (use_t){.adapter = adapter, .count = 1};
-        use->shard =
-            SkyOwnership_ShardOf(placement->options.ownership, target->hash);
-        snprintf(use->target, sizeof use->target, "%s", target->entry.id);
+        placement->uses[placement->use_count++] =
+            (use_t){.target = target->hash, .adapter = adapter, .count = 1};
+    }
+}
+
+static json_t *
+uses_of(const sky_placement_t *placement, const sky_fleet_target_t *target)
+{
+    json_t *rows = json_array();
+    for (uint32_t i = 0; i < placement->use_count; i++) {
+        const use_t *use = &placement->uses[i];
+        if (use->target == target->hash) {
+            json_array_append_new(rows,
+                                  json_pack("[I,I]", (json_int_t)use->adapter,
+                                            (json_int_t)use->count));
+        }
     }
+    return rows;
 }
 
+/* Adds a target's row to the message for its owner. */
 static void
-on_use_told(void *context, const json_t *body)
+put_share(sky_placement_t *placement, json_t *messages,
+          const sky_fleet_target_t *target)
 {
-    (void)context;
-    (void)body; /* a lost one only makes the owner guess less well */
+    const sky_placement_options_t *options = &placement->options;
+    const char *owner = SkyOwnership_OwnerOf(
+        options->ownership,
+        SkyOwnership_ShardOf(options->ownership, target->hash));
+    json_t *uses = uses_of(placement, target);
+    bool quiet = json_array_size(uses) == 0 && target->in_flight == 0;
+    if (owner == NULL || quiet ||
+        strcmp(owner, options->settings->control) == 0) {
+        json_decref(uses);
+        return;
+    }
+    json_t *rows = json_object_get(messages, owner);
+    if (rows == NULL) {
+        rows = json_array();
+        json_object_set_new(messages, owner, rows);
+    }
+    json_array_append_new(rows,
+                          json_pack("[s,I,o]", target->entry.id,
+                                    (json_int_t)target->in_flight, uses));
 }
 
 static void
-on_flush(struct ev_loop *loop, ev_timer *watcher, int events)
+on_share_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     (void)loop;
     (void)events;
     sky_placement_t *placement = watcher->data;
     const sky_placement_options_t *options = &placement->options;
-    while (placement->use_count > 0) {
-        char to[SKY_HOST_ADDRESS_BYTES] = "";
-        json_t *rows = json_array();
-        uint32_t kept = 0;
-        for (uint32_t i = 0; i < placement->use_count; i++) {
-            use_t use = placement->uses[i];
-            const char *owner =
-                SkyOwnership_OwnerOf(options->ownership, use.shard);
-            if (owner == NULL) {
-                continue;
-            }
-            if (to[0] == '\0') {
-                snprintf(to, sizeof to, "%s", owner);
-            }
-            if (strcmp(to, owner) == 0) {
-                json_array_append_new(rows, json_pack("[s,I,I]", use.target,
-                                                      (json_int_t)use.adapter,
-                                                      (json_int_t)use.count));
-            }
-            else {
-                placement->uses[kept++] = use;
-            }
-        }
-        placement->use_count = kept;
-        json_t *body = json_pack("{s:o}", "uses", rows);
-        if (to[0] != '\0' && strcmp(to, options->settings->control) != 0) {
-            SkyHostCalls_Call(options->peers, to, "/use", body,
-                              REMOTE_TIMEOUT_MS, on_use_told, NULL);
-        }
-        else {
-            json_decref(body);
+    json_t *messages = json_object();
+    managed_t *managed;
+    DL_FOREACH(placement->managed, managed)
+    {
+        share_with_self(managed);
+    }
+    const sky_fleet_target_t *target =
+        SkyFleet_First(options->directory->fleet);
+    for (; target != NULL; target = target->next) {
+        const sky_service_t *service =
+            service_of(placement, target->entry.service);
+        if (target->listed && service != NULL && service->engine.present) {
+            put_share(placement, messages, target);
         }
     }
+    placement->use_count = 0;
+    const char *owner;
+    json_t *rows;
+    json_object_foreach(messages, owner, rows)
+    {
+        json_t *body = json_pack("{s:s, s:O}", "host", options->settings->name,
+                                 "targets", rows);
+        SkyHostCalls_Call(options->peers, owner, "/share", body,
+                          REMOTE_TIMEOUT_MS, on_shared, placement);
+    }
+    json_decref(messages);
+}
+
+/* A copy was asked for ahead of need: whoever needs it finds it. */
+static void
+on_copied(void *context, const sky_placement_result_t *result)
+{
+    sky_placement_t *placement = context;
+    SkyLog_Write(LOG_INFO, "copy", "placed=%d target=%s reason=%s",
+                 result->placed, result->placed ? result->target_id : "-",
+                 result->placed ? "-" : result->reason);
+    placement->copies--;
+}
+
+void
+SkyPlacement_Copy(sky_placement_t *placement, const sky_placement_wish_t *wish)
+{
+    uint64_t now = SkyClock_NowMs();
+    sky_adapter_key_t key =
+        SkyFleet_KeyOf(wish->query.model, wish->query.adapter);
+    copy_t *copy = &placement->copied[key % COPIES_REMEMBERED];
+    if (placement->copies >= COPIES_MOST ||
+        (copy->adapter == key && copy->at_ms + COPY_INTERVAL_MS > now)) {
+        return;
+    }
+    *copy = (copy_t){.adapter = key, .at_ms = now};
+    if (SkyPlacement_Ask(placement, wish, on_copied, placement) != NULL) {
+        placement->copies++;
+    }
 }
 
 sky_result_t
@@ -883,12 +1107,12 @@
     ev_timer_init(&self->reconcile, on_reconcile, RECONCILE_S, RECONCILE_S);
     self->reconcile.data = self;
     ev_timer_start(options->loop, &self->reconcile);
-    ev_timer_init(&self->flush, on_flush, USE_FLUSH_S, USE_FLUSH_S);
-    self->flush.data = self;
-    ev_timer_start(options->loop, &self->flush);
+    ev_timer_init(&self->share, on_share_timer, SHARE_S, SHARE_S);
+    self->share.data = self;
+    ev_timer_start(options->loop, &self->share);
     SkyHostCalls_Handle(options->peers, "/place", on_place, on_place_gone,
                         self);
-    SkyHostCalls_Handle(options->peers, "/use", on_use, NULL, self);
+    SkyHostCalls_Handle(options->peers, "/share", on_share, NULL, self);
     *placement = self;
     return SKY_OK;
 }
@@ -909,6 +1133,6 @@
         free_managed(placement->managed);
     }
     ev_timer_stop(placement->options.loop, &placement->reconcile);
-    ev_timer_stop(placement->options.loop, &placement->flush);
+    ev_timer_stop(placement->options.loop, &placement->share);
     free(placement);
 }
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -64,6 +64,11 @@
 /** The answer is no longer wanted. */
 void SkyPlacement_Cancel(sky_placement_ask_t *ask);
 
+/** Asks for a further copy of an adapter whose targets fill up, unless that
+ * was done a moment ago. */
+void SkyPlacement_Copy(sky_placement_t *placement,
+                       const sky_placement_wish_t *wish);
+
 /** Tells owners, now and then, which adapters are in use. */
 void SkyPlacement_NoteUse(sky_placement_t *placement,
                           const sky_fleet_target_t *target,
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -20,7 +20,8 @@
 #define LEAST_TIME_MS 20 /**< a target could not answer in less */
 #define CONNECT_TIMEOUT_MS                                                    \
     400 /**< a lost opening packet is sent again later */
-#define RETRY_AFTER_START_MS 500  /**< until a host that starts knows enough  \
+#define RETRY_AFTER_START_MS                                                  \
+    500                           /**< until a host that starts knows enough  \
                                    */
 #define RETRY_AFTER_FULL_MS 200   /**< a slot is free again after about this */
 #define RETRY_AFTER_SPREAD_MS 300 /**< callers must not return together */
@@ -28,7 +29,12 @@
  *  this host stops is better off elsewhere. */
 #define USUAL_MOST_MS 4000
 #define RETRY_AFTER_STOPPING_MS 20
-#define NO_URGENCY 255            /**< plain services have none */
+/** A target takes this many requests for each slot of its batch; beyond, they
+ *  wait here, where a copy elsewhere or an earlier end may serve them. */
+#define FILL_MOST 1.25
+#define ROOM_S 0.02       /**< waiting requests are looked at so often */
+#define ROOM_WAIT_MS 1500 /**< longest wait for room: some runs' length */
+#define NO_URGENCY 255    /**< plain services have none */
 /** Longest idle time of a connection on which something that must not run
  *  twice is sent: a server's own close crosses it less likely. */
 #define UNREPEATABLE_REUSE_MS 4000
@@ -64,7 +70,8 @@
     uint32_t asks;
     uint32_t version; /**< of the adapter, as sent */
     bool may_have_run;
-    bool relaying; /**< the answer's head is with the caller */
+    bool relaying;          /**< the answer's head is with the caller */
+    uint64_t room_since_ms; /**< waits for room since then; 0: it does not */
     answer_t answer;
     sky_event_stream_t events;
     struct job *prev;
@@ -83,6 +90,7 @@
     budget_t *budgets;
     job_t *jobs;
     uint32_t open;
+    ev_timer room;
     uint64_t stop_ms; /**< this host exits then; 0: it does not stop */
 };
 
@@ -610,6 +618,25 @@
     }
 }
 
+/* The targets that hold the adapter fill up: has another one load it. */
+static void
+ask_for_copy(const job_t *job, const sky_fleet_query_t *query)
+{
+    sky_traffic_t *traffic = job->traffic;
+    sky_placement_wish_t wish = {
+        .query = *query,
+        .version = SkyFleet_Announced(
+            traffic->options.directory->fleet,
+            SkyFleet_KeyOf(job->facts.model, job->facts.adapter)),
+        .urgency = job->route->urgency,
+        .due_ms = SkyClock_NowMs() + ROOM_WAIT_MS,
+    };
+    wish.query.lacking = true;
+    wish.query.only_count = 0;
+    wish.query.avoid_count = 0;
+    SkyPlacement_Copy(traffic->options.placement, &wish);
+}
+
 static void
 fill_query(const job_t *job, sky_fleet_query_t *query)
 {
@@ -652,6 +679,17 @@
     fill_query(job, &query);
     SkyFleet_Choose(traffic->options.directory->fleet, &query,
                     SkyClock_NowMs(), &choice);
+    job->room_since_ms =
+        choice.fill >= FILL_MOST
+            ? (job->room_since_ms ? job->room_since_ms : SkyClock_NowMs())
+            : 0;
+    if (choice.crowded && job->service->engine.present &&
+        job->facts.adapter[0] != '\0') {
+        ask_for_copy(job, &query);
+    }
+    if (job->room_since_ms > 0) {
+        return; /* on_room() tries again */
+    }
     if (choice.target != NULL) {
         send_to(job, &choice);
     }
@@ -664,6 +702,55 @@
     }
 }
 
+static bool
+comes_before(const job_t *one, const job_t *other)
+{
+    if (one->route->urgency != other->route->urgency) {
+        return one->route->urgency < other->route->urgency;
+    }
+    if (one->arrived_ms != other->arrived_ms) {
+        return one->arrived_ms < other->arrived_ms;
+    }
+    return one < other;
+}
+
+static job_t *
+next_waiting(const sky_traffic_t *traffic, const job_t *after)
+{
+    job_t *best = NULL;
+    job_t *job;
+    DL_FOREACH(traffic->jobs, job)
+    {
+        if (job->room_since_ms > 0 &&
+            (after == NULL || comes_before(after, job)) &&
+            (best == NULL || comes_before(job, best))) {
+            best = job;
+        }
+    }
+    return best;
+}
+
+/* Tries those that wait for room again, the most urgent first. */
+static void
+on_room(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_traffic_t *traffic = watcher->data;
+    uint64_t now = SkyClock_NowMs();
+    job_t *job = next_waiting(traffic, NULL);
+    while (job != NULL) {
+        job_t *next = next_waiting(traffic, job);
+        if (now > job->room_since_ms + ROOM_WAIT_MS) {
+            give_up(job, RETRY_AFTER_FULL_MS, "no_room");
+        }
+        else {
+            dispatch(job);
+        }
+        job = next;
+    }
+}
+
 static void
 on_due(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -786,6 +873,9 @@
         (sky_retry_budget_options_t){.ratio = bounds->retry_ratio,
                                      .slack = bounds->retry_slack,
                                      .window_ms = bounds->retry_window_ms};
+    ev_timer_init(&self->room, on_room, ROOM_S, ROOM_S);
+    self->room.data = self;
+    ev_timer_start(options->loop, &self->room);
     *traffic = self;
     return SKY_OK;
 }
@@ -802,6 +892,7 @@
     {
         free_job(job);
     }
+    ev_timer_stop(traffic->options.loop, &traffic->room);
     budget_t *budget;
     budget_t *after;
     LL_FOREACH_SAFE(traffic->budgets, budget, after)
--- a/lib/net/socket.c
+++ b/lib/net/socket.c
@@ -8,8 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 1024 /**< connections of an opening crowd between two turns   \
-                      */
+#define BACKLOG                                                               \
+    1024 /**< connections of an opening crowd between two turns               \
+          */
 
 bool
 SkySocket_ParseAddress(const char *text, struct sockaddr_in *address)
