Leave adapters in use alone; look past targets that failed

Cause: an unload of an adapter in use keeps the target busy, and refusing all other orders, for as long as its requests run (118 of 756 unloads; 369 state reports after conflicts, 0.4 s of standstill each). Hosts now tell owners which adapters they run; an owner drops none of those. A failed or unreachable holder no longer hides that the adapter can be loaded elsewhere.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -392,10 +392,10 @@
         if (version == 0 || (strict && !current)) {
             continue;
         }
-        held = true;
         if (target->blocked_until_ms > now_ms || !is_allowed(query, target)) {
             continue;
         }
+        held = true;
         double score = score_of(fleet, target, now_ms) + (current ? 0 : 1.0);
         /* Equal scores: the request's own number picks. */
         score += (double)((target->hash ^ query->spread) % 1024) / 1.0e5;
--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -13,6 +13,7 @@
     0.3             /**< weight of the last load in the expected duration     \
                      */
 #define BUSY_MS 200 /**< a victim that is in use is left alone so long */
+#define RUNNING_MS 700 /**< hosts tell twice in this time what they run */
 #define REPORT_RETRY_MS 250
 #define CONFLICT_WAIT_MS 100 /**< before the target is asked again */
 #define MODEL_REPORT_MS 300  /**< between reports while a model is loaded */
@@ -293,13 +294,19 @@
 
 void
 SkyPlacer_NoteUse(sky_placer_t *placer, sky_adapter_key_t adapter,
-                  uint32_t count, uint64_t now_ms)
+                  uint32_t count, uint32_t running, uint64_t now_ms)
 {
     place_t *place = find(placer, adapter);
-    if (place != NULL) {
+    if (place == NULL) {
+        return;
+    }
+    if (count > 0) {
         add_heat(place, count, now_ms);
         place->used_ms = now_ms;
     }
+    if (running > 0) {
+        place->busy_until_ms = now_ms + RUNNING_MS;
+    }
 }
 
 /* Time until the queue before a new want is through. */
@@ -485,7 +492,7 @@
         return true;
     }
     const place_t *want = next_want(placer, now_ms);
-    if (want == NULL ||
+    if (want == NULL || count_in(placer, SKY_PLACE_GOING) > 0 ||
         (is_adapter(want) &&
          count_coming(placer) >= placer->options.transit_most)) {
         return false;
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -89,7 +89,8 @@
 typedef struct {
     uint64_t target; /**< hash of its id */
     sky_adapter_key_t adapter;
-    uint32_t count;
+    uint32_t count;   /**< begun since the owner was told */
+    uint32_t running;
 } use_t;
 
 typedef struct {
@@ -177,7 +178,6 @@
         }
         switch (SkyPlacer_StateOf(managed->placer, ask->key, ask->version)) {
         case SKY_PLACE_HELD:
-            SkyPlacer_NoteUse(managed->placer, ask->key, 0, SkyClock_NowMs());
             grant(ask, SkyPlacer_VersionOf(managed->placer, ask->key));
             break;
         case SKY_PLACE_NONE:
@@ -916,6 +916,7 @@
                 managed->placer,
                 (sky_adapter_key_t)json_integer_value(json_array_get(use, 0)),
                 (uint32_t)json_integer_value(json_array_get(use, 1)),
+                (uint32_t)json_integer_value(json_array_get(use, 2)),
                 SkyClock_NowMs());
         }
         json_array_append_new(answer, owners_word(managed, host));
@@ -968,26 +969,43 @@
     }
 }
 
-void
-SkyPlacement_NoteUse(sky_placement_t *placement,
-                     const sky_fleet_target_t *target,
-                     sky_adapter_key_t adapter)
+static use_t *
+find_use(sky_placement_t *placement, uint64_t target,
+         sky_adapter_key_t adapter)
 {
-    managed_t *managed = find_managed(placement, target->entry.id);
-    if (managed != NULL) {
-        SkyPlacer_NoteUse(managed->placer, adapter, 1, SkyClock_NowMs());
-        return;
-    }
     for (uint32_t i = 0; i < placement->use_count; i++) {
         use_t *use = &placement->uses[i];
-        if (use->adapter == adapter && use->target == target->hash) {
-            use->count++;
-            return;
+        if (use->adapter == adapter && use->target == target) {
+            return use;
         }
     }
-    if (placement->use_count < USES_MAX) {
-        placement->uses[placement->use_count++] =
-            (use_t){.target = target->hash, .adapter = adapter, .count = 1};
+    return NULL;
+}
+
+void
+SkyPlacement_NoteBegin(sky_placement_t *placement,
+                       const sky_fleet_target_t *target,
+                       sky_adapter_key_t adapter)
+{
+    use_t *use = find_use(placement, target->hash, adapter);
+    if (use == NULL && placement->use_count < USES_MAX) {
+        use = &placement->uses[placement->use_count++];
+        *use = (use_t){.target = target->hash, .adapter = adapter};
+    }
+    if (use != NULL) {
+        use->count++;
+        use->running++;
+    }
+}
+
+void
+SkyPlacement_NoteEnd(sky_placement_t *placement,
+                     const sky_fleet_target_t *target,
+                     sky_adapter_key_t adapter)
+{
+    use_t *use = find_use(placement, target->hash, adapter);
+    if (use != NULL && use->running > 0) {
+        use->running--;
     }
 }
 
@@ -999,8 +1017,10 @@
         const use_t *use = &placement->uses[i];
         if (use->target == target->hash) {
             json_array_append_new(rows,
-                                  json_pack("[I,I]", (json_int_t)use->adapter,
-                                            (json_int_t)use->count));
+                                  json_pack("[I,I,I]",
+                                            (json_int_t)use->adapter,
+                                            (json_int_t)use->count,
+                                            (json_int_t)use->running));
         }
     }
     return rows;
@@ -1032,6 +1052,34 @@
                                     (json_int_t)target->in_flight, uses));
 }
 
+/* Keeps what still runs. */
+static void
+forget_told(sky_placement_t *placement)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < placement->use_count; i++) {
+        use_t use = placement->uses[i];
+        use.count = 0;
+        if (use.running > 0) {
+            placement->uses[kept++] = use;
+        }
+    }
+    placement->use_count = kept;
+}
+
+/* What this host runs on a target that it owns itself. */
+static void
+note_own_uses(const sky_placement_t *placement, managed_t *managed)
+{
+    for (uint32_t i = 0; i < placement->use_count; i++) {
+        const use_t *use = &placement->uses[i];
+        if (use->target == managed->hash) {
+            SkyPlacer_NoteUse(managed->placer, use->adapter, use->count,
+                              use->running, SkyClock_NowMs());
+        }
+    }
+}
+
 static void
 on_share_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -1043,6 +1091,7 @@
     managed_t *managed;
     DL_FOREACH(placement->managed, managed)
     {
+        note_own_uses(placement, managed);
         share_with_self(managed);
     }
     const sky_fleet_target_t *target =
@@ -1054,7 +1103,7 @@
             put_share(placement, messages, target);
         }
     }
-    placement->use_count = 0;
+    forget_told(placement);
     const char *owner;
     json_t *rows;
     json_object_foreach(messages, owner, rows)
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -69,8 +69,12 @@
 void SkyPlacement_Copy(sky_placement_t *placement,
                        const sky_placement_wish_t *wish);
 
-/** Tells owners, now and then, which adapters are in use. */
-void SkyPlacement_NoteUse(sky_placement_t *placement,
+/** A request begins, or ends, on an adapter at a target; owners are told now
+ *  and then. */
+void SkyPlacement_NoteBegin(sky_placement_t *placement,
+                            const sky_fleet_target_t *target,
+                            sky_adapter_key_t adapter);
+void SkyPlacement_NoteEnd(sky_placement_t *placement,
                           const sky_fleet_target_t *target,
                           sky_adapter_key_t adapter);
 
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -130,11 +130,21 @@
     *answer = (answer_t){0};
 }
 
+static sky_adapter_key_t
+adapter_of(const job_t *job)
+{
+    return SkyFleet_KeyOf(job->facts.model, job->facts.adapter);
+}
+
 static void
 end_sending(job_t *job, sky_fared_t fared)
 {
     sky_traffic_t *traffic = job->traffic;
     if (job->target != NULL) {
+        if (job->service->engine.present) {
+            SkyPlacement_NoteEnd(traffic->options.placement, job->target,
+                                 adapter_of(job));
+        }
         SkyFleet_End(traffic->options.directory->fleet, job->target, fared,
                      SkyClock_NowMs());
         job->target = NULL;
@@ -420,7 +430,9 @@
 take_failure(job_t *job, const char *how)
 {
     log_sending_end(job, how);
-    note_failed(job, job->target->hash);
+    if (job->answer.bad || job->answer.status < 500 || job->sends > 1) {
+        note_failed(job, job->target->hash);
+    }
     end_sending(job, SKY_FARED_FAILED);
     repeat(job, 0, how);
 }
@@ -566,9 +578,8 @@
         return;
     }
     if (job->service->engine.present) {
-        SkyPlacement_NoteUse(
-            traffic->options.placement, job->target,
-            SkyFleet_KeyOf(job->facts.model, job->facts.adapter));
+        SkyPlacement_NoteBegin(traffic->options.placement, job->target,
+                               adapter_of(job));
     }
 }
 
