Protect an adapter no longer than its requests run

Owners refused for want of a place at 7 loads a second a target: each was kept for 700 ms after the last word of its use, counted from the telling. Now 350 ms from the last word that it runs, told every 200 ms.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -13,7 +13,7 @@
     0.3             /**< weight of the last load in the expected duration     \
                      */
 #define BUSY_MS 200 /**< a victim that is in use is left alone so long */
-#define RUNNING_MS 700 /**< hosts tell twice in this time what they run */
+#define RUNNING_MS 350 /**< hosts tell within this time what they still run */
 #define REPORT_RETRY_MS 250
 #define CONFLICT_WAIT_MS 100 /**< before the target is asked again */
 #define MODEL_REPORT_MS 300  /**< between reports while a model is loaded */
@@ -302,7 +302,6 @@
     }
     if (count > 0) {
         add_heat(place, count, now_ms);
-        place->used_ms = now_ms;
     }
     if (running > 0) {
         place->busy_until_ms = now_ms + RUNNING_MS;
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -23,7 +23,7 @@
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
 #define REMOTE_MARGIN_MS 30   /**< way of an answer between hosts */
 #define RECONCILE_S 0.25
-#define SHARE_S 0.3    /**< load is told to owners; a run takes as long */
+#define SHARE_S 0.2    /**< load is told to owners; a run takes as long */
 #define SHARE_MS 1000  /**< load told before is no longer counted */
 #define SHARES_MAX 128 /**< hosts with requests on one target */
 #define HELD_MAX 256   /**< adapters of one target that are told */
@@ -579,6 +579,11 @@
         grant(ask, (uint32_t)version);
         return;
     }
+    const char *reason = json_string_value(json_object_get(body, "reason"));
+    SkyLog_Write(LOG_INFO, "owner_refused",
+                 "target=%s adapter=%s/%s reason=%s retry_ms=%u", ask->home,
+                 ask->model, ask->adapter, reason ? reason : "-",
+                 (uint32_t)retry_ms);
     ask->retry_after_ms = (uint32_t)retry_ms;
     ask->reason = "owner_refused";
     try_next_home(ask);
@@ -759,9 +764,10 @@
     sky_visit_t *visit = context;
     SkyVisit_SetUser(visit, NULL);
     SkyHostCalls_Answer(
-        visit, json_pack("{s:b, s:I, s:I}", "placed", result->placed,
+        visit, json_pack("{s:b, s:I, s:I, s:s}", "placed", result->placed,
                          "version", (json_int_t)result->version, "retry_ms",
-                         (json_int_t)result->retry_after_ms));
+                         (json_int_t)result->retry_after_ms, "reason",
+                         result->placed ? "" : result->reason));
 }
 
 /* Another host asks for an adapter at a target that this one owns. */
