Let a new owner order at once where the owner before is gone

Each shard waited a lease of 3 s for its first order, also after a crash of its owner, a hand-over by a host that left, and a start of all hosts. Where targets check fencing tokens the wait is now 300 ms in these cases; without fencing it stays a whole lease.

--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -14,10 +15,13 @@
 #define TOPIC_COUNT 8
 /** Membership lasts a multiple of the store's shortest one, so that a slow
  *  answer does not cost it. */
-#define TTL_FACTOR 2
+#define TTL_FACTOR 1.5
 #define JOINS_PER_TTL 4    /**< three may be lost before membership is */
 #define OWNERS_DELAY_MS 60 /**< others learn of a change about as late */
 #define OWNERS_RETRY_MS 400
+/** Orders begin this long after a shard came from a host that is gone: its last
+ *  order is on its way no longer, and the fencing token covers the rest. */
+#define SETTLE_MS 300
 #define MEMBERS_MAX 512
 #define MEMBER_BYTES (SKY_HOST_ADDRESS_BYTES + 24)
 
@@ -26,6 +30,8 @@
     uint64_t fence;
     uint64_t order_at_ms; /**< not before */
     int16_t owner;        /**< index of a member, -1: not known */
+    uint64_t owner_hash;  /**< of that member's name, 0: not known */
+    uint64_t before_hash; /**< of the member that owned it before this host */
 } shard_t;
 
 struct sky_ownership {
@@ -41,6 +47,7 @@
     uint32_t failures;
     uint64_t joined_at_ms; /**< begin of the last join that was answered */
     uint64_t join_begun_ms;
+    uint64_t started_ms;
     ev_timer join_timer;
     ev_timer owners_timer;
     uint32_t shard_count;
@@ -73,12 +80,23 @@
     return (uint32_t)topic * parts + part->part;
 }
 
+/* How long a shard that was just dealt waits for its first order. Where targets
+ * check fencing tokens, a host that has just started need not wait for a lease:
+ * it cannot have been an owner that lost and regained it. */
+static uint32_t
+first_wait_ms(const sky_ownership_t *ownership)
+{
+    const sky_bounds_t *bounds = &ownership->options.settings->bounds;
+    bool young = SkyClock_NowMs() < ownership->started_ms + bounds->stable_ms;
+    return bounds->fencing && young ? SETTLE_MS : bounds->lease_ms;
+}
+
 /* Notes the shards that this host holds at a generation. */
 static void
 take_shards(sky_ownership_t *ownership, const sky_store_answer_t *answer)
 {
     uint64_t now = SkyClock_NowMs();
-    uint32_t lease_ms = ownership->options.settings->bounds.lease_ms;
+    uint32_t wait_ms = first_wait_ms(ownership);
     uint32_t gained = 0;
     uint32_t lost = 0;
     bool *listed = calloc(ownership->shard_count, sizeof *listed);
@@ -95,7 +113,8 @@
         shard_t *shard = &ownership->shards[i];
         if (listed[i] && !shard->mine) {
             shard->fence = answer->generation;
-            shard->order_at_ms = now + lease_ms;
+            shard->order_at_ms = now + wait_ms;
+            shard->before_hash = shard->owner_hash;
             gained++;
         }
         lost += !listed[i] && shard->mine ? 1 : 0;
@@ -107,7 +126,7 @@
                      "generation=%llu held=%zu gained=%u lost=%u "
                      "orders_in_ms=%u",
                      (unsigned long long)answer->generation,
-                     answer->part_count, gained, lost, lease_ms);
+                     answer->part_count, gained, lost, wait_ms);
         ownership->options.on_change(ownership->options.context);
     }
 }
@@ -192,6 +211,41 @@
     return (int16_t)ownership->member_count++;
 }
 
+static uint64_t
+hash_of(const char *member)
+{
+    return XXH3_64bits(member, strlen(member));
+}
+
+static bool
+is_member(const sky_ownership_t *ownership, uint64_t hash)
+{
+    for (uint32_t i = 0; i < ownership->member_count; i++) {
+        if (hash_of(ownership->members[i]) == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Shards whose owner before has left the group need not wait for a lease. */
+static void
+shorten_waits(sky_ownership_t *ownership)
+{
+    uint64_t soon = SkyClock_NowMs() + SETTLE_MS;
+    if (!ownership->options.settings->bounds.fencing) {
+        return;
+    }
+    for (uint32_t i = 0; i < ownership->shard_count; i++) {
+        shard_t *shard = &ownership->shards[i];
+        if (shard->mine && shard->order_at_ms > soon &&
+            shard->before_hash != 0 &&
+            !is_member(ownership, shard->before_hash)) {
+            shard->order_at_ms = soon;
+        }
+    }
+}
+
 static void
 on_owners(void *context, const sky_store_answer_t *answer)
 {
@@ -211,9 +265,12 @@
         if (index != UINT32_MAX && answer->parts[i].member[0] != '\0') {
             ownership->shards[index].owner =
                 member_index(ownership, answer->parts[i].member);
+            ownership->shards[index].owner_hash =
+                hash_of(answer->parts[i].member);
             owned++;
         }
     }
+    shorten_waits(ownership);
     ownership->owners_generation =
         answer->generation ? answer->generation : ownership->generation;
     if (owned < ownership->shard_count) {
@@ -367,7 +424,9 @@
         return SKY_E_MEMORY;
     }
     self->options = *options;
-    self->ttl_ms = options->settings->store.ttl_min_ms * TTL_FACTOR;
+    self->started_ms = SkyClock_NowMs();
+    self->ttl_ms =
+        (uint32_t)(options->settings->store.ttl_min_ms * TTL_FACTOR);
     self->shard_count = TOPIC_COUNT * options->settings->store.parts;
     self->shards = calloc(self->shard_count, sizeof *self->shards);
     if (self->shards == NULL) {
