--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -645,6 +645,16 @@
     }
 }
 
+/* Whether a refused poll tells that a load is done: a target that waits for the
+ * end of requests refuses every order but those under way. */
+static bool
+is_done_behind_unload(const sky_placer_t *placer,
+                      const sky_placer_action_t *action)
+{
+    return action->poll && action->step == SKY_PLACER_LOAD &&
+           count_in(placer, SKY_PLACE_GOING) > 0;
+}
+
 /* The count differs: an order whose answer was lost was accepted after all,
  * or the target's state is not what it was believed to be. */
 static void
@@ -678,6 +688,10 @@
         take_holds(placer, &action, now_ms);
         break;
     case SKY_ORDERED_CONFLICT:
+        if (is_done_behind_unload(placer, &action)) {
+            take_holds(placer, &action, now_ms);
+            break;
+        }
         take_conflict(placer, now_ms);
         break;
     case SKY_ORDERED_REFUSED:
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -24,6 +24,7 @@
 #define REMOTE_MARGIN_MS 30   /**< way of an answer between hosts */
 #define RECONCILE_S 0.25
 #define SHARE_S 0.2    /**< load is told to owners; a run takes as long */
+#define SHARE_SOON_S 0.01 /**< a request on an adapter that may be dropped */
 #define SHARE_MS 1000  /**< load told before is no longer counted */
 #define SHARES_MAX 128 /**< hosts with requests on one target */
 #define HELD_MAX 256   /**< adapters of one target that are told */
@@ -91,6 +92,7 @@
     sky_adapter_key_t adapter;
     uint32_t count;   /**< begun since the owner was told */
     uint32_t running;
+    bool fresh; /**< the owner does not know that it runs */
 } use_t;
 
 typedef struct {
@@ -104,6 +106,7 @@
     sky_placement_ask_t *asks;
     ev_timer reconcile;
     ev_timer share;
+    ev_timer share_soon;
     use_t uses[USES_MAX];
     uint32_t use_count;
     copy_t copied[COPIES_REMEMBERED];
@@ -998,9 +1001,17 @@
         use = &placement->uses[placement->use_count++];
         *use = (use_t){.target = target->hash, .adapter = adapter};
     }
-    if (use != NULL) {
-        use->count++;
-        use->running++;
+    if (use == NULL) {
+        return;
+    }
+    use->count++;
+    use->running++;
+    if (use->running == 1) {
+        use->fresh = true;
+        if (!ev_is_active(&placement->share_soon)) {
+            ev_timer_set(&placement->share_soon, SHARE_SOON_S, 0.0);
+            ev_timer_start(placement->options.loop, &placement->share_soon);
+        }
     }
 }
 
@@ -1058,14 +1069,19 @@
                                     (json_int_t)target->in_flight, uses));
 }
 
-/* Keeps what still runs. */
+/* Keeps what still runs, and what was not told. */
 static void
-forget_told(sky_placement_t *placement)
+forget_told(sky_placement_t *placement, bool fresh_only)
 {
     uint32_t kept = 0;
     for (uint32_t i = 0; i < placement->use_count; i++) {
         use_t use = placement->uses[i];
+        if (fresh_only && !use.fresh) {
+            placement->uses[kept++] = use;
+            continue;
+        }
         use.count = 0;
+        use.fresh = false;
         if (use.running > 0) {
             placement->uses[kept++] = use;
         }
@@ -1086,12 +1102,22 @@
     }
 }
 
+static bool
+has_fresh_use(const sky_placement_t *placement, uint64_t target)
+{
+    for (uint32_t i = 0; i < placement->use_count; i++) {
+        if (placement->uses[i].target == target && placement->uses[i].fresh) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells owners the load of all their targets, or of those with a request that
+ * they do not know of. */
 static void
-on_share_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+share(sky_placement_t *placement, bool fresh_only)
 {
-    (void)loop;
-    (void)events;
-    sky_placement_t *placement = watcher->data;
     const sky_placement_options_t *options = &placement->options;
     json_t *messages = json_object();
     managed_t *managed;
@@ -1105,11 +1131,12 @@
     for (; target != NULL; target = target->next) {
         const sky_service_t *service =
             service_of(placement, target->entry.service);
-        if (target->listed && service != NULL && service->engine.present) {
+        if (target->listed && service != NULL && service->engine.present &&
+            (!fresh_only || has_fresh_use(placement, target->hash))) {
             put_share(placement, messages, target);
         }
     }
-    forget_told(placement);
+    forget_told(placement, fresh_only);
     const char *owner;
     json_t *rows;
     json_object_foreach(messages, owner, rows)
@@ -1122,6 +1149,22 @@
     json_decref(messages);
 }
 
+static void
+on_share_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    share(watcher->data, false);
+}
+
+static void
+on_share_soon(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    share(watcher->data, true);
+}
+
 /* A copy was asked for ahead of need: whoever needs it finds it. */
 static void
 on_copied(void *context, const sky_placement_result_t *result)
@@ -1165,6 +1208,8 @@
     ev_timer_init(&self->share, on_share_timer, SHARE_S, SHARE_S);
     self->share.data = self;
     ev_timer_start(options->loop, &self->share);
+    ev_init(&self->share_soon, on_share_soon);
+    self->share_soon.data = self;
     SkyHostCalls_Handle(options->peers, "/place", on_place, on_place_gone,
                         self);
     SkyHostCalls_Handle(options->peers, "/share", on_share, NULL, self);
@@ -1189,5 +1234,6 @@
     }
     ev_timer_stop(placement->options.loop, &placement->reconcile);
     ev_timer_stop(placement->options.loop, &placement->share);
+    ev_timer_stop(placement->options.loop, &placement->share_soon);
     free(placement);
 }
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -58,6 +58,8 @@
     sky_request_facts_t facts;
     uint64_t arrived_ms;
     uint64_t due_ms; /**< by then the caller has a final answer */
+    uint64_t sent_ms; /**< first sent to a target; 0: not yet */
+    uint64_t head_ms; /**< first byte passed on to the caller; 0: not yet */
     ev_timer due;
     sky_placement_ask_t *ask;
     sky_sending_t *sending;
@@ -165,6 +167,13 @@
     }
 }
 
+/* Milliseconds from a request's arrival to a later moment; -1: never. */
+static long long
+since_arrival(const job_t *job, uint64_t at_ms)
+{
+    return at_ms > 0 ? (long long)(at_ms - job->arrived_ms) : -1;
+}
+
 static void
 log_end(const job_t *job, int priority, uint16_t status, const char *outcome,
         const char *reason)
@@ -172,12 +181,14 @@
     SkyLog_Write(
         priority, "request_end",
         "id=%s route=%s service=%s adapter=%s/%s status=%u outcome=%s "
-        "reason=%s ms=%llu sends=%u asks=%u config=%llu",
+        "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
+        "config=%llu",
         job->facts.id, job->route ? job->route->name : "-",
         job->service ? job->service->name : "-",
         job->facts.model[0] ? job->facts.model : "-",
         job->facts.adapter[0] ? job->facts.adapter : "-", status, outcome,
         reason, (unsigned long long)(SkyClock_NowMs() - job->arrived_ms),
+        since_arrival(job, job->sent_ms), since_arrival(job, job->head_ms),
         job->sends, job->asks,
         (unsigned long long)(job->deployment ? job->deployment->version : 0));
 }
@@ -356,6 +367,7 @@
     SkyVisit_Begin(job->visit, answer->status, SkyBuffer_Data(&answer->fields),
                    framing, answer->length);
     job->relaying = true;
+    job->head_ms = SkyClock_NowMs();
     SkyMetrics_Observe(job->traffic->options.metrics, job->service->name,
                        SKY_HIST_FIRST_TOKEN,
                        SkyClock_NowMs() - job->arrived_ms);
@@ -554,6 +566,7 @@
     sky_buffer_t request = {0};
     job->target = choice->target;
     job->version = choice->version;
+    job->sent_ms = job->sent_ms ? job->sent_ms : SkyClock_NowMs();
     job->sends++;
     note_touched(job, choice->target->hash);
     SkyFleet_Begin(job->target);
