--- /dev/null
+++ b/tests/test_deployment.cc
@@ -0,0 +1,202 @@
+// Routes and services of the operator's configuration.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+
+#include "decide/deployment.h"
+#include "platform/documents.h"
+
+namespace {
+
+const char kConfig[] = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","pathPrefix":"/x/","routeKind":"streaming",
+  "timeoutMs":10000,"aimMs":1000,"priority":2,"service":"llm",
+  "maxAttempts":1,"sticky":true,"resumable":false,"gapTargetMs":600},
+ {"name":"r2","host":"a.example","pathPrefix":"/x/y/","routeKind":"streaming",
+  "timeoutMs":5000,"aimMs":800,"split":[{"service":"llm","weight":90},
+  {"service":"app","weight":10}],"maxAttempts":2,"resumable":true},
+ {"name":"r3","host":"a.example","pathPrefix":"/z/","routeKind":"idempotent",
+  "timeoutMs":800,"service":"app","maxAttempts":2},
+ {"name":"r4","host":"b.example","pathPrefix":"/x/",
+  "routeKind":"non_idempotent","timeoutMs":800,"service":"app"},
+ {"name":"r5","host":"b.example","pathPrefix":"/q/","routeKind":"unheard of",
+  "service":"app"},
+ {"name":"r6","host":"b.example","pathPrefix":"/w/","routeKind":"idempotent",
+  "service":"no such service"},
+ {"name":"r7","host":"b.example","pathPrefix":"/v/","routeKind":"idempotent",
+  "service":"app","timeoutMs":"soon"}],
+ "services":[{"name":"llm","healthPath":"/healthz","maxConns":370,
+  "engine":{"slots":64,"kvCapacity":251641,"weightsMb":66600.0,
+  "adapterSlots":16,"loadsPerS":3.1,"models":[{"name":"m",
+  "weightsMb":65099.99999999999,"loadS":1.9,"adapters":3000,
+  "adapterMb":12.0}]}},
+  {"name":"app","healthPath":"/healthz","maxConns":110}],
+ "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,
+  "idleTimeoutMs":400},"a new field":[1,2,3]})";
+
+class DeploymentTest : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        ASSERT_EQ(SKY_OK, SkyDocument_ReadDeployment(kConfig, strlen(kConfig),
+                                                     &deployment));
+    }
+
+    void
+    TearDown() override
+    {
+        SkyDeployment_Release(deployment);
+    }
+
+    std::string
+    Match(const char *host, const char *path)
+    {
+        const sky_route_t *route = SkyDeployment_Match(deployment, host, path);
+        return route ? route->name : "";
+    }
+
+    sky_deployment_t *deployment = nullptr;
+};
+
+TEST_F(DeploymentTest, ReadsTheWholeConfiguration)
+{
+    EXPECT_EQ(7u, deployment->version);
+    EXPECT_EQ(4u, deployment->route_count) << "unusable routes are left out";
+    EXPECT_EQ(100u, deployment->limits.head_bytes);
+    EXPECT_EQ(400u, deployment->limits.idle_timeout_ms);
+    const sky_engine_t &engine = deployment->services[0].engine;
+    EXPECT_TRUE(engine.present);
+    EXPECT_EQ(16u, engine.adapter_places);
+    EXPECT_EQ(65100u, engine.models[0].weights_mb);
+    EXPECT_EQ(1900u, engine.models[0].load_ms);
+    EXPECT_FALSE(deployment->services[1].engine.present);
+    EXPECT_EQ(1000u, deployment->routes[0].aim_ms);
+    EXPECT_EQ(800u, deployment->routes[2].aim_ms) << "no aim: the timeout";
+}
+
+TEST_F(DeploymentTest, WhatMayBeRepeatedFollowsFromTheKind)
+{
+    EXPECT_EQ(SKY_REPEAT_NEVER, deployment->routes[0].repeat);
+    EXPECT_TRUE(deployment->routes[0].streaming);
+    EXPECT_EQ(SKY_REPEAT_RESUME, deployment->routes[1].repeat);
+    EXPECT_EQ(SKY_REPEAT_ANY, deployment->routes[2].repeat);
+    EXPECT_EQ(SKY_REPEAT_NEVER, deployment->routes[3].repeat);
+    EXPECT_FALSE(deployment->routes[3].streaming);
+}
+
+TEST_F(DeploymentTest, TheLongestPrefixOfTheHostWins)
+{
+    EXPECT_EQ("r1", Match("a.example", "/x/"));
+    EXPECT_EQ("r1", Match("a.example", "/x/q?y=/x/y/"));
+    EXPECT_EQ("r2", Match("A.Example:8080", "/x/y/z"));
+    EXPECT_EQ("r4", Match("b.example", "/x/y/z"));
+    EXPECT_EQ("", Match("c.example", "/x/"));
+    EXPECT_EQ("", Match("a.example", "/x"));
+    EXPECT_EQ("", Match("a.example", "/?/x/"));
+}
+
+TEST_F(DeploymentTest, ASplitIsHitByItsWeights)
+{
+    std::map<std::string, int> hits;
+    for (uint64_t i = 0; i < 1000; i++) {
+        hits[SkyDeployment_Pick(deployment, &deployment->routes[1], i)
+                 ->name]++;
+    }
+    EXPECT_EQ(900, hits["llm"]);
+    EXPECT_EQ(100, hits["app"]);
+}
+
+TEST(Documents, WhatIsNoConfigurationIsRefused)
+{
+    const char *texts[] = {"",
+                           "{",
+                           "[]",
+                           "7",
+                           "{\"routes\":5}",
+                           "{\"services\":[{\"healthPath\":\"/\"}]}",
+                           "{\"services\":[7]}",
+                           "{\"version\":\"7\",\"services\":[]}"};
+    for (const char *text : texts) {
+        sky_deployment_t *deployment = nullptr;
+        EXPECT_EQ(SKY_E_BAD_CONFIG,
+                  SkyDocument_ReadDeployment(text, strlen(text), &deployment))
+            << text;
+        EXPECT_EQ(nullptr, deployment);
+    }
+}
+
+TEST(Documents, ReadsATargetsEntry)
+{
+    const char text[] =
+        R"({"service":"s","addr":"10.1.2.3:80","zone":"z","version":"v1",
+        "slots":64,"state":"draining","born":1700000000123,"seq":4,
+        "models":[{"name":"m","version":3,"adapters":["a1@2","m/a2@7"]}]})";
+    sky_target_entry_t entry;
+    ASSERT_EQ(SKY_OK,
+              SkyDocument_ReadTarget("i-1", text, strlen(text), &entry));
+    EXPECT_EQ(SKY_TARGET_LEAVING, entry.state);
+    EXPECT_EQ(1700000000123u, entry.born_ms);
+    EXPECT_EQ(4u, entry.order_count);
+    ASSERT_EQ(3u, entry.resident_count);
+    EXPECT_STREQ("", entry.residents[0].adapter);
+    EXPECT_EQ(3u, entry.residents[0].version);
+    EXPECT_STREQ("a1", entry.residents[1].adapter);
+    EXPECT_EQ(2u, entry.residents[1].version);
+    EXPECT_STREQ("a2", entry.residents[2].adapter);
+    EXPECT_EQ(7u, entry.residents[2].version);
+    SkyTargetEntry_Clear(&entry);
+}
+
+// Entries of other writers: no target is named by them.
+TEST(Documents, UnusableEntriesNameNoTarget)
+{
+    const char *texts[] = {
+        "",
+        "\xff\xfe",
+        "{}",
+        R"({"service":"s","addr":"10.1.2.3:80","slots":1})",
+        R"({"service":"s","addr":"10.1.2.3","slots":1,"state":"ready"})",
+        R"({"service":"s","addr":"host:80","slots":1,"state":"ready"})",
+        R"({"service":7,"addr":"10.1.2.3:80","slots":1,"state":"ready"})",
+        R"({"service":"s","addr":"10.1.2.3:80","slots":"1","state":"ready"})",
+        R"({"service":"s","addr":"10.1.2.3:80","slots":1,"state":"new"})",
+        R"({"service":"s","addr":"10.1.2.3:80","slots":1,"state":"ready",
+            "models":[7]})",
+    };
+    for (const char *text : texts) {
+        sky_target_entry_t entry;
+        EXPECT_EQ(SKY_E_BAD_CONFIG,
+                  SkyDocument_ReadTarget("i", text, strlen(text), &entry))
+            << text;
+        EXPECT_EQ(nullptr, entry.residents);
+    }
+}
+
+TEST(Documents, ReadsAReport)
+{
+    const char text[] =
+        R"({"stage":"colocated","models":[{"name":"m","version":1,
+        "adapters":["a1@1"]}],"busy":true,"seq":9,"queued":1,"active":12,
+        "kvUsed":41000,"kvTotal":90000,"pending":["m/a5@3","m"]})";
+    sky_target_report_t report;
+    ASSERT_EQ(SKY_OK, SkyDocument_ReadReport(text, strlen(text), &report));
+    EXPECT_TRUE(report.busy);
+    EXPECT_EQ(9u, report.order_count);
+    EXPECT_EQ(12u, report.running);
+    ASSERT_EQ(1u, report.coming_count);
+    EXPECT_STREQ("a5", report.coming[0].adapter);
+    EXPECT_EQ(3u, report.coming[0].version);
+    SkyTargetReport_Clear(&report);
+}
+
+TEST(Documents, TellsTheOperatorsKeysApart)
+{
+    EXPECT_EQ(SKY_KEY_DEPLOYMENT, SkyDocument_KindOfKey("config"));
+    EXPECT_EQ(SKY_KEY_VERSION, SkyDocument_KindOfKey("version/m.a1"));
+    EXPECT_EQ(SKY_KEY_OTHER, SkyDocument_KindOfKey("configuration"));
+}
+
+} // namespace
