--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -26,7 +26,7 @@
     verdict "$name" $code
 done
 if [ "${PROC_TESTS:-1}" = 1 ]; then
-    for script in tests/proc_answers.sh tests/proc_faults.sh; do
+    for script in tests/proc_answers.sh tests/proc_faults.sh tests/proc_edge.sh; do
         [ -f "$script" ] || continue
         name=$(basename "$script" .sh)
         BIN=$build/skylarkspar-check FAKE=$build/skyfake \
--- a/tests/fakes/fake_http.c
+++ b/tests/fakes/fake_http.c
@@ -206,6 +206,10 @@
     if (strcmp(mode, "platform") == 0) {
         return Platform_Main(argc, argv);
     }
-    fprintf(stderr, "usage: skyfake (engine|service|platform) ADDRESS ...\n");
+    if (strcmp(mode, "site") == 0) {
+        return Site_Main(argc, argv);
+    }
+    fprintf(stderr,
+            "usage: skyfake (engine|service|platform|site) ADDRESS ...\n");
     return 2;
 }
--- a/tests/fakes/fake_http.h
+++ b/tests/fakes/fake_http.h
@@ -45,5 +45,6 @@
 int Engine_Main(int argc, char **argv);
 int Service_Main(int argc, char **argv);
 int Platform_Main(int argc, char **argv);
+int Site_Main(int argc, char **argv);
 
 #endif
