--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -16,6 +16,10 @@
 /** A batch this full wants another copy: loading one takes some hundred ms,
  *  in which a growing crowd fills the rest. */
 #define CROWDED_FILL 0.6
+/** An adapter with this share of a crowded target's uses is copied; others
+ *  would only push more adapters out elsewhere. */
+#define HOT_SHARE 0.2
+#define OVERFULL_FILL 1.0 /**< then moving any adapter helps */
 /** Targets as full as this are the last choice for another adapter. */
 #define HOME_FILL 0.8
 #define WORD_MS 1500      /**< an owner's word counts for so long */
@@ -276,6 +280,17 @@
     target->learned_count = kept + 1;
 }
 
+static const sky_belief_t *
+listed_belief(const sky_fleet_target_t *target, sky_adapter_key_t adapter)
+{
+    for (uint32_t i = 0; i < target->listed_count; i++) {
+        if (target->listed_adapters[i].adapter == adapter) {
+            return &target->listed_adapters[i];
+        }
+    }
+    return NULL;
+}
+
 /* The newest belief of an adapter at a target; 0 if it is not there. */
 static uint32_t
 version_at(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
@@ -287,12 +302,18 @@
             return belief->present ? belief->version : 0;
         }
     }
-    for (uint32_t i = 0; i < target->listed_count; i++) {
-        if (target->listed_adapters[i].adapter == adapter) {
-            return target->listed_adapters[i].version;
-        }
-    }
-    return 0;
+    const sky_belief_t *listed = listed_belief(target, adapter);
+    return listed ? listed->version : 0;
+}
+
+static bool
+wants_copy(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
+           double fill)
+{
+    const sky_belief_t *listed = listed_belief(target, adapter);
+    return fill > OVERFULL_FILL ||
+           (fill > CROWDED_FILL && listed != NULL &&
+            listed->share >= HOT_SHARE);
 }
 
 static bool
@@ -408,7 +429,8 @@
     choice->misses_adapter = query->engine && !held;
     choice->fill =
         choice->target ? SkyFleet_Fill(choice->target, now_ms) : 0.0;
-    choice->crowded = choice->fill > CROWDED_FILL;
+    choice->crowded = choice->target != NULL && query->engine &&
+                      wants_copy(choice->target, key, choice->fill);
     if (news != NULL && choice->target != NULL) {
         choice->version =
             strict || best_version >= news->version ? best_version : 0;
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -32,6 +32,7 @@
     sky_adapter_key_t adapter;
     uint32_t version;
     bool present;
+    float share; /**< of the uses of its target's adapters, as last told */
     uint64_t learned_ms;
     uint64_t until_ms; /**< learned beliefs yield to the list after this */
 } sky_belief_t;
--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -279,16 +279,25 @@
 }
 
 uint32_t
-SkyPlacer_List(const sky_placer_t *placer, sky_belief_t *held, uint32_t most)
+SkyPlacer_List(const sky_placer_t *placer, uint64_t now_ms, sky_belief_t *held,
+               uint32_t most)
 {
     uint32_t count = 0;
+    double total = 0.0;
     const place_t *place;
     DL_FOREACH(placer->places, place)
+    {
+        total += heat_of(place, now_ms);
+    }
+    DL_FOREACH(placer->places, place)
     {
         if (place->state == SKY_PLACE_HELD && count < most) {
-            held[count++] = (sky_belief_t){.adapter = place->key,
-                                           .version = place->version,
-                                           .present = true};
+            double heat = heat_of(place, now_ms);
+            held[count++] = (sky_belief_t){
+                .adapter = place->key,
+                .version = place->version,
+                .present = true,
+                .share = total > 0.0 ? (float)(heat / total) : 0.0f};
         }
     }
     return count;
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -97,9 +97,10 @@
 /** @return version held, 0 if none. */
 uint32_t SkyPlacer_VersionOf(const sky_placer_t *placer,
                              sky_adapter_key_t adapter);
-/** Lists the adapters held. @return how many were written. */
-uint32_t SkyPlacer_List(const sky_placer_t *placer, sky_belief_t *held,
-                        uint32_t most);
+/** Lists the adapters held, with their shares of all uses. @return how many
+ *  were written. */
+uint32_t SkyPlacer_List(const sky_placer_t *placer, uint64_t now_ms,
+                        sky_belief_t *held, uint32_t most);
 /** A host used an adapter @p count times since it told last, and has
  *  @p running requests on it. One in use is not dropped: the target would take
  *  no other order until its requests have ended. */
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -873,7 +873,8 @@
         SkyFleet_Find(options->directory->fleet, managed->id);
     sky_belief_t held[HELD_MAX];
     if (target != NULL && SkyPlacer_IsKnown(managed->placer)) {
-        uint32_t count = SkyPlacer_List(managed->placer, held, HELD_MAX);
+        uint32_t count = SkyPlacer_List(managed->placer, SkyClock_NowMs(), held,
+                                    HELD_MAX);
         SkyFleet_TakeOwnersWord(target,
                                 others_on(managed, options->settings->name),
                                 held, count, SkyClock_NowMs());
@@ -884,12 +885,14 @@
 owners_word(const managed_t *managed, const char *host)
 {
     sky_belief_t held[HELD_MAX];
-    uint32_t count = SkyPlacer_List(managed->placer, held, HELD_MAX);
+    uint32_t count = SkyPlacer_List(managed->placer, SkyClock_NowMs(), held,
+                                    HELD_MAX);
     json_t *rows = json_array();
     for (uint32_t i = 0; i < count; i++) {
         json_array_append_new(rows,
-                              json_pack("[I,I]", (json_int_t)held[i].adapter,
-                                        (json_int_t)held[i].version));
+                              json_pack("[I,I,I]", (json_int_t)held[i].adapter,
+                                        (json_int_t)held[i].version,
+                                        (json_int_t)(held[i].share * 100)));
     }
     return json_pack("[s,I,o]", managed->id,
                      (json_int_t)others_on(managed, host), rows);
@@ -953,12 +956,14 @@
     {
         json_int_t adapter = 0;
         json_int_t version = 0;
-        if (count < HELD_MAX &&
-            json_unpack(item, "[I,I]", &adapter, &version) == 0) {
+        json_int_t percent = 0;
+        if (count < HELD_MAX && json_unpack(item, "[I,I,I]", &adapter,
+                                            &version, &percent) == 0) {
             held[count++] =
                 (sky_belief_t){.adapter = (sky_adapter_key_t)adapter,
                                .version = (uint32_t)version,
-                               .present = true};
+                               .present = true,
+                               .share = (float)percent / 100.0f};
         }
     }
     if (target != NULL) {
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -189,6 +189,10 @@
     held.adapter = SkyFleet_KeyOf("m", "a1");
     held.version = 1;
     held.present = true;
+    held.share = 0.1f;
+    SkyFleet_TakeOwnersWord(hot, 12, &held, 1, now_ms);
+    EXPECT_FALSE(Choose("a1").crowded) << "others fill the target";
+    held.share = 0.5f;
     SkyFleet_TakeOwnersWord(hot, 8, &held, 1, now_ms);
     EXPECT_FALSE(Choose("a1").crowded);
     SkyFleet_TakeOwnersWord(hot, 12, &held, 1, now_ms);
