--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -23,6 +23,7 @@
 /** Targets as full as this are the last choice for another adapter. */
 #define HOME_FILL 0.8
 #define WORD_MS 1500      /**< an owner's word counts for so long */
+#define CONFIRMED_MS 300  /**< for new requests; a run takes about as long */
 #define WORD_LAG_MS 200   /**< learned beliefs this young are newer than it */
 #define FAILURE_GAIN 0.25 /**< weight of the last answer */
 #define BLOCK_MS 400      /**< after a refused connection; doubles */
@@ -311,9 +312,8 @@
            double fill)
 {
     const sky_belief_t *listed = listed_belief(target, adapter);
-    return fill > OVERFULL_FILL ||
-           (fill > CROWDED_FILL && listed != NULL &&
-            listed->share >= HOT_SHARE);
+    return fill > OVERFULL_FILL || (fill > CROWDED_FILL && listed != NULL &&
+                                    listed->share >= HOT_SHARE);
 }
 
 static bool
@@ -342,6 +342,13 @@
            strcmp(target->entry.service, service) == 0;
 }
 
+bool
+SkyFleet_IsConfirmed(const sky_fleet_target_t *target, uint64_t now_ms)
+{
+    return target->told_at_ms > 0 &&
+           now_ms < target->told_at_ms + CONFIRMED_MS;
+}
+
 double
 SkyFleet_Fill(const sky_fleet_target_t *target, uint64_t now_ms)
 {
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -125,6 +125,9 @@
                              const sky_belief_t *held, uint32_t count,
                              uint64_t now_ms);
 
+/** @return whether its owner told so lately that a request can rely on it. */
+bool SkyFleet_IsConfirmed(const sky_fleet_target_t *target, uint64_t now_ms);
+
 /** @return requests on a target for each slot of its batch. */
 double SkyFleet_Fill(const sky_fleet_target_t *target, uint64_t now_ms);
 
--- a/lib/decide/freshness.h
+++ b/lib/decide/freshness.h
@@ -2,9 +2,9 @@
  * @file freshness.h
  * @brief How current the list of targets is, and what a missing entry means.
  *
- * Entries of targets lapse while the store is away and come back soon after it.
- * An entry that goes missing while the store answers is a target that left.
- * Times are milliseconds of the caller's clock.
+ * Entries of targets lapse while the store is away and come back soon after
+ * it. An entry that goes missing while the store answers is a target that
+ * left. Times are milliseconds of the caller's clock.
  */
 #ifndef SKY_DECIDE_FRESHNESS_H
 #define SKY_DECIDE_FRESHNESS_H
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -373,7 +373,8 @@
     (void)loop;
     (void)events;
     topic_t *topic = watcher->data;
-    if (topic->synced && !topic->feed->reader && !SkyFreshness_IsStale(&topic->freshness, SkyClock_NowMs())) {
+    if (topic->synced && !topic->feed->reader &&
+        !SkyFreshness_IsStale(&topic->freshness, SkyClock_NowMs())) {
         call_in(topic, FOLLOWER_CHECK_MS);
         return;
     }
@@ -405,8 +406,10 @@
 SkyFeed_IsStale(const sky_feed_t *feed)
 {
     uint64_t now = SkyClock_NowMs();
-    return SkyFreshness_IsStale(&feed->topics[SKY_FEED_OPERATOR].freshness, now) ||
-           SkyFreshness_IsStale(&feed->topics[SKY_FEED_TARGETS].freshness, now);
+    return SkyFreshness_IsStale(&feed->topics[SKY_FEED_OPERATOR].freshness,
+                                now) ||
+           SkyFreshness_IsStale(&feed->topics[SKY_FEED_TARGETS].freshness,
+                                now);
 }
 
 bool
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -21,7 +21,9 @@
 #define ORDER_TIMEOUT_MS 400 /**< targets answer orders within some ms */
 #define CONNECT_TIMEOUT_MS 300
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
-#define REMOTE_MARGIN_MS 30   /**< way of an answer between hosts */
+#define CONFIRM_TIMEOUT_MS                                                    \
+    80                      /**< an owner answers within some ms, or is lost */
+#define REMOTE_MARGIN_MS 30 /**< way of an answer between hosts */
 #define RECONCILE_S 0.25
 #define SHARE_S 0.2       /**< load is told to owners; a run takes as long */
 #define SHARE_SOON_S 0.01 /**< a request on an adapter that may be dropped */
@@ -707,22 +709,32 @@
 }
 
 static sky_placement_ask_t *
-add_ask(sky_placement_t *placement, const char *model, const char *adapter,
-        sky_placement_done_t done, void *context)
+new_ask(sky_placement_t *placement, sky_placement_done_t done, void *context)
 {
     sky_placement_ask_t *ask = calloc(1, sizeof *ask);
     if (ask == NULL) {
         return NULL;
     }
     ask->placement = placement;
-    snprintf(ask->model, sizeof ask->model, "%s", model);
-    snprintf(ask->adapter, sizeof ask->adapter, "%s", adapter);
-    ask->key = SkyFleet_KeyOf(model, adapter);
     ask->done = done;
     ask->context = context;
     ev_init(&ask->timer, on_ask_timer);
     ask->timer.data = ask;
     DL_APPEND(placement->asks, ask);
+    return ask;
+}
+
+static sky_placement_ask_t *
+add_ask(sky_placement_t *placement, const char *model, const char *adapter,
+        sky_placement_done_t done, void *context)
+{
+    sky_placement_ask_t *ask = new_ask(placement, done, context);
+    if (ask == NULL) {
+        return NULL;
+    }
+    snprintf(ask->model, sizeof ask->model, "%s", model);
+    snprintf(ask->adapter, sizeof ask->adapter, "%s", adapter);
+    ask->key = SkyFleet_KeyOf(model, adapter);
     /* The first try runs from the loop, so that no event comes early. */
     ev_feed_event(placement->options.loop, &ask->timer, EV_TIMER);
     return ask;
@@ -873,8 +885,8 @@
         SkyFleet_Find(options->directory->fleet, managed->id);
     sky_belief_t held[HELD_MAX];
     if (target != NULL && SkyPlacer_IsKnown(managed->placer)) {
-        uint32_t count = SkyPlacer_List(managed->placer, SkyClock_NowMs(), held,
-                                    HELD_MAX);
+        uint32_t count =
+            SkyPlacer_List(managed->placer, SkyClock_NowMs(), held, HELD_MAX);
         SkyFleet_TakeOwnersWord(target,
                                 others_on(managed, options->settings->name),
                                 held, count, SkyClock_NowMs());
@@ -885,8 +897,8 @@
 owners_word(const managed_t *managed, const char *host)
 {
     sky_belief_t held[HELD_MAX];
-    uint32_t count = SkyPlacer_List(managed->placer, SkyClock_NowMs(), held,
-                                    HELD_MAX);
+    uint32_t count =
+        SkyPlacer_List(managed->placer, SkyClock_NowMs(), held, HELD_MAX);
     json_t *rows = json_array();
     for (uint32_t i = 0; i < count; i++) {
         json_array_append_new(rows,
@@ -957,8 +969,8 @@
         json_int_t adapter = 0;
         json_int_t version = 0;
         json_int_t percent = 0;
-        if (count < HELD_MAX && json_unpack(item, "[I,I,I]", &adapter,
-                                            &version, &percent) == 0) {
+        if (count < HELD_MAX &&
+            json_unpack(item, "[I,I,I]", &adapter, &version, &percent) == 0) {
             held[count++] =
                 (sky_belief_t){.adapter = (sky_adapter_key_t)adapter,
                                .version = (uint32_t)version,
@@ -1170,6 +1182,51 @@
     share(watcher->data, true);
 }
 
+static void
+on_confirmed(void *context, const json_t *body)
+{
+    static const sky_placement_result_t DONE = {.reason = "confirmed"};
+    sky_placement_ask_t *ask = context;
+    ask->call = NULL;
+    on_shared(ask->placement, body);
+    end_ask(ask, &DONE);
+}
+
+sky_placement_ask_t *
+SkyPlacement_Confirm(sky_placement_t *placement,
+                     const sky_fleet_target_t *target,
+                     sky_adapter_key_t adapter, sky_placement_done_t done,
+                     void *context)
+{
+    const sky_placement_options_t *options = &placement->options;
+    managed_t *managed = find_managed(placement, target->entry.id);
+    const char *owner = SkyOwnership_OwnerOf(
+        options->ownership,
+        SkyOwnership_ShardOf(options->ownership, target->hash));
+    if (managed != NULL) {
+        share_with_self(managed);
+        return NULL;
+    }
+    if (owner == NULL || strcmp(owner, options->settings->control) == 0) {
+        return NULL;
+    }
+    sky_placement_ask_t *ask = new_ask(placement, done, context);
+    if (ask == NULL) {
+        return NULL;
+    }
+    json_t *body =
+        json_pack("{s:s, s:[[s, I, [[I, i, i]]]]}", "host",
+                  options->settings->name, "targets", target->entry.id,
+                  (json_int_t)target->in_flight, (json_int_t)adapter, 0, 1);
+    ask->call = SkyHostCalls_Call(options->peers, owner, "/share", body,
+                                  CONFIRM_TIMEOUT_MS, on_confirmed, ask);
+    if (ask->call == NULL) {
+        SkyPlacement_Cancel(ask);
+        return NULL;
+    }
+    return ask;
+}
+
 /* A copy was asked for ahead of need: whoever needs it finds it. */
 static void
 on_copied(void *context, const sky_placement_result_t *result)
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -64,6 +64,16 @@
 /** The answer is no longer wanted. */
 void SkyPlacement_Cancel(sky_placement_ask_t *ask);
 
+/** Has a target's owner say what it holds and how full it is, and keep
+ *  @p adapter there for a moment. @p done follows once, from the loop, also if
+ *  the owner does not answer in time. @return NULL: no owner to ask, or this
+ *  host owns the target and all is known already; no event follows. */
+sky_placement_ask_t *SkyPlacement_Confirm(sky_placement_t *placement,
+                                          const sky_fleet_target_t *target,
+                                          sky_adapter_key_t adapter,
+                                          sky_placement_done_t done,
+                                          void *context);
+
 /** Asks for a further copy of an adapter whose targets fill up, unless that
  * was done a moment ago. */
 void SkyPlacement_Copy(sky_placement_t *placement,
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -12,8 +12,9 @@
 #include "net/event_stream.h"
 #include "platform/wire.h"
 
-#define SENDS_MAX 4   /**< of one request, refused ones included */
-#define TOUCHED_MAX 8 /**< distinct targets remembered of one request */
+#define CONFIRMS_MAX 3 /**< of one request; copies of an adapter are few */
+#define SENDS_MAX 4    /**< of one request, refused ones included */
+#define TOUCHED_MAX 8  /**< distinct targets remembered of one request */
 /** Answers up to this size are read whole before any of it is passed on, so
  *  that one cut short can still be repeated. */
 #define WHOLE_ANSWER_BYTES (256u * 1024u)
@@ -70,7 +71,8 @@
     uint32_t failed_count;
     uint32_t sends;
     uint32_t asks;
-    uint32_t version; /**< of the adapter, as sent */
+    uint32_t confirms; /**< owners asked what their targets hold */
+    uint32_t version;  /**< of the adapter, as sent */
     bool may_have_run;
     bool relaying;          /**< the answer's head is with the caller */
     uint64_t room_since_ms; /**< waits for room since then; 0: it does not */
@@ -694,6 +696,33 @@
             SkyFleet_RankHomes(fleet, &query, now, &home, 1) > 0);
 }
 
+/* Whether the choice rests on what was known of the target some time ago. */
+static bool
+needs_word(const job_t *job, const sky_fleet_choice_t *choice)
+{
+    return choice->target != NULL && job->facts.adapter[0] != '\0' &&
+           job->service->engine.present && job->confirms < CONFIRMS_MAX &&
+           !SkyFleet_IsConfirmed(choice->target, SkyClock_NowMs());
+}
+
+static void
+on_word(void *context, const sky_placement_result_t *result)
+{
+    (void)result;
+    job_t *job = context;
+    job->ask = NULL;
+    dispatch(job);
+}
+
+static bool
+ask_for_word(job_t *job, const sky_fleet_target_t *target)
+{
+    job->confirms++;
+    job->ask = SkyPlacement_Confirm(job->traffic->options.placement, target,
+                                    adapter_of(job), on_word, job);
+    return job->ask != NULL;
+}
+
 static void
 dispatch(job_t *job)
 {
@@ -703,6 +732,9 @@
     fill_query(job, &query);
     SkyFleet_Choose(traffic->options.directory->fleet, &query,
                     SkyClock_NowMs(), &choice);
+    if (needs_word(job, &choice) && ask_for_word(job, choice.target)) {
+        return;
+    }
     job->room_since_ms =
         choice.fill >= FILL_MOST
             ? (job->room_since_ms ? job->room_since_ms : SkyClock_NowMs())
@@ -745,7 +777,7 @@
     job_t *job;
     DL_FOREACH(traffic->jobs, job)
     {
-        if (job->room_since_ms > 0 &&
+        if (job->room_since_ms > 0 && job->ask == NULL &&
             (after == NULL || comes_before(after, job)) &&
             (best == NULL || comes_before(job, best))) {
             best = job;
