Hand owners on between hosts too

They now come with the other records, and a host that sees its shard with another gives no more orders for it.

--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -19,6 +19,7 @@
 typedef struct waiting {
     sky_visit_t *visit;
     uint64_t next[SKY_FEED_COUNT];
+    uint64_t owners; /**< generation of the owners that it knows */
     uint64_t since_ms;
     uint64_t hold_ms;
     struct waiting *prev;
@@ -35,6 +36,7 @@
 };
 
 static const char *const TOPICS[] = {"operator", "targets"};
+static const char OWNERS[] = "owners";
 
 static void
 answer(sky_feed_relay_t *relay, waiting_t *waiting)
@@ -47,6 +49,11 @@
             json_object_set_new(body, TOPICS[i], records);
         }
     }
+    json_t *owners =
+        SkyOwnership_Export(relay->options.ownership, waiting->owners);
+    if (owners != NULL) {
+        json_object_set_new(body, OWNERS, owners);
+    }
     sky_visit_t *visit = waiting->visit;
     DL_DELETE2(relay->waiting, waiting, prev, next_waiting);
     free(waiting);
@@ -67,6 +74,8 @@
     uint64_t held_ms = now - waiting->since_ms;
     return held_ms >= waiting->hold_ms ||
            has_news(relay, waiting, SKY_FEED_OPERATOR) ||
+           SkyOwnership_OwnersGeneration(relay->options.ownership) >
+               waiting->owners ||
            (held_ms >= COLLECT_MS &&
             has_news(relay, waiting, SKY_FEED_TARGETS));
 }
@@ -98,6 +107,8 @@
         waiting->next[i] =
             (uint64_t)json_integer_value(json_object_get(body, TOPICS[i]));
     }
+    waiting->owners =
+        (uint64_t)json_integer_value(json_object_get(body, OWNERS));
     waiting->visit = visit;
     waiting->since_ms = SkyClock_NowMs();
     waiting->hold_ms =
@@ -177,6 +188,10 @@
         return;
     }
     take_answer(relay, body);
+    if (json_object_get(body, OWNERS) != NULL) {
+        SkyOwnership_Import(relay->options.ownership,
+                            json_object_get(body, OWNERS));
+    }
     relay->ask_at_ms = SkyClock_NowMs();
     if (SkyFeed_IsStale(relay->options.feed)) {
         /* The one that was asked knows no more than this host. */
@@ -193,11 +208,14 @@
     if (address == NULL) {
         return;
     }
-    json_t *body = json_pack("{s:I, s:I, s:I}", TOPICS[SKY_FEED_OPERATOR],
-                             (json_int_t)SkyFeed_Next(feed, SKY_FEED_OPERATOR),
-                             TOPICS[SKY_FEED_TARGETS],
-                             (json_int_t)SkyFeed_Next(feed, SKY_FEED_TARGETS),
-                             "hold_ms", (json_int_t)HOLD_MS);
+    json_t *body = json_pack(
+        "{s:I, s:I, s:I, s:I}", OWNERS,
+        (json_int_t)SkyOwnership_OwnersGeneration(relay->options.ownership),
+        TOPICS[SKY_FEED_OPERATOR],
+        (json_int_t)SkyFeed_Next(feed, SKY_FEED_OPERATOR),
+        TOPICS[SKY_FEED_TARGETS],
+        (json_int_t)SkyFeed_Next(feed, SKY_FEED_TARGETS), "hold_ms",
+        (json_int_t)HOLD_MS);
     relay->call =
         SkyHostCalls_Call(relay->options.calls, address, "/feed", body,
                           HOLD_MS + TIMEOUT_MARGIN_MS, on_answer, relay);
@@ -235,6 +253,7 @@
         self = self || (address != NULL && is_self(relay, address));
     }
     SkyFeed_SetReader(relay->options.feed, self || !known);
+    SkyOwnership_SetReader(relay->options.ownership, self || !known);
 }
 
 sky_result_t
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -19,6 +19,7 @@
 #define JOINS_PER_TTL 3    /**< two may be lost before membership is */
 #define OWNERS_DELAY_MS 60 /**< others learn of a change about as late */
 #define OWNERS_RETRY_MS 400
+#define OWNERS_PEERS_MS 700 /**< a peer that reads them has told by then */
 /** Orders begin this long after a shard came from a host that is gone: its
  * last order is on its way no longer, and the fencing token covers the rest.
  */
@@ -45,6 +46,8 @@
     bool reading_owners;
     bool left;
     bool joined;
+    bool reader;
+    bool all_owned; /**< every shard had an owner when they were read */
     uint32_t failures;
     uint64_t joined_at_ms; /**< begin of the last join that was answered */
     uint64_t join_begun_ms;
@@ -169,7 +172,8 @@
     if (ownership->owners_generation != ownership->generation &&
         !ownership->reading_owners &&
         !ev_is_active(&ownership->owners_timer)) {
-        start_timer(ownership, &ownership->owners_timer, OWNERS_DELAY_MS);
+        start_timer(ownership, &ownership->owners_timer,
+                    ownership->reader ? OWNERS_DELAY_MS : OWNERS_PEERS_MS);
     }
 }
 
@@ -274,7 +278,8 @@
     shorten_waits(ownership);
     ownership->owners_generation =
         answer->generation ? answer->generation : ownership->generation;
-    if (owned < ownership->shard_count) {
+    ownership->all_owned = owned == ownership->shard_count;
+    if (!ownership->all_owned) {
         start_timer(ownership, &ownership->owners_timer, OWNERS_RETRY_MS);
     }
     SkyLog_Write(LOG_NOTICE, "owners_read",
@@ -290,13 +295,105 @@
     (void)loop;
     (void)events;
     sky_ownership_t *ownership = watcher->data;
-    if (!ownership->reading_owners && !ownership->left) {
+    bool known = ownership->owners_generation >= ownership->generation &&
+                 ownership->all_owned;
+    if (!ownership->reading_owners && !ownership->left && !known) {
         ownership->reading_owners = true;
         SkyStore_ReadOwners(ownership->options.store, GROUP, on_owners,
                             ownership);
     }
 }
 
+void
+SkyOwnership_SetReader(sky_ownership_t *ownership, bool reader)
+{
+    ownership->reader = reader;
+}
+
+uint64_t
+SkyOwnership_OwnersGeneration(const sky_ownership_t *ownership)
+{
+    return ownership->owners_generation;
+}
+
+json_t *
+SkyOwnership_Export(const sky_ownership_t *ownership, uint64_t generation)
+{
+    if (ownership->owners_generation <= generation || !ownership->all_owned) {
+        return NULL;
+    }
+    json_t *members = json_array();
+    for (uint32_t i = 0; i < ownership->member_count; i++) {
+        json_array_append_new(members, json_string(ownership->members[i]));
+    }
+    json_t *owners = json_array();
+    for (uint32_t i = 0; i < ownership->shard_count; i++) {
+        json_array_append_new(owners,
+                              json_integer(ownership->shards[i].owner));
+    }
+    return json_pack("{s:I, s:o, s:o}", "generation",
+                     (json_int_t)ownership->owners_generation, "members",
+                     members, "owners", owners);
+}
+
+/* Copies the members that a peer named. @return false if one is malformed. */
+static bool
+import_members(sky_ownership_t *ownership, const json_t *members)
+{
+    size_t index;
+    json_t *member;
+    ownership->member_count = 0;
+    json_array_foreach(members, index, member)
+    {
+        const char *name = json_string_value(member);
+        if (name == NULL || member_index(ownership, name) != (int16_t)index) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+import_owner(sky_ownership_t *ownership, uint32_t index, json_int_t owner)
+{
+    shard_t *shard = &ownership->shards[index];
+    shard->owner = -1;
+    if (owner < 0 || owner >= (json_int_t)ownership->member_count) {
+        return;
+    }
+    const char *member = ownership->members[owner];
+    shard->owner = (int16_t)owner;
+    shard->owner_hash = hash_of(member);
+    if (shard->mine && strcmp(member, ownership->member) != 0) {
+        shard->mine = false;
+    }
+}
+
+void
+SkyOwnership_Import(sky_ownership_t *ownership, const json_t *owners)
+{
+    json_int_t generation = 0;
+    json_t *members = NULL;
+    json_t *rows = NULL;
+    if (json_unpack((json_t *)owners, "{s:I, s:o, s:o}", "generation",
+                    &generation, "members", &members, "owners", &rows) != 0 ||
+        (uint64_t)generation <= ownership->owners_generation ||
+        json_array_size(rows) != ownership->shard_count ||
+        !import_members(ownership, members)) {
+        return;
+    }
+    for (uint32_t i = 0; i < ownership->shard_count; i++) {
+        import_owner(ownership, i,
+                     json_integer_value(json_array_get(rows, i)));
+    }
+    ownership->owners_generation = (uint64_t)generation;
+    ownership->all_owned = true;
+    SkyLog_Write(LOG_NOTICE, "owners_told", "generation=%llu members=%u",
+                 (unsigned long long)generation, ownership->member_count);
+    shorten_waits(ownership);
+    ownership->options.on_change(ownership->options.context);
+}
+
 uint32_t
 SkyOwnership_Shards(const sky_ownership_t *ownership)
 {
@@ -432,6 +529,7 @@
     }
     self->options = *options;
     self->started_ms = SkyClock_NowMs();
+    self->reader = true;
     self->ttl_ms =
         (uint32_t)(options->settings->store.ttl_min_ms * TTL_FACTOR);
     self->shard_count = TOPIC_COUNT * options->settings->store.parts;
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -12,6 +12,7 @@
 #define SKY_EDGE_OWNERSHIP_H
 
 #include <ev.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -56,6 +57,18 @@
 /** Leaves the group, so that others get its shards at once. */
 void SkyOwnership_Leave(sky_ownership_t *ownership);
 
+/** Whether this host reads the owners from the store as soon as they change;
+ *  at first every host does. Others wait a little for a peer to tell. */
+void SkyOwnership_SetReader(sky_ownership_t *ownership, bool reader);
+/** @return generation of the group at which the owners were read. */
+uint64_t SkyOwnership_OwnersGeneration(const sky_ownership_t *ownership);
+/** @return the owners, if they are newer than a generation, for a peer. */
+json_t *SkyOwnership_Export(const sky_ownership_t *ownership,
+                            uint64_t generation);
+/** Takes owners from a peer, if they are newer. A shard that another host has
+ *  by them is no longer this one's. */
+void SkyOwnership_Import(sky_ownership_t *ownership, const json_t *owners);
+
 /** @return control address of the shard's owner, NULL if it is not known. */
 const char *SkyOwnership_OwnerOf(const sky_ownership_t *ownership,
                                  uint32_t shard);
