--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -59,6 +59,7 @@
     sky_feed_t *feed;
     sky_feed_relay_t *relay;
     sky_listener_t *ready;
+    sky_listener_t *metrics_door;
     sky_listener_t *front;
     ev_signal term;
     ev_signal hup;
@@ -337,6 +338,14 @@
     if (!SkyResult_IsError(result)) {
         result = SkyListener_Create(&ready, &edge->ready);
     }
+    sky_listener_options_t metrics = ready;
+    metrics.address = settings->metrics;
+    if (!SkyResult_IsError(result) && settings->metrics[0] != '\0' &&
+        SkyResult_IsError(
+            SkyListener_Create(&metrics, &edge->metrics_door))) {
+        SkyLog_Write(LOG_WARNING, "metrics_not_served", "address=%s",
+                     settings->metrics);
+    }
     sky_feed_options_t feed = {.loop = edge->loop,
                                .settings = settings,
                                .directory = &edge->directory,
@@ -383,6 +392,7 @@
 {
     SkyListener_Free(edge->front);
     SkyListener_Free(edge->ready);
+    SkyListener_Free(edge->metrics_door);
     SkyTraffic_Free(edge->traffic);
     SkyPlacement_Free(edge->placement);
     SkyFeedRelay_Free(edge->relay);
--- a/lib/edge/host_settings.h
+++ b/lib/edge/host_settings.h
@@ -47,6 +47,7 @@
     char front[SKY_HOST_ADDRESS_BYTES];   /**< callers connect here */
     char ready[SKY_HOST_ADDRESS_BYTES];   /**< readiness probes, metrics */
     char control[SKY_HOST_ADDRESS_BYTES]; /**< other hosts connect here */
+    char metrics[SKY_HOST_ADDRESS_BYTES]; /**< counters; "" for none */
     char seeds[SKY_SEEDS_MAX][SKY_HOST_ADDRESS_BYTES];
     uint32_t seed_count;
     uint32_t memory_mb;
