Leave targets that fall silent, where the request may go on elsewhere

A worker that hangs or goes dark held its requests to their deadlines; now one that says nothing to any request of a host for 1.5 times the objective (or the pause between events) is left, within the budget, and a request that cannot go elsewhere waits on.

--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -50,6 +50,7 @@
     uint32_t refusals;   /**< connections refused in a row */
     uint64_t blocked_until_ms; /**< not reachable a moment ago */
     uint64_t full_until_ms;    /**< it refused work for want of room */
+    uint64_t heard_ms;         /**< last byte that this host had from it */
     sky_belief_t *listed_adapters;
     uint32_t listed_count;
     sky_belief_t *learned;
--- a/lib/decide/retry_budget.c
+++ b/lib/decide/retry_budget.c
@@ -47,14 +47,22 @@
 }
 
 bool
-SkyRetryBudget_Take(sky_retry_budget_t *budget,
-                    const sky_retry_budget_options_t *options, uint32_t hosts,
-                    uint64_t now_ms)
+SkyRetryBudget_IsLeft(sky_retry_budget_t *budget,
+                      const sky_retry_budget_options_t *options,
+                      uint32_t hosts, uint64_t now_ms)
 {
     move_on(budget, options, now_ms);
     double allowed = options->ratio * RATIO_SHARE * sum(budget->requests) +
                      options->slack * SLACK_SHARE / (hosts > 0 ? hosts : 1);
-    if (sum(budget->repeats) + 1 > allowed) {
+    return sum(budget->repeats) + 1 <= allowed;
+}
+
+bool
+SkyRetryBudget_Take(sky_retry_budget_t *budget,
+                    const sky_retry_budget_options_t *options, uint32_t hosts,
+                    uint64_t now_ms)
+{
+    if (!SkyRetryBudget_IsLeft(budget, options, hosts, now_ms)) {
         return false;
     }
     (*bucket(budget->repeats, budget->newest))++;
--- a/lib/decide/retry_budget.h
+++ b/lib/decide/retry_budget.h
@@ -36,6 +36,10 @@
 void SkyRetryBudget_NoteRequest(sky_retry_budget_t *budget,
                                 const sky_retry_budget_options_t *options,
                                 uint64_t now_ms);
+/** @return whether one more repeat may be sent now. */
+bool SkyRetryBudget_IsLeft(sky_retry_budget_t *budget,
+                           const sky_retry_budget_options_t *options,
+                           uint32_t hosts, uint64_t now_ms);
 /** Takes one repeat. @param hosts that share the slack.
  *  @return false if none is left. */
 bool SkyRetryBudget_Take(sky_retry_budget_t *budget,
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -35,6 +35,12 @@
 #define FILL_MOST 1.25
 #define ROOM_S 0.02       /**< waiting requests are looked at so often */
 #define ROOM_WAIT_MS 1500 /**< longest wait for room: some runs' length */
+/* A target that says nothing to any request of this host for so long is taken
+ * as lost, where the request may go on elsewhere: a share of the objective, to
+ * the first byte and then between events. */
+#define SILENT_AIM_FACTOR 1.5
+#define SILENT_GAP_FACTOR 1.5
+#define SILENT_LEAST_MS 300
 #define NO_URGENCY 255    /**< plain services have none */
 /** Longest idle time of a connection on which something that must not run
  *  twice is sent: a server's own close crosses it less likely. */
@@ -75,6 +81,7 @@
     uint32_t version;  /**< of the adapter, as sent */
     bool may_have_run;
     bool relaying;          /**< the answer's head is with the caller */
+    uint64_t heard_ms; /**< last byte of the present answer, or its sending */
     uint64_t room_since_ms; /**< waits for room since then; 0: it does not */
     answer_t answer;
     sky_event_stream_t events;
@@ -277,36 +284,49 @@
     return !job->may_have_run || job->route->repeat != SKY_REPEAT_NEVER;
 }
 
-/* Sends the request once more, if that is allowed and of use. */
-static void
-repeat(job_t *job, uint32_t retry_after_ms, const char *reason)
+/* What forbids to send the request once more, or makes it of no use; NULL:
+ * nothing does. */
+static const char *
+why_not_again(const job_t *job)
 {
     sky_traffic_t *traffic = job->traffic;
     uint64_t now = SkyClock_NowMs();
     sky_retry_budget_t *budget = budget_of(traffic, job->service->name);
-    const char *stop = NULL;
     if (!may_run_again(job)) {
-        stop = "not_repeatable";
+        return "not_repeatable";
     }
-    else if (job->sends >= SENDS_MAX) {
-        stop = "sends";
+    if (job->sends >= SENDS_MAX) {
+        return "sends";
     }
-    else if (!has_target(job)) {
-        stop = "no_other_target";
+    if (!has_target(job)) {
+        return "no_other_target";
     }
-    else if (now + LEAST_TIME_MS >= job->due_ms) {
-        stop = "time";
+    if (now + LEAST_TIME_MS >= job->due_ms) {
+        return "time";
     }
-    else if (budget == NULL ||
-             !SkyRetryBudget_Take(budget, &traffic->budget_options,
-                                  traffic->options.directory->hosts, now)) {
-        stop = "budget";
+    if (budget == NULL ||
+        !SkyRetryBudget_IsLeft(budget, &traffic->budget_options,
+                               traffic->options.directory->hosts, now)) {
+        return "budget";
     }
+    return NULL;
+}
+
+/* Sends the request once more, if that is allowed and of use. */
+static void
+repeat(job_t *job, uint32_t retry_after_ms, const char *reason)
+{
+    sky_traffic_t *traffic = job->traffic;
+    uint64_t now = SkyClock_NowMs();
+    const char *stop = why_not_again(job);
     SkyLog_Write(LOG_NOTICE, "repeat",
                  "id=%s reason=%s allowed=%s sends=%u left_ms=%lld",
                  job->facts.id, reason, stop ? stop : "yes", job->sends,
                  (long long)(job->due_ms - now));
     if (stop == NULL) {
+        SkyRetryBudget_Take(budget_of(traffic, job->service->name),
+                            &traffic->budget_options,
+                            traffic->options.directory->hosts, now);
         SkyEventStream_Rewind(&job->events);
         if (!job->relaying) {
             clear_answer(&job->answer);
@@ -322,10 +342,18 @@
     }
 }
 
+static void
+note_heard(job_t *job)
+{
+    job->heard_ms = SkyClock_NowMs();
+    job->target->heard_ms = job->heard_ms;
+}
+
 static bool
 on_answer_head(void *context, const sky_http_head_t *head)
 {
     job_t *job = context;
+    note_heard(job);
     answer_t *answer = &job->answer;
     sky_answer_facts_t facts;
     SkyWire_ReadAnswer(head, &facts);
@@ -392,6 +420,7 @@
 on_answer_body(void *context, const char *bytes, size_t size)
 {
     job_t *job = context;
+    note_heard(job);
     if (job->answer.bad) {
         return;
     }
@@ -568,7 +597,8 @@
     sky_buffer_t request = {0};
     job->target = choice->target;
     job->version = choice->version;
-    job->sent_ms = job->sent_ms ? job->sent_ms : SkyClock_NowMs();
+    job->heard_ms = SkyClock_NowMs();
+    job->sent_ms = job->sent_ms ? job->sent_ms : job->heard_ms;
     job->sends++;
     note_touched(job, choice->target->hash);
     SkyFleet_Begin(job->target);
@@ -786,6 +816,60 @@
     return best;
 }
 
+static uint64_t
+silence_most_ms(const job_t *job)
+{
+    double most_ms = job->relaying ? job->route->gap_ms * SILENT_GAP_FACTOR
+                                   : job->route->aim_ms * SILENT_AIM_FACTOR;
+    return most_ms > SILENT_LEAST_MS ? (uint64_t)most_ms : SILENT_LEAST_MS;
+}
+
+static bool
+is_silent(const job_t *job, uint64_t now)
+{
+    uint64_t most_ms = silence_most_ms(job);
+    return job->sending != NULL && job->route->repeat != SKY_REPEAT_NEVER &&
+           now > job->heard_ms + most_ms &&
+           now > job->target->heard_ms + most_ms;
+}
+
+/* Takes a request away from a target that went silent, if another can have
+ * it; else it waits on, for silence alone is no reason to end an answer. */
+static void
+leave_silent_target(job_t *job)
+{
+    if (job->failed_count >= TOUCHED_MAX) {
+        return;
+    }
+    job->failed[job->failed_count++] = job->target->hash;
+    bool may_leave = why_not_again(job) == NULL;
+    job->failed_count--;
+    if (!may_leave) {
+        job->heard_ms = SkyClock_NowMs();
+        return;
+    }
+    SkySending_Cancel(job->sending);
+    job->may_have_run = true;
+    log_sending_end(job, "silent");
+    note_failed(job, job->target->hash);
+    end_sending(job, SKY_FARED_UNREACHABLE);
+    repeat(job, 0, "silent");
+}
+
+static void
+look_for_silence(sky_traffic_t *traffic)
+{
+    uint64_t now = SkyClock_NowMs();
+    job_t *job;
+    job_t *next;
+    DL_FOREACH_SAFE(traffic->jobs, job, next)
+    {
+        if (is_silent(job, now)) {
+            leave_silent_target(job);
+        }
+    }
+}
+
 /* Tries those that wait for room again, the most urgent first. */
 static void
 on_room(struct ev_loop *loop, ev_timer *watcher, int events)
@@ -794,6 +878,7 @@
     (void)events;
     sky_traffic_t *traffic = watcher->data;
     uint64_t now = SkyClock_NowMs();
+    look_for_silence(traffic);
     job_t *job = next_waiting(traffic, NULL);
     while (job != NULL) {
         job_t *next = next_waiting(traffic, job);
