--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -18,7 +18,7 @@
     350 /**< hosts tell within this time what they still run                  \
          */
 #define REPORT_RETRY_MS 250
-#define CONFLICT_WAIT_MS 100 /**< before the target is asked again */
+#define CONFLICT_WAIT_MS 30 /**< before the target is asked again */
 #define MODEL_REPORT_MS 300  /**< between reports while a model is loaded */
 
 typedef struct place {
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -18,7 +18,7 @@
 #define PROTECT_MS 400    /**< a request granted here is on its way so long */
 #define REPORT_LAG_MS 400 /**< reports are some hundred ms old */
 #define QUEUE_MOST 24 /**< adapters that wait for one target: 2 s of loads */
-#define ORDER_TIMEOUT_MS 400 /**< targets answer orders within some ms */
+#define ORDER_TIMEOUT_MS 120 /**< answers take some ms; asking again is free */
 #define CONNECT_TIMEOUT_MS 300
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
 #define CONFIRM_TIMEOUT_MS                                                    \
