--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -41,6 +41,8 @@
 #define SILENT_AIM_FACTOR 1.5
 #define SILENT_GAP_FACTOR 1.5
 #define SILENT_LEAST_MS 300
+/** A stream alone that pauses so many times longer has lost its answer. */
+#define LOST_ANSWER_FACTOR 1.3
 #define NO_URGENCY 255    /**< plain services have none */
 /** Longest idle time of a connection on which something that must not run
  *  twice is sent: a server's own close crosses it less likely. */
@@ -824,13 +826,17 @@
     return most_ms > SILENT_LEAST_MS ? (uint64_t)most_ms : SILENT_LEAST_MS;
 }
 
+/* The target says nothing to anyone, or has lost this one answer midway. */
 static bool
 is_silent(const job_t *job, uint64_t now)
 {
     uint64_t most_ms = silence_most_ms(job);
-    return job->sending != NULL && job->route->repeat != SKY_REPEAT_NEVER &&
-           now > job->heard_ms + most_ms &&
-           now > job->target->heard_ms + most_ms;
+    if (job->sending == NULL || job->route->repeat == SKY_REPEAT_NEVER ||
+        now <= job->heard_ms + most_ms) {
+        return false;
+    }
+    return now > job->target->heard_ms + most_ms ||
+           (job->relaying && now > job->heard_ms + LOST_ANSWER_FACTOR * most_ms);
 }
 
 /* Takes a request away from a target that went silent, if another can have
@@ -838,22 +844,25 @@
 static void
 leave_silent_target(job_t *job)
 {
+    uint64_t now = SkyClock_NowMs();
+    bool lost = now <= job->target->heard_ms + silence_most_ms(job);
     if (job->failed_count >= TOUCHED_MAX) {
         return;
     }
-    job->failed[job->failed_count++] = job->target->hash;
-    bool may_leave = why_not_again(job) == NULL;
-    job->failed_count--;
-    if (!may_leave) {
-        job->heard_ms = SkyClock_NowMs();
+    uint32_t failed_before = job->failed_count;
+    if (!lost) {
+        note_failed(job, job->target->hash);
+    }
+    if (why_not_again(job) != NULL) {
+        job->failed_count = failed_before;
+        job->heard_ms = now;
         return;
     }
     SkySending_Cancel(job->sending);
     job->may_have_run = true;
-    log_sending_end(job, "silent");
-    note_failed(job, job->target->hash);
-    end_sending(job, SKY_FARED_UNREACHABLE);
-    repeat(job, 0, "silent");
+    log_sending_end(job, lost ? "lost_answer" : "silent");
+    end_sending(job, lost ? SKY_FARED_FAILED : SKY_FARED_UNREACHABLE);
+    repeat(job, 0, lost ? "lost_answer" : "silent");
 }
 
 static void
