--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -14,12 +14,19 @@
          */
 #define LOAD_FACTOR_MOST 4.0 /**< of the first guess; many share the way */
 #define BUSY_MS 200 /**< a victim that is in use is left alone so long */
+#define USERS_MAX 8 /**< hosts remembered; one more is as good as many */
 #define RUNNING_MS                                                            \
     350 /**< hosts tell within this time what they still run                  \
          */
 #define REPORT_RETRY_MS 250
 #define CONFLICT_WAIT_MS 30 /**< before the target is asked again */
-#define MODEL_REPORT_MS 300  /**< between reports while a model is loaded */
+#define MODEL_REPORT_MS 300 /**< between reports while a model is loaded */
+
+/** A host with requests on an adapter, as it told last. */
+typedef struct {
+    uint64_t host;
+    uint64_t until_ms;
+} user_t;
 
 typedef struct place {
     sky_adapter_key_t key;
@@ -31,9 +38,10 @@
     double heat; /**< uses, decayed */
     uint64_t heat_ms;
     uint64_t used_ms;
-    uint64_t ordered_ms; /**< when its load was accepted */
-    uint64_t poll_ms;    /**< next question whether it is there */
-    uint64_t busy_until_ms;
+    uint64_t ordered_ms;    /**< when its load was accepted */
+    uint64_t poll_ms;       /**< next question whether it is there */
+    uint64_t busy_until_ms; /**< the target said that it is in use */
+    user_t users[USERS_MAX];
     uint32_t urgency; /**< of the most urgent one that waits */
     uint64_t since_ms;
     uint64_t due_ms;
@@ -303,9 +311,44 @@
     return count;
 }
 
+/* A place whose users are too many to remember keeps the latest. */
+static void
+note_user(place_t *place, uint64_t host, uint32_t running, uint64_t now_ms)
+{
+    user_t *slot = NULL;
+    for (int i = 0; i < USERS_MAX; i++) {
+        user_t *user = &place->users[i];
+        if (user->host == host) {
+            slot = user;
+            break;
+        }
+        if (slot == NULL || user->until_ms < slot->until_ms) {
+            slot = user;
+        }
+    }
+    if (running > 0) {
+        *slot = (user_t){.host = host, .until_ms = now_ms + RUNNING_MS};
+    }
+    else if (slot->host == host) {
+        *slot = (user_t){0};
+    }
+}
+
+static bool
+is_in_use(const place_t *place, uint64_t now_ms)
+{
+    for (int i = 0; i < USERS_MAX; i++) {
+        if (place->users[i].until_ms > now_ms) {
+            return true;
+        }
+    }
+    return place->busy_until_ms > now_ms;
+}
+
 void
 SkyPlacer_NoteUse(sky_placer_t *placer, sky_adapter_key_t adapter,
-                  uint32_t count, uint32_t running, uint64_t now_ms)
+                  uint64_t host, uint32_t count, uint32_t running,
+                  uint64_t now_ms)
 {
     place_t *place = find(placer, adapter);
     if (place == NULL) {
@@ -314,9 +357,7 @@
     if (count > 0) {
         add_heat(place, count, now_ms);
     }
-    if (running > 0) {
-        place->busy_until_ms = now_ms + RUNNING_MS;
-    }
+    note_user(place, host, running, now_ms);
 }
 
 /* Time until the queue before a new want is through. */
@@ -451,7 +492,7 @@
         bool free_to_go =
             place->state == SKY_PLACE_HELD && is_adapter(place) &&
             place != for_place && place->poll_ms == 0 &&
-            place->busy_until_ms <= now_ms &&
+            !is_in_use(place, now_ms) &&
             place->used_ms + placer->options.protect_ms <= now_ms;
         if (free_to_go &&
             (best == NULL || heat_of(place, now_ms) < heat_of(best, now_ms))) {
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -102,10 +102,12 @@
 uint32_t SkyPlacer_List(const sky_placer_t *placer, uint64_t now_ms,
                         sky_belief_t *held, uint32_t most);
 /** A host used an adapter @p count times since it told last, and has
- *  @p running requests on it. One in use is not dropped: the target would take
- *  no other order until its requests have ended. */
+ *  @p running requests on it; @p host is any number that names it. One in use
+ * is not dropped: the target would take no other order until its requests have
+ * ended. */
 void SkyPlacer_NoteUse(sky_placer_t *placer, sky_adapter_key_t adapter,
-                       uint32_t count, uint32_t running, uint64_t now_ms);
+                       uint64_t host, uint32_t count, uint32_t running,
+                       uint64_t now_ms);
 /** A newer version was announced: replaces it if it is held. */
 void SkyPlacer_Announce(sky_placer_t *placer, sky_adapter_key_t adapter,
                         uint32_t version, uint64_t now_ms);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -341,8 +341,7 @@
     sky_listener_options_t metrics = ready;
     metrics.address = settings->metrics;
     if (!SkyResult_IsError(result) && settings->metrics[0] != '\0' &&
-        SkyResult_IsError(
-            SkyListener_Create(&metrics, &edge->metrics_door))) {
+        SkyResult_IsError(SkyListener_Create(&metrics, &edge->metrics_door))) {
         SkyLog_Write(LOG_WARNING, "metrics_not_served", "address=%s",
                      settings->metrics);
     }
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -15,10 +16,11 @@
 #define HOMES 3           /**< targets that may load a cold adapter, in turn */
 #define TRANSIT_MOST 4    /**< adapters on their way to a target at once */
 #define LOAD_GUESS_MS 250 /**< an adapter's load, until one was measured */
-#define PROTECT_MS 400    /**< a request granted here is on its way so long */
+#define PROTECT_MS 250    /**< a granted request is told as running by then */
 #define REPORT_LAG_MS 400 /**< reports are some hundred ms old */
 #define QUEUE_MOST 24 /**< adapters that wait for one target: 2 s of loads */
-#define ORDER_TIMEOUT_MS 120 /**< answers take some ms; asking again is free */
+#define ORDER_TIMEOUT_MS 120 /**< answers take some ms; asking again is free  \
+                              */
 #define CONNECT_TIMEOUT_MS 300
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
 #define CONFIRM_TIMEOUT_MS                                                    \
@@ -38,6 +40,7 @@
 #define CROWDED_FILL 1.0   /**< its batch is full: another home is better */
 #define MODEL_DUE_MS 60000 /**< a target without its model always needs it */
 #define RETRY_AFTER_NO_OWNER_MS 800 /**< an owner is found within a lease */
+#define OWN_USES 1   /**< names this host among the users of its own targets */
 #define USES_MAX 256 /**< distinct uses kept between two flushes */
 
 /** Requests of one host on a target. */
@@ -940,6 +943,7 @@
             SkyPlacer_NoteUse(
                 managed->placer,
                 (sky_adapter_key_t)json_integer_value(json_array_get(use, 0)),
+                XXH3_64bits(host, strlen(host)),
                 (uint32_t)json_integer_value(json_array_get(use, 1)),
                 (uint32_t)json_integer_value(json_array_get(use, 2)),
                 SkyClock_NowMs());
@@ -1009,6 +1013,17 @@
     return NULL;
 }
 
+/* The owner hears soon that an adapter came into use, or is free to go. */
+static void
+tell_soon(sky_placement_t *placement, use_t *use)
+{
+    use->fresh = true;
+    if (!ev_is_active(&placement->share_soon)) {
+        ev_timer_set(&placement->share_soon, SHARE_SOON_S, 0.0);
+        ev_timer_start(placement->options.loop, &placement->share_soon);
+    }
+}
+
 void
 SkyPlacement_NoteBegin(sky_placement_t *placement,
                        const sky_fleet_target_t *target,
@@ -1025,11 +1040,7 @@
     use->count++;
     use->running++;
     if (use->running == 1) {
-        use->fresh = true;
-        if (!ev_is_active(&placement->share_soon)) {
-            ev_timer_set(&placement->share_soon, SHARE_SOON_S, 0.0);
-            ev_timer_start(placement->options.loop, &placement->share_soon);
-        }
+        tell_soon(placement, use);
     }
 }
 
@@ -1039,8 +1050,8 @@
                      sky_adapter_key_t adapter)
 {
     use_t *use = find_use(placement, target->hash, adapter);
-    if (use != NULL && use->running > 0) {
-        use->running--;
+    if (use != NULL && use->running > 0 && --use->running == 0) {
+        tell_soon(placement, use);
     }
 }
 
@@ -1113,8 +1124,8 @@
     for (uint32_t i = 0; i < placement->use_count; i++) {
         const use_t *use = &placement->uses[i];
         if (use->target == managed->hash) {
-            SkyPlacer_NoteUse(managed->placer, use->adapter, use->count,
-                              use->running, SkyClock_NowMs());
+            SkyPlacer_NoteUse(managed->placer, use->adapter, OWN_USES,
+                              use->count, use->running, SkyClock_NowMs());
         }
     }
 }
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -43,7 +43,7 @@
 #define SILENT_LEAST_MS 300
 /** A stream alone that pauses so many times longer has lost its answer. */
 #define LOST_ANSWER_FACTOR 1.3
-#define NO_URGENCY 255    /**< plain services have none */
+#define NO_URGENCY 255 /**< plain services have none */
 /** Longest idle time of a connection on which something that must not run
  *  twice is sent: a server's own close crosses it less likely. */
 #define UNREPEATABLE_REUSE_MS 4000
@@ -82,7 +82,7 @@
     uint32_t confirms; /**< owners asked what their targets hold */
     uint32_t version;  /**< of the adapter, as sent */
     bool may_have_run;
-    bool relaying;          /**< the answer's head is with the caller */
+    bool relaying;     /**< the answer's head is with the caller */
     uint64_t heard_ms; /**< last byte of the present answer, or its sending */
     uint64_t room_since_ms; /**< waits for room since then; 0: it does not */
     answer_t answer;
@@ -836,7 +836,8 @@
         return false;
     }
     return now > job->target->heard_ms + most_ms ||
-           (job->relaying && now > job->heard_ms + LOST_ANSWER_FACTOR * most_ms);
+           (job->relaying &&
+            now > job->heard_ms + LOST_ANSWER_FACTOR * most_ms);
 }
 
 /* Takes a request away from a target that went silent, if another can have
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -285,8 +285,8 @@
         for (uint32_t i = 0; i + 2 < kPlaces; i++) {
             std::string name = "hot" + std::to_string(i);
             target.in_use[name] = now_ms + kRunMs;
-            SkyPlacer_NoteUse(placer, SkyFleet_KeyOf("m", name.c_str()), 1, 1,
-                              now_ms);
+            SkyPlacer_NoteUse(placer, SkyFleet_KeyOf("m", name.c_str()), 7, 1,
+                              1, now_ms);
         }
         Want("cold" + std::to_string(round));
         Run(200);
@@ -319,6 +319,31 @@
     EXPECT_EQ(0u, reports);
 }
 
+// Adapters were kept for 350 ms after their last request had ended, so that a
+// target of 16 places took 4 loads a second at an opening.
+TEST_F(PlacerTest, AnAdapterIsFreeAsSoonAsAllHostsHaveToldSo)
+{
+    for (uint32_t i = 0; i < kPlaces; i++) {
+        Want("a" + std::to_string(i));
+        Run(100);
+    }
+    Run(1000);
+    for (uint32_t i = 0; i < kPlaces; i++) {
+        std::string name = "a" + std::to_string(i);
+        sky_adapter_key_t key = SkyFleet_KeyOf("m", name.c_str());
+        SkyPlacer_NoteUse(placer, key, 7, 1, 1, now_ms);
+        SkyPlacer_NoteUse(placer, key, 8, 1, 1, now_ms);
+    }
+    SkyPlacer_NoteUse(placer, SkyFleet_KeyOf("m", "a3"), 7, 0, 0, now_ms);
+    Want("b");
+    Run(50);
+    EXPECT_EQ(SKY_PLACE_QUEUED, State("b")) << "host 8 still runs on a3";
+    SkyPlacer_NoteUse(placer, SkyFleet_KeyOf("m", "a3"), 8, 0, 0, now_ms);
+    Run(30);
+    EXPECT_EQ(SKY_PLACE_COMING, State("b"));
+    EXPECT_EQ(SKY_PLACE_NONE, State("a3"));
+}
+
 TEST_F(PlacerTest, MoreUrgentWantsComeFirst)
 {
     for (int i = 0; i < 8; i++) {
@@ -386,8 +411,8 @@
             std::string name = "a" + std::to_string((int)rank % 333);
             if (Want(name) == SKY_PLACE_HELD && target.held.count(name) > 0) {
                 target.in_use[name] = now_ms + kRunMs;
-                SkyPlacer_NoteUse(placer, SkyFleet_KeyOf("m", name.c_str()), 1,
-                                  1, now_ms);
+                SkyPlacer_NoteUse(placer, SkyFleet_KeyOf("m", name.c_str()), 7,
+                                  1, 1, now_ms);
             }
             Run(30);
             ASSERT_FALSE(target.overfilled) << "seed " << seed;
