--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -40,9 +40,7 @@
 /** The balancer needs two probes, a second apart, to stop sending callers. */
 #define DRAIN_LEAST_MS 3200
 #define DRAIN_IDLE_MS 2500
-#define DRAIN_MARGIN_MS                                                       \
-    400 /**< left of the grace period at the latest exit                      \
-         */
+#define DRAIN_MARGIN_MS 400 /**< left of the grace period */
 #define READY_HEAD_BYTES 4096
 
 typedef struct {
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -19,13 +19,11 @@
 #define PROTECT_MS 250    /**< a granted request is told as running by then */
 #define REPORT_LAG_MS 400 /**< reports are some hundred ms old */
 #define QUEUE_MOST 24 /**< adapters that wait for one target: 2 s of loads */
-#define ORDER_TIMEOUT_MS 120 /**< answers take some ms; asking again is free  \
-                              */
+#define ORDER_TIMEOUT_MS 120 /**< answers take some ms */
 #define CONNECT_TIMEOUT_MS 300
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
-#define CONFIRM_TIMEOUT_MS                                                    \
-    80                      /**< an owner answers within some ms, or is lost */
-#define REMOTE_MARGIN_MS 30 /**< way of an answer between hosts */
+#define CONFIRM_TIMEOUT_MS 80 /**< owners answer within some ms */
+#define REMOTE_MARGIN_MS 30   /**< way of an answer between hosts */
 #define RECONCILE_S 0.25
 #define SHARE_S 0.2       /**< load is told to owners; a run takes as long */
 #define SHARE_SOON_S 0.01 /**< a request on an adapter that may be dropped */
@@ -33,9 +31,7 @@
 #define SHARES_MAX 128    /**< hosts with requests on one target */
 #define HELD_MAX 256      /**< adapters of one target that are told */
 #define COPIES_MOST 8     /**< asked for at once by one host */
-#define COPY_INTERVAL_MS                                                      \
-    400 /**< of one adapter: a load takes about as long                       \
-         */
+#define COPY_INTERVAL_MS 400 /**< of one adapter: about a load */
 #define COPIES_REMEMBERED 64
 #define CROWDED_FILL 1.0   /**< its batch is full: another home is better */
 #define MODEL_DUE_MS 60000 /**< a target without its model always needs it */
--- a/lib/edge/traffic.c
+++ b/lib/edge/traffic.c
@@ -18,12 +18,9 @@
 /** Answers up to this size are read whole before any of it is passed on, so
  *  that one cut short can still be repeated. */
 #define WHOLE_ANSWER_BYTES (256u * 1024u)
-#define LEAST_TIME_MS 20 /**< a target could not answer in less */
-#define CONNECT_TIMEOUT_MS                                                    \
-    400 /**< a lost opening packet is sent again later */
-#define RETRY_AFTER_START_MS                                                  \
-    500                           /**< until a host that starts knows enough  \
-                                   */
+#define LEAST_TIME_MS 20          /**< a target could not answer in less */
+#define CONNECT_TIMEOUT_MS 400    /**< lost packets come again later */
+#define RETRY_AFTER_START_MS 500  /**< a start takes about as long */
 #define RETRY_AFTER_FULL_MS 200   /**< a slot is free again after about this */
 #define RETRY_AFTER_SPREAD_MS 300 /**< callers must not return together */
 /** A request takes this long at most, but for few; one that comes later while
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -12,10 +12,8 @@
 #include "core/logging.h"
 #include "net/socket.h"
 
-#define READ_BYTES 16384u /**< one read; a usual request fits whole */
-#define SLOW_BYTES                                                            \
-    (256u * 1024u) /**< unsent bytes that make a caller slow                  \
-                    */
+#define READ_BYTES 16384u         /**< one read; a usual request fits whole */
+#define SLOW_BYTES (256u * 1024u) /**< unsent: a slow caller */
 #define PIPELINE_BYTES (64u * 1024u) /**< sent ahead by a caller, kept */
 #define LINGER_MS 1000u /**< a refused request may still be on its way */
 #define SWEEP_S 0.1     /**< granularity of time-outs */
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,5 +9,5 @@
 # uninitvar: utlist's loops confuse it; clang-analyzer-core checks the same.
 cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,portability \
     --inline-suppr --suppress=missingIncludeSystem --suppress=uninitvar -j 8 -Ilib -I. \
-    $(git ls-files 'lib/*.c' 'programs/*.c' 'bench/*.c' | grep -v '/gen/')
+    $(git ls-files 'lib/*.c' 'platform/*.c' 'programs/*.c' 'bench/*.c' | grep -v '/gen/')
 echo "lint: clean"
--- /dev/null
+++ b/tests/fuzz/fuzz_http.c
@@ -0,0 +1,70 @@
+/** @file fuzz_http.c @brief HTTP messages and event streams from outside. */
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include "net/event_stream.h"
+#include "net/http_reader.h"
+#include "platform/wire.h"
+
+static bool
+on_head(void *context, const sky_http_head_t *head)
+{
+    sky_request_facts_t request;
+    sky_answer_facts_t answer;
+    sky_buffer_t out = {0};
+    sky_forward_t forward = {.target_id = "i", .urgency = 1};
+    (void)context;
+    SkyWire_ReadRequest(head, &request);
+    SkyWire_ReadAnswer(head, &answer);
+    SkyWire_PutRequest(&out, head, "", 0, &forward);
+    SkyWire_PutAnswerFields(&out, head);
+    SkyBuffer_Clear(&out);
+    return true;
+}
+
+static bool
+on_body(void *context, const char *bytes, size_t size)
+{
+    sky_buffer_t ready = {0};
+    SkyEventStream_Feed(context, bytes, size, &ready);
+    SkyBuffer_Clear(&ready);
+    return true;
+}
+
+static bool
+on_complete(void *context)
+{
+    SkyEventStream_Rewind(context);
+    return true;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    static const sky_http_events_t EVENTS = {on_head, on_body, on_complete};
+    if (size < 2) {
+        return 0;
+    }
+    sky_event_stream_t stream = {0};
+    sky_http_reader_t reader;
+    sky_http_kind_t kind = data[0] & 1 ? SKY_HTTP_REQUEST : SKY_HTTP_ANSWER;
+    size_t step = data[1] ? data[1] : 1;
+    SkyHttp_InitReader(&reader, kind, &EVENTS, &stream, 4096);
+    for (size_t at = 2; at < size;) {
+        size_t used = 0;
+        size_t part = size - at < step ? size - at : step;
+        sky_http_progress_t progress =
+            SkyHttp_Feed(&reader, (const char *)data + at, part, &used);
+        if (used == 0 ||
+            (progress != SKY_HTTP_MORE && progress != SKY_HTTP_COMPLETE)) {
+            break;
+        }
+        at += used;
+    }
+    SkyHttp_Clear(&reader);
+    SkyEventStream_Clear(&stream);
+    return 0;
+}
