Never take a begun stream away from a silent target

Only requests without a first byte are now taken away. A second run beside the first, switched to once it answers, would serve lost answers better; not built.

--- a/lib/edge/room.c
+++ b/lib/edge/room.c
@@ -3,14 +3,10 @@
 #include "core/clock.h"
 #include "edge/job.h"
 
-/* A target that says nothing to any request of this host for so long is taken
- * as lost, where the request may go on elsewhere: a share of the objective, to
- * the first byte and then between events. */
+/** A target that says nothing to any request of this host for so many times
+ * the objective is taken as lost, where the request may go elsewhere. */
 #define SILENT_AIM_FACTOR 1.5
-#define SILENT_GAP_FACTOR 1.5
-#define SILENT_LEAST_MS 300
-/** A stream alone that pauses so many times longer has lost its answer. */
-#define LOST_ANSWER_FACTOR 1.3
+#define SILENT_LEAST_MS 300 /**< plain answers are late by then */
 
 static bool
 comes_before(const sky_job_t *one, const sky_job_t *other)
@@ -43,23 +39,21 @@
 static uint64_t
 silence_most_ms(const sky_job_t *job)
 {
-    double most_ms = job->relaying ? job->route->gap_ms * SILENT_GAP_FACTOR
-                                   : job->route->aim_ms * SILENT_AIM_FACTOR;
+    double most_ms = job->route->aim_ms * SILENT_AIM_FACTOR;
     return most_ms > SILENT_LEAST_MS ? (uint64_t)most_ms : SILENT_LEAST_MS;
 }
 
-/* The target says nothing to anyone, or has lost this one answer midway. */
+/* The target says nothing to anyone. A stream that has begun is never taken
+ * away: what goes on elsewhere may fail, and its caller would get less than by
+ * waiting. */
 static bool
 is_silent(const sky_job_t *job, uint64_t now)
 {
     uint64_t most_ms = silence_most_ms(job);
-    if (job->sending == NULL || job->route->repeat == SKY_REPEAT_NEVER ||
-        now <= job->heard_ms + most_ms) {
-        return false;
-    }
-    return now > job->target->heard_ms + most_ms ||
-           (job->relaying &&
-            now > job->heard_ms + LOST_ANSWER_FACTOR * most_ms);
+    return job->sending != NULL && !job->relaying &&
+           job->route->repeat != SKY_REPEAT_NEVER &&
+           now > job->heard_ms + most_ms &&
+           now > job->target->heard_ms + most_ms;
 }
 
 /* Takes a request away from a target that went silent, if another can have
@@ -67,25 +61,18 @@
 static void
 leave_silent_target(sky_job_t *job)
 {
-    uint64_t now = SkyClock_NowMs();
-    bool lost = now <= job->target->heard_ms + silence_most_ms(job);
-    if (job->failed_count >= TOUCHED_MAX) {
-        return;
-    }
     uint32_t failed_before = job->failed_count;
-    if (!lost) {
-        SkyJob_NoteFailed(job, job->target->hash);
-    }
+    SkyJob_NoteFailed(job, job->target->hash);
     if (SkyJob_WhyNotAgain(job) != NULL) {
         job->failed_count = failed_before;
-        job->heard_ms = now;
+        job->heard_ms = SkyClock_NowMs();
         return;
     }
     SkySending_Cancel(job->sending);
     job->may_have_run = true;
-    SkyJob_LogSendingEnd(job, lost ? "lost_answer" : "silent");
-    SkyJob_EndSending(job, lost ? SKY_FARED_FAILED : SKY_FARED_UNREACHABLE);
-    SkyJob_Repeat(job, 0, lost ? "lost_answer" : "silent");
+    SkyJob_LogSendingEnd(job, "silent");
+    SkyJob_EndSending(job, SKY_FARED_UNREACHABLE);
+    SkyJob_Repeat(job, 0, "silent");
 }
 
 static void
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -11,7 +11,8 @@
  * PORT + 50         tests: POST /fault, /op, /leave, /crash; GET /state
  *
  * Faults (POST /fault {"name": number}): store_down_N (1: 503, 2: silent) for
- * door N, lose_orders, late_orders, cut_streams (after 3 events), shed, lose
+ * door N, lose_orders, late_orders, cut_streams and hang_streams (after 3
+ * events), shed, lose
  * (an answer after the run), garble, extra, fail (500) - counts of requests.
  */
 #include <endian.h>
@@ -82,6 +83,7 @@
     char adapter[32];
     uint64_t next;
     uint64_t cut_after;
+    uint64_t hang_after;
     ev_timer timer;
     struct run *prev;
     struct run *next_run;
@@ -487,6 +489,9 @@
     run_t *run = timer->data;
     char text[64];
     sky_visit_t *visit = run->visit;
+    if (run->hang_after > 0 && run->next > run->hang_after) {
+        return;
+    }
     if (run->cut_after > 0 && run->next > run->cut_after) {
         SkyVisit_Write(visit, "id: ", 4);
         SkyVisit_SetUser(visit, NULL);
@@ -534,6 +539,7 @@
     run->engine = engine;
     run->next = after ? strtoull(after, NULL, 10) + 1 : 1;
     run->cut_after = use_fault("cut_streams") ? 3 : 0;
+    run->hang_after = use_fault("hang_streams") ? 3 : 0;
     snprintf(run->id, sizeof run->id, "%s", id);
     snprintf(run->adapter, sizeof run->adapter, "%s", adapter);
     place_t *place = place_of(engine, adapter);
--- a/tests/proc_edge.sh
+++ b/tests/proc_edge.sh
@@ -6,7 +6,7 @@
 DIR=$(mktemp -d)
 PIDS=""
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
-trap 'kill $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
+trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
 . tests/proc_check.sh
 
 HOSTS=3
@@ -165,6 +165,17 @@
 check "one that may not be resumed ends visibly cut" "$cut" yes
 check "and ran once" "$(runs_of r2)" 1
 
+# A begun stream that falls silent was taken away, and its caller got less.
+set_fault '{"hang_streams": 1}'
+took=$(curl -sS -m 8 -o "$DIR/body.h1" -w '%{time_total}' -X POST -d prompt \
+    -H 'Host: a.example' -H 'X-Skylarkspar-Attempt-Id: h1' \
+    -H 'X-Skylarkspar-Model: m1/a1' -H 'X-Skylarkspar-Deadline-Ms: 2500' \
+    "http://$(front 2)/gen/4" 2>/dev/null)
+check "silence does not end a stream sooner" \
+    "$(echo "$took" | awk '{print ($1 >= 2.4) ? "at its deadline" : $1}')" \
+    "at its deadline"
+check "its events have come" "$(events_in h1)" 3
+
 set_fault '{"lose": 1}'
 check "a booking whose answer is lost" "$(ask 0 /book/1 b1 -X POST -d x)" 502
 check "ran once" "$(runs_of b1)" 1
