--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -102,26 +102,30 @@
                       result->placed ? "target_left" : result->reason);
         return;
     }
-    sky_belief_t held = {
-        .adapter = SkyFleet_KeyOf(job->facts.model, job->facts.adapter),
-        .version = result->version,
-        .present = true};
+    sky_belief_t held = {.adapter = SkyJob_Adapter(job),
+                         .version = result->version,
+                         .present = true};
     SkyFleet_Learn(fleet, target, &held, SkyClock_NowMs());
     SkyJob_Dispatch(job);
 }
 
-static void
-ask_for_place(sky_job_t *job, const sky_fleet_query_t *query)
+static sky_placement_wish_t
+wish_of(const sky_job_t *job, const sky_fleet_query_t *query, uint64_t due_ms)
 {
-    sky_traffic_t *traffic = job->traffic;
-    sky_placement_wish_t wish = {
+    return (sky_placement_wish_t){
         .query = *query,
-        .version = SkyFleet_Announced(
-            traffic->options.directory->fleet,
-            SkyFleet_KeyOf(job->facts.model, job->facts.adapter)),
+        .version = SkyFleet_Announced(job->traffic->options.directory->fleet,
+                                      SkyJob_Adapter(job)),
         .urgency = job->route->urgency,
-        .due_ms = job->due_ms,
+        .due_ms = due_ms,
     };
+}
+
+static void
+ask_for_place(sky_job_t *job, const sky_fleet_query_t *query)
+{
+    sky_traffic_t *traffic = job->traffic;
+    sky_placement_wish_t wish = wish_of(job, query, job->due_ms);
     job->asks++;
     if (job->asks > SENDS_MAX) {
         SkyJob_GiveUp(job, RETRY_AFTER_FULL_MS, "adapter_keeps_leaving");
@@ -139,14 +143,8 @@
 ask_for_copy(const sky_job_t *job, const sky_fleet_query_t *query)
 {
     sky_traffic_t *traffic = job->traffic;
-    sky_placement_wish_t wish = {
-        .query = *query,
-        .version = SkyFleet_Announced(
-            traffic->options.directory->fleet,
-            SkyFleet_KeyOf(job->facts.model, job->facts.adapter)),
-        .urgency = job->route->urgency,
-        .due_ms = SkyClock_NowMs() + ROOM_WAIT_MS,
-    };
+    sky_placement_wish_t wish =
+        wish_of(job, query, SkyClock_NowMs() + ROOM_WAIT_MS);
     wish.query.lacking = true;
     wish.query.only_count = 0;
     wish.query.avoid_count = 0;
--- a/lib/edge/host_settings.h
+++ b/lib/edge/host_settings.h
@@ -18,20 +18,18 @@
 
 /** Promised bounds of the deployment. */
 typedef struct {
-    uint32_t stable_ms;        /**< undisturbed for so long: bounds hold */
-    uint32_t drain_ms;         /**< a leaving target gets nothing after it */
-    uint32_t grace_ms;         /**< from SIGTERM to SIGKILL */
-    uint32_t config_apply_ms;  /**< a change is in force everywhere */
-    uint32_t lease_ms;         /**< between the orders of two owners */
-    uint32_t version_ms;       /**< a new adapter version is served */
-    uint32_t pass_ms;          /**< an event is passed on */
-    uint32_t retry_window_ms;  /**< over which repeats are counted */
-    double retry_ratio;        /**< repeats allowed for each request */
-    uint32_t retry_slack;      /**< and beyond, all hosts together */
-    uint32_t address_reuse_ms; /**< an address may serve another target */
-    uint32_t load_window_ms;   /**< over which loads of weights are counted */
-    double load_overshoot;     /**< share of the load rate that is allowed */
-    bool fencing;              /**< targets refuse a lower fencing token */
+    uint32_t stable_ms;       /**< undisturbed for so long: bounds hold */
+    uint32_t drain_ms;        /**< a leaving target gets nothing after it */
+    uint32_t grace_ms;        /**< from SIGTERM to SIGKILL */
+    uint32_t config_apply_ms; /**< a change is in force everywhere */
+    uint32_t lease_ms;        /**< between the orders of two owners */
+    uint32_t version_ms;      /**< a new adapter version is served */
+    uint32_t retry_window_ms; /**< over which repeats are counted */
+    double retry_ratio;       /**< repeats allowed for each request */
+    uint32_t retry_slack;     /**< and beyond, all hosts together */
+    uint32_t load_window_ms;  /**< over which loads of weights are counted */
+    double load_overshoot;    /**< share of the load rate that is allowed */
+    bool fencing;             /**< targets refuse a lower fencing token */
 } sky_bounds_t;
 
 /** The store of the platform. */
--- a/lib/edge/owned.c
+++ b/lib/edge/owned.c
@@ -296,7 +296,8 @@
     {
         mine++;
     }
-    double allowed = engine->loads_per_s * bounds->load_window_ms / MS_PER_S *
+    double allowed = engine->loads_per_s * bounds->load_overshoot *
+                     bounds->load_window_ms / MS_PER_S *
                      (all > 0 ? (double)mine / all : 0.0);
     return allowed >= 1.0 ? (uint32_t)allowed : 1;
 }
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -32,7 +32,6 @@
     char *echo_value;
     bool busy;
     bool connected;
-    bool reused;
     bool sent;     /**< a byte of the present request went out */
     bool skip;     /**< the answer coming in is another request's */
     bool answered; /**< a byte of an answer has come */
@@ -395,7 +394,7 @@
 {
     pool_t *pool = pool_of(client, key_of(&options->address), false);
     sky_sending_t *sending = pool ? pool->idle : NULL;
-    if (sending == NULL || options->fresh ||
+    if (sending == NULL ||
         !may_reuse(sending, options, client->options.idle_ms,
                    SkyClock_NowMs())) {
         return NULL;
@@ -403,7 +402,6 @@
     DL_DELETE(pool->idle, sending);
     pool->count--;
     client->stats.reuses++;
-    sending->reused = true;
     return sending;
 }
 
@@ -498,12 +496,6 @@
     return sending->sent;
 }
 
-bool
-SkySending_IsReused(const sky_sending_t *sending)
-{
-    return sending->reused;
-}
-
 const char *
 SkySending_EndName(sky_sending_end_t end)
 {
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -49,7 +49,6 @@
     uint32_t connect_timeout_ms;
     uint32_t reuse_ms; /**< longest idle time of a connection used again; 0:
                             as long as the other side keeps it */
-    bool fresh;        /**< never on a kept connection */
     bool bodyless;     /**< HEAD */
     /** Answers in which this field has another value belong to an earlier
      *  request and are skipped; NULL: no such check. */
@@ -85,8 +84,6 @@
 void SkySending_Cancel(sky_sending_t *sending);
 /** @return whether any byte of the request has left this host. */
 bool SkySending_IsSent(const sky_sending_t *sending);
-/** @return whether it runs on a connection that was used before. */
-bool SkySending_IsReused(const sky_sending_t *sending);
 /** Closes idle connections to an address, or to all with NULL. */
 void SkyClient_DropIdle(sky_client_t *client,
                         const struct sockaddr_in *address);
