Remove unread fields and leftovers of a rename

Cause: reading the whole change again found two flags that are set and never read (ownership.joined, sending.answered), a key built beside SkyJob_Adapter, a function named after the old term, and comments with a stray '<' or wrong article. Behaviour is unchanged: no decision read either flag. Left: unused now_ms arguments of two placer functions, decoded service fields without a reader, the shared log lines of two answer paths.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -8,14 +8,12 @@
 
 #define HEAT_HALF_LIFE_MS 4000.0 /**< popularity shifts within seconds */
 #define POLL_FIRST_SHARE 0.4     /**< of a load's usual time: some are warm */
-#define POLL_MS 25 /**< between two questions whether a load is done */
-#define LOAD_GAIN                                                             \
-    0.3 /**< < weight of the last load in the expected duration */
+#define POLL_MS 25    /**< between two questions whether a load is done */
+#define LOAD_GAIN 0.3 /**< weight of the last load */
 #define LOAD_FACTOR_MOST 4.0 /**< of the first guess; many share the way */
-#define BUSY_MS 200 /**< a victim that is in use is left alone so long */
-#define USERS_MAX 8 /**< hosts remembered; one more is as good as many */
-#define RUNNING_MS                                                            \
-    350 /**< < hosts tell within this time what they still run */
+#define BUSY_MS 200    /**< a victim that is in use is left alone so long */
+#define USERS_MAX 8    /**< hosts remembered; one more is as good as many */
+#define RUNNING_MS 350 /**< for hosts to tell what runs */
 #define REPORT_RETRY_MS 250
 #define CONFLICT_WAIT_MS 30 /**< before the target is asked again */
 #define MODEL_REPORT_MS 300 /**< between reports while a model is loaded */
--- a/lib/edge/answer.c
+++ b/lib/edge/answer.c
@@ -110,8 +110,7 @@
     uint64_t hash = job->target->hash;
     SkyJob_LogSendingEnd(job, "refused");
     if (wrong && job->service->engine.present) {
-        sky_belief_t absent = {
-            .adapter = SkyFleet_KeyOf(job->facts.model, job->facts.adapter)};
+        sky_belief_t absent = {.adapter = SkyJob_Adapter(job)};
         SkyFleet_Learn(traffic->options.directory->fleet, job->target, &absent,
                        SkyClock_NowMs());
     }
--- a/lib/edge/owned.c
+++ b/lib/edge/owned.c
@@ -340,8 +340,8 @@
 }
 
 static sky_owned_t *
-add_managed(sky_placement_t *placement, const sky_fleet_target_t *target,
-            const sky_engine_t *engine)
+add_owned(sky_placement_t *placement, const sky_fleet_target_t *target,
+          const sky_engine_t *engine)
 {
     sky_owned_t *owned = calloc(1, sizeof *owned);
     sky_placer_options_t options = {
@@ -417,7 +417,7 @@
         }
         sky_owned_t *owned = SkyOwned_Find(placement, target->entry.id);
         if (owned == NULL) {
-            owned = add_managed(placement, target, &service->engine);
+            owned = add_owned(placement, target, &service->engine);
         }
         if (owned != NULL) {
             want_model(owned, &service->engine, service->name);
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -45,7 +45,6 @@
     bool joining;
     bool reading_owners;
     bool left;
-    bool joined;
     bool reader;
     bool all_owned; /**< every shard had an owner when they were read */
     uint32_t failures;
@@ -160,7 +159,6 @@
                      (unsigned long long)answer->generation);
     }
     ownership->failures = 0;
-    ownership->joined = true;
     ownership->joined_at_ms = ownership->join_begun_ms;
     bool changed = answer->generation != ownership->generation;
     ownership->generation = answer->generation;
--- a/lib/edge/share.c
+++ b/lib/edge/share.c
@@ -12,7 +12,7 @@
 #define HELD_MAX 256      /**< adapters of one target that are told */
 #define OWN_USES 1 /**< names this host among the users of its own targets */
 
-/* Requests of all hosts but one on a owned target. */
+/* Requests of all hosts but one on an owned target. */
 static uint32_t
 others_on(const sky_owned_t *owned, const char *but)
 {
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -32,9 +32,8 @@
     char *echo_value;
     bool busy;
     bool connected;
-    bool sent;     /**< a byte of the present request went out */
-    bool skip;     /**< the answer coming in is another request's */
-    bool answered; /**< a byte of an answer has come */
+    bool sent; /**< a byte of the present request went out */
+    bool skip; /**< the answer coming in is another request's */
     bool dead;
     bool in_turn;
     uint32_t keep_ms; /**< announced by the server */
@@ -292,7 +291,6 @@
         }
     }
     else if (got > 0) {
-        sending->answered = true;
         take_bytes(sending, bytes, (size_t)got);
     }
     else if (got == 0) {
@@ -440,7 +438,6 @@
     sending->busy = true;
     sending->sent = false;
     sending->skip = false;
-    sending->answered = false;
     sending->reader.bodyless = options->bodyless;
     DL_APPEND(sending->client->busy, sending);
     if (sending->fd < 0) {
