Pack an adapter's requests onto its first homes

Change: up to half of a batch an adapter's first home gets all of its requests, then the next one; the order is that of the homes, the same on all hosts. Requests for the model alone go on to spread. Tests: FillsTheCopiesOfAnAdapterOneAfterTheOther fails before (16 requests used four copies). FailuresEaseATargetOutAndInAgain asked that both of two idle copies be used; it now asks that the first is left, and taken again. PrefersItsOwnDomain asks of the model alone, with the same figures.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -13,6 +13,11 @@
                             */
 #define FAILURE_WEIGHT 2.0 /**< failing half of its requests: as if full */
 #define FULL_WEIGHT 1.0    /**< refused a moment ago */
+/** Up to this fill an adapter's first home gets all of its requests: a step of
+ *  a half full batch takes hardly longer, and copies that are not used can be
+ *  dropped for other adapters. */
+#define PACKED_FILL 0.5
+#define HOME_WEIGHT 0.2 /**< of the last home against the first */
 /** A batch this full wants another copy: loading one takes some hundred ms,
  *  in which a growing crowd fills the rest. */
 #define CROWDED_FILL 0.6
@@ -386,12 +391,38 @@
     target->learned_count = kept;
 }
 
+/* Weight of a target as the home of an adapter, the same on all hosts. */
+static uint64_t
+home_weight(const sky_fleet_target_t *target, sky_adapter_key_t adapter)
+{
+    return XXH3_64bits_withSeed(&adapter, sizeof adapter, target->hash) >> 1;
+}
+
+/* Load pattern: more adapters in use than there are places. A place whose
+ * adapter runs anything cannot be freed, so that the copies of an adapter are
+ * filled one after the other, from its first home on. */
 static double
-score_of(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
-         uint64_t now_ms)
+packed_fill(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
+            uint64_t now_ms)
 {
-    double score =
-        SkyFleet_Fill(target, now_ms) + FAILURE_WEIGHT * target->failure;
+    double fill = SkyFleet_Fill(target, now_ms);
+    double over =
+        fill > PACKED_FILL ? (fill - PACKED_FILL) / (1.0 - PACKED_FILL) : 0.0;
+    double last =
+        1.0 - (double)home_weight(target, adapter) / (double)INT64_MAX;
+    return over + HOME_WEIGHT * last;
+}
+
+static double
+score_of(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
+         const sky_fleet_target_t *target, uint64_t now_ms)
+{
+    bool packed = query->engine && query->adapter[0] != '\0';
+    double score = FAILURE_WEIGHT * target->failure;
+    score += packed ? packed_fill(target,
+                                  SkyFleet_KeyOf(query->model, query->adapter),
+                                  now_ms)
+                    : SkyFleet_Fill(target, now_ms);
     if (strcmp(target->entry.domain, fleet->domain) != 0) {
         score += OTHER_DOMAIN_WEIGHT;
     }
@@ -430,7 +461,8 @@
             continue;
         }
         holders++;
-        double score = score_of(fleet, target, now_ms) + (current ? 0 : 1.0);
+        double score =
+            score_of(fleet, query, target, now_ms) + (current ? 0 : 1.0);
         /* Equal scores: the request's own number picks. */
         score += (double)((target->hash ^ query->spread) % 1024) / 1.0e5;
         if (choice->target == NULL || score < best_score) {
@@ -457,8 +489,7 @@
 home_rank(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
           uint64_t now_ms)
 {
-    uint64_t weight =
-        XXH3_64bits_withSeed(&adapter, sizeof adapter, target->hash) >> 1;
+    uint64_t weight = home_weight(target, adapter);
     bool full = SkyFleet_Fill(target, now_ms) > HOME_FILL;
     return full ? weight : weight | (UINT64_C(1) << 63);
 }
