Tell the age of a read to hosts that know more

Change: the age is told to whoever asks; a peer that knows more gets no records. Test: TellsAnAgeToAHostThatKnowsMore, failed before.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -436,7 +436,7 @@
 SkyFeed_Export(const sky_feed_t *feed, sky_feed_topic_t topic, uint64_t from)
 {
     const topic_t *self = &feed->topics[topic];
-    if (!self->synced || self->next < from) {
+    if (!self->synced) {
         return NULL;
     }
     uint64_t age_ms = SkyClock_NowMs() - self->freshness.read_ms;
--- /dev/null
+++ b/tests/test_feed.cc
@@ -0,0 +1,82 @@
+// Records of the store, handed on from host to host. The event loop is never
+// run: nothing here reads the store.
+#include <gtest/gtest.h>
+
+#include <ev.h>
+#include <jansson.h>
+
+#include "edge/feed.h"
+
+namespace {
+
+class FeedTest : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        loop = ev_loop_new(0);
+        sky_fleet_options_t options = {"zone-a", 5000, 3000};
+        ASSERT_EQ(SKY_OK, SkyFleet_Create(&options, &directory.fleet));
+        reader = Create();
+        follower = Create();
+    }
+
+    void
+    TearDown() override
+    {
+        SkyFeed_Free(reader);
+        SkyFeed_Free(follower);
+        SkyFleet_Free(directory.fleet);
+        ev_loop_destroy(loop);
+    }
+
+    sky_feed_t *
+    Create()
+    {
+        sky_feed_options_t options = {};
+        options.loop = loop;
+        options.directory = &directory;
+        options.on_change = [](void *, sky_feed_topic_t) {};
+        sky_feed_t *feed = nullptr;
+        EXPECT_EQ(SKY_OK, SkyFeed_Create(&options, &feed));
+        return feed;
+    }
+
+    // As if the feed had read the list of targets up to an offset.
+    static void
+    Read(sky_feed_t *feed, json_int_t next, json_int_t age_ms)
+    {
+        json_t *records = json_pack("{s:I, s:I, s:[]}", "next", next, "age_ms",
+                                    age_ms, "records");
+        EXPECT_EQ(SKY_OK, SkyFeed_Import(feed, SKY_FEED_TARGETS, records));
+        json_decref(records);
+    }
+
+    struct ev_loop *loop = nullptr;
+    sky_directory_t directory = {};
+    sky_feed_t *reader = nullptr;
+    sky_feed_t *follower = nullptr;
+};
+
+TEST_F(FeedTest, HandsNothingOnBeforeItHasReadTheTopic)
+{
+    EXPECT_EQ(nullptr, SkyFeed_Export(reader, SKY_FEED_TARGETS, 0));
+}
+
+// A follower that had read the store once was ahead of its reader, which then
+// told no age, so that the follower took what it knew as stale and read the
+// store again: 60 calls a second on a grown day, as long as entries changed.
+TEST_F(FeedTest, TellsAnAgeToAHostThatKnowsMore)
+{
+    Read(reader, 10, 40);
+    Read(follower, 12, 900);
+    json_t *news = SkyFeed_Export(reader, SKY_FEED_TARGETS,
+                                  SkyFeed_Next(follower, SKY_FEED_TARGETS));
+    ASSERT_NE(nullptr, news);
+    EXPECT_EQ(0u, json_array_size(json_object_get(news, "records")));
+    EXPECT_EQ(SKY_OK, SkyFeed_Import(follower, SKY_FEED_TARGETS, news));
+    EXPECT_EQ(12u, SkyFeed_Next(follower, SKY_FEED_TARGETS));
+    json_decref(news);
+}
+
+} // namespace
