Hand records on over wide links, within failure domains

Cause: the owners of two fixed shards read the store for all and served 85 hosts each half second, 20 to 30 KB an answer. Change: members name their failure domain and their link's bandwidth in the group. The two with the widest links read; the widest of each domain asks them and hands on in its domain; the others ask that one, then the readers. Answers are held 200 ms, so that two hops stay under the age that counts as stale. Ruled out: failed questions (none in the traced window), hosts ahead of their reader (mended before). Test: test_fanout; by shard any host could become a reader.

--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -1,5 +1,6 @@
 #include "edge/feed_relay.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -7,15 +8,16 @@
 #include "core/clock.h"
 #include "core/logging.h"
 
-#define READERS 2   /**< one may be lost without anyone reading more */
-#define HOLD_MS 700 /**< a question is held so long for news */
-/** News of targets alone are collected for so long: they come all the time,
- * and a leaving target has a bound of seconds. */
-#define COLLECT_MS 450
+/** A question is held so long for news of the operator or of owners; those of
+ *  targets come all the time. With two hops and a reader's own interval (0.4
+ * s) records are handed on before they count as stale (1.1 s). */
+#define HOLD_MS 200
 #define TIMEOUT_MARGIN_MS 250 /**< way of a question and its answer */
 #define TICK_S 0.05
 #define RETRY_MS 150 /**< after a question that failed */
 
+#define SOURCES_MAX (SKY_FANOUT_READERS + 1) /**< the readers, and a relay */
+
 typedef struct waiting {
     sky_visit_t *visit;
     uint64_t next[SKY_FEED_COUNT];
@@ -32,7 +34,10 @@
     ev_timer tick;
     sky_host_call_t *call;
     uint64_t ask_at_ms;
-    uint32_t turn;
+    /** Hosts to ask, the first one first. */
+    char sources[SOURCES_MAX][SKY_HOST_ADDRESS_BYTES];
+    uint32_t source_count;
+    uint32_t turn; /**< questions that did not help since owners changed */
 };
 
 static const char *const TOPICS[] = {"operator", "targets"};
@@ -75,9 +80,7 @@
     return held_ms >= waiting->hold_ms ||
            has_news(relay, waiting, SKY_FEED_OPERATOR) ||
            SkyOwnership_OwnersGeneration(relay->options.ownership) >
-               waiting->owners ||
-           (held_ms >= COLLECT_MS &&
-            has_news(relay, waiting, SKY_FEED_TARGETS));
+               waiting->owners;
 }
 
 static void
@@ -131,30 +134,18 @@
     }
 }
 
-/* Owner of the shard that makes a host the reader of this number. */
-static const char *
-reader(const sky_feed_relay_t *relay, uint32_t number)
-{
-    uint32_t shards = SkyOwnership_Shards(relay->options.ownership);
-    return SkyOwnership_OwnerOf(relay->options.ownership,
-                                number * (shards / READERS));
-}
-
 static bool
 is_self(const sky_feed_relay_t *relay, const char *address)
 {
     return strcmp(address, relay->options.settings->control) == 0;
 }
 
-/* Some reader, another one at each turn; any peer if none is known. */
+/* The source whose turn it is; any peer if none is known. */
 static const char *
 whom_to_ask(const sky_feed_relay_t *relay)
 {
-    for (uint32_t i = 0; i < READERS; i++) {
-        const char *address = reader(relay, (relay->turn + i) % READERS);
-        if (address != NULL && !is_self(relay, address)) {
-            return address;
-        }
+    if (relay->source_count > 0) {
+        return relay->sources[relay->turn % relay->source_count];
     }
     return SkyOwnership_SomePeer(relay->options.ownership, relay->turn);
 }
@@ -242,18 +233,51 @@
     answer_due(relay);
 }
 
+static void
+add_source(sky_feed_relay_t *relay, const char *address)
+{
+    if (!is_self(relay, address) && relay->source_count < SOURCES_MAX) {
+        snprintf(relay->sources[relay->source_count++], SKY_HOST_ADDRESS_BYTES,
+                 "%s", address);
+    }
+}
+
+/* The host that hands on in this failure domain asks the readers; the others
+ * ask that host, and the readers if it does not help. */
+static void
+choose_sources(sky_feed_relay_t *relay, const sky_fanout_host_t *members,
+               uint32_t count, const uint32_t *readers, uint32_t reader_count)
+{
+    uint32_t nearest;
+    relay->source_count = 0;
+    relay->turn = 0;
+    if (SkyFanout_Pick(members, count, relay->options.settings->domain,
+                       &nearest, 1) > 0 &&
+        !is_self(relay, members[nearest].address)) {
+        add_source(relay, members[nearest].address);
+    }
+    for (uint32_t i = 0; i < reader_count; i++) {
+        add_source(relay, members[readers[i]].address);
+    }
+}
+
 void
 SkyFeedRelay_NoteOwners(sky_feed_relay_t *relay)
 {
-    bool known = false;
+    sky_fanout_host_t members[SKY_MEMBERS_MAX];
+    uint32_t readers[SKY_FANOUT_READERS];
+    uint32_t count = SkyOwnership_Members(relay->options.ownership, members,
+                                          SKY_MEMBERS_MAX);
+    uint32_t reader_count =
+        SkyFanout_Pick(members, count, NULL, readers, SKY_FANOUT_READERS);
     bool self = false;
-    for (uint32_t i = 0; i < READERS; i++) {
-        const char *address = reader(relay, i);
-        known = known || address != NULL;
-        self = self || (address != NULL && is_self(relay, address));
+    for (uint32_t i = 0; i < reader_count; i++) {
+        self = self || is_self(relay, members[readers[i]].address);
     }
-    SkyFeed_SetReader(relay->options.feed, self || !known);
-    SkyOwnership_SetReader(relay->options.ownership, self || !known);
+    choose_sources(relay, members, count, readers, reader_count);
+    SkyFeed_SetReader(relay->options.feed, self || reader_count == 0);
+    SkyOwnership_SetReader(relay->options.ownership,
+                           self || reader_count == 0);
 }
 
 sky_result_t
@@ -265,9 +289,6 @@
         return SKY_E_MEMORY;
     }
     self->options = *options;
-    for (const char *at = options->settings->name; *at != '\0'; at++) {
-        self->turn += (unsigned char)*at; /* hosts spread over the readers */
-    }
     ev_timer_init(&self->tick, on_tick, TICK_S, TICK_S);
     self->tick.data = self;
     ev_timer_start(options->loop, &self->tick);
--- a/lib/edge/host_settings.h
+++ b/lib/edge/host_settings.h
@@ -49,6 +49,7 @@
     char seeds[SKY_SEEDS_MAX][SKY_HOST_ADDRESS_BYTES];
     uint32_t seed_count;
     uint32_t memory_mb;
+    uint32_t link_mbps; /**< bandwidth of the host's link; 0: not known */
     uint32_t descriptors;
     uint32_t target_beat_ms; /**< interval at which targets report */
     sky_bounds_t bounds;
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -24,8 +24,8 @@
  * last order is on its way no longer, and the fencing token covers the rest.
  */
 #define SETTLE_MS 300
-#define MEMBERS_MAX 512
-#define MEMBER_BYTES (SKY_HOST_ADDRESS_BYTES + 24)
+#define MEMBER_BYTES (SKY_HOST_ADDRESS_BYTES + SKY_HOST_NAME_BYTES + 40)
+#define MEMBER_FORMAT "%s#%llx#%s#%u" /**< address, start, domain, link */
 
 typedef struct {
     bool mine;
@@ -36,9 +36,17 @@
     uint64_t before_hash; /**< of the member that owned it before this host */
 } shard_t;
 
+/** A member of the group, and what its name tells. */
+typedef struct {
+    char name[MEMBER_BYTES];
+    char address[SKY_HOST_ADDRESS_BYTES]; /**< "": the name is malformed */
+    char domain[SKY_HOST_NAME_BYTES];
+    uint32_t link_mbps;
+} member_t;
+
 struct sky_ownership {
     sky_ownership_options_t options;
-    char member[MEMBER_BYTES]; /**< control address and start */
+    char member[MEMBER_BYTES]; /**< this host's name in the group */
     uint32_t ttl_ms;
     uint64_t generation;
     uint64_t owners_generation; /**< at which the owners were read */
@@ -55,7 +63,7 @@
     ev_timer owners_timer;
     uint32_t shard_count;
     shard_t *shards;
-    char members[MEMBERS_MAX][MEMBER_BYTES];
+    member_t members[SKY_MEMBERS_MAX];
     uint32_t member_count;
 };
 
@@ -197,20 +205,47 @@
     SkyStore_Join(ownership->options.store, &join, on_joined, ownership);
 }
 
+/* Takes the next part of a member's name. @return what follows, NULL if the
+ * part does not fit or is the last one. */
+static const char *
+take_part(const char *name, char *part, size_t room)
+{
+    size_t size = strcspn(name, "#");
+    if (size >= room) {
+        return NULL;
+    }
+    memcpy(part, name, size);
+    part[size] = '\0';
+    return name[size] == '#' ? name + size + 1 : NULL;
+}
+
+static void
+read_member(member_t *member, const char *name)
+{
+    char start[MEMBER_BYTES];
+    *member = (member_t){0};
+    snprintf(member->name, sizeof member->name, "%s", name);
+    const char *rest =
+        take_part(name, member->address, sizeof member->address);
+    rest = rest ? take_part(rest, start, sizeof start) : NULL;
+    rest =
+        rest ? take_part(rest, member->domain, sizeof member->domain) : NULL;
+    member->link_mbps = rest ? (uint32_t)strtoul(rest, NULL, 10) : 0;
+}
+
 static int16_t
 member_index(sky_ownership_t *ownership, const char *member)
 {
     for (uint32_t i = 0; i < ownership->member_count; i++) {
-        if (strcmp(ownership->members[i], member) == 0) {
+        if (strcmp(ownership->members[i].name, member) == 0) {
             return (int16_t)i;
         }
     }
-    if (ownership->member_count >= MEMBERS_MAX ||
+    if (ownership->member_count >= SKY_MEMBERS_MAX ||
         strlen(member) >= MEMBER_BYTES) {
         return -1;
     }
-    snprintf(ownership->members[ownership->member_count], MEMBER_BYTES, "%s",
-             member);
+    read_member(&ownership->members[ownership->member_count], member);
     return (int16_t)ownership->member_count++;
 }
 
@@ -224,7 +259,7 @@
 is_member(const sky_ownership_t *ownership, uint64_t hash)
 {
     for (uint32_t i = 0; i < ownership->member_count; i++) {
-        if (hash_of(ownership->members[i]) == hash) {
+        if (hash_of(ownership->members[i].name) == hash) {
             return true;
         }
     }
@@ -322,7 +357,8 @@
     }
     json_t *members = json_array();
     for (uint32_t i = 0; i < ownership->member_count; i++) {
-        json_array_append_new(members, json_string(ownership->members[i]));
+        json_array_append_new(members,
+                              json_string(ownership->members[i].name));
     }
     json_t *owners = json_array();
     for (uint32_t i = 0; i < ownership->shard_count; i++) {
@@ -359,7 +395,7 @@
     if (owner < 0 || owner >= (json_int_t)ownership->member_count) {
         return;
     }
-    const char *member = ownership->members[owner];
+    const char *member = ownership->members[owner].name;
     shard->owner = (int16_t)owner;
     shard->owner_hash = hash_of(member);
     if (shard->mine && strcmp(member, ownership->member) != 0) {
@@ -470,25 +506,34 @@
     }
 }
 
-/* A member's name is its control address, a mark, and its start. */
 static const char *
-address_of(const char *member)
+address_of(const member_t *member)
 {
-    static char address[SKY_HOST_ADDRESS_BYTES];
-    size_t size = strcspn(member, "#");
-    if (size == 0 || size >= sizeof address) {
-        return NULL;
+    return member->address[0] != '\0' ? member->address : NULL;
+}
+
+uint32_t
+SkyOwnership_Members(const sky_ownership_t *ownership,
+                     sky_fanout_host_t *members, uint32_t most)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < ownership->member_count && count < most; i++) {
+        const member_t *member = &ownership->members[i];
+        if (member->address[0] != '\0') {
+            members[count++] =
+                (sky_fanout_host_t){.address = member->address,
+                                    .domain = member->domain,
+                                    .link_mbps = member->link_mbps};
+        }
     }
-    memcpy(address, member, size);
-    address[size] = '\0';
-    return address;
+    return count;
 }
 
 const char *
 SkyOwnership_OwnerOf(const sky_ownership_t *ownership, uint32_t shard)
 {
     int16_t owner = ownership->shards[shard].owner;
-    return owner >= 0 ? address_of(ownership->members[owner]) : NULL;
+    return owner >= 0 ? address_of(&ownership->members[owner]) : NULL;
 }
 
 uint32_t
@@ -508,7 +553,7 @@
         uint32_t at = (turn + i) % total;
         const char *address =
             at < ownership->member_count
-                ? address_of(ownership->members[at])
+                ? address_of(&ownership->members[at])
                 : settings->seeds[at - ownership->member_count];
         if (address != NULL && strcmp(address, settings->control) != 0) {
             return address;
@@ -539,9 +584,9 @@
     for (uint32_t i = 0; i < self->shard_count; i++) {
         self->shards[i].owner = -1;
     }
-    snprintf(self->member, sizeof self->member, "%s#%llx",
-             options->settings->control,
-             (unsigned long long)SkyClock_WallMs());
+    snprintf(self->member, sizeof self->member, MEMBER_FORMAT,
+             options->settings->control, (unsigned long long)SkyClock_WallMs(),
+             options->settings->domain, options->settings->link_mbps);
     ev_init(&self->join_timer, on_join_timer);
     ev_init(&self->owners_timer, on_owners_timer);
     self->join_timer.data = self;
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 #include "core/result.h"
+#include "decide/fanout.h"
 #include "edge/host_settings.h"
 #include "platform/store.h"
 
@@ -72,6 +73,12 @@
 /** @return control address of the shard's owner, NULL if it is not known. */
 const char *SkyOwnership_OwnerOf(const sky_ownership_t *ownership,
                                  uint32_t shard);
+#define SKY_MEMBERS_MAX 512 /**< members of the group that are known by name  \
+                             */
+/** Lists the members as last known; the strings are theirs.
+ *  @return how many were written. */
+uint32_t SkyOwnership_Members(const sky_ownership_t *ownership,
+                              sky_fanout_host_t *members, uint32_t most);
 /** @return hosts in the group as last known, at least 1. */
 uint32_t SkyOwnership_Hosts(const sky_ownership_t *ownership);
 /** @return control address of some other host, NULL if none is known.
