Load copies for a crowd that waits, and share it out

Cause: of a suddenly hot adapter 58 requests came while its first load took 290 ms. Change: the owner sees all that wait.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -1,5 +1,6 @@
 #include "decide/fleet.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -327,6 +328,15 @@
     return fill > CROWDED_FILL && hot ? 1 : 0;
 }
 
+/* A load takes about as long as a run, so that as many run later as wait now;
+ * they are to fill half of each batch. */
+uint32_t
+SkyFleet_CopiesForWaiting(uint32_t waiting, uint32_t slots)
+{
+    double targets = ceil(waiting / (PACKED_FILL * slots));
+    return targets > 1.0 ? (uint32_t)targets - 1 : 0;
+}
+
 static bool
 is_among(uint64_t hash, const uint64_t *hashes, uint32_t count)
 {
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -136,6 +136,11 @@
 void SkyFleet_Choose(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
                      uint64_t now_ms, sky_fleet_choice_t *choice);
 
+/** Load pattern: an adapter that nobody used becomes a quarter of all traffic,
+ * and its requests wait for the first load. @return further copies to load
+ * beside it when so many wait, for targets of @p slots. */
+uint32_t SkyFleet_CopiesForWaiting(uint32_t waiting, uint32_t slots);
+
 /** Ranks the targets of a query where an adapter is to be loaded, best first;
  * the same on every host with the same list. @return how many were written. */
 uint32_t SkyFleet_RankHomes(const sky_fleet_t *fleet,
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -73,8 +73,9 @@
 /** @return control address of the shard's owner, NULL if it is not known. */
 const char *SkyOwnership_OwnerOf(const sky_ownership_t *ownership,
                                  uint32_t shard);
-#define SKY_MEMBERS_MAX 512 /**< members of the group that are known by name  \
-                             */
+#define SKY_MEMBERS_MAX                                                       \
+    512 /**< members of the group that are known by name                      \
+         */
 /** Lists the members as last known; the strings are theirs.
  *  @return how many were written. */
 uint32_t SkyOwnership_Members(const sky_ownership_t *ownership,
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -40,15 +40,23 @@
     done(context, &copy);
 }
 
-static void
-grant(sky_placement_ask_t *ask, uint32_t version)
+void
+SkyPlacement_Grant(sky_placement_ask_t *ask, const char *target_id,
+                   uint32_t version)
 {
     sky_placement_result_t result = {.placed = true,
-                                     .target_id = ask->asked->target_id,
+                                     .adapter = ask->key,
+                                     .target_id = target_id,
                                      .version = version};
     end_ask(ask, &result);
 }
 
+static void
+grant(sky_placement_ask_t *ask, uint32_t version)
+{
+    SkyPlacement_Grant(ask, ask->asked->target_id, version);
+}
+
 static void
 refuse(sky_placement_ask_t *ask)
 {
@@ -73,7 +81,9 @@
         }
         switch (SkyPlacer_StateOf(owned->placer, ask->key, ask->version)) {
         case SKY_PLACE_HELD:
-            grant(ask, SkyPlacer_VersionOf(owned->placer, ask->key));
+            if (SkyCrowd_LetGo(ask)) {
+                grant(ask, SkyPlacer_VersionOf(owned->placer, ask->key));
+            }
             break;
         case SKY_PLACE_NONE:
             ask->owned = NULL;
@@ -93,18 +103,20 @@
 {
     sky_placement_ask_t *ask = context;
     int placed = 0;
+    const char *target = NULL;
     json_int_t version = 0;
     json_int_t retry_ms = 0;
     ask->call = NULL;
     if (body == NULL ||
-        json_unpack((json_t *)body, "{s:b, s:I, s:I}", "placed", &placed,
-                    "version", &version, "retry_ms", &retry_ms) != 0) {
+        json_unpack((json_t *)body, "{s:b, s:s, s:I, s:I}", "placed", &placed,
+                    "target", &target, "version", &version, "retry_ms",
+                    &retry_ms) != 0) {
         ask->reason = "owner_silent";
         try_next(ask);
         return;
     }
     if (placed) {
-        grant(ask, (uint32_t)version);
+        SkyPlacement_Grant(ask, target, (uint32_t)version);
         return;
     }
     const char *reason = json_string_value(json_object_get(body, "reason"));
@@ -190,6 +202,7 @@
     case SKY_PLACE_COMING:
     case SKY_PLACE_GOING:
         ask->owned = owned;
+        SkyCrowd_NoteWaiting(ask);
         SkyOwned_Step(owned);
         return true;
     case SKY_PLACE_NONE:
@@ -234,6 +247,10 @@
 {
     sky_placement_ask_t *ask = watcher->data;
     (void)events;
+    if (ask->copy_id[0] != '\0') {
+        SkyPlacement_Grant(ask, ask->copy_id, ask->copy_version);
+        return;
+    }
     if (ask->asked == NULL) {
         uint64_t now = SkyClock_NowMs();
         double left_ms = ask->due_ms > now ? (double)(ask->due_ms - now) : 0;
@@ -316,6 +333,7 @@
     ask->version = wish->version;
     ask->urgency = wish->urgency;
     ask->due_ms = wish->due_ms;
+    ask->copy = wish->query.lacking;
     for (uint32_t i = 0; i < count && i < HOMES; i++) {
         add_try(ask, homes[i]->entry.id, false);
     }
@@ -354,8 +372,9 @@
     sky_visit_t *visit = context;
     SkyVisit_SetUser(visit, NULL);
     SkyHostCalls_Answer(
-        visit, json_pack("{s:b, s:I, s:I, s:s}", "placed", result->placed,
-                         "version", (json_int_t)result->version, "retry_ms",
+        visit, json_pack("{s:b, s:s, s:I, s:I, s:s}", "placed", result->placed,
+                         "target", result->target_id, "version",
+                         (json_int_t)result->version, "retry_ms",
                          (json_int_t)result->retry_after_ms, "reason",
                          result->placed ? "" : result->reason));
 }
@@ -455,23 +474,26 @@
 on_copied(void *context, const sky_placement_result_t *result)
 {
     sky_placement_t *placement = context;
+    SkyCrowd_TakeCopy(placement, result);
     SkyLog_Write(LOG_INFO, "copy", "placed=%d target=%s reason=%s",
                  result->placed, result->placed ? result->target_id : "-",
                  result->placed ? "-" : result->reason);
     placement->copies--;
 }
 
-/* Each copy has a first home of its own, and the next ones to fall back on. */
+/* Each copy has a first home of its own, and the next ones to fall back on.
+ * The first ones were asked for a moment ago. */
 static void
 ask_for_copies(sky_placement_t *placement, const sky_placement_wish_t *wish,
-               uint32_t count)
+               uint32_t first, uint32_t count)
 {
     sky_fleet_target_t *homes[COPIES_MOST + HOMES];
     uint32_t ranked =
         SkyFleet_RankHomes(placement->options.directory->fleet, &wish->query,
                            SkyClock_NowMs(), homes, COPIES_MOST + HOMES);
-    for (uint32_t i = 0;
-         i < count && i < ranked && placement->copies < COPIES_MOST; i++) {
+    for (uint32_t i = first;
+         i < first + count && i < ranked && placement->copies < COPIES_MOST;
+         i++) {
         if (ask_homes(placement, wish, homes + i, ranked - i, on_copied,
                       placement) == NULL) {
             return;
@@ -488,12 +510,13 @@
     sky_adapter_key_t key =
         SkyFleet_KeyOf(wish->query.model, wish->query.adapter);
     sky_copied_t *copy = &placement->copied[key % COPIES_REMEMBERED];
-    if (placement->copies >= COPIES_MOST ||
-        (copy->adapter == key && copy->at_ms + COPY_INTERVAL_MS > now)) {
-        return;
+    if (copy->adapter != key || copy->at_ms + COPY_INTERVAL_MS <= now) {
+        *copy = (sky_copied_t){.adapter = key, .at_ms = now};
+    }
+    if (count > copy->count) {
+        ask_for_copies(placement, wish, copy->count, count - copy->count);
+        copy->count = count;
     }
-    *copy = (sky_copied_t){.adapter = key, .at_ms = now};
-    ask_for_copies(placement, wish, count);
 }
 
 sky_result_t
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -46,6 +46,7 @@
 
 typedef struct {
     bool placed;
+    sky_adapter_key_t adapter;
     const char *target_id; /**< where the adapter is now */
     uint32_t version;
     uint32_t retry_after_ms; /**< if not placed */
--- a/lib/edge/placement_state.h
+++ b/lib/edge/placement_state.h
@@ -15,8 +15,8 @@
  *  targets have no place that could be freed at the worst of a grown day. */
 #define HOMES 5
 #define HOMES_PATIENT 2 /**< of them, that are then asked to queue it */
-#define SHARES_MAX 128 /**< hosts with requests on one target */
-#define USES_MAX 256   /**< distinct uses kept between two flushes */
+#define SHARES_MAX 128  /**< hosts with requests on one target */
+#define USES_MAX 256    /**< distinct uses kept between two flushes */
 #define COPIES_REMEMBERED 64
 #define REMOTE_TIMEOUT_MS 900 /**< of one owner, before the next is asked */
 
@@ -44,6 +44,8 @@
     ev_timer timer; /**< wakes the placer, or bounds an order */
     sky_share_told_t shares[SHARES_MAX];
     uint32_t share_count;
+    uint32_t granted; /**< requests let go since granted_ms, not told yet */
+    uint64_t granted_ms;
     struct sky_owned *prev;
     struct sky_owned *next;
 } sky_owned_t;
@@ -67,7 +69,11 @@
     uint32_t try_count;
     uint32_t try_next;
     const sky_placement_try_t *asked; /**< now */
-    sky_owned_t *owned; /**< waits for this target here */
+    sky_owned_t *owned;               /**< waits for this target here */
+    uint64_t held_ms; /**< the adapter is there since; waits for room */
+    bool copy;        /**< ahead of need: no request waits */
+    char copy_id[SKY_TARGET_ID_BYTES]; /**< target of a copy to go to, or "" */
+    uint32_t copy_version;
     sky_host_call_t *call;
     ev_timer timer;
     uint32_t retry_after_ms;
@@ -91,6 +97,7 @@
 typedef struct {
     sky_adapter_key_t adapter;
     uint64_t at_ms;
+    uint32_t count; /**< copies asked for since */
 } sky_copied_t;
 
 struct sky_placement {
@@ -119,6 +126,17 @@
 
 /** Ends or moves on the asks whose adapter came, or will not come. */
 void SkyPlacement_CheckAsks(sky_owned_t *owned);
+/** Ends an ask: the adapter is at a target. */
+void SkyPlacement_Grant(sky_placement_ask_t *ask, const char *target_id,
+                        uint32_t version);
+/** An ask came to wait for its adapter: has copies loaded if many wait. */
+void SkyCrowd_NoteWaiting(sky_placement_ask_t *ask);
+/** @return whether a request may go to an owned target that holds its adapter
+ *  now, or is to wait there for room or for a copy. */
+bool SkyCrowd_LetGo(sky_placement_ask_t *ask);
+/** A copy came: requests that wait for its adapter go there. */
+void SkyCrowd_TakeCopy(sky_placement_t *placement,
+                       const sky_placement_result_t *copy);
 /** Moves on all asks that wait for a target. */
 void SkyPlacement_MoveAsksOn(sky_owned_t *owned, const char *reason);
 
--- a/lib/edge/share.c
+++ b/lib/edge/share.c
@@ -332,6 +332,7 @@
     {
         note_own_uses(placement, owned);
         SkyShare_WithSelf(owned);
+        SkyPlacement_CheckAsks(owned);
     }
     const sky_fleet_target_t *target =
         SkyFleet_First(options->directory->fleet);
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -250,6 +250,17 @@
     EXPECT_LE(holders.size(), 10u) << "no more than twice what is needed";
 }
 
+// 58 requests came while the first load took 290 ms; all of them were sent to
+// the one target then, and the first copies came 400 ms later.
+TEST(FleetCrowd, CopiesAreLoadedBesideTheFirstWhenManyWait)
+{
+    EXPECT_EQ(0u, SkyFleet_CopiesForWaiting(1, 16));
+    EXPECT_EQ(0u, SkyFleet_CopiesForWaiting(8, 16));
+    EXPECT_EQ(1u, SkyFleet_CopiesForWaiting(9, 16));
+    EXPECT_EQ(7u, SkyFleet_CopiesForWaiting(58, 16));
+    EXPECT_EQ(4u, SkyFleet_CopiesForWaiting(58, 24));
+}
+
 TEST_F(FleetTest, HomesAreTheSameOnAllHostsAndSpread)
 {
     std::map<std::string, int> load;
