Count only targets that may have run a request

Change: decide/attempts holds what a request was sent to; one that did not run it is not counted, and is left out where its owner was mistaken.

--- a/lib/edge/answer.c
+++ b/lib/edge/answer.c
@@ -108,14 +108,17 @@
     sky_traffic_t *traffic = job->traffic;
     bool wrong = job->answer.facts.wrong_target;
     uint64_t hash = job->target->hash;
+    bool lacks = wrong && job->service->engine.present;
     SkyJob_LogSendingEnd(job, "refused");
-    if (wrong && job->service->engine.present) {
+    SkyAttempts_NoteNotRun(&job->attempts, hash);
+    if (lacks) {
         sky_belief_t absent = {.adapter = SkyJob_Adapter(job)};
         SkyFleet_Learn(traffic->options.directory->fleet, job->target, &absent,
                        SkyClock_NowMs());
     }
-    else {
-        SkyJob_NoteFailed(job, hash);
+    if (!lacks || job->asks > 0 || job->facts.adapter[0] == '\0') {
+        /* Full, or it lacks what it was to have: its owner is mistaken. */
+        SkyAttempts_NoteFailed(&job->attempts, hash);
     }
     SkyJob_EndSending(job, wrong ? SKY_FARED_UNKNOWN : SKY_FARED_FULL);
     SkyJob_Repeat(job, RETRY_AFTER_FULL_MS,
@@ -127,7 +130,7 @@
 {
     SkyJob_LogSendingEnd(job, how);
     if (job->answer.bad || job->answer.status < 500 || job->sends > 1) {
-        SkyJob_NoteFailed(job, job->target->hash);
+        SkyAttempts_NoteFailed(&job->attempts, job->target->hash);
     }
     SkyJob_EndSending(job, SKY_FARED_FAILED);
     SkyJob_Repeat(job, 0, how);
@@ -192,7 +195,8 @@
         break;
     case SKY_SENDING_UNSENT:
         SkyJob_LogSendingEnd(job, "unreachable");
-        SkyJob_NoteFailed(job, job->target->hash);
+        SkyAttempts_NoteNotRun(&job->attempts, job->target->hash);
+        SkyAttempts_NoteFailed(&job->attempts, job->target->hash);
         SkyJob_EndSending(job, SKY_FARED_UNREACHABLE);
         SkyJob_Repeat(job, RETRY_AFTER_FULL_MS, "unreachable");
         break;
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -12,25 +12,6 @@
 #define FILL_MOST 1.25
 #define NO_URGENCY 255 /**< plain services have none */
 
-static bool
-is_touched(const sky_job_t *job, uint64_t hash)
-{
-    for (uint32_t i = 0; i < job->touched_count; i++) {
-        if (job->touched[i] == hash) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-note_touched(sky_job_t *job, uint64_t hash)
-{
-    if (!is_touched(job, hash) && job->touched_count < TOUCHED_MAX) {
-        job->touched[job->touched_count++] = hash;
-    }
-}
-
 static void
 put_request(sky_job_t *job, sky_buffer_t *out)
 {
@@ -60,7 +41,7 @@
     job->heard_ms = SkyClock_NowMs();
     job->sent_ms = job->sent_ms ? job->sent_ms : job->heard_ms;
     job->sends++;
-    note_touched(job, choice->target->hash);
+    SkyAttempts_NoteSent(&job->attempts, choice->target->hash);
     SkyFleet_Begin(job->target);
     put_request(job, &request);
     sky_sending_options_t options = {
@@ -155,18 +136,14 @@
 static void
 fill_query(const sky_job_t *job, sky_fleet_query_t *query)
 {
-    bool confined = job->touched_count >= job->route->targets_max;
     *query = (sky_fleet_query_t){
         .service = job->service->name,
         .engine = job->service->engine.present,
         .model = job->facts.model,
         .adapter = job->facts.adapter,
-        .avoid = job->failed,
-        .avoid_count = job->failed_count,
-        .only = job->touched,
-        .only_count = confined ? job->touched_count : 0,
         .spread = SkyJob_Spread(job),
     };
+    SkyAttempts_Bound(&job->attempts, job->route->targets_max, query);
 }
 
 /* Whether any target could take the request, if need be after a load. */
--- a/lib/edge/job.c
+++ b/lib/edge/job.c
@@ -176,14 +176,6 @@
     SkyJob_Free(job);
 }
 
-void
-SkyJob_NoteFailed(sky_job_t *job, uint64_t hash)
-{
-    if (job->failed_count < TOUCHED_MAX) {
-        job->failed[job->failed_count++] = hash;
-    }
-}
-
 static bool
 may_run_again(const sky_job_t *job)
 {
--- a/lib/edge/job.h
+++ b/lib/edge/job.h
@@ -9,13 +9,13 @@
 #ifndef SKY_EDGE_JOB_H
 #define SKY_EDGE_JOB_H
 
+#include "decide/attempts.h"
 #include "decide/retry_budget.h"
 #include "edge/traffic.h"
 #include "net/event_stream.h"
 #include "platform/wire.h"
 
-#define SENDS_MAX 4   /**< of one request, refused ones included */
-#define TOUCHED_MAX 8 /**< distinct targets remembered of one request */
+#define SENDS_MAX 4              /**< of one request, refused ones included */
 #define RETRY_AFTER_START_MS 500 /**< a start takes about as long */
 #define RETRY_AFTER_FULL_MS 200  /**< a slot is free again after about this */
 #define ROOM_WAIT_MS 1500 /**< longest wait for room: some runs' length */
@@ -45,10 +45,7 @@
     sky_placement_ask_t *ask;
     sky_sending_t *sending;
     sky_fleet_target_t *target;
-    uint64_t touched[TOUCHED_MAX];
-    uint32_t touched_count;
-    uint64_t failed[TOUCHED_MAX];
-    uint32_t failed_count;
+    sky_attempts_t attempts;
     uint32_t sends;
     uint32_t asks;
     uint32_t confirms; /**< owners asked what their targets hold */
@@ -116,9 +113,6 @@
 /** Passes a whole answer on; ends the request. */
 void SkyJob_PassAnswerOn(sky_job_t *job);
 
-/** Leaves a target out of further tries. */
-void SkyJob_NoteFailed(sky_job_t *job, uint64_t hash);
-
 /** @return what forbids to send the request once more, or makes it of no use;
  * NULL: nothing does. */
 const char *SkyJob_WhyNotAgain(const sky_job_t *job);
--- a/lib/edge/room.c
+++ b/lib/edge/room.c
@@ -61,10 +61,10 @@
 static void
 leave_silent_target(sky_job_t *job)
 {
-    uint32_t failed_before = job->failed_count;
-    SkyJob_NoteFailed(job, job->target->hash);
+    uint32_t failed_before = job->attempts.failed_count;
+    SkyAttempts_NoteFailed(&job->attempts, job->target->hash);
     if (SkyJob_WhyNotAgain(job) != NULL) {
-        job->failed_count = failed_before;
+        job->attempts.failed_count = failed_before;
         job->heard_ms = SkyClock_NowMs();
         return;
     }
