Name the target in a request's last line

Cause: which target ran a request that went well could not be told from the logs; the sending_end line comes for failures only.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -1,5 +1,7 @@
 #include "edge/job.h"
 
+#include <stdio.h>
+
 #include "core/clock.h"
 
 #define CONFIRMS_MAX 3 /**< of one request; copies of an adapter are few */
@@ -37,6 +39,8 @@
     sky_traffic_t *traffic = job->traffic;
     sky_buffer_t request = {0};
     job->target = choice->target;
+    snprintf(job->target_id, sizeof job->target_id, "%s",
+             choice->target->entry.id);
     job->version = choice->version;
     job->heard_ms = SkyClock_NowMs();
     job->sent_ms = job->sent_ms ? job->sent_ms : job->heard_ms;
--- a/lib/edge/job.c
+++ b/lib/edge/job.c
@@ -93,14 +93,16 @@
 {
     SkyLog_Write(
         priority, "request_end",
-        "id=%s route=%s service=%s adapter=%s/%s status=%u outcome=%s "
+        "id=%s route=%s service=%s adapter=%s/%s target=%s status=%u "
+        "outcome=%s "
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
         "config=%llu",
         job->facts.id, job->route ? job->route->name : "-",
         job->service ? job->service->name : "-",
         job->facts.model[0] ? job->facts.model : "-",
-        job->facts.adapter[0] ? job->facts.adapter : "-", status, outcome,
-        reason, (unsigned long long)(SkyClock_NowMs() - job->arrived_ms),
+        job->facts.adapter[0] ? job->facts.adapter : "-",
+        job->target_id[0] ? job->target_id : "-", status, outcome, reason,
+        (unsigned long long)(SkyClock_NowMs() - job->arrived_ms),
         since_arrival(job, job->sent_ms), since_arrival(job, job->head_ms),
         job->sends, job->asks,
         (unsigned long long)(job->deployment ? job->deployment->version : 0));
--- a/lib/edge/job.h
+++ b/lib/edge/job.h
@@ -45,6 +45,7 @@
     sky_placement_ask_t *ask;
     sky_sending_t *sending;
     sky_fleet_target_t *target;
+    char target_id[SKY_TARGET_ID_BYTES]; /**< last one it was sent to, or "" */
     sky_attempts_t attempts;
     uint32_t sends;
     uint32_t asks;
