--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -367,9 +367,8 @@
 }
 
 uint32_t
-SkyPlacer_RetryAfterMs(const sky_placer_t *placer, uint64_t now_ms)
+SkyPlacer_RetryAfterMs(const sky_placer_t *placer)
 {
-    (void)now_ms;
     return (uint32_t)queue_ms(placer);
 }
 
@@ -426,9 +425,8 @@
 
 void
 SkyPlacer_Announce(sky_placer_t *placer, sky_adapter_key_t adapter,
-                   uint32_t version, uint64_t now_ms)
+                   uint32_t version)
 {
-    (void)now_ms;
     place_t *place = find(placer, adapter);
     if (place != NULL && place->version < version &&
         place->wanted_version < version) {
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -113,9 +113,9 @@
                        uint64_t now_ms);
 /** A newer version was announced: replaces it if it is held. */
 void SkyPlacer_Announce(sky_placer_t *placer, sky_adapter_key_t adapter,
-                        uint32_t version, uint64_t now_ms);
+                        uint32_t version);
 /** @return when an adapter that is refused now may find a place. */
-uint32_t SkyPlacer_RetryAfterMs(const sky_placer_t *placer, uint64_t now_ms);
+uint32_t SkyPlacer_RetryAfterMs(const sky_placer_t *placer);
 
 /** Chooses the next step. Each step but SKY_PLACER_WAIT is to be answered
  *  before the next one. */
--- a/lib/edge/answer.c
+++ b/lib/edge/answer.c
@@ -64,8 +64,7 @@
     job->relaying = true;
     job->head_ms = SkyClock_NowMs();
     SkyMetrics_Observe(job->traffic->options.metrics, job->service->name,
-                       SKY_HIST_FIRST_TOKEN,
-                       SkyClock_NowMs() - job->arrived_ms);
+                       SKY_HIST_FIRST_TOKEN, job->head_ms - job->arrived_ms);
 }
 
 static void
--- a/lib/edge/crowd.c
+++ b/lib/edge/crowd.c
@@ -60,7 +60,7 @@
     SkyPlacement_Copy(ask->placement, &wish, copies);
 }
 
-/* Requests that the target has slots for, as far as hosts have told. */
+/* Whether the target has a slot for one more, as far as hosts have told. */
 static bool
 has_room(sky_owned_t *owned)
 {
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -118,11 +118,11 @@
     const sky_fleet_target_t *known = SkyFleet_Find(fleet, record->key);
     if (record->dropped) {
         if (known != NULL) {
-            uint64_t at =
-                SkyFreshness_GoneAt(&topic->freshness, SkyClock_NowMs());
+            uint64_t now = SkyClock_NowMs();
+            uint64_t at = SkyFreshness_GoneAt(&topic->freshness, now);
             SkyLog_Write(LOG_NOTICE, "target_missing",
                          "target=%s gone_in_ms=%llu", record->key,
-                         (unsigned long long)(at - SkyClock_NowMs()));
+                         (unsigned long long)(at - now));
             SkyFleet_Drop(fleet, record->key, at);
         }
         return;
--- a/lib/edge/owned.c
+++ b/lib/edge/owned.c
@@ -274,7 +274,7 @@
 announce(void *context, sky_adapter_key_t adapter, uint32_t version)
 {
     sky_owned_t *owned = context;
-    SkyPlacer_Announce(owned->placer, adapter, version, SkyClock_NowMs());
+    SkyPlacer_Announce(owned->placer, adapter, version);
 }
 
 /* This host's share of the loads of weights that the store allows within a
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -209,8 +209,7 @@
         break;
     }
     ask->reason = "no_place_in_time";
-    ask->retry_after_ms =
-        SkyPlacer_RetryAfterMs(owned->placer, SkyClock_NowMs());
+    ask->retry_after_ms = SkyPlacer_RetryAfterMs(owned->placer);
     return false;
 }
 
@@ -221,6 +220,7 @@
     const sky_placement_options_t *options = &placement->options;
     while (ask->try_next < ask->try_count) {
         ask->asked = &ask->tries[ask->try_next++];
+        ask->held_ms = 0;
         sky_fleet_target_t *target =
             SkyFleet_Find(options->directory->fleet, ask->asked->target_id);
         if (target == NULL) {
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -390,7 +390,7 @@
         Want("b" + std::to_string(i));
     }
     EXPECT_EQ(SKY_PLACE_NONE, Want("b24", 900));
-    EXPECT_GT(SkyPlacer_RetryAfterMs(placer, now_ms), kLoadMs);
+    EXPECT_GT(SkyPlacer_RetryAfterMs(placer), kLoadMs);
 }
 
 TEST_F(PlacerTest, LoadsAnAnnouncedVersionInPlaceOfTheOld)
@@ -399,7 +399,7 @@
     Run(600);
     sky_adapter_key_t key = SkyFleet_KeyOf("m", "a1");
     EXPECT_EQ(1u, SkyPlacer_VersionOf(placer, key));
-    SkyPlacer_Announce(placer, key, 2, now_ms);
+    SkyPlacer_Announce(placer, key, 2);
     sky_placer_action_t action;
     SkyPlacer_Next(placer, now_ms, &action);
     ASSERT_EQ(SKY_PLACER_LOAD, action.step);
