Stay the owner of targets while the store cannot take the leave

Change: a host whose last join failed goes on as the owner while it stops, and leaves as soon as a join is answered. Ruled out: leaving and ordering on (a leave without an answer may be carried out late; two holders would take turns). Test: proc_edge, 'a host that stops stays the owner while the store is away' and 'leaves when the store is back'; both failed before.

--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -52,6 +52,7 @@
     uint64_t owners_generation; /**< at which the owners were read */
     bool joining;
     bool reading_owners;
+    bool leaving; /**< leaves as soon as the store answers */
     bool left;
     bool reader;
     bool all_owned; /**< every shard had an owner when they were read */
@@ -142,6 +143,24 @@
     }
 }
 
+static void
+on_left(void *context, const sky_store_answer_t *answer)
+{
+    (void)context;
+    SkyLog_Write(LOG_NOTICE, "group_left", "answer=%s",
+                 SkyStore_EndName(answer->end));
+}
+
+static void
+leave(sky_ownership_t *ownership)
+{
+    ownership->left = true;
+    ev_timer_stop(ownership->options.loop, &ownership->join_timer);
+    ev_timer_stop(ownership->options.loop, &ownership->owners_timer);
+    SkyStore_Leave(ownership->options.store, GROUP, ownership->member, on_left,
+                   ownership);
+}
+
 static void
 on_joined(void *context, const sky_store_answer_t *answer)
 {
@@ -167,6 +186,10 @@
                      (unsigned long long)answer->generation);
     }
     ownership->failures = 0;
+    if (ownership->leaving) {
+        leave(ownership);
+        return;
+    }
     ownership->joined_at_ms = ownership->join_begun_ms;
     bool changed = answer->generation != ownership->generation;
     ownership->generation = answer->generation;
@@ -486,24 +509,20 @@
     ownership->options.on_change(ownership->options.context);
 }
 
-static void
-on_left(void *context, const sky_store_answer_t *answer)
-{
-    (void)context;
-    SkyLog_Write(LOG_NOTICE, "group_left", "answer=%s",
-                 SkyStore_EndName(answer->end));
-}
-
 void
 SkyOwnership_Leave(sky_ownership_t *ownership)
 {
-    if (!ownership->left) {
-        ownership->left = true;
-        ev_timer_stop(ownership->options.loop, &ownership->join_timer);
-        ev_timer_stop(ownership->options.loop, &ownership->owners_timer);
-        SkyStore_Leave(ownership->options.store, GROUP, ownership->member,
-                       on_left, ownership);
+    if (ownership->left || ownership->leaving) {
+        return;
+    }
+    ownership->leaving = true;
+    if (ownership->failures == 0) {
+        leave(ownership);
+        return;
     }
+    /* Nobody gets the shards before the store is back: they stay in use. */
+    SkyLog_Write(LOG_NOTICE, "group_leave_waits", "failures=%u",
+                 ownership->failures);
 }
 
 static const char *
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -55,7 +55,8 @@
 void SkyOwnership_NoteFenced(sky_ownership_t *ownership, uint32_t shard);
 /** This host stood still: its shards may have been dealt anew meanwhile. */
 void SkyOwnership_NotePause(sky_ownership_t *ownership);
-/** Leaves the group, so that others get its shards at once. */
+/** Leaves the group, so that others get its shards at once; while the store is
+ *  away, as soon as it answers again. */
 void SkyOwnership_Leave(sky_ownership_t *ownership);
 
 /** Whether this host reads the owners from the store as soon as they change;
--- a/tests/proc_edge.sh
+++ b/tests/proc_edge.sh
@@ -231,7 +231,18 @@
 sleep 1
 check "without the store plain requests are served" "$(ask 2 /look/1 d3)" 200
 check "and streams" "$(until_status 200 20 generate 0 /gen/5 a1 d4)" 200
+# Hosts that stopped while the store was away left their targets without an
+# owner until it was back (235 loads refused in 2 s, incident inc-9077).
+lines3() { grep -c "$1" "$DIR/edge3.log"; }
+until_status 1 50 lines3 'event=group_lost' >/dev/null
+set_fault '{"store_down_3": 1}'
+kill -TERM "$EDGE3"
+until_status 1 50 lines3 'event=readiness ready=0' >/dev/null
+check "a host that stops stays the owner while the store is away" \
+    "$(lines3 'event=group_left')" 0
 set_fault '{"store_down_0": 0, "store_down_1": 0, "store_down_2": 0, "store_down_3": 0}'
+check "and leaves when the store is back" \
+    "$(until_status 1 50 lines3 'event=group_left answer=done')" 1
 sleep 2.5
 
 curl -fsS -m 5 "$tests_url/crash?n=0" >/dev/null
