Remove a function without callers; headers say who reads and hands on

Cause: reading the change as a newcomer: SkyOwnership_Shards served the choice of readers by shard, which decide/fanout replaced; feed_relay.h still told of the owners of two fixed shards. No behaviour changed.

--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -55,8 +55,7 @@
  *          handed it on, for some time. */
 bool SkyFeed_IsStale(const sky_feed_t *feed);
 /** @return records known from an offset on, with their age, for a peer; NULL
- *  if this host has not read the topic. A peer that knows more gets no
- * records: what it knows is at least as new as the read. */
+ *  if this host has not read the topic. A peer that knows more gets none. */
 json_t *SkyFeed_Export(const sky_feed_t *feed, sky_feed_topic_t topic,
                        uint64_t from);
 /** Takes a peer's records. @return SKY_E_BAD_REQUEST if they are malformed. */
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -8,9 +8,8 @@
 #include "core/clock.h"
 #include "core/logging.h"
 
-/** A question is held so long for news of the operator or of owners; those of
- *  targets come all the time. With two hops and a reader's own interval (0.4
- * s) records are handed on before they count as stale (1.1 s). */
+/** A question is held so long for news. Over two hops, and with the 0.4 s
+ *  between two reads, records arrive before they count as stale (1.1 s). */
 #define HOLD_MS 200
 #define TIMEOUT_MARGIN_MS 250 /**< way of a question and its answer */
 #define TICK_S 0.05
--- a/lib/edge/feed_relay.h
+++ b/lib/edge/feed_relay.h
@@ -2,10 +2,11 @@
  * @file feed_relay.h
  * @brief Records handed on between hosts, so that few read the store.
  *
- * Two hosts, the owners of two fixed shards, read the store; the others ask
- * them. An answer tells how long ago its records were read from the store, so
- * that hosts which ask each other in a circle notice and read it themselves. A
- * host that the store turns away gets its records in the same way.
+ * Two hosts read the store (see decide/fanout.h); one host of each failure
+ * domain asks them, and the others of the domain ask that one. An answer tells
+ * how long ago its records were read from the store, so that hosts which ask
+ * each other in a circle notice and read it themselves. A host that the store
+ * turns away gets its records in the same way.
  */
 #ifndef SKY_EDGE_FEED_RELAY_H
 #define SKY_EDGE_FEED_RELAY_H
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -451,12 +451,6 @@
     ownership->options.on_change(ownership->options.context);
 }
 
-uint32_t
-SkyOwnership_Shards(const sky_ownership_t *ownership)
-{
-    return ownership->shard_count;
-}
-
 uint32_t
 SkyOwnership_ShardOf(const sky_ownership_t *ownership, uint64_t hash)
 {
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -40,8 +40,6 @@
                                  sky_ownership_t **ownership);
 void SkyOwnership_Free(sky_ownership_t *ownership);
 
-/** @return number of shards. */
-uint32_t SkyOwnership_Shards(const sky_ownership_t *ownership);
 /** @return shard of a target by the hash of its id. */
 uint32_t SkyOwnership_ShardOf(const sky_ownership_t *ownership, uint64_t hash);
 
--- a/lib/edge/placement_state.h
+++ b/lib/edge/placement_state.h
@@ -2,8 +2,9 @@
  * @file placement_state.h
  * @brief What the parts of a placement share; for them alone.
  *
- * placement.c holds the asks, owned.c the targets that this host owns, share.c
- * what hosts tell each other of load and use.
+ * placement.c holds the asks, owned.c the targets that this host owns, crowd.c
+ * those that wait for one adapter, share.c what hosts tell each other of load
+ * and use.
  */
 #ifndef SKY_EDGE_PLACEMENT_STATE_H
 #define SKY_EDGE_PLACEMENT_STATE_H
