One piece of code for what the edge did twice

Cause: reading the whole change again. The line and counters of an answered request stood in two answer paths; the look-up of an owned target in five places; that of a listed target's engine service in two; what a placed adapter teaches this host in two. Choosing a target hashed the adapter's name again for each holder, and sharing load looked up the service of every target before it asked whether there was news of it. Whether a request names an adapter was checked by the caller of the choice instead of in it. Checked: lint clean, unit tests and proc_answers ok, proc_edge 62 ok.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -424,14 +424,11 @@
 }
 
 static double
-score_of(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
-         const sky_fleet_target_t *target, uint64_t now_ms)
+score_of(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
+         bool packed, sky_adapter_key_t adapter, uint64_t now_ms)
 {
-    bool packed = query->engine && query->adapter[0] != '\0';
     double score = FAILURE_WEIGHT * target->failure;
-    score += packed ? packed_fill(target,
-                                  SkyFleet_KeyOf(query->model, query->adapter),
-                                  now_ms)
+    score += packed ? packed_fill(target, adapter, now_ms)
                     : SkyFleet_Fill(target, now_ms);
     if (strcmp(target->entry.domain, fleet->domain) != 0) {
         score += OTHER_DOMAIN_WEIGHT;
@@ -454,6 +451,7 @@
     double best_score = 0;
     uint32_t best_version = 0;
     uint32_t holders = 0;
+    bool by_adapter = query->engine && query->adapter[0] != '\0';
     *choice = (sky_fleet_choice_t){0};
     sky_fleet_target_t *target;
     DL_FOREACH(fleet->targets, target)
@@ -471,8 +469,8 @@
             continue;
         }
         holders++;
-        double score =
-            score_of(fleet, query, target, now_ms) + (current ? 0 : 1.0);
+        double score = score_of(fleet, target, by_adapter, key, now_ms) +
+                       (current ? 0 : 1.0);
         /* Equal scores: the request's own number picks. */
         score += (double)((target->hash ^ query->spread) % 1024) / 1.0e5;
         if (choice->target == NULL || score < best_score) {
@@ -485,7 +483,7 @@
     choice->fill =
         choice->target ? SkyFleet_Fill(choice->target, now_ms) : 0.0;
     choice->copies =
-        choice->target != NULL && query->engine
+        choice->target != NULL && by_adapter
             ? copies_wanted(choice->target, key, choice->fill, holders)
             : 0;
     if (news != NULL && choice->target != NULL) {
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -116,7 +116,7 @@
     uint32_t version;           /**< the target must have; 0: any */
     bool usable_targets;        /**< the service has any target at all */
     bool misses_adapter;        /**< none of them holds the adapter */
-    uint32_t copies; /**< further ones that would help; load them at once */
+    uint32_t copies; /**< of its adapter that would help; load them at once */
     double fill;     /**< requests on the target for each slot of its batch */
 } sky_fleet_choice_t;
 
--- a/lib/edge/answer.c
+++ b/lib/edge/answer.c
@@ -138,17 +138,13 @@
 static void
 finish_relay(sky_job_t *job)
 {
-    sky_traffic_t *traffic = job->traffic;
     if (SkyBuffer_Size(&job->events.held) > 0) {
         /* Complete by its framing, but in the middle of an event. */
         take_failure(job, "cut_event");
         return;
     }
     SkyJob_EndSending(job, SKY_FARED_WELL);
-    SkyJob_LogEnd(job, LOG_INFO, job->answer.status, "answered", "-");
-    SkyMetrics_CountAnswer(traffic->options.metrics, job->service->name, "ok");
-    SkyMetrics_Observe(traffic->options.metrics, job->service->name,
-                       SKY_HIST_TOTAL, SkyClock_NowMs() - job->arrived_ms);
+    SkyJob_NoteAnswered(job);
     SkyVisit_End(job->visit);
     SkyJob_Free(job);
 }
--- a/lib/edge/crowd.c
+++ b/lib/edge/crowd.c
@@ -8,13 +8,6 @@
 /** A request waits no longer for room here: its own host knows of more. */
 #define HELD_MOST_MS 400
 
-static sky_fleet_target_t *
-target_of(const sky_owned_t *owned)
-{
-    return SkyFleet_Find(owned->placement->options.directory->fleet,
-                         owned->id);
-}
-
 static bool
 is_waiting(const sky_placement_ask_t *ask, sky_adapter_key_t adapter)
 {
@@ -38,7 +31,7 @@
 SkyCrowd_NoteWaiting(sky_placement_ask_t *ask)
 {
     sky_owned_t *owned = ask->owned;
-    const sky_fleet_target_t *target = target_of(owned);
+    const sky_fleet_target_t *target = SkyOwned_Target(owned);
     if (target == NULL) {
         return;
     }
@@ -66,7 +59,7 @@
 {
     uint64_t now = SkyClock_NowMs();
     SkyShare_WithSelf(owned);
-    const sky_fleet_target_t *target = target_of(owned);
+    const sky_fleet_target_t *target = SkyOwned_Target(owned);
     if (target == NULL) {
         return true; /* it left; the host of the request finds out */
     }
@@ -95,15 +88,11 @@
 SkyCrowd_TakeCopy(sky_placement_t *placement,
                   const sky_placement_result_t *copy)
 {
-    sky_fleet_t *fleet = placement->options.directory->fleet;
-    sky_fleet_target_t *target =
-        copy->placed ? SkyFleet_Find(fleet, copy->target_id) : NULL;
+    const sky_fleet_target_t *target =
+        SkyPlacement_LearnPlaced(placement, copy);
     if (target == NULL) {
         return;
     }
-    sky_belief_t held = {
-        .adapter = copy->adapter, .version = copy->version, .present = true};
-    SkyFleet_Learn(fleet, target, &held, SkyClock_NowMs());
     uint32_t left = target->entry.slots;
     sky_placement_ask_t *ask;
     DL_FOREACH(placement->asks, ask)
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -77,20 +77,13 @@
 on_placed(void *context, const sky_placement_result_t *result)
 {
     sky_job_t *job = context;
-    sky_traffic_t *traffic = job->traffic;
-    sky_fleet_t *fleet = traffic->options.directory->fleet;
     job->ask = NULL;
-    sky_fleet_target_t *target =
-        result->placed ? SkyFleet_Find(fleet, result->target_id) : NULL;
-    if (target == NULL) {
+    if (SkyPlacement_LearnPlaced(job->traffic->options.placement, result) ==
+        NULL) {
         SkyJob_GiveUp(job, result->retry_after_ms,
                       result->placed ? "target_left" : result->reason);
         return;
     }
-    sky_belief_t held = {.adapter = SkyJob_Adapter(job),
-                         .version = result->version,
-                         .present = true};
-    SkyFleet_Learn(fleet, target, &held, SkyClock_NowMs());
     SkyJob_Dispatch(job);
 }
 
@@ -209,8 +202,7 @@
         choice.fill >= FILL_MOST
             ? (job->room_since_ms ? job->room_since_ms : SkyClock_NowMs())
             : 0;
-    if (choice.copies > 0 && job->service->engine.present &&
-        job->facts.adapter[0] != '\0') {
+    if (choice.copies > 0) {
         ask_for_copies(job, &query, choice.copies);
     }
     if (job->room_since_ms > 0) {
--- a/lib/edge/job.c
+++ b/lib/edge/job.c
@@ -162,16 +162,23 @@
     }
 }
 
+void
+SkyJob_NoteAnswered(const sky_job_t *job)
+{
+    sky_metrics_t *metrics = job->traffic->options.metrics;
+    uint16_t status = job->answer.status;
+    SkyJob_LogEnd(job, LOG_INFO, status, "answered", "-");
+    SkyMetrics_CountAnswer(metrics, job->service->name,
+                           status < 400 ? "ok" : "target_failure");
+    SkyMetrics_Observe(metrics, job->service->name, SKY_HIST_TOTAL,
+                       SkyClock_NowMs() - job->arrived_ms);
+}
+
 void
 SkyJob_PassAnswerOn(sky_job_t *job)
 {
-    sky_traffic_t *traffic = job->traffic;
     sky_job_answer_t *answer = &job->answer;
-    SkyJob_LogEnd(job, LOG_INFO, answer->status, "answered", "-");
-    SkyMetrics_CountAnswer(traffic->options.metrics, job->service->name,
-                           answer->status < 400 ? "ok" : "target_failure");
-    SkyMetrics_Observe(traffic->options.metrics, job->service->name,
-                       SKY_HIST_TOTAL, SkyClock_NowMs() - job->arrived_ms);
+    SkyJob_NoteAnswered(job);
     SkyVisit_Answer(
         job->visit, answer->status, SkyBuffer_Data(&answer->fields),
         SkyBuffer_Data(&answer->body), SkyBuffer_Size(&answer->body));
--- a/lib/edge/job.h
+++ b/lib/edge/job.h
@@ -111,6 +111,9 @@
 void SkyJob_GiveUp(sky_job_t *job, uint32_t retry_after_ms,
                    const char *reason);
 
+/** Logs and counts that a target's answer went to the caller whole. */
+void SkyJob_NoteAnswered(const sky_job_t *job);
+
 /** Passes a whole answer on; ends the request. */
 void SkyJob_PassAnswerOn(sky_job_t *job);
 
--- a/lib/edge/owned.c
+++ b/lib/edge/owned.c
@@ -243,14 +243,26 @@
     free(owned);
 }
 
+sky_fleet_target_t *
+SkyOwned_Target(const sky_owned_t *owned)
+{
+    return SkyFleet_Find(owned->placement->options.directory->fleet,
+                         owned->id);
+}
+
 const sky_service_t *
-SkyOwned_ServiceOf(const sky_placement_t *placement, const char *name)
+SkyOwned_EngineServiceOf(const sky_placement_t *placement,
+                         const sky_fleet_target_t *target)
 {
     const sky_deployment_t *deployment =
         placement->options.directory->deployment;
     uint32_t index =
-        deployment ? SkyDeployment_FindService(deployment, name) : UINT32_MAX;
-    return index == UINT32_MAX ? NULL : &deployment->services[index];
+        target->listed && deployment
+            ? SkyDeployment_FindService(deployment, target->entry.service)
+            : UINT32_MAX;
+    return index != UINT32_MAX && deployment->services[index].engine.present
+               ? &deployment->services[index]
+               : NULL;
 }
 
 /* Adapters that fit beside the largest model, in places and in memory. */
@@ -384,8 +396,7 @@
     uint64_t fence;
     DL_FOREACH_SAFE(placement->owned, owned, next)
     {
-        const sky_fleet_target_t *target =
-            SkyFleet_Find(placement->options.directory->fleet, owned->id);
+        const sky_fleet_target_t *target = SkyOwned_Target(owned);
         if (target == NULL || target->entry.born_ms != owned->born_ms ||
             target->entry.state != SKY_TARGET_READY ||
             !SkyOwnership_MayOrder(placement->options.ownership, owned->shard,
@@ -406,9 +417,8 @@
     sky_fleet_target_t *target = SkyFleet_First(options->directory->fleet);
     for (; target != NULL; target = target->next) {
         const sky_service_t *service =
-            SkyOwned_ServiceOf(placement, target->entry.service);
-        if (!target->listed || target->entry.state != SKY_TARGET_READY ||
-            service == NULL || !service->engine.present ||
+            SkyOwned_EngineServiceOf(placement, target);
+        if (service == NULL || target->entry.state != SKY_TARGET_READY ||
             !SkyOwnership_MayOrder(
                 options->ownership,
                 SkyOwnership_ShardOf(options->ownership, target->hash),
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -157,8 +157,7 @@
 static bool
 is_crowded(const sky_owned_t *owned)
 {
-    const sky_fleet_target_t *target =
-        SkyFleet_Find(owned->placement->options.directory->fleet, owned->id);
+    const sky_fleet_target_t *target = SkyOwned_Target(owned);
     return target != NULL &&
            SkyFleet_Fill(target, SkyClock_NowMs()) > CROWDED_FILL;
 }
@@ -355,6 +354,22 @@
     return ask_homes(placement, wish, homes, count, done, context);
 }
 
+sky_fleet_target_t *
+SkyPlacement_LearnPlaced(sky_placement_t *placement,
+                         const sky_placement_result_t *result)
+{
+    sky_fleet_t *fleet = placement->options.directory->fleet;
+    sky_fleet_target_t *target =
+        result->placed ? SkyFleet_Find(fleet, result->target_id) : NULL;
+    if (target != NULL) {
+        sky_belief_t held = {.adapter = result->adapter,
+                             .version = result->version,
+                             .present = true};
+        SkyFleet_Learn(fleet, target, &held, SkyClock_NowMs());
+    }
+    return target;
+}
+
 void
 SkyPlacement_Cancel(sky_placement_ask_t *ask)
 {
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -62,6 +62,11 @@
                                       const sky_placement_wish_t *wish,
                                       sky_placement_done_t done,
                                       void *context);
+/** Notes where an adapter was placed. @return that target, NULL if it was not
+ *  placed or the target has left since. */
+sky_fleet_target_t *
+SkyPlacement_LearnPlaced(sky_placement_t *placement,
+                         const sky_placement_result_t *result);
 /** The answer is no longer wanted. */
 void SkyPlacement_Cancel(sky_placement_ask_t *ask);
 
--- a/lib/edge/placement_state.h
+++ b/lib/edge/placement_state.h
@@ -121,8 +121,12 @@
 void SkyOwned_Step(sky_owned_t *owned);
 /** Lets a target go; its asks move on to their next home. */
 void SkyOwned_Free(sky_owned_t *owned);
-const sky_service_t *SkyOwned_ServiceOf(const sky_placement_t *placement,
-                                        const char *name);
+/** @return the target as this host knows it, NULL if it is not listed. */
+sky_fleet_target_t *SkyOwned_Target(const sky_owned_t *owned);
+/** @return the service of a listed target that runs models, else NULL. */
+const sky_service_t *
+SkyOwned_EngineServiceOf(const sky_placement_t *placement,
+                         const sky_fleet_target_t *target);
 void SkyOwned_OnReconcile(struct ev_loop *loop, ev_timer *watcher, int events);
 
 /** Ends or moves on the asks whose adapter came, or will not come. */
--- a/lib/edge/share.c
+++ b/lib/edge/share.c
@@ -25,8 +25,7 @@
             total += share->in_flight;
         }
     }
-    const sky_fleet_target_t *target =
-        SkyFleet_Find(options->directory->fleet, owned->id);
+    const sky_fleet_target_t *target = SkyOwned_Target(owned);
     if (target != NULL && strcmp(options->settings->name, but) != 0) {
         total += target->in_flight;
     }
@@ -63,8 +62,7 @@
 SkyShare_WithSelf(sky_owned_t *owned)
 {
     const sky_placement_options_t *options = &owned->placement->options;
-    sky_fleet_target_t *target =
-        SkyFleet_Find(options->directory->fleet, owned->id);
+    sky_fleet_target_t *target = SkyOwned_Target(owned);
     sky_belief_t held[HELD_MAX];
     if (target != NULL && SkyPlacer_IsKnown(owned->placer)) {
         uint32_t count =
@@ -337,10 +335,8 @@
     const sky_fleet_target_t *target =
         SkyFleet_First(options->directory->fleet);
     for (; target != NULL; target = target->next) {
-        const sky_service_t *service =
-            SkyOwned_ServiceOf(placement, target->entry.service);
-        if (target->listed && service != NULL && service->engine.present &&
-            (!fresh_only || has_fresh_use(placement, target->hash))) {
+        if ((!fresh_only || has_fresh_use(placement, target->hash)) &&
+            SkyOwned_EngineServiceOf(placement, target) != NULL) {
             put_share(placement, messages, target);
         }
     }
