Count a target's requests without building its owner's word

Cause: for each request that waits in a crowd, the owner built the whole word on its target (a list of up to 256 adapters, allocated and copied into this host's beliefs) to read one number from it, and did so again right after the same word was built for all hosts. Change: the count alone is asked for. The own host's beliefs are refreshed by the timer that shares load, as those of the others are.

--- a/lib/edge/crowd.c
+++ b/lib/edge/crowd.c
@@ -58,7 +58,6 @@
 has_room(sky_owned_t *owned)
 {
     uint64_t now = SkyClock_NowMs();
-    SkyShare_WithSelf(owned);
     const sky_fleet_target_t *target = SkyOwned_Target(owned);
     if (target == NULL) {
         return true; /* it left; the host of the request finds out */
@@ -67,8 +66,7 @@
         owned->granted_ms = now;
         owned->granted = 0;
     }
-    double slots = target->entry.slots;
-    return SkyFleet_Fill(target, now) * slots + owned->granted < slots;
+    return SkyShare_Running(owned) + owned->granted < target->entry.slots;
 }
 
 bool
--- a/lib/edge/placement_state.h
+++ b/lib/edge/placement_state.h
@@ -147,6 +147,8 @@
 
 /** Tells this host's own part of the system what it knows as an owner. */
 void SkyShare_WithSelf(sky_owned_t *owned);
+/** @return requests of all hosts on an owned target, as far as they told. */
+uint32_t SkyShare_Running(const sky_owned_t *owned);
 /** Takes owners' words; @p context is the placement. */
 void SkyShare_TakeAnswer(void *context, const json_t *body);
 /** Another host tells its load on targets that this one owns. */
--- a/lib/edge/share.c
+++ b/lib/edge/share.c
@@ -32,6 +32,12 @@
     return total;
 }
 
+uint32_t
+SkyShare_Running(const sky_owned_t *owned)
+{
+    return others_on(owned, "");
+}
+
 static void
 note_share(sky_owned_t *owned, const char *host, uint32_t in_flight)
 {
