Log the fingerprint of a request whose exchange failed

A broken exchange was logged with its request id only, and a caller that sends the same request again gives it another id: from the lines of several hosts it could not be seen whether one request or many broke them. Change: a hash of method, host, path and body in sending_end (print=); a caller's repeat has the same. The query is left out, as the users name path, caller and body as what stays.

--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -1,7 +1,9 @@
 #include "edge/proxy.h"
 
 #include <stdlib.h>
+#include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -40,6 +42,22 @@
     SkyProxyRequest_RespondError(request, status, retry_after_ms, reason);
 }
 
+static uint64_t
+hash_request(sky_server_request_t *caller_request)
+{
+    const sky_http_head_t *head = SkyServerRequest_Head(caller_request);
+    const char *host = SkyHttpHead_FindField(head, "Host");
+    const char *url = SkyHttpHead_Url(head);
+    size_t body_bytes;
+    const char *body = SkyServerRequest_Body(caller_request, &body_bytes);
+    uint64_t hash = XXH3_64bits(body, body_bytes);
+    hash = XXH3_64bits_withSeed(url, strcspn(url, "?"), hash);
+    if (host != NULL) {
+        hash = XXH3_64bits_withSeed(host, strlen(host), hash);
+    }
+    return XXH3_64bits_withSeed(&head->method, sizeof head->method, hash);
+}
+
 static void
 route_request(sky_proxy_request_t *request)
 {
@@ -78,6 +96,7 @@
         reject_unrouted(request, 404, 0, "no_route");
         return;
     }
+    request->fingerprint = hash_request(request->caller_request);
     uint32_t limit_ms = request->route->timeout_ms < request->facts.deadline_ms
                             ? request->route->timeout_ms
                             : request->facts.deadline_ms;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -268,10 +268,10 @@
                                    const char *cause)
 {
     SkyLog_Write(LOG_NOTICE, "sending_end",
-                 "id=%s target=%s how=%s status=%u not_run=%d bad=%d "
-                 "failure=%.2f in_flight=%u",
-                 request->facts.id, request->target->entry.id, cause,
-                 request->response.status, request->response.facts.not_run,
-                 request->response.is_invalid, request->target->failure,
-                 request->target->in_flight);
+                 "id=%s print=%016llx target=%s how=%s status=%u not_run=%d "
+                 "bad=%d failure=%.2f in_flight=%u",
+                 request->facts.id, (unsigned long long)request->fingerprint,
+                 request->target->entry.id, cause, request->response.status,
+                 request->response.facts.not_run, request->response.is_invalid,
+                 request->target->failure, request->target->in_flight);
 }
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -44,6 +44,9 @@
     const sky_route_t *route;
     const sky_service_t *service;
     sky_request_facts_t facts;
+    /** Hash of the method, host, path without query, and body. The same in all
+     *  requests by which a caller repeats one. */
+    uint64_t fingerprint;
     uint64_t received_ms;
     uint64_t deadline_at_ms;   /**< of the final response to the caller */
     uint64_t first_sent_ms;    /**< to any target; 0: not sent yet */
