--- /dev/null
+++ b/tests/edge_site.sh
@@ -0,0 +1,123 @@
+# Functions shared by the tests/proc_*.sh that run hosts on the users' platform
+# against its fake; they source this file. They need BASE, DIR, BIN and FAKE.
+PIDS=""
+front_address() { echo "127.0.0.1:$((BASE + 100 + $1))"; }
+ready_address() { echo "127.0.0.1:$((BASE + 120 + $1))"; }
+control_url="http://127.0.0.1:$((BASE + 50))"
+
+# write_edge_settings HOST STORE_PORT: the host reads the store at port
+# BASE + STORE_PORT
+write_edge_settings() {
+    cat >"$DIR/edge$1.toml" <<END
+nodeName = "edge$1"
+zone = "z1"
+beatIntervalMs = 250
+seeds = ["127.0.0.1:$((BASE + 140))", "127.0.0.1:$((BASE + 141))"]
+a_field_of_tomorrow = [1, 2]
+[listen]
+front = "$(front_address "$1")"
+ready = "$(ready_address "$1")"
+control = "127.0.0.1:$((BASE + 140 + $1))"
+[limits]
+memoryMb = 160
+maxFds = 1024
+[bounds]
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+leaseMs = 1000
+stableMs = 1000
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 300
+fencingRequired = true
+[platform]
+addr = "127.0.0.1:$((BASE + $2))"
+parts = 8
+ttlMinMs = 1000
+END
+}
+# start_edge HOST: its process id is in EDGE<HOST>
+start_edge() {
+    "$BIN" edge "$DIR/edge$1.toml" >"$DIR/edge$1.log" 2>&1 &
+    eval "EDGE$1=$!"
+    PIDS="$PIDS $!"
+}
+# publish_config VERSION EXTRA_ROUTES
+publish_config() {
+    curl -fsS -m 5 -d "{\"version\":$1,\"routes\":[
+      {\"name\":\"gen\",\"host\":\"a.example\",\"pathPrefix\":\"/gen/\",
+       \"routeKind\":\"streaming\",\"timeoutMs\":5000,\"aimMs\":800,
+       \"service\":\"llm\",\"maxAttempts\":3,\"resumable\":true},
+      {\"name\":\"once\",\"host\":\"a.example\",\"pathPrefix\":\"/once/\",
+       \"routeKind\":\"streaming\",\"timeoutMs\":5000,\"service\":\"llm\",
+       \"maxAttempts\":1,\"resumable\":false},
+      {\"name\":\"book\",\"host\":\"a.example\",\"pathPrefix\":\"/book/\",
+       \"routeKind\":\"non_idempotent\",\"timeoutMs\":1500,
+       \"service\":\"app\",\"maxAttempts\":1},
+      {\"name\":\"look\",\"host\":\"a.example\",\"pathPrefix\":\"/look/\",
+       \"routeKind\":\"idempotent\",\"timeoutMs\":1500,\"service\":\"app\",
+       \"maxAttempts\":2}$2],
+      \"services\":[{\"name\":\"llm\",\"healthPath\":\"/h\",\"maxConns\":300,
+       \"engine\":{\"slots\":16,\"kvCapacity\":200000,\"weightsMb\":66000,
+       \"adapterSlots\":4,\"loadsPerS\":3,\"models\":[{\"name\":\"m1\",
+       \"weightsMb\":65000,\"loadS\":1,\"adapters\":100,\"adapterMb\":12}]}},
+       {\"name\":\"app\",\"healthPath\":\"/h\",\"maxConns\":100}],
+      \"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,
+       \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}" \
+        "$control_url/op?key=config" >/dev/null
+}
+# send_request HOST PATH ID [CURL_OPTION...]: prints the status; the body is in
+# body.ID, the header in head.ID
+send_request() {
+    host=$1 path=$2 id=$3
+    shift 3
+    curl -sS -m 8 -o "$DIR/body.$id" -w '%{http_code}' \
+        -H 'Host: a.example' -H "X-Skylarkspar-Attempt-Id: $id" \
+        -H 'X-Skylarkspar-Deadline-Ms: 5000' -D "$DIR/head.$id" "$@" \
+        "http://$(front_address "$host")$path" 2>/dev/null
+}
+# until_status STATUS TRIES COMMAND...: repeats the command each 0.2 s until it
+# prints STATUS; prints what it printed last
+until_status() {
+    wanted=$1 tries=$2
+    shift 2
+    while [ "$tries" -gt 0 ]; do
+        status=$("$@")
+        [ "$status" = "$wanted" ] && break
+        sleep 0.2
+        tries=$((tries - 1))
+    done
+    echo "$status"
+}
+# readyz_status HOST
+readyz_status() {
+    curl -sS -m 2 -o /dev/null -w '%{http_code}' \
+        "http://$(ready_address "$1")/readyz"
+}
+# run_count ID: prints how often the request with this attempt id was run
+run_count() {
+    curl -fsS -m 5 "$control_url/state" |
+        sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"
+}
+# state_field NAME: prints a counter of the fake
+state_field() { curl -fsS -m 5 "$control_url/state" | json_field "$1"; }
+set_fault() { curl -fsS -m 5 -d "$1" "$control_url/fault" >/dev/null; }
+# event_count ID: prints the number of events in a response
+event_count() { grep -c '^data: ' "$DIR/body.$1" 2>/dev/null; }
+# send_generation HOST PATH ADAPTER ID: prints the status
+send_generation() {
+    send_request "$1" "$2" "$4" -X POST -d prompt \
+        -H "X-Skylarkspar-Model: m1/$3" -H 'X-Skylarkspar-Token-Count: 100,40'
+}
+# start_site ENGINES: starts the fake with 4 store ports, engines with 4 adapter
+# slots, and hosts 0 to 2
+start_site() {
+    "$FAKE" site "$BASE" 4 "$1" 4 >"$DIR/site.log" 2>&1 &
+    PIDS="$PIDS $!"
+    sleep 0.3
+    for n in 0 1 2; do
+        write_edge_settings $n $n
+        start_edge $n
+    done
+}
