--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -9,8 +9,11 @@
  *                   can hit a single host
  * PORT + 20..       engines of service "llm"
  * PORT + 40         plain service "app"
- * PORT + 50         control by tests: POST /fault, /op, /leave, /crash;
- *                   GET /state
+ * PORT + 50         control by tests: POST /fault, /op, /leave, /crash,
+ *                   /rewind; GET /state
+ *
+ * An engine that begins to run a request with "/crash" in its path crashes.
+ * Its port is closed for CRASH_DOWN_MS, then it starts again with another id.
  *
  * Faults, set by `POST /fault {"name": number}`:
  * - store_down_N: state of store port N: 1 responds with 503, 2 never responds
@@ -55,6 +58,13 @@
 #define LATE_ORDER_MS 900
 #define MODEL_NAME "m1"
 #define ENTRY_TTL_MS 1200 /* age at which an engine's entry expires */
+#define CRASH_DOWN_MS 1200
+/* A request that crashed CRASHES_ALLOWED engines is expected to reach no
+ * engine when CRASHES_KNOWN_MS have passed since: stableMs in the tests'
+ * settings. */
+#define CRASHES_ALLOWED 3
+#define CRASHES_KNOWN_MS 1000
+#define CRASHING_REQUESTS_MAX 16
 
 typedef struct {
     char key[64];
@@ -86,11 +96,21 @@
     uint64_t started_ms;
     uint64_t applied_orders; /* revision that an order has to expect */
     bool is_leaving;
-    bool is_gone;
+    bool is_down; /* after a crash; restarted by restart_timer */
+    ev_timer crash_timer;
+    ev_timer restart_timer;
     adapter_slot_t adapter_slots[ADAPTER_SLOTS_MAX];
     char unloading_adapter[32]; /* waits for its streams; "": none */
 } engine_t;
 
+/** A request that crashes engines, by its path. */
+typedef struct {
+    char path[64];
+    uint32_t crash_count;
+    uint64_t last_allowed_crash_ms;
+    uint32_t late_send_count; /* sends after that and CRASHES_KNOWN_MS */
+} crashing_request_t;
+
 /** A generation request that is being streamed. */
 typedef struct stream {
     sky_server_request_t *request;
@@ -128,6 +148,7 @@
 static json_t *run_counts;        /* attempt id -> number of runs */
 static uint32_t overfilled_loads; /* loads beyond the adapter slots */
 static uint32_t runs_after_leave; /* requests to a leaving engine */
+static crashing_request_t crashing_requests[CRASHING_REQUESTS_MAX];
 static long_poll_t *long_polls;
 static stream_t *open_streams;
 
@@ -265,6 +286,10 @@
         get_query_parameter(url, "from", text, sizeof text), NULL, 10);
     uint64_t wait_ms = strtoull(
         get_query_parameter(url, "waitMs", text, sizeof text), NULL, 10);
+    if (from > topic->count) {
+        send_json(request, 410, json_pack("{s:i}", "firstOffset", 0));
+        return;
+    }
     if (topic->count > from || wait_ms == 0) {
         send_records(request, topic, from);
         return;
@@ -276,6 +301,50 @@
     DL_APPEND(long_polls, poll);
 }
 
+/** Appends records of a keyed topic: for each its length, the length of its
+ *  key, the key and the value; without a value the key is deleted. */
+static void
+handle_log_append(sky_server_request_t *request, const char *url,
+                  const char *bytes, size_t size)
+{
+    char name[64];
+    get_query_parameter(url, "topic", name, sizeof name);
+    size_t offset = find_or_create_topic(name)->count;
+    size_t at = 0;
+    while (at + 5 <= size) {
+        uint32_t length;
+        memcpy(&length, bytes + at, sizeof length);
+        length = be32toh(length);
+        uint8_t key_size = (uint8_t)bytes[at + 4];
+        if (length > size - at - 4 || key_size + 1u > length) {
+            send_json(request, 400, NULL);
+            return;
+        }
+        char *key = strndup(bytes + at + 5, key_size);
+        char *value =
+            strndup(bytes + at + 5 + key_size, length - 1 - key_size);
+        append_record(name, key, value[0] ? value : NULL);
+        free(key);
+        free(value);
+        at += 4 + length;
+    }
+    send_json(request, 200,
+              json_pack("{s:I, s:I}", "offset", (json_int_t)offset,
+                        "endOffset",
+                        (json_int_t)find_or_create_topic(name)->count));
+}
+
+/** Goes back to an empty topic. Its readers get 410 with their offsets. */
+static void
+rewind_topic(const char *name)
+{
+    topic_t *topic = find_or_create_topic(name);
+    for (size_t i = 0; i < topic->count; i++) {
+        free(topic->records[i].value);
+    }
+    topic->count = 0;
+}
+
 static void
 send_newest_records(sky_server_request_t *request, const char *url)
 {
@@ -426,6 +495,9 @@
     else if (strncmp(url, "/log-read", 9) == 0) {
         handle_log_read(request, url);
     }
+    else if (strncmp(url, "/log-append", 11) == 0) {
+        handle_log_append(request, url, bytes, size);
+    }
     else if (strncmp(url, "/log-newest", 11) == 0) {
         send_newest_records(request, url);
     }
@@ -612,6 +684,40 @@
                                    0);
 }
 
+static crashing_request_t *
+find_or_add_crashing_request(const char *path)
+{
+    for (int i = 0; i < CRASHING_REQUESTS_MAX; i++) {
+        crashing_request_t *crashing = &crashing_requests[i];
+        if (crashing->path[0] == '\0') {
+            snprintf(crashing->path, sizeof crashing->path, "%s", path);
+        }
+        if (strcmp(crashing->path, path) == 0) {
+            return crashing;
+        }
+    }
+    abort();
+}
+
+/** Counts a request that crashes the engine, which ends in a later turn of the
+ *  loop; it gets no response. */
+static void
+run_crashing_request(engine_t *engine, const char *path)
+{
+    crashing_request_t *crashing = find_or_add_crashing_request(path);
+    uint64_t now_ms = SkyClock_NowMs();
+    if (crashing->crash_count >= CRASHES_ALLOWED &&
+        now_ms > crashing->last_allowed_crash_ms + CRASHES_KNOWN_MS) {
+        crashing->late_send_count++;
+    }
+    crashing->crash_count++;
+    if (crashing->crash_count == CRASHES_ALLOWED) {
+        crashing->last_allowed_crash_ms = now_ms;
+    }
+    ev_timer_set(&engine->crash_timer, 0.0, 0.0);
+    ev_timer_start(loop, &engine->crash_timer);
+}
+
 static void
 handle_generation(engine_t *engine, sky_server_request_t *request)
 {
@@ -635,6 +741,10 @@
     else if (consume_fault("shed")) {
         refuse_request(request, 503);
     }
+    else if (strstr(SkyHttpHead_Url(head), "/crash") != NULL) {
+        count_run(id);
+        run_crashing_request(engine, SkyHttpHead_Url(head));
+    }
     else {
         runs_after_leave += engine->is_leaving ? 1 : 0;
         count_run(id);
@@ -867,8 +977,27 @@
     append_record("keyed.servers", "i-app", text);
 }
 
+static sky_listener_t *
+start_listener(uint16_t port, sky_listener_events_t events, void *context)
+{
+    char address[32];
+    snprintf(address, sizeof address, "127.0.0.1:%u", port);
+    sky_listener_options_t options = {
+        .loop = loop,
+        .address = address,
+        .limits = {16384, 4194304, 30000, 30000},
+        .events = events,
+        .context = context,
+    };
+    sky_listener_t *listener;
+    if (SkyResult_IsError(SkyListener_Create(&options, &listener))) {
+        exit(1);
+    }
+    return listener;
+}
+
 static void
-crash_engine(engine_t *engine)
+abort_streams(const engine_t *engine)
 {
     stream_t *stream;
     stream_t *next;
@@ -881,10 +1010,50 @@
             SkyServerRequest_Abort(request);
         }
     }
+}
+
+/** Restarts the engine at once. */
+static void
+crash_engine(engine_t *engine)
+{
+    abort_streams(engine);
     append_record("keyed.servers", engine->id, NULL);
     start_engine(engine);
 }
 
+static void
+on_crash_timer(struct ev_loop *unused, ev_timer *timer, int events)
+{
+    (void)unused;
+    (void)events;
+    engine_t *engine = timer->data;
+    if (engine->is_down) {
+        return;
+    }
+    abort_streams(engine);
+    SkyListener_Free(engine->listener);
+    engine->is_down = true;
+    ev_timer_set(&engine->restart_timer, CRASH_DOWN_MS / 1000.0, 0.0);
+    ev_timer_start(loop, &engine->restart_timer);
+}
+
+/** @return for each path the engines crashed and the late sends. */
+static json_t *
+encode_crashing_requests(void)
+{
+    json_t *counts = json_object();
+    for (int i = 0;
+         i < CRASHING_REQUESTS_MAX && crashing_requests[i].path[0] != '\0';
+         i++) {
+        const crashing_request_t *crashing = &crashing_requests[i];
+        json_object_set_new(counts, crashing->path,
+                            json_sprintf("%u crashes, %u late",
+                                         crashing->crash_count,
+                                         crashing->late_send_count));
+    }
+    return counts;
+}
+
 static void
 on_control_request(void *context, sky_server_request_t *request)
 {
@@ -911,12 +1080,15 @@
     else if (strncmp(url, "/crash", 6) == 0) {
         crash_engine(&engines[number]);
     }
+    else if (strncmp(url, "/rewind", 7) == 0) {
+        rewind_topic(get_query_parameter(url, "topic", key, sizeof key));
+    }
     free(text);
-    send_json(request, 200,
-              json_pack("{s:O, s:i, s:i, s:I}", "runs", run_counts,
-                        "overfilled", overfilled_loads, "after_leave",
-                        runs_after_leave, "generation",
-                        (json_int_t)group_generation));
+    json_t *state = json_pack(
+        "{s:O, s:i, s:i, s:I, s:o}", "runs", run_counts, "overfilled",
+        overfilled_loads, "after_leave", runs_after_leave, "generation",
+        (json_int_t)group_generation, "crashing", encode_crashing_requests());
+    send_json(request, 200, state);
 }
 
 static void
@@ -926,29 +1098,33 @@
     (void)timer;
     (void)events;
     for (int i = 0; i < engine_count; i++) {
-        finish_pending_unload(&engines[i]);
-        publish_engine_entry(&engines[i]);
+        if (!engines[i].is_down) {
+            finish_pending_unload(&engines[i]);
+            publish_engine_entry(&engines[i]);
+        }
     }
     finish_long_polls();
 }
 
-static sky_listener_t *
-start_listener(uint16_t port, sky_listener_events_t events, void *context)
+static void
+start_engine_listener(engine_t *engine)
 {
-    char address[32];
-    snprintf(address, sizeof address, "127.0.0.1:%u", port);
-    sky_listener_options_t options = {
-        .loop = loop,
-        .address = address,
-        .limits = {16384, 4194304, 30000, 30000},
-        .events = events,
-        .context = context,
-    };
-    sky_listener_t *listener;
-    if (SkyResult_IsError(SkyListener_Create(&options, &listener))) {
-        exit(1);
-    }
-    return listener;
+    engine->listener = start_listener(
+        engine->port,
+        (sky_listener_events_t){on_engine_request, on_engine_disconnect, NULL},
+        engine);
+}
+
+static void
+on_restart_timer(struct ev_loop *unused, ev_timer *timer, int events)
+{
+    (void)unused;
+    (void)events;
+    engine_t *engine = timer->data;
+    append_record("keyed.servers", engine->id, NULL);
+    engine->is_down = false;
+    start_engine_listener(engine);
+    start_engine(engine);
 }
 
 int
@@ -975,11 +1151,11 @@
     for (int i = 0; i < engine_count; i++) {
         engines[i].number = i;
         engines[i].port = (uint16_t)(base_port + ENGINE_PORT_OFFSET + i);
-        engines[i].listener =
-            start_listener(engines[i].port,
-                           (sky_listener_events_t){on_engine_request,
-                                                   on_engine_disconnect, NULL},
-                           &engines[i]);
+        ev_init(&engines[i].crash_timer, on_crash_timer);
+        ev_init(&engines[i].restart_timer, on_restart_timer);
+        engines[i].crash_timer.data = &engines[i];
+        engines[i].restart_timer.data = &engines[i];
+        start_engine_listener(&engines[i]);
         start_engine(&engines[i]);
     }
     start_listener(
