Quarantine requests that crash targets, on all hosts of the platform

Callers saw: a request under which three targets had crashed was sent on and crashed more; streams that ran beside it broke off each time. Cause: lib/edge kept no account of the requests under which targets crashed, neither alone nor among hosts; decide/suspects served the own interface only. Change: decide/crash_watch suspects a crash when an exchange breaks, clears it when the target is heard from within a second and confirms it when the list of targets shows that its run has ended; two suspicions or crashes quarantine the request. crash_sharing tells all hosts, keeps confirmed crashes in a topic of the store, and asks peers after a start or a suspension. The proxy refuses on arrival, after a wait and before a repeat. In decide/suspects, news of a crash that is counted already no longer prolongs the quarantine: the feed brings it more than once. Ruled out: repeats within one request (a request id reached at most maxAttempts targets).

--- /dev/null
+++ b/lib/decide/crash_watch.c
@@ -0,0 +1,233 @@
+#include "decide/crash_watch.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/** A target that answers requests is heard from within this time. Other hosts
+ *  are told only then. */
+#define SETTLE_MS 250
+/** Bytes that arrive this soon may have been sent before the crash. */
+#define TRANSIT_MS 50
+/** A crashed target is back after some seconds. Bytes that arrive later may be
+ *  those of its next run. */
+#define RESTART_MIN_MS 1000
+/** By then the list shows that a target has crashed, also after an outage of
+ *  the store. */
+#define SUSPICION_TTL_MS 30000
+/** Wait for callers whose request is only suspected. */
+#define SUSPICION_CLEARED_MS 1000
+#define EXPIRY_INTERVAL_MS 10000
+#define SUSPICIONS_MAX 512
+#define US_PER_MS 1000
+
+typedef struct {
+    sky_rec_crash_t crash;
+    uint64_t recorded_ms;
+    bool is_shared; /**< other hosts know it */
+} suspicion_t;
+
+struct sky_crash_watch {
+    sky_crash_watch_options_t options;
+    sky_suspects_t *suspects;
+    suspicion_t suspicions[SUSPICIONS_MAX];
+    uint32_t suspicion_count;
+    uint64_t expired_ms; /**< time of the last expiry */
+};
+
+sky_result_t
+SkyCrashWatch_Create(const sky_crash_watch_options_t *options,
+                     sky_crash_watch_t **watch)
+{
+    sky_crash_watch_t *self = calloc(1, sizeof *self);
+    if (self == NULL) {
+        return SKY_E_MEMORY;
+    }
+    self->options = *options;
+    self->suspects = SkySuspects_Create(options->retention_ms * US_PER_MS);
+    if (self->suspects == NULL) {
+        free(self);
+        return SKY_E_MEMORY;
+    }
+    *watch = self;
+    return SKY_OK;
+}
+
+void
+SkyCrashWatch_Free(sky_crash_watch_t *watch)
+{
+    if (watch == NULL) {
+        return;
+    }
+    SkySuspects_Free(watch->suspects);
+    free(watch);
+}
+
+static bool
+is_same_crash(const sky_rec_crash_t *one, const sky_rec_crash_t *other)
+{
+    return one->fingerprint == other->fingerprint &&
+           one->target == other->target && one->epoch == other->epoch;
+}
+
+static bool
+record_suspicion(sky_crash_watch_t *watch, const sky_rec_crash_t *crash,
+                 bool is_shared, uint64_t now_ms)
+{
+    for (uint32_t i = 0; i < watch->suspicion_count; i++) {
+        if (is_same_crash(&watch->suspicions[i].crash, crash)) {
+            return true;
+        }
+    }
+    if (SkySuspects_IsCrash(watch->suspects, crash)) {
+        return true;
+    }
+    if (watch->suspicion_count == SUSPICIONS_MAX) {
+        return false;
+    }
+    SkySuspects_RecordUnconfirmedCrash(watch->suspects, crash,
+                                       now_ms * US_PER_MS);
+    watch->suspicions[watch->suspicion_count++] =
+        (suspicion_t){*crash, now_ms, is_shared};
+    return true;
+}
+
+bool
+SkyCrashWatch_RecordBrokenExchange(sky_crash_watch_t *watch,
+                                   const sky_rec_crash_t *crash,
+                                   uint64_t now_ms)
+{
+    return record_suspicion(watch, crash, false, now_ms);
+}
+
+bool
+SkyCrashWatch_RecordSharedSuspicion(sky_crash_watch_t *watch,
+                                    const sky_rec_crash_t *crash,
+                                    uint64_t now_ms)
+{
+    return record_suspicion(watch, crash, true, now_ms);
+}
+
+void
+SkyCrashWatch_RecordCrash(sky_crash_watch_t *watch,
+                          const sky_rec_crash_t *crash, uint64_t confirmed_ms)
+{
+    SkySuspects_RecordCrash(watch->suspects, crash, confirmed_ms * US_PER_MS);
+}
+
+typedef enum {
+    VERDICT_OPEN,
+    VERDICT_CLEARED,
+    VERDICT_CRASHED,
+} verdict_t;
+
+static verdict_t
+judge_suspicion(const suspicion_t *suspicion,
+                const sky_crash_target_state_t *target, uint64_t now_ms)
+{
+    if (!target->is_listed || target->epoch != suspicion->crash.epoch) {
+        return VERDICT_CRASHED;
+    }
+    bool is_heard = target->last_byte_ms > suspicion->recorded_ms + TRANSIT_MS;
+    bool is_same_run = now_ms < suspicion->recorded_ms + RESTART_MIN_MS;
+    if (target->is_leaving || (is_heard && is_same_run) ||
+        now_ms > suspicion->recorded_ms + SUSPICION_TTL_MS) {
+        return VERDICT_CLEARED;
+    }
+    return VERDICT_OPEN;
+}
+
+/* @return whether the suspicion stays open. */
+static bool
+update_suspicion(sky_crash_watch_t *watch, suspicion_t *suspicion,
+                 uint64_t now_ms)
+{
+    const sky_crash_watch_options_t *options = &watch->options;
+    sky_crash_target_state_t target =
+        options->get_target_state(options->context, suspicion->crash.target);
+    if (SkySuspects_IsCrash(watch->suspects, &suspicion->crash)) {
+        return false; /* another host has confirmed it */
+    }
+    switch (judge_suspicion(suspicion, &target, now_ms)) {
+    case VERDICT_CLEARED:
+        SkySuspects_DropUnconfirmedCrash(watch->suspects, &suspicion->crash);
+        options->on_event(options->context, SKY_CRASH_CLEARED,
+                          &suspicion->crash);
+        return false;
+    case VERDICT_CRASHED:
+        SkySuspects_RecordCrash(watch->suspects, &suspicion->crash,
+                                now_ms * US_PER_MS);
+        options->on_event(options->context, SKY_CRASH_CONFIRMED,
+                          &suspicion->crash);
+        return false;
+    case VERDICT_OPEN:
+        break;
+    }
+    if (!suspicion->is_shared &&
+        now_ms >= suspicion->recorded_ms + SETTLE_MS) {
+        suspicion->is_shared = true;
+        options->on_event(options->context, SKY_CRASH_SUSPECTED,
+                          &suspicion->crash);
+    }
+    return true;
+}
+
+void
+SkyCrashWatch_Tick(sky_crash_watch_t *watch, uint64_t now_ms)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < watch->suspicion_count; i++) {
+        suspicion_t suspicion = watch->suspicions[i];
+        if (update_suspicion(watch, &suspicion, now_ms)) {
+            watch->suspicions[kept++] = suspicion;
+        }
+    }
+    watch->suspicion_count = kept;
+    if (now_ms >= watch->expired_ms + EXPIRY_INTERVAL_MS) {
+        watch->expired_ms = now_ms;
+        SkySuspects_Expire(watch->suspects, now_ms * US_PER_MS);
+    }
+}
+
+uint64_t
+SkyCrashWatch_GetQuarantineMs(const sky_crash_watch_t *watch,
+                              uint64_t fingerprint, uint64_t now_ms)
+{
+    uint64_t end_ms =
+        SkySuspects_QuarantineEnd(watch->suspects, fingerprint) / US_PER_MS;
+    if (end_ms > now_ms) {
+        return end_ms - now_ms;
+    }
+    return SkySuspects_SuspicionCount(watch->suspects, fingerprint) >=
+                   SKY_CRASH_LIMIT
+               ? SUSPICION_CLEARED_MS
+               : 0;
+}
+
+bool
+SkyCrashWatch_IsCrash(const sky_crash_watch_t *watch,
+                      const sky_rec_crash_t *crash)
+{
+    return SkySuspects_IsCrash(watch->suspects, crash);
+}
+
+void
+SkyCrashWatch_ForEach(const sky_crash_watch_t *watch,
+                      sky_suspects_visitor_t visit, void *context)
+{
+    SkySuspects_ForEach(watch->suspects, visit, context);
+}
+
+void
+SkyCrash_FormatKey(const sky_rec_crash_t *crash, char key[SKY_CRASH_KEY_BYTES])
+{
+    snprintf(key, SKY_CRASH_KEY_BYTES, "%016" PRIx64 ".%08x.%" PRIx64,
+             crash->fingerprint, crash->target, crash->epoch);
+}
+
+bool
+SkyCrash_ParseKey(const char *key, sky_rec_crash_t *crash)
+{
+    return sscanf(key, "%16" SCNx64 ".%8x.%16" SCNx64, &crash->fingerprint,
+                  &crash->target, &crash->epoch) == 3;
+}
--- a/lib/decide/suspects.c
+++ b/lib/decide/suspects.c
@@ -73,8 +73,7 @@
 }
 
 static suspect_t *
-find_or_add_suspect(sky_suspects_t *suspects, uint64_t fingerprint,
-                    uint64_t now_us)
+find_or_add_suspect(sky_suspects_t *suspects, uint64_t fingerprint)
 {
     suspect_t *suspect = find_suspect(suspects, fingerprint);
     if (suspect == NULL) {
@@ -86,7 +85,6 @@
         HASH_ADD(hh, suspects->by_fingerprint, fingerprint, sizeof fingerprint,
                  suspect);
     }
-    suspect->updated_us = now_us;
     return suspect;
 }
 
@@ -123,8 +121,7 @@
 SkySuspects_RecordCrash(sky_suspects_t *suspects, const sky_rec_crash_t *crash,
                         uint64_t now_us)
 {
-    suspect_t *suspect =
-        find_or_add_suspect(suspects, crash->fingerprint, now_us);
+    suspect_t *suspect = find_or_add_suspect(suspects, crash->fingerprint);
     exchange_t *exchange = find_or_choose_exchange(suspect, crash);
     if (exchange == NULL || exchange->state == EXCHANGE_CRASHED) {
         return false;
@@ -132,6 +129,7 @@
     exchange->state = EXCHANGE_CRASHED;
     exchange->target = crash->target;
     exchange->epoch = crash->epoch;
+    suspect->updated_us = now_us;
     return true;
 }
 
@@ -140,8 +138,7 @@
                                    const sky_rec_crash_t *crash,
                                    uint64_t now_us)
 {
-    suspect_t *suspect =
-        find_or_add_suspect(suspects, crash->fingerprint, now_us);
+    suspect_t *suspect = find_or_add_suspect(suspects, crash->fingerprint);
     exchange_t *exchange = find_or_choose_exchange(suspect, crash);
     if (exchange == NULL || exchange->state != EXCHANGE_UNUSED) {
         return;
@@ -150,6 +147,63 @@
     exchange->target = crash->target;
     exchange->epoch = crash->epoch;
     exchange->recorded_us = now_us;
+    suspect->updated_us = now_us;
+}
+
+static const exchange_t *
+find_exchange(const suspect_t *suspect, const sky_rec_crash_t *crash)
+{
+    for (uint32_t i = 0; suspect != NULL && i < BROKEN_EXCHANGES_MAX; i++) {
+        const exchange_t *exchange = &suspect->exchanges[i];
+        if (exchange->state != EXCHANGE_UNUSED &&
+            exchange->target == crash->target &&
+            exchange->epoch == crash->epoch) {
+            return exchange;
+        }
+    }
+    return NULL;
+}
+
+void
+SkySuspects_DropUnconfirmedCrash(sky_suspects_t *suspects,
+                                 const sky_rec_crash_t *crash)
+{
+    suspect_t *suspect = find_suspect(suspects, crash->fingerprint);
+    exchange_t *exchange = (exchange_t *)find_exchange(suspect, crash);
+    if (exchange == NULL || exchange->state != EXCHANGE_UNCONFIRMED) {
+        return;
+    }
+    exchange->state = EXCHANGE_UNUSED;
+    if (count_exchanges(suspect, EXCHANGE_UNUSED) == BROKEN_EXCHANGES_MAX) {
+        remove_suspect(suspects, suspect);
+    }
+}
+
+bool
+SkySuspects_IsCrash(const sky_suspects_t *suspects,
+                    const sky_rec_crash_t *crash)
+{
+    const exchange_t *exchange =
+        find_exchange(find_suspect(suspects, crash->fingerprint), crash);
+    return exchange != NULL && exchange->state == EXCHANGE_CRASHED;
+}
+
+void
+SkySuspects_ForEach(const sky_suspects_t *suspects,
+                    sky_suspects_visitor_t visit, void *context)
+{
+    const suspect_t *suspect;
+    for (suspect = suspects->by_fingerprint; suspect != NULL;
+         suspect = suspect->hh.next) {
+        for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+            const exchange_t *exchange = &suspect->exchanges[i];
+            if (exchange->state != EXCHANGE_UNUSED) {
+                sky_rec_crash_t crash = {suspect->fingerprint, exchange->epoch,
+                                         exchange->target};
+                visit(&crash, exchange->state == EXCHANGE_CRASHED, context);
+            }
+        }
+    }
 }
 
 static void
@@ -204,6 +258,15 @@
     }
 }
 
+uint32_t
+SkySuspects_SuspicionCount(const sky_suspects_t *suspects,
+                           uint64_t fingerprint)
+{
+    const suspect_t *suspect = find_suspect(suspects, fingerprint);
+    return count_exchanges(suspect, EXCHANGE_CRASHED) +
+           count_exchanges(suspect, EXCHANGE_UNCONFIRMED);
+}
+
 uint32_t
 SkySuspects_CrashCount(const sky_suspects_t *suspects, uint64_t fingerprint)
 {
@@ -225,6 +288,15 @@
     return SkySuspects_CrashCount(suspects, fingerprint) >= SKY_CRASH_LIMIT;
 }
 
+uint64_t
+SkySuspects_QuarantineEnd(const sky_suspects_t *suspects, uint64_t fingerprint)
+{
+    const suspect_t *suspect = find_suspect(suspects, fingerprint);
+    return SkySuspects_IsQuarantined(suspects, fingerprint)
+               ? suspect->updated_us + suspects->retention_us
+               : 0;
+}
+
 void
 SkySuspects_Expire(sky_suspects_t *suspects, uint64_t now_us)
 {
--- a/lib/decide/suspects.h
+++ b/lib/decide/suspects.h
@@ -59,6 +59,22 @@
 void SkySuspects_ConfirmCrashes(sky_suspects_t *suspects, uint32_t target,
                                 sky_crash_callback_t on_crash, void *context);
 
+/** Removes an unconfirmed crash: the target did not crash. */
+void SkySuspects_DropUnconfirmedCrash(sky_suspects_t *suspects,
+                                      const sky_rec_crash_t *crash);
+
+/** Called for each crash that is counted. */
+typedef void (*sky_suspects_visitor_t)(const sky_rec_crash_t *crash,
+                                       bool is_confirmed, void *context);
+void SkySuspects_ForEach(const sky_suspects_t *suspects,
+                         sky_suspects_visitor_t visit, void *context);
+
+/** @return whether this crash is counted and confirmed. */
+bool SkySuspects_IsCrash(const sky_suspects_t *suspects,
+                         const sky_rec_crash_t *crash);
+/** @return confirmed and unconfirmed crashes of a fingerprint. */
+uint32_t SkySuspects_SuspicionCount(const sky_suspects_t *suspects,
+                                    uint64_t fingerprint);
 /** @return confirmed crashes of a fingerprint. */
 uint32_t SkySuspects_CrashCount(const sky_suspects_t *suspects,
                                 uint64_t fingerprint);
@@ -69,6 +85,10 @@
 /** @return true if requests of the fingerprint are refused. */
 bool SkySuspects_IsQuarantined(const sky_suspects_t *suspects,
                                uint64_t fingerprint);
+/** @return time at which the quarantine of a fingerprint ends, 0 if it is not
+ *          quarantined. */
+uint64_t SkySuspects_QuarantineEnd(const sky_suspects_t *suspects,
+                                   uint64_t fingerprint);
 /** Removes fingerprints that did not change within the retention time. */
 void SkySuspects_Expire(sky_suspects_t *suspects, uint64_t now_us);
 
--- /dev/null
+++ b/lib/edge/crash_sharing.c
@@ -0,0 +1,340 @@
+#include "edge/crash_sharing.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "core/logging.h"
+
+#define CALL_PATH "/crashes"
+#define TICK_INTERVAL_S 0.1
+#define CALL_TIMEOUT_MS 400
+/** Peers asked at a start: one of them may have started just now itself. */
+#define PEERS_ASKED 3
+#define ASK_RETRY_DELAY_MS 150
+/** Between two comparisons with the store; a record that was appended has been
+ *  read back by then. */
+#define STORE_CHECK_INTERVAL_MS 500
+#define APPENDED_RECORDS_MAX 256
+/** Callers repeat a request for minutes; an operator needs some to react. */
+#define RETENTION_MS 600000
+/** The clocks of hosts differ by less. A record is deleted only when no host
+ *  counts it any more. */
+#define DELETE_MARGIN_MS 60000
+
+struct sky_crash_sharing {
+    sky_crash_sharing_options_t options;
+    ev_timer tick;
+    json_t *suspicions;   /**< found by the current tick, to be sent */
+    sky_host_call_t *ask; /**< call to a peer for all it knows; or NULL */
+    uint32_t asks_left;
+    uint32_t ask_turn; /**< selects the peer */
+    uint64_t next_ask_ms;
+    bool append_pending;
+    uint64_t next_store_check_ms;
+};
+
+/** Records to be appended to the store. */
+typedef struct {
+    sky_crash_sharing_t *sharing;
+    sky_store_record_t records[APPENDED_RECORDS_MAX];
+    char keys[APPENDED_RECORDS_MAX][SKY_CRASH_KEY_BYTES];
+    char wall_ms_text[24];
+    size_t count;
+} batch_t;
+
+static sky_crash_target_state_t
+get_target_state(void *context, uint32_t target)
+{
+    const sky_crash_sharing_t *sharing = context;
+    const sky_fleet_target_t *known =
+        SkyFleet_GetFirstTarget(sharing->options.directory->fleet);
+    for (; known != NULL; known = known->next) {
+        if (known->listed && (uint32_t)known->hash == target) {
+            return (sky_crash_target_state_t){
+                .is_listed = true,
+                .is_leaving = known->entry.state == SKY_TARGET_LEAVING,
+                .epoch = known->entry.started_unix_ms,
+                .last_byte_ms = known->last_byte_ms,
+            };
+        }
+    }
+    return (sky_crash_target_state_t){0};
+}
+
+static json_t *
+encode_crash(const sky_rec_crash_t *crash, bool is_confirmed)
+{
+    return json_pack("[I,I,I,b]", (json_int_t)crash->fingerprint,
+                     (json_int_t)crash->target, (json_int_t)crash->epoch,
+                     is_confirmed);
+}
+
+static void
+on_crash_event(void *context, sky_crash_event_t event,
+               const sky_rec_crash_t *crash)
+{
+    static const char *const NAMES[] = {"suspected", "cleared", "confirmed"};
+    sky_crash_sharing_t *sharing = context;
+    SkyLog_Write(event == SKY_CRASH_CLEARED ? LOG_INFO : LOG_NOTICE, "crash",
+                 "state=%s print=%016" PRIx64 " target=%08x", NAMES[event],
+                 crash->fingerprint, crash->target);
+    if (event == SKY_CRASH_SUSPECTED) {
+        json_array_append_new(sharing->suspicions, encode_crash(crash, false));
+    }
+}
+
+static void
+on_told(void *context, const json_t *body)
+{
+    (void)context;
+    (void)body; /* a host that missed it reads it from the store */
+}
+
+static void
+send_suspicions(sky_crash_sharing_t *sharing)
+{
+    const sky_crash_sharing_options_t *options = &sharing->options;
+    sky_fanout_host_t members[SKY_GROUP_MEMBERS_MAX];
+    uint32_t count = SkyOwnership_ListMembers(options->ownership, members,
+                                              SKY_GROUP_MEMBERS_MAX);
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(members[i].address, options->settings->control) != 0) {
+            SkyHostCalls_SendCall(
+                options->host_calls, members[i].address, CALL_PATH,
+                json_pack("{s:O}", "crashes", sharing->suspicions),
+                CALL_TIMEOUT_MS, on_told, sharing);
+        }
+    }
+    json_array_clear(sharing->suspicions);
+}
+
+static void
+apply_crashes(const sky_crash_sharing_t *sharing, const json_t *body)
+{
+    sky_crash_watch_t *crashes = sharing->options.directory->crashes;
+    uint64_t now_ms = SkyClock_NowMs();
+    size_t index;
+    json_t *row;
+    json_array_foreach(json_object_get(body, "crashes"), index, row)
+    {
+        json_int_t fingerprint;
+        json_int_t target;
+        json_int_t epoch;
+        int is_confirmed;
+        if (json_unpack(row, "[I,I,I,b]", &fingerprint, &target, &epoch,
+                        &is_confirmed) != 0) {
+            SkyLog_Write(LOG_WARNING, "crash_ignored", "row=%zu", index);
+            continue;
+        }
+        sky_rec_crash_t crash = {(uint64_t)fingerprint, (uint64_t)epoch,
+                                 (uint32_t)target};
+        if (is_confirmed) {
+            SkyCrashWatch_RecordCrash(crashes, &crash, now_ms);
+        }
+        else if (!SkyCrashWatch_RecordSharedSuspicion(crashes, &crash,
+                                                      now_ms)) {
+            SkyLog_Write(LOG_WARNING, "crash_ignored", "reason=full");
+        }
+    }
+}
+
+static void
+add_row(const sky_rec_crash_t *crash, bool is_confirmed, void *context)
+{
+    json_array_append_new(context, encode_crash(crash, is_confirmed));
+}
+
+static void
+on_call(void *context, sky_server_request_t *server_request,
+        const json_t *body)
+{
+    const sky_crash_sharing_t *sharing = context;
+    json_t *rows = json_array();
+    apply_crashes(sharing, body);
+    if (json_is_true(json_object_get(body, "send_all"))) {
+        SkyCrashWatch_ForEach(sharing->options.directory->crashes, add_row,
+                              rows);
+    }
+    SkyHostCalls_Respond(server_request, json_pack("{s:o}", "crashes", rows));
+}
+
+static void
+on_peer_crashes(void *context, const json_t *body)
+{
+    sky_crash_sharing_t *sharing = context;
+    sharing->ask = NULL;
+    sharing->ask_turn++;
+    if (body == NULL) {
+        sharing->next_ask_ms = SkyClock_NowMs() + ASK_RETRY_DELAY_MS;
+        return;
+    }
+    sharing->asks_left--;
+    apply_crashes(sharing, body);
+}
+
+static void
+ask_peer(sky_crash_sharing_t *sharing, uint64_t now_ms)
+{
+    const char *address = SkyOwnership_ChoosePeerAddress(
+        sharing->options.ownership, sharing->ask_turn);
+    if (sharing->asks_left == 0 || sharing->ask != NULL ||
+        now_ms < sharing->next_ask_ms || address == NULL) {
+        return;
+    }
+    sharing->ask = SkyHostCalls_SendCall(
+        sharing->options.host_calls, address, CALL_PATH,
+        json_pack("{s:[], s:b}", "crashes", "send_all", true), CALL_TIMEOUT_MS,
+        on_peer_crashes, sharing);
+}
+
+static void
+add_missing_crash(const sky_rec_crash_t *crash, bool is_confirmed,
+                  void *context)
+{
+    batch_t *batch = context;
+    if (!is_confirmed || batch->count == APPENDED_RECORDS_MAX) {
+        return;
+    }
+    char *key = batch->keys[batch->count];
+    SkyCrash_FormatKey(crash, key);
+    if (SkyFeed_FindValue(batch->sharing->options.feed, SKY_FEED_CRASHES,
+                          key) == NULL) {
+        batch->records[batch->count++] = (sky_store_record_t){
+            .key = key,
+            .value = batch->wall_ms_text,
+            .value_bytes = strlen(batch->wall_ms_text),
+        };
+    }
+}
+
+static void
+add_expired_record(void *context, const char *key, const char *value)
+{
+    batch_t *batch = context;
+    sky_rec_crash_t crash;
+    uint64_t confirmed_wall_ms = strtoull(value, NULL, 10);
+    bool is_expired = SkyClock_WallMs() >
+                      confirmed_wall_ms + RETENTION_MS + DELETE_MARGIN_MS;
+    if (!is_expired || batch->count == APPENDED_RECORDS_MAX ||
+        (SkyCrash_ParseKey(key, &crash) &&
+         SkyCrashWatch_IsCrash(batch->sharing->options.directory->crashes,
+                               &crash))) {
+        return;
+    }
+    snprintf(batch->keys[batch->count], SKY_CRASH_KEY_BYTES, "%s", key);
+    batch->records[batch->count] = (sky_store_record_t){
+        .key = batch->keys[batch->count], .value = "", .is_tombstone = true};
+    batch->count++;
+}
+
+static void
+on_appended(void *context, const sky_store_response_t *response)
+{
+    sky_crash_sharing_t *sharing = context;
+    sharing->append_pending = false;
+    if (response->outcome != SKY_STORE_DONE) {
+        SkyLog_Write(LOG_WARNING, "crashes_not_stored", "reason=%s",
+                     SkyStore_OutcomeName(response->outcome));
+    }
+}
+
+/* Makes the store hold the confirmed crashes and no others. */
+static void
+update_store(sky_crash_sharing_t *sharing, uint64_t now_ms)
+{
+    const sky_crash_sharing_options_t *options = &sharing->options;
+    if (now_ms < sharing->next_store_check_ms || sharing->append_pending ||
+        !SkyFeed_IsStoreReader(options->feed) ||
+        !SkyFeed_IsSynced(options->feed, SKY_FEED_CRASHES)) {
+        return;
+    }
+    sharing->next_store_check_ms = now_ms + STORE_CHECK_INTERVAL_MS;
+    batch_t batch;
+    batch.sharing = sharing;
+    batch.count = 0;
+    snprintf(batch.wall_ms_text, sizeof batch.wall_ms_text, "%" PRIu64,
+             SkyClock_WallMs());
+    SkyCrashWatch_ForEach(options->directory->crashes, add_missing_crash,
+                          &batch);
+    SkyFeed_ForEachRecord(options->feed, SKY_FEED_CRASHES, add_expired_record,
+                          &batch);
+    if (batch.count > 0) {
+        sharing->append_pending = true;
+        SkyStore_AppendRecords(options->store, SKY_TOPIC_CRASHES,
+                               batch.records, batch.count, on_appended,
+                               sharing);
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_crash_sharing_t *sharing = watcher->data;
+    uint64_t now_ms = SkyClock_NowMs();
+    SkyCrashWatch_Tick(sharing->options.directory->crashes, now_ms);
+    if (json_array_size(sharing->suspicions) > 0) {
+        send_suspicions(sharing);
+    }
+    ask_peer(sharing, now_ms);
+    update_store(sharing, now_ms);
+}
+
+void
+SkyCrashSharing_HandleSuspension(sky_crash_sharing_t *sharing)
+{
+    sharing->asks_left = PEERS_ASKED;
+}
+
+sky_result_t
+SkyCrashSharing_Create(const sky_crash_sharing_options_t *options,
+                       sky_crash_sharing_t **sharing)
+{
+    sky_crash_sharing_t *self = calloc(1, sizeof *self);
+    if (self == NULL) {
+        return SKY_E_MEMORY;
+    }
+    self->options = *options;
+    self->asks_left = PEERS_ASKED;
+    self->suspicions = json_array();
+    sky_crash_watch_options_t watch_options = {
+        .retention_ms = RETENTION_MS,
+        .get_target_state = get_target_state,
+        .on_event = on_crash_event,
+        .context = self,
+    };
+    if (self->suspicions == NULL ||
+        SkyResult_IsError(SkyCrashWatch_Create(
+            &watch_options, &options->directory->crashes))) {
+        json_decref(self->suspicions);
+        free(self);
+        return SKY_E_MEMORY;
+    }
+    ev_timer_init(&self->tick, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
+    self->tick.data = self;
+    ev_timer_start(options->loop, &self->tick);
+    SkyHostCalls_RegisterHandler(options->host_calls, CALL_PATH, on_call, NULL,
+                                 self);
+    *sharing = self;
+    return SKY_OK;
+}
+
+void
+SkyCrashSharing_Free(sky_crash_sharing_t *sharing)
+{
+    if (sharing == NULL) {
+        return;
+    }
+    ev_timer_stop(sharing->options.loop, &sharing->tick);
+    if (sharing->ask != NULL) {
+        SkyHostCalls_CancelCall(sharing->ask);
+    }
+    SkyCrashWatch_Free(sharing->options.directory->crashes);
+    sharing->options.directory->crashes = NULL;
+    json_decref(sharing->suspicions);
+    free(sharing);
+}
--- a/lib/edge/directory.h
+++ b/lib/edge/directory.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "decide/crash_watch.h"
 #include "decide/deployment.h"
 #include "decide/fleet.h"
 
@@ -18,6 +19,7 @@
 typedef struct {
     sky_deployment_t *deployment; /**< NULL: not read yet */
     sky_fleet_t *fleet;
+    sky_crash_watch_t *crashes; /**< requests that crash targets */
     bool targets_known;     /**< the list of targets was read at least once */
     bool store_unreachable; /**< the last read from the store failed */
     /** Hosts that share the retry budgets, this one included. */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -218,6 +218,13 @@
     sky_proxy_t *proxy = request->proxy;
     sky_fleet_query_t query;
     sky_fleet_choice_t choice;
+    uint64_t quarantine_ms =
+        SkyCrashWatch_GetQuarantineMs(proxy->options.directory->crashes,
+                                      request->fingerprint, SkyClock_NowMs());
+    if (quarantine_ms > 0) {
+        SkyProxyRequest_Fail(request, (uint32_t)quarantine_ms, "quarantined");
+        return;
+    }
     build_query(request, &query);
     SkyFleet_ChooseTarget(proxy->options.directory->fleet, &query,
                           SkyClock_NowMs(), &choice);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -9,6 +9,7 @@
 #include "core/clock.h"
 #include "core/logging.h"
 #include "core/metrics.h"
+#include "edge/crash_sharing.h"
 #include "edge/directory.h"
 #include "edge/feed.h"
 #include "edge/feed_relay.h"
@@ -65,6 +66,7 @@
     sky_proxy_t *proxy;
     sky_feed_t *feed;
     sky_feed_relay_t *feed_relay;
+    sky_crash_sharing_t *crash_sharing;
     sky_listener_t *probe_listener;
     sky_listener_t *metrics_listener;
     sky_listener_t *front_listener;
@@ -262,6 +264,7 @@
             LOG_WARNING, "paused", "ms=%llu",
             (unsigned long long)(suspended_ms - edge->suspended_total_ms));
         SkyOwnership_HandleSuspension(edge->ownership);
+        SkyCrashSharing_HandleSuspension(edge->crash_sharing);
         SkyClient_CloseIdle(edge->client, NULL);
     }
     edge->suspended_total_ms = suspended_ms;
@@ -379,6 +382,18 @@
     if (!SkyResult_IsError(result)) {
         result = SkyFeedRelay_Create(&relay_options, &edge->feed_relay);
     }
+    sky_crash_sharing_options_t sharing_options = {
+        .loop = edge->loop,
+        .settings = settings,
+        .directory = &edge->directory,
+        .ownership = edge->ownership,
+        .host_calls = edge->host_calls,
+        .store = edge->store,
+        .feed = edge->feed};
+    if (!SkyResult_IsError(result)) {
+        result =
+            SkyCrashSharing_Create(&sharing_options, &edge->crash_sharing);
+    }
     return result;
 }
 
@@ -414,6 +429,7 @@
     SkyProxy_Free(edge->proxy);
     SkyPlacement_Free(edge->placement);
     SkyFeedRelay_Free(edge->feed_relay);
+    SkyCrashSharing_Free(edge->crash_sharing);
     SkyFeed_Free(edge->feed);
     SkyOwnership_Free(edge->ownership);
     SkyHostCalls_Free(edge->host_calls);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -16,6 +16,8 @@
 /** The store responds before the end of this time if a document changes. */
 #define OPERATOR_LONG_POLL_MS 400
 #define TARGETS_POLL_INTERVAL_MS 300
+/** Crashes are rare, and the store responds at once when one is appended. */
+#define CRASHES_LONG_POLL_MS 2000
 #define RETRY_DELAY_MIN_MS 100 /**< doubles with each failed read in a row */
 #define RETRY_DELAY_MAX_MS 800
 /** Interval at which a host that does not read the store checks whether the
@@ -156,6 +158,30 @@
     }
 }
 
+/* A deleted record is ignored: this host drops a crash when it is as old as
+ * all hosts keep it. */
+static void
+apply_crash_record(const sky_feed_t *feed, const record_t *record)
+{
+    sky_crash_watch_t *crashes = feed->options.directory->crashes;
+    sky_rec_crash_t crash;
+    if (record->is_tombstone) {
+        return;
+    }
+    if (!SkyCrash_ParseKey(record->key, &crash)) {
+        SkyLog_Write(LOG_WARNING, "crash_ignored", "key=%s", record->key);
+        return;
+    }
+    uint64_t wall_ms = SkyClock_WallMs();
+    uint64_t now_ms = SkyClock_NowMs();
+    uint64_t confirmed_wall_ms = strtoull(record->value, NULL, 10);
+    uint64_t age_ms =
+        wall_ms > confirmed_wall_ms ? wall_ms - confirmed_wall_ms : 0;
+    if (age_ms < now_ms) {
+        SkyCrashWatch_RecordCrash(crashes, &crash, now_ms - age_ms);
+    }
+}
+
 /* @return the stored copy, NULL if a newer record of the key is stored or
  * memory ran out. */
 static record_t *
@@ -205,6 +231,9 @@
     case SKY_FEED_TARGETS:
         apply_target_record(topic, stored);
         break;
+    case SKY_FEED_CRASHES:
+        apply_crash_record(topic->feed, stored);
+        break;
     case SKY_FEED_TOPIC_COUNT:
         break;
     }
@@ -269,7 +298,22 @@
 static uint32_t
 read_interval_ms(const topic_t *topic)
 {
-    return topic->id == SKY_FEED_OPERATOR ? 0 : TARGETS_POLL_INTERVAL_MS;
+    return topic->id == SKY_FEED_TARGETS ? TARGETS_POLL_INTERVAL_MS : 0;
+}
+
+static uint32_t
+long_poll_ms(const topic_t *topic)
+{
+    switch (topic->id) {
+    case SKY_FEED_OPERATOR:
+        return OPERATOR_LONG_POLL_MS;
+    case SKY_FEED_CRASHES:
+        return CRASHES_LONG_POLL_MS;
+    case SKY_FEED_TARGETS:
+    case SKY_FEED_TOPIC_COUNT:
+        break;
+    }
+    return 0;
 }
 
 static void
@@ -374,10 +418,19 @@
                                    on_snapshot_page, topic);
         return;
     }
-    uint32_t long_poll_ms =
-        topic->id == SKY_FEED_OPERATOR ? OPERATOR_LONG_POLL_MS : 0;
-    SkyStore_ReadRecords(store, topic->name, topic->next_offset, long_poll_ms,
-                         on_records, topic);
+    SkyStore_ReadRecords(store, topic->name, topic->next_offset,
+                         long_poll_ms(topic), on_records, topic);
+}
+
+/* Whether the peers pass on what they read. For the crashes, whose reads are
+ * long polls, the reads of the operator's topic show it. */
+static bool
+is_relayed(const topic_t *topic)
+{
+    const topic_t *checked = topic->id == SKY_FEED_CRASHES
+                                 ? &topic->feed->topics[SKY_FEED_OPERATOR]
+                                 : topic;
+    return !SkyFreshness_IsStale(&checked->freshness, SkyClock_NowMs());
 }
 
 static void
@@ -386,14 +439,40 @@
     (void)loop;
     (void)events;
     topic_t *topic = watcher->data;
-    if (topic->synced && !topic->feed->is_store_reader &&
-        !SkyFreshness_IsStale(&topic->freshness, SkyClock_NowMs())) {
+    if (topic->synced && !topic->feed->is_store_reader && is_relayed(topic)) {
         schedule_read(topic, FOLLOWER_CHECK_INTERVAL_MS);
         return;
     }
     read_store(topic);
 }
 
+bool
+SkyFeed_IsSynced(const sky_feed_t *feed, sky_feed_topic_t topic)
+{
+    return feed->topics[topic].synced && !feed->topics[topic].snapshot_pending;
+}
+
+const char *
+SkyFeed_FindValue(const sky_feed_t *feed, sky_feed_topic_t topic,
+                  const char *key)
+{
+    const record_t *record;
+    HASH_FIND_STR(feed->topics[topic].records, key, record);
+    return record != NULL && !record->is_tombstone ? record->value : NULL;
+}
+
+void
+SkyFeed_ForEachRecord(const sky_feed_t *feed, sky_feed_topic_t topic,
+                      sky_feed_visitor_t visit, void *context)
+{
+    const record_t *record = feed->topics[topic].records;
+    for (; record != NULL; record = record->hh.next) {
+        if (!record->is_tombstone) {
+            visit(context, record->key, record->value);
+        }
+    }
+}
+
 uint64_t
 SkyFeed_NextOffset(const sky_feed_t *feed, sky_feed_topic_t topic)
 {
@@ -541,8 +620,8 @@
 sky_result_t
 SkyFeed_Create(const sky_feed_options_t *options, sky_feed_t **feed)
 {
-    static const char *const TOPIC_NAMES[] = {SKY_TOPIC_OPERATOR,
-                                              SKY_TOPIC_TARGETS};
+    static const char *const TOPIC_NAMES[] = {
+        SKY_TOPIC_OPERATOR, SKY_TOPIC_TARGETS, SKY_TOPIC_CRASHES};
     sky_feed_t *self = calloc(1, sizeof *self);
     if (self == NULL) {
         return SKY_E_MEMORY;
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -1,7 +1,7 @@
 /**
  * @file feed.h
- * @brief Follows two topics of the store: the operator's documents and the
- * list of targets.
+ * @brief Follows topics of the store: the operator's documents, the list of
+ * targets, and the crashes that hosts wrote.
  *
  * A host reads the records from the store or, if it is not a reader of the
  * store or gets no response from it, from its peers. Each host keeps the
@@ -30,6 +30,7 @@
 typedef enum {
     SKY_FEED_OPERATOR,
     SKY_FEED_TARGETS,
+    SKY_FEED_CRASHES,
     SKY_FEED_TOPIC_COUNT,
 } sky_feed_topic_t;
 
@@ -47,6 +48,16 @@
                             sky_feed_t **feed);
 void SkyFeed_Free(sky_feed_t *feed);
 
+/** @return whether all records of a topic are known, up to the last read. */
+bool SkyFeed_IsSynced(const sky_feed_t *feed, sky_feed_topic_t topic);
+/** @return value of a key, NULL if there is none. */
+const char *SkyFeed_FindValue(const sky_feed_t *feed, sky_feed_topic_t topic,
+                              const char *key);
+typedef void (*sky_feed_visitor_t)(void *context, const char *key,
+                                   const char *value);
+/** Calls @p visit for each key of a topic that has a value. */
+void SkyFeed_ForEachRecord(const sky_feed_t *feed, sky_feed_topic_t topic,
+                           sky_feed_visitor_t visit, void *context);
 /** @return offset that follows the last known record of a topic. */
 uint64_t SkyFeed_NextOffset(const sky_feed_t *feed, sky_feed_topic_t topic);
 /** Sets whether this host reads the store, as every host does at first.
@@ -55,7 +66,8 @@
 void SkyFeed_SetStoreReader(sky_feed_t *feed, bool is_store_reader);
 bool SkyFeed_IsStoreReader(const sky_feed_t *feed);
 /** @return whether the last read of the store, by this host or by a peer that
- *  passed its records on, is too long ago for one of the topics. */
+ *  passed its records on, is too long ago for the operator's topic or the list
+ *  of targets. */
 bool SkyFeed_IsStale(const sky_feed_t *feed);
 /** @return the known records from an offset on as JSON for a peer, with the
  *  time since the topic was read from the store; the records are empty if the
@@ -67,7 +79,8 @@
  *  applied all the same. */
 sky_result_t SkyFeed_ApplyRecords(sky_feed_t *feed, sky_feed_topic_t topic,
                                   const json_t *update);
-/** @return whether the last read of the store failed for either topic. */
+/** @return whether the last read of the operator's topic or of the list of
+ *  targets failed. */
 bool SkyFeed_IsStoreFailing(const sky_feed_t *feed);
 
 #ifdef __cplusplus
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -45,7 +45,7 @@
     uint32_t unhelpful_polls;
 };
 
-static const char *const TOPIC_KEYS[] = {"operator", "targets"};
+static const char *const TOPIC_KEYS[] = {"operator", "targets", "crashes"};
 static const char OWNERS_KEY[] = "owners";
 
 static void
@@ -86,6 +86,7 @@
     uint64_t waited_ms = now_ms - poll->received_ms;
     return waited_ms >= poll->hold_ms ||
            has_new_records(relay, poll, SKY_FEED_OPERATOR) ||
+           has_new_records(relay, poll, SKY_FEED_CRASHES) ||
            SkyOwnership_OwnersGeneration(relay->options.ownership) >
                poll->owners_generation;
 }
@@ -210,13 +211,14 @@
         return;
     }
     json_t *body = json_pack(
-        "{s:I, s:I, s:I, s:I}", OWNERS_KEY,
+        "{s:I, s:I}", OWNERS_KEY,
         (json_int_t)SkyOwnership_OwnersGeneration(relay->options.ownership),
-        TOPIC_KEYS[SKY_FEED_OPERATOR],
-        (json_int_t)SkyFeed_NextOffset(feed, SKY_FEED_OPERATOR),
-        TOPIC_KEYS[SKY_FEED_TARGETS],
-        (json_int_t)SkyFeed_NextOffset(feed, SKY_FEED_TARGETS), "hold_ms",
-        (json_int_t)POLL_HOLD_MS);
+        "hold_ms", (json_int_t)POLL_HOLD_MS);
+    for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
+        json_int_t next_offset =
+            (json_int_t)SkyFeed_NextOffset(feed, (sky_feed_topic_t)i);
+        json_object_set_new(body, TOPIC_KEYS[i], json_integer(next_offset));
+    }
     relay->call = SkyHostCalls_SendCall(
         relay->options.host_calls, address, "/feed", body,
         POLL_HOLD_MS + POLL_TRANSIT_MARGIN_MS, on_poll_response, relay);
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -29,6 +29,9 @@
             request->may_have_run ||
             SkyClientRequest_HasSentBytes(request->target_request);
         SkyProxyRequest_LogExchangeFailure(request, "deadline");
+        if (SkyClientRequest_HasSentBytes(request->target_request)) {
+            SkyProxyRequest_SuspectCrash(request);
+        }
     }
     SkyProxyRequest_CancelPending(request);
     SkyProxyRequest_Fail(request, RETRY_AFTER_FULL_MS, "deadline");
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -216,6 +216,10 @@
     if (request->send_count >= SENDS_PER_REQUEST_MAX) {
         return "sends";
     }
+    if (SkyCrashWatch_GetQuarantineMs(proxy->options.directory->crashes,
+                                      request->fingerprint, now) > 0) {
+        return "quarantined";
+    }
     if (!SkyProxyRequest_HasEligibleTarget(request)) {
         return "no_other_target";
     }
@@ -263,6 +267,22 @@
     }
 }
 
+void
+SkyProxyRequest_SuspectCrash(const sky_proxy_request_t *request)
+{
+    sky_rec_crash_t crash = {
+        .fingerprint = request->fingerprint,
+        .epoch = request->target->entry.started_unix_ms,
+        .target = (uint32_t)request->target->hash,
+    };
+    if (!SkyCrashWatch_RecordBrokenExchange(
+            request->proxy->options.directory->crashes, &crash,
+            SkyClock_NowMs())) {
+        SkyLog_Write(LOG_WARNING, "crash_ignored", "id=%s reason=full",
+                     request->facts.id);
+    }
+}
+
 void
 SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                    const char *cause)
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -153,6 +153,10 @@
 void SkyProxyRequest_RetryOrFail(sky_proxy_request_t *request,
                                  uint32_t retry_after_ms, const char *reason);
 
+/** Records that the current exchange broke after the request was sent: the
+ *  target may have crashed while it ran the request. */
+void SkyProxyRequest_SuspectCrash(const sky_proxy_request_t *request);
+
 /** Logs an exchange that ended without a usable response. */
 void SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                         const char *cause);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -158,6 +158,7 @@
 {
     if (SkyBuffer_Size(&request->event_stream.partial_event) > 0) {
         /* The HTTP framing is complete, but the last event is not. */
+        SkyProxyRequest_SuspectCrash(request);
         handle_failure(request, "cut_event");
         return;
     }
@@ -219,6 +220,7 @@
         request->may_have_run = true;
         request->response.status =
             request->response_started ? request->response.status : 0;
+        SkyProxyRequest_SuspectCrash(request);
         handle_failure(request, SkyClientRequest_OutcomeName(outcome));
         break;
     }
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -69,6 +69,7 @@
 {
     uint32_t failed_count_before = request->attempts.failed_count;
     SkyAttempts_RecordFailed(&request->attempts, request->target->hash);
+    SkyProxyRequest_SuspectCrash(request);
     if (SkyProxyRequest_GetRetryObstacle(request) != NULL) {
         request->attempts.failed_count = failed_count_before;
         request->last_activity_ms = SkyClock_NowMs();
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -26,7 +26,8 @@
     record_result "$name" $code
 done
 if [ "${PROC_TESTS:-1}" = 1 ]; then
-    for script in tests/proc_answers.sh tests/proc_faults.sh tests/proc_edge.sh; do
+    for script in tests/proc_answers.sh tests/proc_faults.sh tests/proc_edge.sh \
+        tests/proc_crashes.sh; do
         [ -f "$script" ] || continue
         name=$(basename "$script" .sh)
         BIN=$build/skylarkspar-check FAKE=$build/skyfake \
--- a/tests/proc_crashes.sh
+++ b/tests/proc_crashes.sh
@@ -63,6 +63,11 @@
 send_crashing /gen/crash-1 0 0 0 0 0 0 0 0 0 0 0 0
 check "a request that crashed targets is sent no more by the host that sent it" \
     "$(late_sends /gen/crash-1)" within
+check "its caller is told that it did not run" \
+    "$(send_request 0 /gen/crash-1 q1 -X POST -d prompt \
+        -H 'X-Skylarkspar-Model: m1')" 503
+check "its caller is told when to come back" \
+    "$(grep -ci '^Retry-After: [1-9][0-9][0-9]' "$DIR/head.q1")" 1
 send_crashing /gen/crash-2 0 1 2 0 1 2 0 1 2 0 1 2
 check "a request that crashed targets is sent no more by any host" \
     "$(late_sends /gen/crash-2)" within
--- /dev/null
+++ b/tests/test_crash_watch.cc
@@ -0,0 +1,248 @@
+// Requests that crash targets, replayed on a clock of the test.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <vector>
+
+#include "decide/crash_watch.h"
+
+namespace {
+
+constexpr uint64_t RETENTION_MS = 600000;
+constexpr uint64_t REQUEST = 77;
+constexpr uint64_t OTHER_REQUEST = 78;
+
+class CrashWatch : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        sky_crash_watch_options_t options = {};
+        options.retention_ms = RETENTION_MS;
+        options.get_target_state = [](void *context, uint32_t target) {
+            return static_cast<CrashWatch *>(context)->targets[target];
+        };
+        options.on_event = [](void *context, sky_crash_event_t event,
+                              const sky_rec_crash_t *crash) {
+            auto *self = static_cast<CrashWatch *>(context);
+            self->events.push_back(event);
+            if (event == SKY_CRASH_SUSPECTED) {
+                self->shared.push_back(*crash);
+            }
+        };
+        options.context = this;
+        ASSERT_EQ(SKY_OK, SkyCrashWatch_Create(&options, &watch));
+        for (uint32_t target = 1; target <= 5; target++) {
+            targets[target] = {true, false, 1, 0};
+        }
+    }
+
+    void
+    TearDown() override
+    {
+        SkyCrashWatch_Free(watch);
+    }
+
+    // An exchange with the target's current run breaks.
+    void
+    Break(uint32_t target, uint64_t fingerprint = REQUEST)
+    {
+        sky_rec_crash_t crash = {fingerprint, targets[target].epoch, target};
+        EXPECT_TRUE(SkyCrashWatch_RecordBrokenExchange(watch, &crash, now_ms));
+    }
+
+    void
+    Advance(uint64_t duration_ms)
+    {
+        uint64_t end_ms = now_ms + duration_ms;
+        while (now_ms < end_ms) {
+            now_ms += 100;
+            SkyCrashWatch_Tick(watch, now_ms);
+        }
+    }
+
+    void
+    Restart(uint32_t target)
+    {
+        targets[target].epoch++;
+    }
+
+    uint64_t
+    QuarantineMs(uint64_t fingerprint = REQUEST)
+    {
+        return SkyCrashWatch_GetQuarantineMs(watch, fingerprint, now_ms);
+    }
+
+    sky_crash_watch_t *watch = nullptr;
+    std::map<uint32_t, sky_crash_target_state_t> targets;
+    std::vector<sky_crash_event_t> events;
+    std::vector<sky_rec_crash_t> shared;
+    uint64_t now_ms = 1000000;
+};
+
+TEST_F(CrashWatch, ARequestThatBrokeTwoTargetsIsQuarantinedAtOnce)
+{
+    Break(1);
+    EXPECT_EQ(0u, QuarantineMs());
+    Break(2);
+    EXPECT_GT(QuarantineMs(), 0u);
+    EXPECT_EQ(0u, QuarantineMs(OTHER_REQUEST));
+}
+
+TEST_F(CrashWatch, TwoBrokenExchangesWithOneRunOfATargetCountOnce)
+{
+    Break(1);
+    Break(1);
+    EXPECT_EQ(0u, QuarantineMs());
+}
+
+TEST_F(CrashWatch, ATargetThatIsHeardFromClearsTheSuspicion)
+{
+    Break(1);
+    Break(2);
+    targets[1].last_byte_ms = now_ms + 80;
+    Advance(100);
+    EXPECT_EQ(0u, QuarantineMs());
+    EXPECT_EQ(std::vector<sky_crash_event_t>{SKY_CRASH_CLEARED}, events);
+}
+
+TEST_F(CrashWatch, BytesThatWereOnTheirWayDoNotClearIt)
+{
+    Break(1);
+    Break(2);
+    targets[1].last_byte_ms = now_ms + 20;
+    Advance(1000);
+    EXPECT_GT(QuarantineMs(), 0u);
+}
+
+TEST_F(CrashWatch, BytesOfTheNextRunDoNotClearIt)
+{
+    Break(1);
+    Break(2);
+    Advance(2000);
+    targets[1].last_byte_ms = now_ms; // restarted, not listed anew yet
+    Advance(1000);
+    EXPECT_GT(QuarantineMs(), 0u);
+    Restart(1);
+    Restart(2);
+    Advance(100);
+    EXPECT_GT(QuarantineMs(), RETENTION_MS / 2);
+}
+
+TEST_F(CrashWatch, ARestartOrALossOfTheTargetConfirmsTheCrash)
+{
+    Break(1);
+    Break(2);
+    Restart(1);
+    targets[2].is_listed = false;
+    Advance(100);
+    EXPECT_EQ((std::vector<sky_crash_event_t>{SKY_CRASH_CONFIRMED,
+                                              SKY_CRASH_CONFIRMED}),
+              events);
+    EXPECT_EQ(RETENTION_MS, QuarantineMs());
+    Advance(RETENTION_MS + 20000);
+    EXPECT_EQ(0u, QuarantineMs());
+}
+
+TEST_F(CrashWatch, ATargetThatLeavesBreaksExchangesWithoutACrash)
+{
+    Break(1);
+    Break(2);
+    targets[1].is_leaving = true;
+    Advance(100);
+    EXPECT_EQ(0u, QuarantineMs());
+}
+
+TEST_F(CrashWatch, OtherHostsAreToldOfATargetThatStaysSilent)
+{
+    Break(1);
+    Break(2);
+    targets[2].last_byte_ms = now_ms + 90;
+    Advance(200);
+    EXPECT_TRUE(shared.empty());
+    Advance(200);
+    ASSERT_EQ(1u, shared.size());
+    EXPECT_EQ(1u, shared[0].target);
+    Advance(5000);
+    EXPECT_EQ(1u, shared.size());
+}
+
+TEST_F(CrashWatch, SuspicionsOfOtherHostsCountAndAreNotSentOn)
+{
+    sky_rec_crash_t crash = {REQUEST, 1, 3};
+    EXPECT_TRUE(SkyCrashWatch_RecordSharedSuspicion(watch, &crash, now_ms));
+    Break(1);
+    EXPECT_GT(QuarantineMs(), 0u);
+    Advance(1000);
+    ASSERT_EQ(1u, shared.size());
+    EXPECT_EQ(1u, shared[0].target);
+}
+
+// Each host clears a suspicion of another host by what it hears itself.
+TEST_F(CrashWatch, ASharedSuspicionOfALiveTargetIsCleared)
+{
+    sky_rec_crash_t crash = {REQUEST, 1, 3};
+    EXPECT_TRUE(SkyCrashWatch_RecordSharedSuspicion(watch, &crash, now_ms));
+    Break(1);
+    targets[3].last_byte_ms = now_ms + 60;
+    Advance(100);
+    EXPECT_EQ(0u, QuarantineMs());
+}
+
+// With the store out the list does not change.
+TEST_F(CrashWatch, WithoutNewsOfTheTargetsTheQuarantineHolds)
+{
+    Break(1);
+    Break(2);
+    Advance(15000);
+    EXPECT_GT(QuarantineMs(), 0u);
+    Restart(1);
+    Restart(2);
+    Advance(100);
+    EXPECT_GT(QuarantineMs(), RETENTION_MS / 2);
+}
+
+TEST_F(CrashWatch, ATargetThatStaysListedDidNotCrash)
+{
+    Break(1);
+    Break(2);
+    Advance(31000);
+    EXPECT_EQ(0u, QuarantineMs());
+}
+
+TEST_F(CrashWatch, RepeatedNewsOfACrashDoesNotProlongTheQuarantine)
+{
+    sky_rec_crash_t first = {REQUEST, 1, 1};
+    sky_rec_crash_t second = {REQUEST, 1, 2};
+    SkyCrashWatch_RecordCrash(watch, &first, now_ms);
+    SkyCrashWatch_RecordCrash(watch, &second, now_ms);
+    Advance(RETENTION_MS / 2);
+    SkyCrashWatch_RecordCrash(watch, &second, now_ms);
+    EXPECT_EQ(RETENTION_MS / 2, QuarantineMs());
+}
+
+TEST_F(CrashWatch, SuspicionsBeyondTheBoundAreReported)
+{
+    bool is_recorded = true;
+    for (uint64_t i = 0; i < 2000 && is_recorded; i++) {
+        sky_rec_crash_t crash = {i, 1, 1};
+        is_recorded =
+            SkyCrashWatch_RecordBrokenExchange(watch, &crash, now_ms);
+    }
+    EXPECT_FALSE(is_recorded);
+}
+
+TEST(CrashKey, IsReadBack)
+{
+    char key[SKY_CRASH_KEY_BYTES];
+    sky_rec_crash_t written = {UINT64_MAX, UINT64_MAX, UINT32_MAX};
+    sky_rec_crash_t read = {};
+    SkyCrash_FormatKey(&written, key);
+    ASSERT_TRUE(SkyCrash_ParseKey(key, &read));
+    EXPECT_EQ(written.fingerprint, read.fingerprint);
+    EXPECT_EQ(written.epoch, read.epoch);
+    EXPECT_EQ(written.target, read.target);
+    EXPECT_FALSE(SkyCrash_ParseKey("config", &read));
+}
+
+} // namespace
