Log the limit that a target names

The logs did not show which limit a host had been told, nor when. Change: the field is parsed, kept with the target and logged when it changes (target_limit). Nothing is decided by it yet.

--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -54,6 +54,8 @@
     uint64_t blocked_until_ms;    /**< after a refused connection */
     uint64_t full_until_ms; /**< it refused a request for lack of capacity */
     uint64_t last_byte_ms;  /**< last byte received from it by this host */
+    /** Requests a second that it takes from all hosts together; 0: any. */
+    double limit_per_s;
     sky_residency_t
         *listed_adapters; /**< by its entry or its owner's report */
     uint32_t listed_count;
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -14,6 +14,22 @@
     request->target->last_byte_ms = request->last_activity_ms;
 }
 
+/* A response with status 421 may be that of another target. */
+static void
+record_limit(const sky_proxy_request_t *request,
+             const sky_response_facts_t *facts)
+{
+    sky_fleet_target_t *target = request->target;
+    if (facts->wrong_target || facts->limit_per_s == target->limit_per_s) {
+        return;
+    }
+    SkyLog_Write(LOG_NOTICE, "target_limit",
+                 "target=%s per_s=%.2f before=%.2f in_flight=%u",
+                 target->entry.id, facts->limit_per_s, target->limit_per_s,
+                 target->in_flight);
+    target->limit_per_s = facts->limit_per_s;
+}
+
 static bool
 on_response_head(void *context, const sky_http_head_t *head)
 {
@@ -22,6 +38,7 @@
     sky_proxy_response_t *response = &request->response;
     sky_response_facts_t facts;
     SkyWire_ParseResponse(head, &facts);
+    record_limit(request, &facts);
     if (request->response_started) {
         /* The caller already has the head of the stream that is resumed. */
         bool continues_stream =
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -145,6 +145,27 @@
               Written().find("X-Skylarkspar-Request-Priority: 2\r\n"));
 }
 
+TEST_F(WireTest, ParsesTheLimitThatATargetNames)
+{
+    const std::pair<const char *, double> CASES[] = {
+        {"", 0.0},
+        {"Server-Limit: 5.6\r\n", 5.6},
+        {"server-limit: 12\r\n", 12.0},
+        {"Server-Limit: 0\r\n", 0.01},
+        {"Server-Limit: -3\r\n", 0.0},
+        {"Server-Limit: none\r\n", 0.0},
+        {"Server-Limit: inf\r\n", 0.0},
+    };
+    for (const auto &[field, per_s] : CASES) {
+        sky_response_facts_t facts;
+        std::string text = std::string("HTTP/1.1 200 OK\r\n") + field +
+                           "Content-Length: 0\r\n\r\n";
+        SkyWire_ParseResponse(ParseHead(text.c_str(), SKY_HTTP_RESPONSE),
+                              &facts);
+        EXPECT_DOUBLE_EQ(per_s, facts.limit_per_s) << field;
+    }
+}
+
 TEST_F(WireTest, ParsesResponseFacts)
 {
     sky_response_facts_t facts;
