--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -26,6 +26,9 @@
  * - lose: the service runs the request, but closes the connection
  * - fail: the service runs the request and responds with 500
  * - garble: the service sends only a part of the response
+ *
+ * - limit_N, limit_app: the engine or the service names a limit of so many
+ *   tenths of a request a second in its responses; 0: none
  */
 #include <endian.h>
 #include <ev.h>
@@ -65,6 +68,14 @@
 #define CRASHES_ALLOWED 3
 #define CRASHES_KNOWN_MS 1000
 #define CRASHING_REQUESTS_MAX 16
+/* From LIMIT_KNOWN_MS (stableMs in the tests' settings) after a target first
+ * named its limit, it is expected to get in any window no more than 1.5 times
+ * the limit and 5. Hosts have LIMIT_TOLD_MS to react to it. */
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_KNOWN_MS 1000
+#define LIMIT_TOLD_MS 500
+#define LIMIT_ARRIVALS_MAX 4096
+#define SERVICE_LIMIT_NAME "limit_app"
 
 typedef struct {
     char key[64];
@@ -93,6 +104,7 @@
     uint16_t port;
     sky_listener_t *listener;
     char id[32];
+    char limit_name[32]; /* of the fault that holds its limit */
     uint64_t started_ms;
     uint64_t applied_orders; /* revision that an order has to expect */
     bool is_leaving;
@@ -103,6 +115,16 @@
     char unloading_adapter[32]; /* waits for its streams; "": none */
 } engine_t;
 
+/** Arrivals at a target since it named a limit. */
+typedef struct {
+    char name[32]; /* of its fault */
+    uint64_t named_ms;
+    uint64_t arrivals_ms[LIMIT_ARRIVALS_MAX];
+    uint32_t arrival_count;
+    uint32_t max_in_window;
+    double allowed; /* in the window of max_in_window */
+} limited_target_t;
+
 /** A request that crashes engines, by its path. */
 typedef struct {
     char path[64];
@@ -149,6 +171,7 @@
 static uint32_t overfilled_loads; /* loads beyond the adapter slots */
 static uint32_t runs_after_leave; /* requests to a leaving engine */
 static crashing_request_t crashing_requests[CRASHING_REQUESTS_MAX];
+static limited_target_t limited_targets[ENGINES_MAX + 1];
 static long_poll_t *long_polls;
 static stream_t *open_streams;
 
@@ -630,21 +653,100 @@
     }
 }
 
+static limited_target_t *
+find_or_add_limited_target(const char *name)
+{
+    for (int i = 0; i <= ENGINES_MAX; i++) {
+        limited_target_t *target = &limited_targets[i];
+        if (target->name[0] == '\0') {
+            snprintf(target->name, sizeof target->name, "%s", name);
+        }
+        if (strcmp(target->name, name) == 0) {
+            return target;
+        }
+    }
+    abort();
+}
+
+static uint32_t
+count_arrivals_in_window(const limited_target_t *target, uint64_t end_ms)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < target->arrival_count; i++) {
+        count += target->arrivals_ms[i] > end_ms - LIMIT_WINDOW_MS;
+    }
+    return count;
+}
+
+/** Counts a request that reaches a target, if it names a limit. */
 static void
-write_response_fields(sky_server_request_t *request, char *fields, size_t size,
-                      const char *extra_fields)
+count_limited_arrival(const char *name)
 {
+    limited_target_t *target = find_or_add_limited_target(name);
+    double per_s = (double)get_fault(name) / 10.0;
+    uint64_t now_ms = SkyClock_NowMs();
+    if (per_s <= 0.0) {
+        target->named_ms = 0;
+        return;
+    }
+    if (target->named_ms == 0) {
+        target->named_ms = now_ms;
+        target->arrival_count = 0;
+    }
+    if (now_ms < target->named_ms + LIMIT_TOLD_MS ||
+        target->arrival_count == LIMIT_ARRIVALS_MAX) {
+        return;
+    }
+    target->arrivals_ms[target->arrival_count++] = now_ms;
+    uint32_t count = count_arrivals_in_window(target, now_ms);
+    if (now_ms >= target->named_ms + LIMIT_KNOWN_MS &&
+        count > target->max_in_window) {
+        target->max_in_window = count;
+        target->allowed = 1.5 * per_s * LIMIT_WINDOW_MS / 1000.0 + 5.0;
+    }
+}
+
+/** @return for each target that has named a limit the most arrivals in a
+ *  window, those allowed there, and all arrivals. */
+static json_t *
+encode_limited_targets(void)
+{
+    json_t *counts = json_object();
+    for (int i = 0; i <= ENGINES_MAX && limited_targets[i].name[0] != '\0';
+         i++) {
+        const limited_target_t *target = &limited_targets[i];
+        json_object_set_new(counts, target->name,
+                            json_sprintf("%u of %.0f allowed, %u in all",
+                                         target->max_in_window,
+                                         target->allowed,
+                                         target->arrival_count));
+    }
+    return counts;
+}
+
+/** @param limit_name fault that holds the target's limit */
+static void
+write_response_fields(sky_server_request_t *request, const char *limit_name,
+                      char *fields, size_t size, const char *extra_fields)
+{
+    char limit[40] = "";
+    int64_t tenths = get_fault(limit_name);
+    if (tenths > 0) {
+        snprintf(limit, sizeof limit, "Server-Limit: %lld.%lld\r\n",
+                 (long long)tenths / 10, (long long)tenths % 10);
+    }
     const char *id = SkyHttpHead_FindField(SkyServerRequest_Head(request),
                                            "X-Skylarkspar-Attempt-Id");
-    snprintf(fields, size, "X-Skylarkspar-Attempt-Id: %s\r\n%s", id ? id : "",
-             extra_fields);
+    snprintf(fields, size, "X-Skylarkspar-Attempt-Id: %s\r\n%s%s",
+             id ? id : "", limit, extra_fields);
 }
 
 static void
-refuse_request(sky_server_request_t *request, uint16_t status)
+refuse_request(sky_server_request_t *request, const char *limit_name,
+               uint16_t status)
 {
     char fields[192];
-    write_response_fields(request, fields, sizeof fields,
+    write_response_fields(request, limit_name, fields, sizeof fields,
                           "X-Skylarkspar-Not-Executed: 1\r\n");
     SkyServerRequest_Respond(request, status, fields, "", 0);
 }
@@ -677,7 +779,7 @@
     ev_timer_start(loop, &stream->timer);
     DL_APPEND2(open_streams, stream, prev, next_stream);
     SkyServerRequest_SetUserData(request, stream);
-    write_response_fields(request, fields, sizeof fields,
+    write_response_fields(request, engine->limit_name, fields, sizeof fields,
                           "X-Skylarkspar-Server-Seal: s1\r\n"
                           "Content-Type: text/event-stream\r\n");
     SkyServerRequest_BeginResponse(request, 200, fields, SKY_FRAMING_CHUNKED,
@@ -729,17 +831,18 @@
     const char *slash = model ? strchr(model, '/') : NULL;
     const char *adapter = slash ? slash + 1 : "";
     const adapter_slot_t *slot = find_adapter_slot(engine, adapter);
+    count_limited_arrival(engine->limit_name);
     bool is_resident = adapter[0] == '\0' ||
                        (slot != NULL && slot->loaded_ms <= SkyClock_NowMs());
     if (expected_instance != NULL &&
         strcmp(expected_instance, engine->id) != 0) {
-        refuse_request(request, 421);
+        refuse_request(request, engine->limit_name, 421);
     }
     else if (!is_resident) {
-        refuse_request(request, slot ? 503 : 421);
+        refuse_request(request, engine->limit_name, slot ? 503 : 421);
     }
     else if (consume_fault("shed")) {
-        refuse_request(request, 503);
+        refuse_request(request, engine->limit_name, 503);
     }
     else if (strstr(SkyHttpHead_Url(head), "/crash") != NULL) {
         count_run(id);
@@ -935,12 +1038,13 @@
     const char *id = SkyHttpHead_FindField(SkyServerRequest_Head(request),
                                            "X-Skylarkspar-Attempt-Id");
     SkyServerRequest_SetUserData(request, NULL);
+    count_limited_arrival(SERVICE_LIMIT_NAME);
     if (consume_fault("shed")) {
-        refuse_request(request, 503);
+        refuse_request(request, SERVICE_LIMIT_NAME, 503);
         return;
     }
     count_run(id ? id : "-");
-    write_response_fields(request, fields, sizeof fields,
+    write_response_fields(request, SERVICE_LIMIT_NAME, fields, sizeof fields,
                           "X-Skylarkspar-Server-Seal: s2\r\n");
     if (consume_fault("lose")) {
         SkyServerRequest_Abort(request);
@@ -1085,9 +1189,10 @@
     }
     free(text);
     json_t *state = json_pack(
-        "{s:O, s:i, s:i, s:I, s:o}", "runs", run_counts, "overfilled",
+        "{s:O, s:i, s:i, s:I, s:o, s:o}", "runs", run_counts, "overfilled",
         overfilled_loads, "after_leave", runs_after_leave, "generation",
-        (json_int_t)group_generation, "crashing", encode_crashing_requests());
+        (json_int_t)group_generation, "crashing", encode_crashing_requests(),
+        "limits", encode_limited_targets());
     send_json(request, 200, state);
 }
 
@@ -1150,6 +1255,8 @@
     }
     for (int i = 0; i < engine_count; i++) {
         engines[i].number = i;
+        snprintf(engines[i].limit_name, sizeof engines[i].limit_name,
+                 "limit_%d", i);
         engines[i].port = (uint16_t)(base_port + ENGINE_PORT_OFFSET + i);
         ev_init(&engines[i].crash_timer, on_crash_timer);
         ev_init(&engines[i].restart_timer, on_restart_timer);
