Keep to the limit that a target names, all hosts together

Cause: the field was read by nobody, and no mechanism kept a rate for all hosts together. Change: the owner of a target's shard hands out a permit for each request to a target with a limit, from one token bucket; a host without an owner paces itself far below its share. The choice of a target leaves out one that takes none now, loads go to limited targets last, and a request that only such targets could run is refused at once with the time of the next permit. Ruled out by the record: hosts that each keep to the limit alone, or kinds of requests that go round it (arrivals did not change at all). Tried and dropped: a weight against limited targets in the choice.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -384,6 +384,12 @@
            strcmp(target->entry.service, service) == 0;
 }
 
+static bool
+waits_for_limit(const sky_fleet_target_t *target, uint64_t now_ms)
+{
+    return target->limit.per_s > 0.0 && target->limit_wait_until_ms > now_ms;
+}
+
 bool
 SkyFleet_HasRecentOwnerReport(const sky_fleet_target_t *target,
                               uint64_t now_ms)
@@ -499,6 +505,13 @@
         if (target->blocked_until_ms > now_ms || !is_allowed(query, target)) {
             continue;
         }
+        if (waits_for_limit(target, now_ms)) {
+            if (choice->limit_wait_until_ms == 0 ||
+                target->limit_wait_until_ms < choice->limit_wait_until_ms) {
+                choice->limit_wait_until_ms = target->limit_wait_until_ms;
+            }
+            continue;
+        }
         replica_count++;
         double score =
             compute_score(fleet, target, needs_adapter, key, now_ms) +
@@ -527,7 +540,7 @@
     }
 }
 
-/* Full targets rank below all that are not full. */
+/* Full and limited targets rank below all others. */
 static uint64_t
 compute_rank(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
              uint64_t now_ms)
@@ -535,7 +548,8 @@
     uint64_t weight = rendezvous_weight(target, adapter);
     bool is_full =
         SkyFleet_GetUtilization(target, now_ms) > PREFERRED_UTILIZATION_MAX;
-    return is_full ? weight : weight | (UINT64_C(1) << 63);
+    return is_full || target->limit.per_s > 0.0 ? weight
+                                                : weight | (UINT64_C(1) << 63);
 }
 
 static bool
@@ -544,7 +558,8 @@
                  uint64_t now_ms)
 {
     return is_usable(target, query->service) &&
-           target->blocked_until_ms <= now_ms && is_allowed(query, target) &&
+           target->blocked_until_ms <= now_ms &&
+           !waits_for_limit(target, now_ms) && is_allowed(query, target) &&
            !(query->without_adapter &&
              find_version(target, adapter, now_ms) > 0);
 }
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -16,6 +16,7 @@
 #include "core/result.h"
 #include "decide/request_facts.h"
 #include "decide/target_entry.h"
+#include "decide/target_limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -52,10 +53,11 @@
     double failure; /**< moving average of failed requests, 0 to 1 */
     uint32_t refused_connections; /**< in a row; stops at a maximum */
     uint64_t blocked_until_ms;    /**< after a refused connection */
-    uint64_t full_until_ms; /**< it refused a request for lack of capacity */
-    uint64_t last_byte_ms;  /**< last byte received from it by this host */
-    /** Requests a second that it takes from all hosts together; 0: any. */
-    double limit_per_s;
+    uint64_t full_until_ms;   /**< it refused a request for lack of capacity */
+    uint64_t last_byte_ms;    /**< last byte received from it by this host */
+    sky_target_limit_t limit; /**< as it names it to this host */
+    uint64_t limit_wait_until_ms; /**< gets no request before, if limited */
+    uint64_t limit_owner_silent_until_ms; /**< its owner is not asked before */
     sky_residency_t
         *listed_adapters; /**< by its entry or its owner's report */
     uint32_t listed_count;
@@ -133,6 +135,9 @@
     uint32_t
         extra_replicas; /**< further replicas of the adapter to load at once */
     double batch_utilization; /**< utilization of the chosen target's batch */
+    /** When the first of the targets that were left out for their limit takes
+     *  a request; 0: none was. */
+    uint64_t limit_wait_until_ms;
 } sky_fleet_choice_t;
 
 /** Applies the report of a target's owner.
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -6,6 +6,8 @@
 
 /** Owner's reports that one request may cause: an adapter has few replicas. */
 #define OWNER_REPORTS_PER_REQUEST_MAX 3
+/** Permits that one request may ask for: few targets are limited at once. */
+#define PERMITS_PER_REQUEST_MAX 6
 #define CONNECT_TIMEOUT_MS 400 /**< TCP retransmits lost packets later */
 /** Max idle time of a connection that is reused for a request which must not
  *  run twice. On a connection that was idle for longer, the server's close is
@@ -212,6 +214,94 @@
     return request->placement_request != NULL;
 }
 
+/* Chooses the target that a permit is held for, if it can still run the
+ * request, else any. */
+static void
+choose_target(sky_proxy_request_t *request, sky_fleet_query_t *query,
+              sky_fleet_choice_t *choice)
+{
+    const sky_fleet_t *fleet = request->proxy->options.directory->fleet;
+    uint64_t now = SkyClock_NowMs();
+    if (request->permitted_target != 0) {
+        build_query(request, query);
+        query->allowed = &request->permitted_target;
+        query->allowed_count = 1;
+        SkyFleet_ChooseTarget(fleet, query, now, choice);
+        if (choice->target != NULL) {
+            return;
+        }
+        request->permitted_target = 0;
+    }
+    build_query(request, query);
+    SkyFleet_ChooseTarget(fleet, query, now, choice);
+}
+
+static void
+on_permit(void *context, sky_rate_permit_t permit)
+{
+    sky_proxy_request_t *request = context;
+    request->permit_request = NULL;
+    if (permit != SKY_RATE_PERMIT_GRANTED) {
+        request->permitted_target = 0;
+    }
+    SkyProxyRequest_Dispatch(request);
+}
+
+/* Acquires a permit if the target names a limit. Once it is denied, or the
+ * owner has responded, the request is dispatched again.
+ * Returns whether the request may be sent to the target now. */
+static bool
+acquire_permit(sky_proxy_request_t *request, sky_fleet_target_t *target)
+{
+    if (target->limit.per_s == 0.0 ||
+        request->permitted_target == target->hash) {
+        request->permitted_target = 0;
+        return true;
+    }
+    request->permit_count++;
+    if (request->permit_count > PERMITS_PER_REQUEST_MAX) {
+        SkyProxyRequest_Fail(request, RETRY_AFTER_FULL_MS, "target_limited");
+        return false;
+    }
+    request->permitted_target = target->hash;
+    switch (SkyRatePermits_Acquire(request->proxy->options.rate_permits,
+                                   target, on_permit, request,
+                                   &request->permit_request)) {
+    case SKY_RATE_PERMIT_GRANTED:
+        request->permitted_target = 0;
+        return true;
+    case SKY_RATE_PERMIT_DENIED:
+        request->permitted_target = 0;
+        SkyProxyRequest_Dispatch(request);
+        break;
+    case SKY_RATE_PERMIT_PENDING:
+        break;
+    }
+    return false;
+}
+
+/* Whether a target of the engine could load the adapter. */
+static bool
+can_be_placed(const sky_proxy_request_t *request,
+              const sky_fleet_query_t *query)
+{
+    sky_fleet_target_t *preferred;
+    return SkyFleet_RankPreferredTargets(
+               request->proxy->options.directory->fleet, query,
+               SkyClock_NowMs(), &preferred, 1) > 0;
+}
+
+static void
+fail_limited(sky_proxy_request_t *request, uint64_t wait_until_ms)
+{
+    uint64_t now = SkyClock_NowMs();
+    uint32_t wait_ms =
+        wait_until_ms > now ? (uint32_t)(wait_until_ms - now) : 0;
+    SkyProxyRequest_Fail(
+        request, wait_ms > RETRY_AFTER_FULL_MS ? wait_ms : RETRY_AFTER_FULL_MS,
+        "target_limited");
+}
+
 void
 SkyProxyRequest_Dispatch(sky_proxy_request_t *request)
 {
@@ -225,9 +315,7 @@
         SkyProxyRequest_Fail(request, (uint32_t)quarantine_ms, "quarantined");
         return;
     }
-    build_query(request, &query);
-    SkyFleet_ChooseTarget(proxy->options.directory->fleet, &query,
-                          SkyClock_NowMs(), &choice);
+    choose_target(request, &query, &choice);
     if (needs_owner_report(request, &choice) &&
         request_owner_report(request, choice.target)) {
         return;
@@ -245,7 +333,13 @@
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
     if (choice.target != NULL) {
-        send_request(request, &choice);
+        if (acquire_permit(request, choice.target)) {
+            send_request(request, &choice);
+        }
+    }
+    else if (choice.limit_wait_until_ms > 0 &&
+             !(choice.is_adapter_missing && can_be_placed(request, &query))) {
+        fail_limited(request, choice.limit_wait_until_ms);
     }
     else if (choice.is_adapter_missing && choice.has_usable_target) {
         request_placement(request, &query);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -65,6 +65,7 @@
     sky_placement_t *placement;
     sky_proxy_t *proxy;
     sky_feed_t *feed;
+    sky_rate_permits_t *rate_permits;
     sky_feed_relay_t *feed_relay;
     sky_crash_sharing_t *crash_sharing;
     sky_listener_t *probe_listener;
@@ -325,11 +326,21 @@
                                                      edge->host_calls};
     sky_result_t result =
         SkyPlacement_Create(&placement_options, &edge->placement);
+    sky_rate_permits_options_t permits_options = {
+        .loop = edge->loop,
+        .settings = settings,
+        .directory = &edge->directory,
+        .ownership = edge->ownership,
+        .host_calls = edge->host_calls};
+    if (!SkyResult_IsError(result)) {
+        result = SkyRatePermits_Create(&permits_options, &edge->rate_permits);
+    }
     sky_proxy_options_t proxy_options = {.loop = edge->loop,
                                          .settings = settings,
                                          .directory = &edge->directory,
                                          .client = edge->client,
                                          .placement = edge->placement,
+                                         .rate_permits = edge->rate_permits,
                                          .metrics = edge->metrics};
     if (!SkyResult_IsError(result)) {
         result = SkyProxy_Create(&proxy_options, &edge->proxy);
@@ -427,6 +438,7 @@
     SkyListener_Free(edge->probe_listener);
     SkyListener_Free(edge->metrics_listener);
     SkyProxy_Free(edge->proxy);
+    SkyRatePermits_Free(edge->rate_permits);
     SkyPlacement_Free(edge->placement);
     SkyFeedRelay_Free(edge->feed_relay);
     SkyCrashSharing_Free(edge->crash_sharing);
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -19,6 +19,7 @@
 #include "core/result.h"
 #include "edge/directory.h"
 #include "edge/host_settings.h"
+#include "edge/rate_permits.h"
 #include "edge/placement.h"
 #include "net/client.h"
 #include "net/listener.h"
@@ -35,6 +36,7 @@
     sky_directory_t *directory;
     sky_client_t *client;
     sky_placement_t *placement;
+    sky_rate_permits_t *rate_permits;
     sky_metrics_t *metrics;
 } sky_proxy_options_t;
 
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -77,6 +77,10 @@
         SkyPlacement_Cancel(request->placement_request);
         request->placement_request = NULL;
     }
+    if (request->permit_request != NULL) {
+        SkyRatePermits_Cancel(request->permit_request);
+        request->permit_request = NULL;
+    }
     if (request->target_request != NULL) {
         SkyClientRequest_Cancel(request->target_request);
         SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE);
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -54,6 +54,9 @@
     ev_timer deadline_timer;
     /** Pending placement, or pending report of an owner; or NULL. */
     sky_placement_request_t *placement_request;
+    sky_rate_permit_request_t *permit_request; /**< pending, or NULL */
+    uint64_t permitted_target; /**< hash of a limited target to send to; 0:
+                                    no permit is held */
     sky_client_request_t *target_request;     /**< in progress, or NULL */
     sky_fleet_target_t *target;               /**< of the exchange, or NULL */
     char last_target_id[SKY_TARGET_ID_BYTES]; /**< "": not sent yet */
@@ -61,6 +64,7 @@
     uint32_t send_count;
     uint32_t placement_count;    /**< placements requested */
     uint32_t owner_report_count; /**< reports requested from owners */
+    uint32_t permit_count;       /**< permits requested */
     uint32_t adapter_version;    /**< required in the last send; 0: any */
     bool may_have_run;
     bool response_started;     /**< the caller has the response's head */
@@ -110,8 +114,8 @@
 void SkyProxyRequest_EndExchange(sky_proxy_request_t *request,
                                  sky_exchange_result_t result);
 
-/** Cancels the pending placement request, and the request to the target, which
- *  ends the exchange. */
+/** Cancels the pending placement or permit request, and the request to the
+ *  target, which ends the exchange. */
 void SkyProxyRequest_CancelPending(sky_proxy_request_t *request);
 
 /** Logs the end of the request. */
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -19,15 +19,10 @@
 record_limit(const sky_proxy_request_t *request,
              const sky_response_facts_t *facts)
 {
-    sky_fleet_target_t *target = request->target;
-    if (facts->wrong_target || facts->limit_per_s == target->limit_per_s) {
-        return;
+    if (!facts->wrong_target) {
+        SkyRatePermits_RecordLimit(request->proxy->options.rate_permits,
+                                   request->target, facts->limit_per_s);
     }
-    SkyLog_Write(LOG_NOTICE, "target_limit",
-                 "target=%s per_s=%.2f before=%.2f in_flight=%u",
-                 target->entry.id, facts->limit_per_s, target->limit_per_s,
-                 target->in_flight);
-    target->limit_per_s = facts->limit_per_s;
 }
 
 static bool
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -32,6 +32,7 @@
     {
         if (request->capacity_wait_since_ms > 0 &&
             request->placement_request == NULL &&
+            request->permit_request == NULL &&
             (after == NULL || is_dispatched_before(after, request)) &&
             (best == NULL || is_dispatched_before(request, best))) {
             best = request;
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -456,6 +456,60 @@
     }
 }
 
+TEST_F(FleetTest, LeavesOutALimitedTargetUntilItTakesARequest)
+{
+    sky_fleet_target_t *limited = Add("t1", {"a1"});
+    Add("t2", {"a1"});
+    SkyTargetLimit_Observe(&limited->limit, 5.0, now_ms);
+    limited->limit_wait_until_ms = now_ms + 200;
+    for (uint64_t i = 0; i < 20; i++) {
+        EXPECT_EQ("t2", TargetId(Choose("a1", i)));
+    }
+    now_ms += 200;
+    std::set<std::string> chosen;
+    for (uint64_t i = 0; i < 2000; i++) {
+        chosen.insert(TargetId(Choose("", i)));
+    }
+    EXPECT_EQ(2u, chosen.size());
+}
+
+// Guards against an adapter that is served nowhere because its only target
+// takes no more.
+TEST_F(FleetTest, AnAdapterOfALimitedTargetIsLoadedElsewhere)
+{
+    sky_fleet_target_t *limited = Add("t1", {"a1"});
+    Add("t2", {});
+    SkyTargetLimit_Observe(&limited->limit, 5.0, now_ms);
+    limited->limit_wait_until_ms = now_ms + 200;
+    sky_fleet_choice_t choice = Choose("a1");
+    EXPECT_EQ(nullptr, choice.target);
+    EXPECT_TRUE(choice.is_adapter_missing);
+    EXPECT_EQ(now_ms + 200, choice.limit_wait_until_ms);
+    sky_fleet_query_t query = Query("a1");
+    sky_fleet_target_t *preferred[2];
+    ASSERT_EQ(1u, SkyFleet_RankPreferredTargets(fleet, &query, now_ms,
+                                                preferred, 2));
+    EXPECT_STREQ("t2", preferred[0]->entry.id);
+}
+
+TEST_F(FleetTest, RanksLimitedTargetsLast)
+{
+    for (int i = 0; i < 4; i++) {
+        sky_fleet_target_t *target = Add("t" + std::to_string(i), {});
+        if (i != 2) {
+            SkyTargetLimit_Observe(&target->limit, 5.0, now_ms);
+        }
+    }
+    for (int i = 0; i < 20; i++) {
+        std::string adapter = "a" + std::to_string(i);
+        sky_fleet_query_t query = Query(adapter.c_str());
+        sky_fleet_target_t *preferred[4];
+        ASSERT_EQ(4u, SkyFleet_RankPreferredTargets(fleet, &query, now_ms,
+                                                    preferred, 4));
+        EXPECT_STREQ("t2", preferred[0]->entry.id);
+    }
+}
+
 TEST_F(FleetTest, KeepsARemovedTargetUntilItsRequestsEnd)
 {
     sky_fleet_target_t *target = Add("t1", {"a1"});
