--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -10,7 +10,10 @@
  * PORT + 20..       engines of service "llm"
  * PORT + 40         plain service "app"
  * PORT + 50         control by tests: POST /fault, /op, /leave, /crash,
- *                   /rewind; GET /state
+ *                   /go-back; GET /state
+ *
+ * After /go-back?n=SECONDS the store has lost what it got in that time, and
+ * its era, in all its responses, is one higher.
  *
  * An engine that begins to run a request with "/crash" in its path crashes.
  * Its port is closed for CRASH_DOWN_MS, then it starts again with another id.
@@ -51,6 +54,7 @@
 #define ADAPTER_SLOTS_MAX 64
 #define MEMBERS_MAX 16
 #define TOPICS_MAX 32
+#define GENERATIONS_MAX 4096
 #define PARTITION_COUNT 8
 #define ADAPTER_LOAD_MS 120
 #define EVENT_INTERVAL_MS 15
@@ -80,6 +84,7 @@
 typedef struct {
     char key[64];
     char *value; /* NULL: the key was deleted */
+    uint64_t appended_ms;
 } log_record_t;
 
 typedef struct {
@@ -90,6 +95,7 @@
 
 typedef struct {
     char name[96];
+    uint64_t joined_ms;
     uint64_t renewed_ms; /* last join */
 } member_t;
 
@@ -166,6 +172,9 @@
 static engine_t engines[ENGINES_MAX];
 static member_t group_members[MEMBERS_MAX];
 static uint64_t group_generation;
+static uint64_t generation_changes_ms[GENERATIONS_MAX];
+static uint32_t store_era = 1;
+static uint32_t store_reads;
 static json_t *faults;
 static json_t *run_counts;        /* attempt id -> number of runs */
 static uint32_t overfilled_loads; /* loads beyond the adapter slots */
@@ -217,6 +226,19 @@
     free(text);
 }
 
+/** Sends a response of the store. */
+static void
+send_store_json(sky_server_request_t *request, uint16_t status, json_t *body)
+{
+    char *text = body ? json_dumps(body, JSON_COMPACT) : strdup("");
+    char fields[96];
+    json_decref(body);
+    snprintf(fields, sizeof fields,
+             "Content-Type: application/json\r\nStore-Era: %u\r\n", store_era);
+    SkyServerRequest_Respond(request, status, fields, text, strlen(text));
+    free(text);
+}
+
 static void
 append_u64(sky_buffer_t *out, uint64_t value)
 {
@@ -244,7 +266,9 @@
         SkyBuffer_Append(&out, record->key, key_size);
         SkyBuffer_Append(&out, record->value, value_size);
     }
-    SkyServerRequest_Respond(request, 200, "", SkyBuffer_Data(&out),
+    char fields[32];
+    snprintf(fields, sizeof fields, "Store-Era: %u\r\n", store_era);
+    SkyServerRequest_Respond(request, 200, fields, SkyBuffer_Data(&out),
                              SkyBuffer_Size(&out));
     SkyBuffer_Clear(&out);
 }
@@ -277,6 +301,7 @@
     log_record_t *record = &topic->records[topic->count++];
     snprintf(record->key, sizeof record->key, "%s", key);
     record->value = value ? strdup(value) : NULL;
+    record->appended_ms = SkyClock_NowMs();
     finish_long_polls();
 }
 
@@ -310,7 +335,7 @@
     uint64_t wait_ms = strtoull(
         get_query_parameter(url, "waitMs", text, sizeof text), NULL, 10);
     if (from > topic->count) {
-        send_json(request, 410, json_pack("{s:i}", "firstOffset", 0));
+        send_store_json(request, 410, json_pack("{s:i}", "firstOffset", 0));
         return;
     }
     if (topic->count > from || wait_ms == 0) {
@@ -340,7 +365,7 @@
         length = be32toh(length);
         uint8_t key_size = (uint8_t)bytes[at + 4];
         if (length > size - at - 4 || key_size + 1u > length) {
-            send_json(request, 400, NULL);
+            send_store_json(request, 400, NULL);
             return;
         }
         char *key = strndup(bytes + at + 5, key_size);
@@ -351,21 +376,44 @@
         free(value);
         at += 4 + length;
     }
-    send_json(request, 200,
-              json_pack("{s:I, s:I}", "offset", (json_int_t)offset,
-                        "endOffset",
-                        (json_int_t)find_or_create_topic(name)->count));
+    send_store_json(request, 200,
+                    json_pack("{s:I, s:I}", "offset", (json_int_t)offset,
+                              "endOffset",
+                              (json_int_t)find_or_create_topic(name)->count));
 }
 
-/** Goes back to an empty topic. Its readers get 410 with their offsets. */
+static uint64_t
+next_generation(void)
+{
+    group_generation++;
+    generation_changes_ms[group_generation % GENERATIONS_MAX] =
+        SkyClock_NowMs();
+    return group_generation;
+}
+
+/** Loses all records and changes of the group since a time. */
 static void
-rewind_topic(const char *name)
+go_back(uint64_t since_ms)
 {
-    topic_t *topic = find_or_create_topic(name);
-    for (size_t i = 0; i < topic->count; i++) {
-        free(topic->records[i].value);
+    for (int t = 0; t < TOPICS_MAX; t++) {
+        topic_t *topic = &topics[t];
+        while (topic->count > 0 &&
+               topic->records[topic->count - 1].appended_ms >= since_ms) {
+            topic->count--;
+            free(topic->records[topic->count].value);
+        }
+    }
+    for (int i = 0; i < MEMBERS_MAX; i++) {
+        if (group_members[i].joined_ms >= since_ms) {
+            group_members[i].name[0] = '\0';
+        }
+    }
+    while (group_generation > 0 &&
+           generation_changes_ms[group_generation % GENERATIONS_MAX] >=
+               since_ms) {
+        group_generation--;
     }
-    topic->count = 0;
+    store_era++;
 }
 
 static void
@@ -401,9 +449,9 @@
         free(encoded_value);
     }
     json_decref(newest);
-    send_json(request, 200,
-              json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
-                        "endOffset", (json_int_t)topic->count));
+    send_store_json(request, 200,
+                    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
+                              "endOffset", (json_int_t)topic->count));
 }
 
 /** Removes members whose last join is older than MEMBER_TTL_MS.
@@ -416,7 +464,7 @@
         if (group_members[i].name[0] != '\0' &&
             group_members[i].renewed_ms + MEMBER_TTL_MS < SkyClock_NowMs()) {
             group_members[i].name[0] = '\0';
-            group_generation++;
+            next_generation();
         }
         if (group_members[i].name[0] != '\0') {
             indices[count++] = i;
@@ -471,7 +519,8 @@
     for (int i = 0; i < MEMBERS_MAX && index < 0; i++) {
         if (group_members[i].name[0] == '\0') {
             index = i;
-            group_generation++;
+            next_generation();
+            group_members[i].joined_ms = SkyClock_NowMs();
             snprintf(group_members[i].name, sizeof group_members[i].name, "%s",
                      name);
         }
@@ -480,10 +529,10 @@
     json_decref(group_topics);
     group_topics = json_incref(json_object_get(body, "topics"));
     json_t *assignments = encode_assignments(name, false, group_topics);
-    send_json(request, 200,
-              json_pack("{s:I, s:i, s:o}", "generation",
-                        (json_int_t)group_generation, "ttlMs", MEMBER_TTL_MS,
-                        "parts", assignments));
+    send_store_json(request, 200,
+                    json_pack("{s:I, s:i, s:o}", "generation",
+                              (json_int_t)group_generation, "ttlMs",
+                              MEMBER_TTL_MS, "parts", assignments));
 }
 
 static void
@@ -493,10 +542,10 @@
     for (int i = 0; i < MEMBERS_MAX; i++) {
         if (strcmp(group_members[i].name, name) == 0) {
             group_members[i].name[0] = '\0';
-            group_generation++;
+            next_generation();
         }
     }
-    send_json(request, 200, json_object());
+    send_store_json(request, 200, json_object());
 }
 
 static void
@@ -509,8 +558,10 @@
     size_t size;
     const char *bytes = SkyServerRequest_Body(request, &size);
     json_t *body = json_loadb(bytes, size, 0, NULL);
+    store_reads += strncmp(url, "/log-read", 9) == 0 ||
+                   strncmp(url, "/log-newest", 11) == 0;
     if (store_fault == 1) {
-        send_json(request, 503, NULL);
+        send_store_json(request, 503, NULL);
     }
     else if (store_fault == 2) {
         SkyServerRequest_SetUserData(request, NULL); /* gets no response */
@@ -531,13 +582,13 @@
         leave_group(request, body);
     }
     else if (strncmp(url, "/log-owners", 11) == 0) {
-        send_json(request, 200,
-                  json_pack("{s:I, s:o}", "generation",
-                            (json_int_t)group_generation, "parts",
-                            encode_assignments("", true, group_topics)));
+        send_store_json(request, 200,
+                        json_pack("{s:I, s:o}", "generation",
+                                  (json_int_t)group_generation, "parts",
+                                  encode_assignments("", true, group_topics)));
     }
     else {
-        send_json(request, 400, NULL);
+        send_store_json(request, 400, NULL);
     }
     json_decref(body);
 }
@@ -1184,15 +1235,16 @@
     else if (strncmp(url, "/crash", 6) == 0) {
         crash_engine(&engines[number]);
     }
-    else if (strncmp(url, "/rewind", 7) == 0) {
-        rewind_topic(get_query_parameter(url, "topic", key, sizeof key));
+    else if (strncmp(url, "/go-back", 8) == 0) {
+        go_back(SkyClock_NowMs() - (uint64_t)number * 1000);
     }
     free(text);
     json_t *state = json_pack(
-        "{s:O, s:i, s:i, s:I, s:o, s:o}", "runs", run_counts, "overfilled",
-        overfilled_loads, "after_leave", runs_after_leave, "generation",
-        (json_int_t)group_generation, "crashing", encode_crashing_requests(),
-        "limits", encode_limited_targets());
+        "{s:O, s:i, s:i, s:i, s:I, s:o, s:o}", "runs", run_counts,
+        "overfilled", overfilled_loads, "after_leave", runs_after_leave,
+        "reads", store_reads, "generation", (json_int_t)group_generation,
+        "crashing", encode_crashing_requests(), "limits",
+        encode_limited_targets());
     send_json(request, 200, state);
 }
 
--- a/tests/proc_crashes.sh
+++ b/tests/proc_crashes.sh
@@ -88,7 +88,8 @@
 check "after a restart of all hosts, none sends it" \
     "$(late_sends /gen/crash-2)" within
 
-curl -fsS -m 5 -d '' "$control_url/rewind?topic=keyed.sky-crashes" >/dev/null
+curl -fsS -m 5 -d '' "$control_url/go-back?n=60" >/dev/null
+publish_config 7 ""
 sleep 4
 restart_hosts 0 1 2
 send_crashing /gen/crash-2 0 1 2 0 1 2
