Follow the store when it comes back from an older copy (platform)

Callers saw in the test: a configuration that got an offset of the lost history was applied at no host (404 on its routes); a request that had crashed targets crashed two more after a restart of all hosts. Cause: offsets and generations of the lost history were compared with those of the new one. A topic's position is an era and an offset, in the feed and between hosts; with a new era it is read from the beginning.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -188,8 +188,12 @@
         target->hash = XXH3_64bits(entry->id, strlen(entry->id));
         DL_APPEND(fleet->targets, target);
     }
+    bool leaves = target->entry.state == SKY_TARGET_LEAVING;
     SkyTargetEntry_Clear(&target->entry);
     target->entry = *entry;
+    if (leaves) {
+        target->entry.state = SKY_TARGET_LEAVING;
+    }
     target->removal_ms = 0;
     *entry = (sky_target_entry_t){0};
     /* The owner's report is newer than this entry. */
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -80,7 +80,9 @@
 void SkyFleet_Free(sky_fleet_t *fleet);
 
 /** Adds or updates a target by its entry in the list; takes over the memory of
- *  @p entry and clears it. @return the target, or NULL if memory ran out. */
+ *  @p entry and clears it. A target that leaves does so for the rest of its
+ *  run, also if an older entry of it comes back. @return the target, or NULL
+ * if memory ran out. */
 sky_fleet_target_t *SkyFleet_ApplyEntry(sky_fleet_t *fleet,
                                         sky_target_entry_t *entry,
                                         uint64_t now_ms);
--- a/lib/decide/freshness.c
+++ b/lib/decide/freshness.c
@@ -25,6 +25,12 @@
     freshness->read_ms = read_ms;
 }
 
+void
+SkyFreshness_RecordLoss(sky_freshness_t *freshness, uint64_t now_ms)
+{
+    freshness->store_regained_ms = now_ms;
+}
+
 bool
 SkyFreshness_IsStale(const sky_freshness_t *freshness, uint64_t now_ms)
 {
--- a/lib/decide/freshness.h
+++ b/lib/decide/freshness.h
@@ -28,6 +28,9 @@
 /** Records that the store was read at @p read_ms, by this host or another. */
 void SkyFreshness_RecordRead(sky_freshness_t *freshness, uint64_t read_ms,
                              uint64_t now_ms);
+/** Records that the store has lost its newest records: their sources write
+ *  them again as after an outage. */
+void SkyFreshness_RecordLoss(sky_freshness_t *freshness, uint64_t now_ms);
 /** @return whether relayed records are too old to rely on. */
 bool SkyFreshness_IsStale(const sky_freshness_t *freshness, uint64_t now_ms);
 /** @return the time at which a target whose entry is missing now is to be
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -31,6 +31,7 @@
     bool is_tombstone; /**< the key was deleted */
     uint64_t offset;
     bool in_snapshot; /**< found by the current read of a snapshot */
+    bool is_outdated; /**< of an earlier era; its offset means nothing */
     UT_hash_handle hh;
 } record_t;
 
@@ -42,6 +43,7 @@
     bool synced;           /**< the records of a whole snapshot are known */
     char *after_key;       /**< last key of the previous page; NULL: none */
     uint64_t snapshot_end_offset;
+    uint64_t era; /**< of the offsets; 0: not known */
     uint64_t next_offset;
     uint32_t failed_reads; /**< in a row */
     uint64_t first_failure_ms;
@@ -182,14 +184,30 @@
     }
 }
 
-/* @return the stored copy, NULL if a newer record of the key is stored or
- * memory ran out. */
+/* Whether the store went back to the entry of a target that had left since. If
+ * the target still runs, it writes its entry again. */
+static bool
+is_resurrected(const topic_t *topic, const record_t *stored,
+               const sky_store_record_t *record)
+{
+    return topic->id == SKY_FEED_TARGETS && stored->is_outdated &&
+           stored->is_tombstone && !record->is_tombstone &&
+           record->offset < topic->snapshot_end_offset;
+}
+
+/* @return the stored copy, NULL if a newer record of the key is stored, it is
+ * not to be applied or memory ran out. */
 static record_t *
 store_record(topic_t *topic, const sky_store_record_t *record)
 {
     record_t *stored;
     HASH_FIND_STR(topic->records, record->key, stored);
-    if (stored != NULL && stored->offset > record->offset) {
+    if (stored != NULL && !stored->is_outdated &&
+        stored->offset > record->offset) {
+        return NULL;
+    }
+    if (stored != NULL && is_resurrected(topic, stored, record)) {
+        stored->in_snapshot = true;
         return NULL;
     }
     char *value = malloc(record->value_bytes + 1);
@@ -214,6 +232,7 @@
     stored->is_tombstone = record->is_tombstone;
     stored->offset = record->offset;
     stored->in_snapshot = true;
+    stored->is_outdated = false;
     return stored;
 }
 
@@ -254,12 +273,19 @@
 {
     record_t *record;
     for (record = topic->records; record != NULL; record = record->hh.next) {
-        if (record->in_snapshot || record->is_tombstone ||
-            record->offset >= topic->snapshot_end_offset) {
+        bool is_newer = !record->is_outdated &&
+                        record->offset >= topic->snapshot_end_offset;
+        if (record->is_outdated) {
+            record->is_outdated = false;
+            record->offset = 0;
+        }
+        if (record->in_snapshot || record->is_tombstone || is_newer) {
             continue;
         }
         record->is_tombstone = true;
-        record->offset = topic->snapshot_end_offset - 1;
+        record->offset = topic->snapshot_end_offset > 0
+                             ? topic->snapshot_end_offset - 1
+                             : 0;
         if (topic->id == SKY_FEED_TARGETS) {
             apply_target_record(topic, record);
         }
@@ -295,6 +321,55 @@
     }
 }
 
+/* The records stay in use until those of the new era are known: their sources
+ * write again what the store has lost. */
+static void
+begin_era(topic_t *topic, uint64_t era)
+{
+    SkyLog_Write(LOG_NOTICE, "feed_era",
+                 "topic=%s era=%llu before=%llu next=%llu", topic->name,
+                 (unsigned long long)era, (unsigned long long)topic->era,
+                 (unsigned long long)topic->next_offset);
+    topic->era = era;
+    topic->next_offset = 0;
+    topic->snapshot_end_offset = 0;
+    topic->synced = false;
+    begin_snapshot(topic);
+    record_t *record;
+    for (record = topic->records; record != NULL; record = record->hh.next) {
+        record->is_outdated = true;
+    }
+    SkyFreshness_RecordLoss(&topic->freshness, SkyClock_NowMs());
+}
+
+/* Applies the era of records that were received.
+ * @return whether the records known so far are of an earlier one. */
+static bool
+apply_era(topic_t *topic, uint64_t era)
+{
+    if (era <= topic->era) {
+        return false;
+    }
+    if (topic->era == 0 && topic->records == NULL) {
+        topic->era = era; /* the first one that this host hears of */
+        return false;
+    }
+    begin_era(topic, era);
+    return true;
+}
+
+/* @return whether the response was of a new era, so that the topic is read
+ * from the beginning. */
+static bool
+handle_era(topic_t *topic, uint64_t era)
+{
+    bool is_new_era = apply_era(topic, era);
+    if (is_new_era) {
+        schedule_read(topic, 0);
+    }
+    return is_new_era;
+}
+
 static uint32_t
 read_interval_ms(const topic_t *topic)
 {
@@ -359,6 +434,9 @@
         return;
     }
     handle_read_success(topic);
+    if (handle_era(topic, response->era)) {
+        return;
+    }
     if (topic->after_key == NULL) {
         topic->snapshot_end_offset = response->end_offset;
     }
@@ -384,6 +462,9 @@
     topic_t *topic = context;
     if (response->outcome == SKY_STORE_OFFSET_EXPIRED) {
         handle_read_success(topic);
+        if (handle_era(topic, response->era)) {
+            return;
+        }
         SkyLog_Write(LOG_NOTICE, "feed_forgotten", "topic=%s next=%llu",
                      topic->name, (unsigned long long)topic->next_offset);
         begin_snapshot(topic);
@@ -395,6 +476,9 @@
         return;
     }
     handle_read_success(topic);
+    if (handle_era(topic, response->era)) {
+        return;
+    }
     for (size_t i = 0; i < response->record_count; i++) {
         apply_record(topic, &response->records[i]);
     }
@@ -473,10 +557,21 @@
     }
 }
 
-uint64_t
-SkyFeed_NextOffset(const sky_feed_t *feed, sky_feed_topic_t topic)
+sky_feed_position_t
+SkyFeed_GetPosition(const sky_feed_t *feed, sky_feed_topic_t topic)
+{
+    const topic_t *state = &feed->topics[topic];
+    return (sky_feed_position_t){state->era, state->next_offset};
+}
+
+bool
+SkyFeed_IsAhead(const sky_feed_t *feed, sky_feed_topic_t topic,
+                const sky_feed_position_t *position)
 {
-    return feed->topics[topic].next_offset;
+    const topic_t *state = &feed->topics[topic];
+    return state->era != position->era
+               ? state->era > position->era && state->synced
+               : state->next_offset > position->next_offset;
 }
 
 void
@@ -526,12 +621,13 @@
 
 json_t *
 SkyFeed_EncodeRecords(const sky_feed_t *feed, sky_feed_topic_t topic,
-                      uint64_t from_offset)
+                      const sky_feed_position_t *from)
 {
     const topic_t *state = &feed->topics[topic];
-    if (!state->synced) {
+    if (!state->synced || from->era > state->era) {
         return NULL;
     }
+    uint64_t from_offset = from->era == state->era ? from->next_offset : 0;
     uint64_t age_ms = SkyClock_NowMs() - state->freshness.read_ms;
     json_t *rows = json_array();
     const record_t *record;
@@ -545,8 +641,9 @@
                             record->is_tombstone, (json_int_t)record->offset));
         free(value);
     }
-    return json_pack("{s:I, s:I, s:o}", "next", (json_int_t)state->next_offset,
-                     "age_ms", (json_int_t)age_ms, "records", rows);
+    return json_pack("{s:I, s:I, s:I, s:o}", "era", (json_int_t)state->era,
+                     "next", (json_int_t)state->next_offset, "age_ms",
+                     (json_int_t)age_ms, "records", rows);
 }
 
 static bool
@@ -582,15 +679,24 @@
                      const json_t *update)
 {
     topic_t *state = &feed->topics[topic];
+    json_int_t era = 0;
     json_int_t next_offset = 0;
     json_t *rows = NULL;
     json_int_t age_ms = 0;
     uint64_t now_ms = SkyClock_NowMs();
-    if (json_unpack((json_t *)update, "{s:I, s:I, s:o}", "next", &next_offset,
-                    "age_ms", &age_ms, "records", &rows) != 0 ||
-        age_ms < 0 || !json_is_array(rows)) {
+    if (json_unpack((json_t *)update, "{s?I, s:I, s:I, s:o}", "era", &era,
+                    "next", &next_offset, "age_ms", &age_ms, "records",
+                    &rows) != 0 ||
+        era < 0 || age_ms < 0 || !json_is_array(rows)) {
         return SKY_E_BAD_REQUEST;
     }
+    if ((uint64_t)era < state->era) {
+        return SKY_OK;
+    }
+    bool is_new_era = apply_era(state, (uint64_t)era);
+    if (is_new_era) {
+        state->snapshot_end_offset = (uint64_t)next_offset;
+    }
     bool valid = true;
     size_t index;
     json_t *row;
@@ -605,7 +711,10 @@
     if (!valid) {
         return SKY_E_BAD_REQUEST;
     }
-    if ((uint64_t)next_offset > state->next_offset) {
+    if (is_new_era) {
+        delete_missing_keys(state);
+    }
+    if (is_new_era || (uint64_t)next_offset > state->next_offset) {
         state->next_offset = (uint64_t)next_offset;
         state->snapshot_pending = false;
         state->synced = true;
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -6,7 +6,8 @@
  * A host reads the records from the store or, if it is not a reader of the
  * store or gets no response from it, from its peers. Each host keeps the
  * newest record of each key with its offset and never replaces it by a record
- * with a lower offset.
+ * with a lower offset of the same era (see platform/store.h). With a new era
+ * the topics are read from the beginning.
  */
 #ifndef SKY_EDGE_FEED_H
 #define SKY_EDGE_FEED_H
@@ -58,8 +59,17 @@
 /** Calls @p visit for each key of a topic that has a value. */
 void SkyFeed_ForEachRecord(const sky_feed_t *feed, sky_feed_topic_t topic,
                            sky_feed_visitor_t visit, void *context);
-/** @return offset that follows the last known record of a topic. */
-uint64_t SkyFeed_NextOffset(const sky_feed_t *feed, sky_feed_topic_t topic);
+/** How far a host knows a topic. */
+typedef struct {
+    uint64_t era; /**< of the store's history, in which the offset is valid */
+    uint64_t next_offset; /**< follows the last known record */
+} sky_feed_position_t;
+
+sky_feed_position_t SkyFeed_GetPosition(const sky_feed_t *feed,
+                                        sky_feed_topic_t topic);
+/** @return whether this host has records for a peer at @p position. */
+bool SkyFeed_IsAhead(const sky_feed_t *feed, sky_feed_topic_t topic,
+                     const sky_feed_position_t *position);
 /** Sets whether this host reads the store, as every host does at first.
  *  Otherwise it reads the store only while the records from its peers are
  *  stale or a topic is not known yet. */
@@ -69,12 +79,14 @@
  *  passed its records on, is too long ago for the operator's topic or the list
  *  of targets. */
 bool SkyFeed_IsStale(const sky_feed_t *feed);
-/** @return the known records from an offset on as JSON for a peer, with the
- *  time since the topic was read from the store; the records are empty if the
- *  peer knows more. NULL if this host does not know the topic yet. */
+/** @return the records that a peer at @p from lacks as JSON, with the time
+ *  since the topic was read from the store; the records are empty if the peer
+ *  knows more. NULL if this host does not know the topic yet, or not in the
+ *  peer's era. */
 json_t *SkyFeed_EncodeRecords(const sky_feed_t *feed, sky_feed_topic_t topic,
-                              uint64_t from_offset);
-/** Applies the output of a peer's SkyFeed_EncodeRecords().
+                              const sky_feed_position_t *from);
+/** Applies the output of a peer's SkyFeed_EncodeRecords(); that of an earlier
+ *  era is ignored.
  *  @return SKY_E_BAD_REQUEST if it is malformed; valid records in it are
  *  applied all the same. */
 sky_result_t SkyFeed_ApplyRecords(sky_feed_t *feed, sky_feed_topic_t topic,
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -23,7 +23,7 @@
 /** A poll of a peer that this host holds until it has updates. */
 typedef struct long_poll {
     sky_server_request_t *server_request;
-    uint64_t next_offsets[SKY_FEED_TOPIC_COUNT];
+    sky_feed_position_t positions[SKY_FEED_TOPIC_COUNT]; /**< of the peer */
     uint64_t owners_generation; /**< of the owners that the peer knows */
     uint64_t received_ms;
     uint64_t hold_ms;
@@ -54,7 +54,7 @@
     json_t *body = json_object();
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
         json_t *records = SkyFeed_EncodeRecords(
-            relay->options.feed, (sky_feed_topic_t)i, poll->next_offsets[i]);
+            relay->options.feed, (sky_feed_topic_t)i, &poll->positions[i]);
         if (records != NULL) {
             json_object_set_new(body, TOPIC_KEYS[i], records);
         }
@@ -75,8 +75,8 @@
 has_new_records(const sky_feed_relay_t *relay, const long_poll_t *poll,
                 sky_feed_topic_t topic)
 {
-    return SkyFeed_NextOffset(relay->options.feed, topic) >
-           poll->next_offsets[topic];
+    return SkyFeed_IsAhead(relay->options.feed, topic,
+                           &poll->positions[topic]);
 }
 
 /* New target records do not end the hold time early. */
@@ -116,8 +116,10 @@
         return;
     }
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
-        poll->next_offsets[i] =
-            (uint64_t)json_integer_value(json_object_get(body, TOPIC_KEYS[i]));
+        const json_t *row = json_object_get(body, TOPIC_KEYS[i]);
+        poll->positions[i] = (sky_feed_position_t){
+            (uint64_t)json_integer_value(json_array_get(row, 0)),
+            (uint64_t)json_integer_value(json_array_get(row, 1))};
     }
     poll->owners_generation =
         (uint64_t)json_integer_value(json_object_get(body, OWNERS_KEY));
@@ -215,9 +217,11 @@
         (json_int_t)SkyOwnership_OwnersGeneration(relay->options.ownership),
         "hold_ms", (json_int_t)POLL_HOLD_MS);
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
-        json_int_t next_offset =
-            (json_int_t)SkyFeed_NextOffset(feed, (sky_feed_topic_t)i);
-        json_object_set_new(body, TOPIC_KEYS[i], json_integer(next_offset));
+        sky_feed_position_t position =
+            SkyFeed_GetPosition(feed, (sky_feed_topic_t)i);
+        json_object_set_new(body, TOPIC_KEYS[i],
+                            json_pack("[I,I]", (json_int_t)position.era,
+                                      (json_int_t)position.next_offset));
     }
     relay->call = SkyHostCalls_SendCall(
         relay->options.host_calls, address, "/feed", body,
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -4,7 +4,11 @@
 
 #include <ev.h>
 #include <jansson.h>
+#include <sodium.h>
 
+#include <cstring>
+
+#include "core/clock.h"
 #include "edge/feed.h"
 
 namespace {
@@ -54,6 +58,38 @@
         json_decref(records);
     }
 
+    // Applies an update with one target's entry; no entry deletes it.
+    static void
+    ApplyEntry(sky_feed_t *feed, json_int_t era, json_int_t next,
+               const char *state)
+    {
+        char text[200];
+        snprintf(text, sizeof text,
+                 "{\"service\":\"app\",\"addr\":\"127.0.0.1:1\",\"zone\":"
+                 "\"z\",\"slots\":6,\"state\":\"%s\",\"born\":1}",
+                 state ? state : "");
+        char value[400] = "";
+        if (state != nullptr) {
+            sodium_bin2base64(value, sizeof value,
+                              reinterpret_cast<unsigned char *>(text),
+                              strlen(text), sodium_base64_VARIANT_ORIGINAL);
+        }
+        json_t *update =
+            json_pack("{s:I, s:I, s:I, s:[[s,s,b,I]]}", "era", era, "next",
+                      next, "age_ms", json_int_t{10}, "records", "i-1", value,
+                      state == nullptr, next - 1);
+        EXPECT_EQ(SKY_OK,
+                  SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, update));
+        json_decref(update);
+    }
+
+    const sky_fleet_target_t *
+    Target()
+    {
+        SkyFleet_Tick(directory.fleet, SkyClock_NowMs() + 10000);
+        return SkyFleet_FindTarget(directory.fleet, "i-1");
+    }
+
     struct ev_loop *loop = nullptr;
     sky_directory_t directory = {};
     sky_feed_t *reader = nullptr;
@@ -62,7 +98,9 @@
 
 TEST_F(FeedTest, EncodesNothingBeforeTheTopicIsRead)
 {
-    EXPECT_EQ(nullptr, SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, 0));
+    sky_feed_position_t start = {};
+    EXPECT_EQ(nullptr,
+              SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &start));
 }
 
 // A follower that had read the store itself knew newer records than its
@@ -73,15 +111,78 @@
 {
     SimulateRead(reader, 10, 40);
     SimulateRead(follower, 12, 900);
+    sky_feed_position_t position =
+        SkyFeed_GetPosition(follower, SKY_FEED_TARGETS);
     json_t *update =
-        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS,
-                              SkyFeed_NextOffset(follower, SKY_FEED_TARGETS));
+        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position);
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(0u, json_array_size(json_object_get(update, "records")));
     EXPECT_EQ(SKY_OK,
               SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update));
-    EXPECT_EQ(12u, SkyFeed_NextOffset(follower, SKY_FEED_TARGETS));
+    EXPECT_EQ(12u,
+              SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
+    json_decref(update);
+}
+
+// Guards against offsets of a lost history that hide the records of the new
+// one.
+TEST_F(FeedTest, ARecordAtAnOffsetThatIsGivenOutAgainIsApplied)
+{
+    ApplyEntry(follower, 1, 20, "ready");
+    ApplyEntry(follower, 2, 5, "draining");
+    ASSERT_NE(nullptr, Target());
+    EXPECT_EQ(SKY_TARGET_LEAVING, Target()->entry.state);
+    sky_feed_position_t position =
+        SkyFeed_GetPosition(follower, SKY_FEED_TARGETS);
+    EXPECT_EQ(2u, position.era);
+    EXPECT_EQ(5u, position.next_offset);
+}
+
+TEST_F(FeedTest, AnUpdateOfAnEarlierEraChangesNothing)
+{
+    ApplyEntry(follower, 2, 5, "ready");
+    ApplyEntry(follower, 1, 20, "draining");
+    EXPECT_EQ(SKY_TARGET_READY, Target()->entry.state);
+    EXPECT_EQ(5u, SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
+}
+
+TEST_F(FeedTest, AKeyThatTheNewEraLacksIsDeleted)
+{
+    ApplyEntry(follower, 1, 20, "ready");
+    json_t *update =
+        json_pack("{s:I, s:I, s:I, s:[]}", "era", json_int_t{2}, "next",
+                  json_int_t{0}, "age_ms", json_int_t{10}, "records");
+    EXPECT_EQ(SKY_OK,
+              SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update));
+    json_decref(update);
+    EXPECT_EQ(nullptr, Target());
+}
+
+// Guards against requests to a target whose leaving the store has lost.
+TEST_F(FeedTest, ATargetThatLeftReturnsOnlyWithAnEntryOfTheNewEra)
+{
+    ApplyEntry(follower, 1, 20, "ready");
+    ApplyEntry(follower, 1, 21, nullptr);
+    EXPECT_EQ(nullptr, Target());
+    ApplyEntry(follower, 2, 20, "ready"); // as it was before
+    EXPECT_EQ(nullptr, Target());
+    ApplyEntry(follower, 2, 21, "ready"); // written since
+    EXPECT_NE(nullptr, Target());
+}
+
+TEST_F(FeedTest, EncodesAllRecordsForAPeerOfAnEarlierEra)
+{
+    ApplyEntry(reader, 2, 5, "ready");
+    sky_feed_position_t earlier = {1, 20};
+    sky_feed_position_t later = {3, 1};
+    EXPECT_TRUE(SkyFeed_IsAhead(reader, SKY_FEED_TARGETS, &earlier));
+    EXPECT_FALSE(SkyFeed_IsAhead(reader, SKY_FEED_TARGETS, &later));
+    json_t *update = SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &earlier);
+    ASSERT_NE(nullptr, update);
+    EXPECT_EQ(1u, json_array_size(json_object_get(update, "records")));
     json_decref(update);
+    EXPECT_EQ(nullptr,
+              SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &later));
 }
 
 } // namespace
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -121,6 +121,15 @@
     EXPECT_EQ("", TargetId(Choose("a1")));
 }
 
+TEST_F(FleetTest, ATargetThatLeavesDoesSoForTheRestOfItsRun)
+{
+    Add("t1", {"a1"}, SKY_TARGET_LEAVING);
+    Add("t1", {"a1"}, SKY_TARGET_READY);
+    EXPECT_EQ("", TargetId(Choose("a1")));
+    Add("t1", {"a1"}, SKY_TARGET_READY, 2);
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+}
+
 TEST_F(FleetTest, KeepsATargetWhoseEntryComesBack)
 {
     Add("t1", {"a1"});
