Name the fingerprint in log lines, also in that of the request's end

Cause: reading the change as a newcomer. 'print' says little, and the line of a request that was refused as quarantined could not be related to the lines of the crashes. Change: fingerprint= in request_end, sending_end and crash; an option of the rate permits that nothing used is gone. No decision changed.

--- a/lib/edge/crash_sharing.c
+++ b/lib/edge/crash_sharing.c
@@ -79,8 +79,8 @@
     static const char *const NAMES[] = {"suspected", "cleared", "confirmed"};
     sky_crash_sharing_t *sharing = context;
     SkyLog_Write(event == SKY_CRASH_CLEARED ? LOG_INFO : LOG_NOTICE, "crash",
-                 "state=%s print=%016" PRIx64 " target=%08x", NAMES[event],
-                 crash->fingerprint, crash->target);
+                 "state=%s fingerprint=%016" PRIx64 " target=%08x",
+                 NAMES[event], crash->fingerprint, crash->target);
     if (event == SKY_CRASH_SUSPECTED) {
         json_array_append_new(sharing->suspicions, encode_crash(crash, false));
     }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -327,7 +327,6 @@
     sky_result_t result =
         SkyPlacement_Create(&placement_options, &edge->placement);
     sky_rate_permits_options_t permits_options = {
-        .loop = edge->loop,
         .settings = settings,
         .directory = &edge->directory,
         .ownership = edge->ownership,
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -104,7 +104,7 @@
         "id=%s route=%s service=%s adapter=%s/%s target=%s status=%u "
         "outcome=%s "
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
-        "config=%llu",
+        "config=%llu fingerprint=%016llx",
         request->facts.id, request->route ? request->route->name : "-",
         request->service ? request->service->name : "-",
         request->facts.model[0] ? request->facts.model : "-",
@@ -116,7 +116,8 @@
         ms_since_received(request, request->relay_started_ms),
         request->send_count, request->placement_count,
         (unsigned long long)(request->deployment ? request->deployment->version
-                                                 : 0));
+                                                 : 0),
+        (unsigned long long)request->fingerprint);
 }
 
 void
@@ -291,11 +292,12 @@
 SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                    const char *cause)
 {
-    SkyLog_Write(LOG_NOTICE, "sending_end",
-                 "id=%s print=%016llx target=%s how=%s status=%u not_run=%d "
-                 "bad=%d failure=%.2f in_flight=%u",
-                 request->facts.id, (unsigned long long)request->fingerprint,
-                 request->target->entry.id, cause, request->response.status,
-                 request->response.facts.not_run, request->response.is_invalid,
-                 request->target->failure, request->target->in_flight);
+    SkyLog_Write(
+        LOG_NOTICE, "sending_end",
+        "id=%s fingerprint=%016llx target=%s how=%s status=%u not_run=%d "
+        "bad=%d failure=%.2f in_flight=%u",
+        request->facts.id, (unsigned long long)request->fingerprint,
+        request->target->entry.id, cause, request->response.status,
+        request->response.facts.not_run, request->response.is_invalid,
+        request->target->failure, request->target->in_flight);
 }
--- a/lib/edge/rate_permits.h
+++ b/lib/edge/rate_permits.h
@@ -9,8 +9,6 @@
 #ifndef SKY_EDGE_RATE_PERMITS_H
 #define SKY_EDGE_RATE_PERMITS_H
 
-#include <ev.h>
-
 #include "core/result.h"
 #include "edge/directory.h"
 #include "edge/host_calls.h"
@@ -24,7 +22,6 @@
 typedef struct sky_rate_permit_request sky_rate_permit_request_t;
 
 typedef struct {
-    struct ev_loop *loop;
     const sky_host_settings_t *settings;
     sky_directory_t *directory;
     sky_ownership_t *ownership;
