Confirm a crash only of a run of a target that this host knew

Cause: reading. A host that has started asks its peers for their suspicions; it may not know the list of targets yet, and took each target's absence from it for the end of its run. As a reader of the store it would have written that down for all hosts, and two of them quarantine a request that crashed nothing. Change: absence counts only once this host has sent to that run or has seen it listed; a list from before the run confirms nothing, a later run does.

--- a/lib/decide/crash_watch.c
+++ b/lib/decide/crash_watch.c
@@ -25,6 +25,9 @@
     sky_rec_crash_t crash;
     uint64_t recorded_ms;
     bool is_shared; /**< other hosts know it */
+    /** This host has sent to this run of the target, or has seen it listed:
+     *  only then does its absence from the list mean anything. */
+    bool is_run_known;
 } suspicion_t;
 
 struct sky_crash_watch {
@@ -88,7 +91,10 @@
     SkySuspects_RecordUnconfirmedCrash(watch->suspects, crash,
                                        now_ms * US_PER_MS);
     watch->suspicions[watch->suspicion_count++] =
-        (suspicion_t){*crash, now_ms, is_shared};
+        (suspicion_t){.crash = *crash,
+                      .recorded_ms = now_ms,
+                      .is_shared = is_shared,
+                      .is_run_known = !is_shared};
     return true;
 }
 
@@ -125,7 +131,10 @@
 judge_suspicion(const suspicion_t *suspicion,
                 const sky_crash_target_state_t *target, uint64_t now_ms)
 {
-    if (!target->is_listed || target->epoch != suspicion->crash.epoch) {
+    uint64_t epoch = suspicion->crash.epoch;
+    bool is_listed = target->is_listed && target->epoch == epoch;
+    bool is_replaced = target->is_listed && target->epoch > epoch;
+    if (is_replaced || (!is_listed && suspicion->is_run_known)) {
         return VERDICT_CRASHED;
     }
     bool is_heard = target->last_byte_ms > suspicion->recorded_ms + TRANSIT_MS;
@@ -148,6 +157,9 @@
     if (SkySuspects_IsCrash(watch->suspects, &suspicion->crash)) {
         return false; /* another host has confirmed it */
     }
+    suspicion->is_run_known =
+        suspicion->is_run_known ||
+        (target.is_listed && target.epoch == suspicion->crash.epoch);
     switch (judge_suspicion(suspicion, &target, now_ms)) {
     case VERDICT_CLEARED:
         SkySuspects_DropUnconfirmedCrash(watch->suspects, &suspicion->crash);
--- a/tests/test_crash_watch.cc
+++ b/tests/test_crash_watch.cc
@@ -189,6 +189,34 @@
     EXPECT_EQ(0u, QuarantineMs());
 }
 
+// Guards against a host that has started, and does not know the list of
+// targets yet, taking each suspicion of its peers for a crash.
+TEST_F(CrashWatch, ASuspicionOfATargetThatIsNotKnownYetIsNoCrash)
+{
+    sky_rec_crash_t crash = {REQUEST, 1, 3};
+    targets[3].is_listed = false;
+    EXPECT_TRUE(SkyCrashWatch_RecordSharedSuspicion(watch, &crash, now_ms));
+    Advance(500);
+    EXPECT_TRUE(events.empty());
+    targets[3].is_listed = true;
+    Advance(100);
+    targets[3].is_listed = false;
+    Advance(100);
+    EXPECT_EQ(std::vector<sky_crash_event_t>{SKY_CRASH_CONFIRMED}, events);
+}
+
+TEST_F(CrashWatch, AListFromBeforeTheTargetsStartDoesNotConfirmACrash)
+{
+    sky_rec_crash_t crash = {REQUEST, 2, 3};
+    EXPECT_TRUE(SkyCrashWatch_RecordSharedSuspicion(watch, &crash, now_ms));
+    Advance(500); // epoch 1 is listed here
+    EXPECT_TRUE(events.empty());
+    Restart(3);
+    Restart(3);
+    Advance(100);
+    EXPECT_EQ(std::vector<sky_crash_event_t>{SKY_CRASH_CONFIRMED}, events);
+}
+
 // With the store out the list does not change.
 TEST_F(CrashWatch, WithoutNewsOfTheTargetsTheQuarantineHolds)
 {
