Log the prompt parts of an exchange that ended without a response

Which requests crash a target cannot be told from the log: a line on a broken exchange names the fingerprint of the whole request only, and requests with a part in common have different ones. The line now lists the parts that other requests may share, and how many events of a stream had been received. A prompt with more parts than are kept is marked, as its last part is not in the list then.

--- a/lib/decide/request_facts.h
+++ b/lib/decide/request_facts.h
@@ -34,10 +34,21 @@
     uint32_t output_tokens_hint; /**< the caller's estimate, 0: none */
     sky_prompt_part_t parts[SKY_PROMPT_PARTS_MAX];
     uint32_t part_count;
+    bool has_more_parts;   /**< than those in the list */
     bool resumes;          /**< continues a stream after `resume_after` */
     uint64_t resume_after; /**< number of the last event received */
 } sky_request_facts_t;
 
+/** @return number of prompt parts, from the first one on, that other requests
+ *          may share: the last part of a prompt is the request's own. */
+static inline uint32_t
+SkyRequestFacts_SharedPartCount(const sky_request_facts_t *facts)
+{
+    return facts->has_more_parts || facts->part_count == 0
+               ? facts->part_count
+               : facts->part_count - 1;
+}
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -288,16 +288,34 @@
     }
 }
 
+/* Writes the ids of the prompt parts that requests may share, separated by
+ * commas; "-" if there are none. */
+static void
+format_shared_parts(const sky_request_facts_t *facts, char *text, size_t size)
+{
+    uint32_t count = SkyRequestFacts_SharedPartCount(facts);
+    size_t length = 0;
+    snprintf(text, size, "-");
+    for (uint32_t i = 0; i < count && length < size; i++) {
+        length += (size_t)snprintf(text + length, size - length, "%s%llx",
+                                   i > 0 ? "," : "",
+                                   (unsigned long long)facts->parts[i].id);
+    }
+}
+
 void
 SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                    const char *cause)
 {
+    char parts[SKY_PROMPT_PARTS_MAX * 17 + 1];
+    format_shared_parts(&request->facts, parts, sizeof parts);
     SkyLog_Write(
         LOG_NOTICE, "sending_end",
-        "id=%s fingerprint=%016llx target=%s how=%s status=%u not_run=%d "
-        "bad=%d failure=%.2f in_flight=%u",
-        request->facts.id, (unsigned long long)request->fingerprint,
+        "id=%s fingerprint=%016llx parts=%s target=%s how=%s status=%u "
+        "events=%llu not_run=%d bad=%d failure=%.2f in_flight=%u",
+        request->facts.id, (unsigned long long)request->fingerprint, parts,
         request->target->entry.id, cause, request->response.status,
+        (unsigned long long)request->event_stream.event_count,
         request->response.facts.not_run, request->response.is_invalid,
         request->target->failure, request->target->in_flight);
 }
