Test: prompt parts that crash targets (known red)

The stand-in's engines crash when they begin a request with a certain part that is not the last one; they may send an empty response without a length first.

--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -15,7 +15,8 @@
  * After /go-back?n=SECONDS the store has lost what it got in that time, and
  * its era, in all its responses, is one higher.
  *
- * An engine that begins to run a request with "/crash" in its path crashes.
+ * An engine that begins to run a request crashes if "/crash" is in the path,
+ * or if the id of a prompt part other than the last one begins with "dead".
  * Its port is closed for CRASH_DOWN_MS, then it starts again with another id.
  *
  * Faults, set by `POST /fault {"name": number}`:
@@ -29,6 +30,8 @@
  * - lose: the service runs the request, but closes the connection
  * - fail: the service runs the request and responds with 500
  * - garble: the service sends only a part of the response
+ * - empty_crashes: an engine that crashes sends a response without a length
+ *   and without a body first
  *
  * - limit_N, limit_app: the engine or the service names a limit of so many
  *   tenths of a request a second in its responses; 0: none
@@ -66,10 +69,12 @@
 #define MODEL_NAME "m1"
 #define ENTRY_TTL_MS 1200 /* age at which an engine's entry expires */
 #define CRASH_DOWN_MS 1200
-/* A request that crashed CRASHES_ALLOWED engines is expected to reach no
- * engine when CRASHES_KNOWN_MS have passed since: stableMs in the tests'
- * settings. */
+/* A request that crashed CRASHES_ALLOWED engines, or one with a prompt part
+ * that crashed PART_CRASHES_ALLOWED, is expected to reach no engine when
+ * CRASHES_KNOWN_MS have passed since: stableMs in the tests' settings. */
 #define CRASHES_ALLOWED 3
+#define PART_CRASHES_ALLOWED 5
+#define CRASHING_PART_PREFIX "dead"
 #define CRASHES_KNOWN_MS 1000
 #define CRASHING_REQUESTS_MAX 16
 /* From LIMIT_KNOWN_MS (stableMs in the tests' settings) after a target first
@@ -131,9 +136,11 @@
     double allowed; /* in the window of max_in_window */
 } limited_target_t;
 
-/** A request that crashes engines, by its path. */
+/** Requests that crash engines, by their path or by the id of their prompt
+ *  part. */
 typedef struct {
-    char path[64];
+    char name[64];
+    uint32_t crashes_allowed;
     uint32_t crash_count;
     uint64_t last_allowed_crash_ms;
     uint32_t late_send_count; /* sends after that and CRASHES_KNOWN_MS */
@@ -838,35 +845,68 @@
 }
 
 static crashing_request_t *
-find_or_add_crashing_request(const char *path)
+find_or_add_crashing_request(const char *name, uint32_t crashes_allowed)
 {
     for (int i = 0; i < CRASHING_REQUESTS_MAX; i++) {
         crashing_request_t *crashing = &crashing_requests[i];
-        if (crashing->path[0] == '\0') {
-            snprintf(crashing->path, sizeof crashing->path, "%s", path);
+        if (crashing->name[0] == '\0') {
+            snprintf(crashing->name, sizeof crashing->name, "%s", name);
+            crashing->crashes_allowed = crashes_allowed;
         }
-        if (strcmp(crashing->path, path) == 0) {
+        if (strcmp(crashing->name, name) == 0) {
             return crashing;
         }
     }
     abort();
 }
 
+/** @return the account of a request that crashes engines; NULL: it does not */
+static crashing_request_t *
+find_crashing_request(const sky_http_head_t *head)
+{
+    const char *url = SkyHttpHead_Url(head);
+    if (strstr(url, "/crash") != NULL) {
+        return find_or_add_crashing_request(url, CRASHES_ALLOWED);
+    }
+    const char *part =
+        SkyHttpHead_FindField(head, "X-Skylarkspar-Prompt-Prefix");
+    const char *comma = part ? strchr(part, ',') : NULL;
+    for (; comma != NULL; part = comma + 1, comma = strchr(part, ',')) {
+        if (strncmp(part, CRASHING_PART_PREFIX,
+                    strlen(CRASHING_PART_PREFIX)) == 0) {
+            char id[32];
+            snprintf(id, sizeof id, "%.*s", (int)strcspn(part, ":"), part);
+            return find_or_add_crashing_request(id, PART_CRASHES_ALLOWED);
+        }
+    }
+    return NULL;
+}
+
 /** Counts a request that crashes the engine, which ends in a later turn of the
- *  loop; it gets no response. */
+ *  loop. */
 static void
-run_crashing_request(engine_t *engine, const char *path)
+run_crashing_request(engine_t *engine, sky_server_request_t *request,
+                     crashing_request_t *crashing)
 {
-    crashing_request_t *crashing = find_or_add_crashing_request(path);
     uint64_t now_ms = SkyClock_NowMs();
-    if (crashing->crash_count >= CRASHES_ALLOWED &&
+    if (crashing->crash_count >= crashing->crashes_allowed &&
         now_ms > crashing->last_allowed_crash_ms + CRASHES_KNOWN_MS) {
         crashing->late_send_count++;
     }
     crashing->crash_count++;
-    if (crashing->crash_count == CRASHES_ALLOWED) {
+    if (crashing->crash_count == crashing->crashes_allowed) {
         crashing->last_allowed_crash_ms = now_ms;
     }
+    if (consume_fault("empty_crashes")) {
+        char fields[256];
+        write_response_fields(request, engine->limit_name, fields,
+                              sizeof fields,
+                              "X-Skylarkspar-Server-Seal: s1\r\n"
+                              "Content-Type: text/event-stream\r\n");
+        SkyServerRequest_BeginResponse(request, 200, fields,
+                                       SKY_FRAMING_UNTIL_CLOSE, 0);
+        SkyServerRequest_EndResponse(request);
+    }
     ev_timer_set(&engine->crash_timer, 0.0, 0.0);
     ev_timer_start(loop, &engine->crash_timer);
 }
@@ -882,6 +922,7 @@
     const char *slash = model ? strchr(model, '/') : NULL;
     const char *adapter = slash ? slash + 1 : "";
     const adapter_slot_t *slot = find_adapter_slot(engine, adapter);
+    crashing_request_t *crashing = find_crashing_request(head);
     count_limited_arrival(engine->limit_name);
     bool is_resident = adapter[0] == '\0' ||
                        (slot != NULL && slot->loaded_ms <= SkyClock_NowMs());
@@ -895,9 +936,9 @@
     else if (consume_fault("shed")) {
         refuse_request(request, engine->limit_name, 503);
     }
-    else if (strstr(SkyHttpHead_Url(head), "/crash") != NULL) {
+    else if (crashing != NULL) {
         count_run(id);
-        run_crashing_request(engine, SkyHttpHead_Url(head));
+        run_crashing_request(engine, request, crashing);
     }
     else {
         runs_after_leave += engine->is_leaving ? 1 : 0;
@@ -1192,16 +1233,17 @@
     ev_timer_start(loop, &engine->restart_timer);
 }
 
-/** @return for each path the engines crashed and the late sends. */
+/** @return for each path and prompt part the engines crashed and the late
+ *  sends. */
 static json_t *
 encode_crashing_requests(void)
 {
     json_t *counts = json_object();
     for (int i = 0;
-         i < CRASHING_REQUESTS_MAX && crashing_requests[i].path[0] != '\0';
+         i < CRASHING_REQUESTS_MAX && crashing_requests[i].name[0] != '\0';
          i++) {
         const crashing_request_t *crashing = &crashing_requests[i];
-        json_object_set_new(counts, crashing->path,
+        json_object_set_new(counts, crashing->name,
                             json_sprintf("%u crashes, %u late",
                                          crashing->crash_count,
                                          crashing->late_send_count));
