Take a response without length and body for a broken exchange

Callers got a complete empty stream with status 200 when a target ended after the head of a response that has neither a length nor chunks: its body ends with the connection, so that a crash looks like an empty body. A caller does not repeat a success, and the crash was counted nowhere.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -56,6 +56,7 @@
                                  ? request->first_sent_ms
                                  : request->last_activity_ms;
     request->send_count++;
+    request->events_before = request->event_stream.event_count;
     SkyAttempts_RecordSent(&request->attempts, choice->target->hash);
     SkyFleet_BeginRequest(request->target);
     write_request(request, &request_bytes);
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -44,6 +44,12 @@
                                    request->facts.adapter);
 }
 
+uint64_t
+SkyProxyRequest_EventCount(const sky_proxy_request_t *request)
+{
+    return request->event_stream.event_count - request->events_before;
+}
+
 void
 SkyProxyResponse_Clear(sky_proxy_response_t *response)
 {
@@ -315,7 +321,7 @@
         "events=%llu not_run=%d bad=%d failure=%.2f in_flight=%u",
         request->facts.id, (unsigned long long)request->fingerprint, parts,
         request->target->entry.id, cause, request->response.status,
-        (unsigned long long)request->event_stream.event_count,
+        (unsigned long long)SkyProxyRequest_EventCount(request),
         request->response.facts.not_run, request->response.is_invalid,
         request->target->failure, request->target->in_flight);
 }
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -32,6 +32,9 @@
     sky_buffer_t body;
     bool has_content_length;
     uint64_t content_length;
+    /** The body has a length or chunks; else it ends with its connection. */
+    bool is_framed;
+    uint64_t body_bytes; /**< received in the current exchange */
     /** Altered on its way, a success without the target's seal, or not the
      *  continuation of the stream that was to be resumed. */
     bool is_invalid;
@@ -73,6 +76,7 @@
     uint64_t capacity_wait_since_ms; /**< 0: does not wait for capacity */
     sky_proxy_response_t response;
     sky_event_stream_t event_stream;
+    uint64_t events_before; /**< events of earlier exchanges */
     struct sky_proxy_request *prev;
     struct sky_proxy_request *next;
 } sky_proxy_request_t;
@@ -106,6 +110,9 @@
 sky_adapter_key_t
 SkyProxyRequest_AdapterKey(const sky_proxy_request_t *request);
 
+/** @return complete events that were received in the current exchange. */
+uint64_t SkyProxyRequest_EventCount(const sky_proxy_request_t *request);
+
 /** Frees the buffers and resets all fields. */
 void SkyProxyResponse_Clear(sky_proxy_response_t *response);
 
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -34,6 +34,11 @@
     sky_response_facts_t facts;
     SkyWire_ParseResponse(head, &facts);
     record_limit(request, &facts);
+    if (!request->response_started) {
+        SkyProxyResponse_Clear(response);
+    }
+    response->is_framed = head->has_length;
+    response->body_bytes = 0;
     if (request->response_started) {
         /* The caller already has the head of the stream that is resumed. */
         bool continues_stream =
@@ -42,7 +47,6 @@
         response->is_invalid = !continues_stream;
         return true;
     }
-    SkyProxyResponse_Clear(response);
     response->status = head->status;
     response->facts = facts;
     response->has_content_length = head->has_length;
@@ -107,6 +111,7 @@
 {
     sky_proxy_request_t *request = context;
     record_activity(request);
+    request->response.body_bytes += size;
     if (request->response.is_invalid) {
         return;
     }
@@ -180,6 +185,19 @@
     SkyProxyRequest_Free(request);
 }
 
+/* Whether the connection ended where the body was to begin. Without a length
+ * this looks like an empty body, but no target means to send one. */
+static bool
+is_body_missing(const sky_proxy_request_t *request)
+{
+    const sky_proxy_response_t *response = &request->response;
+    bool may_have_body =
+        response->status != 204 && response->status != 304 &&
+        SkyServerRequest_Head(request->caller_request)->method != HTTP_HEAD;
+    return may_have_body && !response->is_framed && response->status < 400 &&
+           response->body_bytes == 0;
+}
+
 static void
 handle_complete_response(sky_proxy_request_t *request)
 {
@@ -193,6 +211,11 @@
         handle_failure(request, "bad_answer");
         return;
     }
+    if (is_body_missing(request)) {
+        SkyProxyRequest_SuspectCrash(request);
+        handle_failure(request, "no_body");
+        return;
+    }
     if (request->response_started) {
         finish_relay(request);
         return;
