Refuse requests with a prompt part that crashes targets

The account of crashes is kept by a fingerprint of the whole request, so that each of them was a stranger, while sound requests that were present at two crashes were quarantined.

decide/part_watch looks for the part that crashes have in common: a set cover, with acquittal by any answer that gets past its start, since the first part of a tenant is present at every crash. Crashes that a blamed part explains no longer count against others. Hosts share evidence directly and keep a blame in the store. One host at a time lets a request through as a trial.

--- a/lib/decide/crash_watch.c
+++ b/lib/decide/crash_watch.c
@@ -121,6 +121,21 @@
     SkySuspects_RecordCrash(watch->suspects, crash, confirmed_ms * US_PER_MS);
 }
 
+void
+SkyCrashWatch_DropRun(sky_crash_watch_t *watch, uint32_t target,
+                      uint64_t epoch)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < watch->suspicion_count; i++) {
+        const sky_rec_crash_t *crash = &watch->suspicions[i].crash;
+        if (crash->target != target || crash->epoch != epoch) {
+            watch->suspicions[kept++] = watch->suspicions[i];
+        }
+    }
+    watch->suspicion_count = kept;
+    SkySuspects_DropRun(watch->suspects, target, epoch);
+}
+
 typedef enum {
     VERDICT_OPEN,
     VERDICT_CLEARED,
--- a/lib/decide/crash_watch.h
+++ b/lib/decide/crash_watch.h
@@ -67,6 +67,10 @@
 void SkyCrashWatch_RecordCrash(sky_crash_watch_t *watch,
                                const sky_rec_crash_t *crash,
                                uint64_t confirmed_ms);
+/** Forgets what was recorded of a run of a target: its crash has a cause that
+ *  is not one request. */
+void SkyCrashWatch_DropRun(sky_crash_watch_t *watch, uint32_t target,
+                           uint64_t epoch);
 /** Clears or confirms suspicions and drops what is older than the retention
  *  time. */
 void SkyCrashWatch_Tick(sky_crash_watch_t *watch, uint64_t now_ms);
--- a/lib/decide/suspects.c
+++ b/lib/decide/suspects.c
@@ -179,6 +179,26 @@
     }
 }
 
+void
+SkySuspects_DropRun(sky_suspects_t *suspects, uint32_t target, uint64_t epoch)
+{
+    suspect_t *suspect;
+    suspect_t *next;
+    HASH_ITER(hh, suspects->by_fingerprint, suspect, next)
+    {
+        for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+            exchange_t *exchange = &suspect->exchanges[i];
+            if (exchange->target == target && exchange->epoch == epoch) {
+                exchange->state = EXCHANGE_UNUSED;
+            }
+        }
+        if (count_exchanges(suspect, EXCHANGE_UNUSED) ==
+            BROKEN_EXCHANGES_MAX) {
+            remove_suspect(suspects, suspect);
+        }
+    }
+}
+
 bool
 SkySuspects_IsCrash(const sky_suspects_t *suspects,
                     const sky_rec_crash_t *crash)
--- a/lib/decide/suspects.h
+++ b/lib/decide/suspects.h
@@ -63,6 +63,10 @@
 void SkySuspects_DropUnconfirmedCrash(sky_suspects_t *suspects,
                                       const sky_rec_crash_t *crash);
 
+/** Removes what was recorded of a target in one epoch, confirmed or not. */
+void SkySuspects_DropRun(sky_suspects_t *suspects, uint32_t target,
+                         uint64_t epoch);
+
 /** Called for each crash that is counted. */
 typedef void (*sky_suspects_visitor_t)(const sky_rec_crash_t *crash,
                                        bool is_confirmed, void *context);
--- a/lib/edge/crash_sharing.c
+++ b/lib/edge/crash_sharing.c
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "edge/part_sharing.h"
 
 #define CALL_PATH "/crashes"
 #define TICK_INTERVAL_S 0.1
@@ -27,7 +28,8 @@
 struct sky_crash_sharing {
     sky_crash_sharing_options_t options;
     ev_timer tick;
-    json_t *suspicions;   /**< found by the current tick, to be sent */
+    json_t *suspicions; /**< found by the current tick, to be sent */
+    sky_part_sharing_t *part_sharing;
     sky_host_call_t *ask; /**< call to a peer for all it knows; or NULL */
     uint32_t asks_left;
     uint32_t ask_turn; /**< selects the peer */
@@ -41,7 +43,7 @@
     sky_crash_sharing_t *sharing;
     sky_store_record_t records[APPENDED_RECORDS_MAX];
     char keys[APPENDED_RECORDS_MAX][SKY_CRASH_KEY_BYTES];
-    char wall_ms_text[24];
+    char values[APPENDED_RECORDS_MAX][SKY_PART_VALUE_BYTES];
     size_t count;
 } batch_t;
 
@@ -84,6 +86,10 @@
     if (event == SKY_CRASH_SUSPECTED) {
         json_array_append_new(sharing->suspicions, encode_crash(crash, false));
     }
+    else if (event == SKY_CRASH_CLEARED) {
+        sky_target_run_t run = {crash->target, crash->epoch};
+        SkyPartWatch_ClearRun(sharing->options.directory->parts, &run);
+    }
 }
 
 static void
@@ -93,9 +99,14 @@
     (void)body; /* a host that missed it reads it from the store */
 }
 
+/* Tells all hosts what this one found since the last call. */
 static void
-send_suspicions(sky_crash_sharing_t *sharing)
+send_news(sky_crash_sharing_t *sharing)
 {
+    json_t *part_news = SkyPartSharing_TakeNews(sharing->part_sharing);
+    if (json_array_size(sharing->suspicions) == 0 && part_news == NULL) {
+        return;
+    }
     const sky_crash_sharing_options_t *options = &sharing->options;
     sky_fanout_host_t members[SKY_GROUP_MEMBERS_MAX];
     uint32_t count = SkyOwnership_ListMembers(options->ownership, members,
@@ -104,11 +115,13 @@
         if (strcmp(members[i].address, options->settings->control) != 0) {
             SkyHostCalls_SendCall(
                 options->host_calls, members[i].address, CALL_PATH,
-                json_pack("{s:O}", "crashes", sharing->suspicions),
+                json_pack("{s:O, s:O*}", "crashes", sharing->suspicions,
+                          "parts", part_news),
                 CALL_TIMEOUT_MS, on_told, sharing);
         }
     }
     json_array_clear(sharing->suspicions);
+    json_decref(part_news);
 }
 
 static void
@@ -139,6 +152,8 @@
             SkyLog_Write(LOG_WARNING, "crash_ignored", "reason=full");
         }
     }
+    SkyPartSharing_Apply(sharing->part_sharing,
+                         json_object_get(body, "parts"));
 }
 
 static void
@@ -153,12 +168,15 @@
 {
     const sky_crash_sharing_t *sharing = context;
     json_t *rows = json_array();
+    json_t *parts = NULL;
     apply_crashes(sharing, body);
     if (json_is_true(json_object_get(body, "send_all"))) {
         SkyCrashWatch_ForEach(sharing->options.directory->crashes, add_row,
                               rows);
+        parts = SkyPartSharing_EncodeAll(sharing->part_sharing);
     }
-    SkyHostCalls_Respond(server_request, json_pack("{s:o}", "crashes", rows));
+    SkyHostCalls_Respond(server_request, json_pack("{s:o, s:o*}", "crashes",
+                                                   rows, "parts", parts));
 }
 
 static void
@@ -190,23 +208,50 @@
         on_peer_crashes, sharing);
 }
 
+static void
+add_record(batch_t *batch, const char *key, const char *value)
+{
+    if (batch->count == APPENDED_RECORDS_MAX) {
+        return; /* is found again by the next comparison */
+    }
+    char *key_copy = batch->keys[batch->count];
+    char *value_copy = batch->values[batch->count];
+    snprintf(key_copy, sizeof batch->keys[0], "%s", key);
+    snprintf(value_copy, sizeof batch->values[0], "%s", value);
+    batch->records[batch->count++] =
+        (sky_store_record_t){.key = key_copy,
+                             .value = value_copy,
+                             .value_bytes = strlen(value_copy),
+                             .is_tombstone = value[0] == '\0'};
+}
+
 static void
 add_missing_crash(const sky_rec_crash_t *crash, bool is_confirmed,
                   void *context)
 {
     batch_t *batch = context;
-    if (!is_confirmed || batch->count == APPENDED_RECORDS_MAX) {
-        return;
-    }
-    char *key = batch->keys[batch->count];
+    char key[SKY_CRASH_KEY_BYTES];
+    char value[24];
     SkyCrash_FormatKey(crash, key);
-    if (SkyFeed_FindValue(batch->sharing->options.feed, SKY_FEED_CRASHES,
-                          key) == NULL) {
-        batch->records[batch->count++] = (sky_store_record_t){
-            .key = key,
-            .value = batch->wall_ms_text,
-            .value_bytes = strlen(batch->wall_ms_text),
-        };
+    if (is_confirmed && SkyFeed_FindValue(batch->sharing->options.feed,
+                                          SKY_FEED_CRASHES, key) == NULL) {
+        snprintf(value, sizeof value, "%" PRIu64, SkyClock_WallMs());
+        add_record(batch, key, value);
+    }
+}
+
+static void
+add_missing_blame(const sky_part_blame_t *blame, void *context)
+{
+    batch_t *batch = context;
+    char key[SKY_PART_KEY_BYTES];
+    char value[SKY_PART_VALUE_BYTES];
+    SkyPart_FormatKey(blame->part, key);
+    const char *stored =
+        SkyFeed_FindValue(batch->sharing->options.feed, SKY_FEED_CRASHES, key);
+    if (stored == NULL || !SkyPartSharing_IsRecorded(blame, stored)) {
+        SkyPartSharing_FormatValue(blame, value);
+        add_record(batch, key, value);
     }
 }
 
@@ -214,20 +259,24 @@
 add_expired_record(void *context, const char *key, const char *value)
 {
     batch_t *batch = context;
+    const sky_directory_t *directory = batch->sharing->options.directory;
     sky_rec_crash_t crash;
+    uint64_t part;
     uint64_t confirmed_wall_ms = strtoull(value, NULL, 10);
     bool is_expired = SkyClock_WallMs() >
                       confirmed_wall_ms + RETENTION_MS + DELETE_MARGIN_MS;
-    if (!is_expired || batch->count == APPENDED_RECORDS_MAX ||
-        (SkyCrash_ParseKey(key, &crash) &&
-         SkyCrashWatch_IsCrash(batch->sharing->options.directory->crashes,
-                               &crash))) {
-        return;
+    if (SkyPart_ParseKey(key, &part)) {
+        /* Each host has applied the record: what it does not blame now has
+         * been acquitted since, or has expired. */
+        is_expired = SkyPartWatch_FindBlame(directory->parts, part) == NULL;
+    }
+    else if (SkyCrash_ParseKey(key, &crash)) {
+        is_expired =
+            is_expired && !SkyCrashWatch_IsCrash(directory->crashes, &crash);
+    }
+    if (is_expired) {
+        add_record(batch, key, "");
     }
-    snprintf(batch->keys[batch->count], SKY_CRASH_KEY_BYTES, "%s", key);
-    batch->records[batch->count] = (sky_store_record_t){
-        .key = batch->keys[batch->count], .value = "", .is_tombstone = true};
-    batch->count++;
 }
 
 static void
@@ -241,7 +290,8 @@
     }
 }
 
-/* Makes the store hold the confirmed crashes and no others. */
+/* Makes the store hold the confirmed crashes and the blamed parts, and no
+ * others. */
 static void
 update_store(sky_crash_sharing_t *sharing, uint64_t now_ms)
 {
@@ -255,10 +305,10 @@
     batch_t batch;
     batch.sharing = sharing;
     batch.count = 0;
-    snprintf(batch.wall_ms_text, sizeof batch.wall_ms_text, "%" PRIu64,
-             SkyClock_WallMs());
     SkyCrashWatch_ForEach(options->directory->crashes, add_missing_crash,
                           &batch);
+    SkyPartWatch_ForEachBlame(options->directory->parts, add_missing_blame,
+                              &batch);
     SkyFeed_ForEachRecord(options->feed, SKY_FEED_CRASHES, add_expired_record,
                           &batch);
     if (batch.count > 0) {
@@ -277,9 +327,8 @@
     sky_crash_sharing_t *sharing = watcher->data;
     uint64_t now_ms = SkyClock_NowMs();
     SkyCrashWatch_Tick(sharing->options.directory->crashes, now_ms);
-    if (json_array_size(sharing->suspicions) > 0) {
-        send_suspicions(sharing);
-    }
+    SkyPartWatch_Tick(sharing->options.directory->parts, now_ms);
+    send_news(sharing);
     ask_peer(sharing, now_ms);
     update_store(sharing, now_ms);
 }
@@ -307,9 +356,18 @@
         .on_event = on_crash_event,
         .context = self,
     };
+    sky_part_sharing_options_t part_options = {
+        .settings = options->settings,
+        .directory = options->directory,
+        .ownership = options->ownership,
+    };
     if (self->suspicions == NULL ||
         SkyResult_IsError(SkyCrashWatch_Create(
-            &watch_options, &options->directory->crashes))) {
+            &watch_options, &options->directory->crashes)) ||
+        SkyResult_IsError(
+            SkyPartSharing_Create(&part_options, &self->part_sharing))) {
+        SkyCrashWatch_Free(options->directory->crashes);
+        options->directory->crashes = NULL;
         json_decref(self->suspicions);
         free(self);
         return SKY_E_MEMORY;
@@ -333,6 +391,7 @@
     if (sharing->ask != NULL) {
         SkyHostCalls_CancelCall(sharing->ask);
     }
+    SkyPartSharing_Free(sharing->part_sharing);
     SkyCrashWatch_Free(sharing->options.directory->crashes);
     sharing->options.directory->crashes = NULL;
     json_decref(sharing->suspicions);
--- a/lib/edge/crash_sharing.h
+++ b/lib/edge/crash_sharing.h
@@ -6,8 +6,9 @@
  * Decisions are those of decide/crash_watch.h. A suspicion is sent to all
  * hosts directly, so that it needs no store. Confirmed crashes are also
  * written to the store by the hosts that read it, for as long as one of them
- * is missing there; the feed passes them on. A host that has started, or was
- * suspended, asks other hosts for all they know.
+ * is missing there; the feed passes them on. The same holds for prompt parts
+ * that crash targets and the decisions of decide/part_watch.h. A host that has
+ * started, or was suspended, asks other hosts for all they know.
  */
 #ifndef SKY_EDGE_CRASH_SHARING_H
 #define SKY_EDGE_CRASH_SHARING_H
--- a/lib/edge/directory.h
+++ b/lib/edge/directory.h
@@ -11,6 +11,7 @@
 #include "decide/crash_watch.h"
 #include "decide/deployment.h"
 #include "decide/fleet.h"
+#include "decide/part_watch.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -20,6 +21,7 @@
     sky_deployment_t *deployment; /**< NULL: not read yet */
     sky_fleet_t *fleet;
     sky_crash_watch_t *crashes; /**< requests that crash targets */
+    sky_part_watch_t *parts;    /**< prompt parts that crash targets */
     bool targets_known;     /**< the list of targets was read at least once */
     bool store_unreachable; /**< the last read from the store failed */
     /** Hosts that share the retry budgets, this one included. */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -57,6 +57,7 @@
                                  : request->last_activity_ms;
     request->send_count++;
     request->events_before = request->event_stream.event_count;
+    request->answer_recorded = false;
     SkyAttempts_RecordSent(&request->attempts, choice->target->hash);
     SkyFleet_BeginRequest(request->target);
     write_request(request, &request_bytes);
@@ -303,17 +304,42 @@
         "target_limited");
 }
 
+/* Ends and frees a request that is known to crash targets. */
+static bool
+fail_crashing(sky_proxy_request_t *request)
+{
+    const sky_directory_t *directory = request->proxy->options.directory;
+    uint64_t now = SkyClock_NowMs();
+    uint64_t quarantine_ms = SkyCrashWatch_GetQuarantineMs(
+        directory->crashes, request->fingerprint, now);
+    if (quarantine_ms > 0) {
+        SkyProxyRequest_Fail(request, (uint32_t)quarantine_ms, "quarantined");
+        return true;
+    }
+    if (request->is_part_trial) {
+        return false;
+    }
+    uint32_t retry_after_ms = 0;
+    switch (SkyPartWatch_Admit(directory->parts, &request->facts, now,
+                               &retry_after_ms)) {
+    case SKY_PART_ALLOWED:
+        return false;
+    case SKY_PART_TRIAL:
+        request->is_part_trial = true;
+        return false;
+    case SKY_PART_REFUSED:
+        break;
+    }
+    SkyProxyRequest_Fail(request, retry_after_ms, "part_blamed");
+    return true;
+}
+
 void
 SkyProxyRequest_Dispatch(sky_proxy_request_t *request)
 {
-    sky_proxy_t *proxy = request->proxy;
     sky_fleet_query_t query;
     sky_fleet_choice_t choice;
-    uint64_t quarantine_ms =
-        SkyCrashWatch_GetQuarantineMs(proxy->options.directory->crashes,
-                                      request->fingerprint, SkyClock_NowMs());
-    if (quarantine_ms > 0) {
-        SkyProxyRequest_Fail(request, (uint32_t)quarantine_ms, "quarantined");
+    if (fail_crashing(request)) {
         return;
     }
     choose_target(request, &query, &choice);
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "edge/part_sharing.h"
 #include "decide/freshness.h"
 #include "platform/documents.h"
 
@@ -167,9 +168,15 @@
 {
     sky_crash_watch_t *crashes = feed->options.directory->crashes;
     sky_rec_crash_t crash;
+    uint64_t part;
     if (record->is_tombstone) {
         return;
     }
+    if (SkyPart_ParseKey(record->key, &part)) {
+        SkyPartSharing_ApplyRecord(feed->options.directory->parts, part,
+                                   record->value);
+        return;
+    }
     if (!SkyCrash_ParseKey(record->key, &crash)) {
         SkyLog_Write(LOG_WARNING, "crash_ignored", "key=%s", record->key);
         return;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -231,6 +231,10 @@
                                       request->fingerprint, now) > 0) {
         return "quarantined";
     }
+    if (SkyPartWatch_IsBlamed(proxy->options.directory->parts,
+                              &request->facts)) {
+        return "part_blamed";
+    }
     if (!SkyProxyRequest_HasEligibleTarget(request)) {
         return "no_other_target";
     }
@@ -294,6 +298,28 @@
     }
 }
 
+void
+SkyProxyRequest_RecordAnswer(sky_proxy_request_t *request)
+{
+    if (!request->answer_recorded) {
+        request->answer_recorded = true;
+        SkyPartWatch_RecordAnswer(request->proxy->options.directory->parts,
+                                  &request->facts, SkyClock_NowMs());
+    }
+}
+
+void
+SkyProxyRequest_SuspectParts(const sky_proxy_request_t *request)
+{
+    sky_target_run_t run = {(uint32_t)request->target->hash,
+                            request->target->entry.started_unix_ms};
+    if (!request->answer_recorded) {
+        SkyPartWatch_RecordBrokenExchange(
+            request->proxy->options.directory->parts, &request->facts, &run,
+            SkyClock_NowMs());
+    }
+}
+
 /* Writes the ids of the prompt parts that requests may share, separated by
  * commas; "-" if there are none. */
 static void
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -77,6 +77,8 @@
     sky_proxy_response_t response;
     sky_event_stream_t event_stream;
     uint64_t events_before; /**< events of earlier exchanges */
+    bool answer_recorded;   /**< see SkyProxyRequest_RecordAnswer() */
+    bool is_part_trial;     /**< sent although it has a blamed prompt part */
     struct sky_proxy_request *prev;
     struct sky_proxy_request *next;
 } sky_proxy_request_t;
@@ -164,6 +166,14 @@
 void SkyProxyRequest_RetryOrFail(sky_proxy_request_t *request,
                                  uint32_t retry_after_ms, const char *reason);
 
+/** Records, once in an exchange, that the answer got past its start: no part
+ *  of the prompt crashes the target. */
+void SkyProxyRequest_RecordAnswer(sky_proxy_request_t *request);
+
+/** Records that the connection ended before the answer got past its start: a
+ *  part of the prompt may have crashed the target. */
+void SkyProxyRequest_SuspectParts(const sky_proxy_request_t *request);
+
 /** Records that the current exchange broke after the request was sent: the
  *  target may have crashed while it ran the request. */
 void SkyProxyRequest_SuspectCrash(const sky_proxy_request_t *request);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -7,6 +7,10 @@
  *  so that the request can still be retried if the response is cut short. */
 #define BUFFERED_RESPONSE_MAX_BYTES (256u * 1024u)
 
+/** Events after which an answer is past its start. The first one may be the
+ *  last that a target writes before it crashes. */
+#define START_EVENTS 2
+
 static void
 record_activity(sky_proxy_request_t *request)
 {
@@ -104,6 +108,9 @@
                                SkyBuffer_Data(&whole_events),
                                SkyBuffer_Size(&whole_events));
     SkyBuffer_Clear(&whole_events);
+    if (SkyProxyRequest_EventCount(request) >= START_EVENTS) {
+        SkyProxyRequest_RecordAnswer(request);
+    }
 }
 
 static void
@@ -176,6 +183,7 @@
     if (SkyBuffer_Size(&request->event_stream.partial_event) > 0) {
         /* The HTTP framing is complete, but the last event is not. */
         SkyProxyRequest_SuspectCrash(request);
+        SkyProxyRequest_SuspectParts(request);
         handle_failure(request, "cut_event");
         return;
     }
@@ -213,9 +221,14 @@
     }
     if (is_body_missing(request)) {
         SkyProxyRequest_SuspectCrash(request);
+        SkyProxyRequest_SuspectParts(request);
         handle_failure(request, "no_body");
         return;
     }
+    if (response->is_framed && response->status < 400 &&
+        SkyBuffer_Size(&request->event_stream.partial_event) == 0) {
+        SkyProxyRequest_RecordAnswer(request);
+    }
     if (request->response_started) {
         finish_relay(request);
         return;
@@ -256,6 +269,7 @@
         request->response.status =
             request->response_started ? request->response.status : 0;
         SkyProxyRequest_SuspectCrash(request);
+        SkyProxyRequest_SuspectParts(request);
         handle_failure(request, SkyClientRequest_OutcomeName(outcome));
         break;
     }
--- a/tests/proc_crashing_part.sh
+++ b/tests/proc_crashing_part.sh
@@ -22,7 +22,7 @@
         -H 'X-Skylarkspar-Model: m1' -H 'X-Skylarkspar-Token-Count: 400,40' \
         -H "X-Skylarkspar-Prompt-Prefix: $4,$(printf 'a%07x' $request_count):9"
 }
-# mix PART ROUNDS HOST...: sends, in rounds of 0.3 s at one host after the
+# mix PART ROUNDS HOST...: sends, in rounds of 0.4 s at one host after the
 # other, a request with the part and beside it two without it, which share its
 # other parts. The statuses of the latter are appended to the file "sound".
 mix() {
@@ -43,7 +43,7 @@
         sound=$!
         { send_parts "$host" /gen/1 "t$request_count" \
             "f0000001:800,c0000001:90"; echo; } >>"$DIR/sound"
-        sleep 0.3
+        sleep 0.4
         wait $guilty $sound
     done
 }
@@ -90,11 +90,11 @@
 done
 : >"$DIR/sound"
 
-mix dead0001:200 24 0 1 2
+mix dead0001 24 0 1 2
 check "requests with a crashing part are soon sent no more by any host" \
     "$(late_sends dead0001)" within
 : >"$DIR/sound"
-mix dead0001:200 12 0 1 2
+mix dead0001 12 0 1 2
 check "requests that share the other parts are served" "$(sound_share)" \
     "half or more"
 check "a request with the part is rejected without a send" \
@@ -103,22 +103,22 @@
     "$(grep -ci '^Retry-After: [0-9]' "$DIR/head.q1")" 1
 
 restart_hosts 2
-mix dead0001:200 6 2
+mix dead0001 6 2
 check "a restarted host does not send them" "$(late_sends dead0001)" within
 kill -STOP "$EDGE1"
-mix dead0002:200 16 0 2
+mix dead0002 16 0 2
 kill -CONT "$EDGE1"
-mix dead0002:200 6 1
+mix dead0002 6 1
 check "a host that was suspended meanwhile does not send them" \
     "$(late_sends dead0002)" within
 restart_hosts 0 1 2
-mix dead0002:200 9 0 1 2
+mix dead0002 9 0 1 2
 check "after a restart of all hosts, none sends them" \
     "$(late_sends dead0002)" within
 check "the first part is still accepted by all" "$(sound_share)" "half or more"
 
 set_fault '{"empty_crashes": 1000}'
-mix dead0003:200 24 0 1 2
+mix dead0003 24 0 1 2
 check "crashes that look like an empty response count" \
     "$(late_sends dead0003)" within
 check "such a response is not passed on as a complete one" \
@@ -126,20 +126,20 @@
 set_fault '{"empty_crashes": 0, "store_down_0": 1, "store_down_1": 1,
     "store_down_2": 1}'
 sleep 1
-mix dead0004:200 24 0 1 2
+mix dead0004 24 0 1 2
 check "store unreachable: no host sends them" "$(late_sends dead0004)" within
 restart_hosts 1
-mix dead0004:200 6 1
+mix dead0004 6 1
 check "store unreachable: a restarted host does not send them" \
     "$(late_sends dead0004)" within
 set_fault '{"store_down_0": 0, "store_down_1": 0, "store_down_2": 0}'
 sleep 4
 restart_hosts 0 1 2
-mix dead0004:200 6 0 1 2
+mix dead0004 6 0 1 2
 check "after the outage and a restart of all hosts, none sends them" \
     "$(late_sends dead0004)" within
 : >"$DIR/sound"
-mix b0000009:200 6 0 1 2
+mix b0000009 6 0 1 2
 check "at the end requests without such a part are served" "$(sound_share)" \
     "half or more"
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
