Log the software version of targets

Streams went on at targets of another version of their software. Entries in the list of targets name that version, but nothing read it, and no line of a host told which version began a stream.

--- a/lib/decide/target_entry.h
+++ b/lib/decide/target_entry.h
@@ -16,6 +16,7 @@
 #define SKY_TARGET_ID_BYTES 40
 #define SKY_ADAPTER_NAME_BYTES 32
 #define SKY_SERVICE_NAME_BYTES 40
+#define SKY_SOFTWARE_VERSION_BYTES 64
 
 /** An adapter that is resident at a target; the adapter "" is the model. */
 typedef struct {
@@ -34,6 +35,8 @@
     char service[SKY_SERVICE_NAME_BYTES];
     char domain[SKY_SERVICE_NAME_BYTES];
     struct sockaddr_in address;
+    /** Version of the software that it runs, "" if its entry names none. */
+    char software[SKY_SOFTWARE_VERSION_BYTES];
     sky_target_state_t state;
     uint32_t slots;            /**< of its batch */
     uint64_t started_unix_ms;  /**< Unix time of its start; differs after a
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -149,11 +149,11 @@
         fleet_target->entry.started_unix_ms != entry.started_unix_ms) {
         SkyLog_Write(LOG_NOTICE, "target_listed",
                      "target=%s service=%s state=%s slots=%u born=%llu "
-                     "adapters=%u",
+                     "software=%s adapters=%u",
                      entry.id, entry.service,
                      entry.state == SKY_TARGET_READY ? "ready" : "leaving",
                      entry.slots, (unsigned long long)entry.started_unix_ms,
-                     entry.resident_count);
+                     entry.software, entry.resident_count);
     }
     if (SkyFleet_ApplyEntry(fleet, &entry, SkyClock_NowMs()) == NULL) {
         SkyLog_Write(LOG_ERR, "target_entry_ignored",
