--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -33,6 +33,8 @@
  * - empty_crashes: an engine that crashes sends a response without a length
  *   and without a body first
  *
+ * - second_software_from: engines that start, from this number on, run
+ * software version v2, others v1; each event names the version; 0: all run v1
  * - limit_N, limit_app: the engine or the service names a limit of so many
  *   tenths of a request a second in its responses; 0: none
  */
@@ -118,6 +120,7 @@
     char limit_name[32]; /* of the fault that holds its limit */
     uint64_t started_ms;
     uint64_t applied_orders; /* revision that an order has to expect */
+    const char *software;    /* version */
     bool is_leaving;
     bool is_down; /* after a crash; restarted by restart_timer */
     ev_timer crash_timer;
@@ -637,9 +640,10 @@
     }
     json_t *entry = json_pack(
         "{s:s, s:s, s:s, s:s, s:i, s:s, s:I, s:I, s:[{s:s, s:i, s:o}]}",
-        "service", "llm", "addr", address, "zone", "z1", "version", "v1",
-        "slots", 16, "state", engine->is_leaving ? "draining" : "ready",
-        "born", (json_int_t)engine->started_ms, "seq",
+        "service", "llm", "addr", address, "zone", "z1", "version",
+        engine->software, "slots", 16, "state",
+        engine->is_leaving ? "draining" : "ready", "born",
+        (json_int_t)engine->started_ms, "seq",
         (json_int_t)engine->applied_orders, "models", "name", MODEL_NAME,
         "version", 1, "adapters", adapters);
     char *text = json_dumps(entry, JSON_COMPACT);
@@ -654,6 +658,9 @@
     memset(engine->adapter_slots, 0, sizeof engine->adapter_slots);
     engine->started_ms = SkyClock_WallMs();
     engine->applied_orders = 0;
+    int64_t second_from = get_fault("second_software_from");
+    engine->software =
+        second_from > 0 && engine->number >= second_from ? "v2" : "v1";
     engine->unloading_adapter[0] = '\0';
     snprintf(engine->id, sizeof engine->id, "i-%d-%llx", engine->number,
              (unsigned long long)engine->started_ms);
@@ -700,9 +707,10 @@
         SkyServerRequest_Abort(request);
         return;
     }
-    int size = snprintf(text, sizeof text, "id: %llu\ndata: t%llu\n\n",
+    int size = snprintf(text, sizeof text, "id: %llu\ndata: t%llu %s\n\n",
                         (unsigned long long)stream->next_event,
-                        (unsigned long long)stream->next_event);
+                        (unsigned long long)stream->next_event,
+                        stream->engine->software);
     SkyServerRequest_WriteBody(request, text, (size_t)size);
     if (++stream->next_event > EVENTS_PER_STREAM) {
         SkyServerRequest_SetUserData(request, NULL);
