Let a stream go on only at the software version that began it

Callers got events of two software versions in one stream: when a target broke off, the stream was taken up at any other target, by the host or by the caller at another host. What two versions write does not fit together, and targets do not check it.

Cause: the choice of a target did not depend on its software version, and which version began a stream is known to the host that passed its first event on, while callers come back to any host.

A host records the version with a stream's first event and tells three keepers while the service has several versions; a host without a record asks. Unknown streams are refused if any of the hosts asked has seen two versions.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -388,6 +388,15 @@
            strcmp(target->entry.service, service) == 0;
 }
 
+/* Whether the target is one of those that the query is about. */
+static bool
+is_candidate(const sky_fleet_target_t *target, const sky_fleet_query_t *query)
+{
+    return is_usable(target, query->service) &&
+           (query->software == NULL ||
+            strcmp(target->entry.software, query->software) == 0);
+}
+
 static bool
 waits_for_limit(const sky_fleet_target_t *target, uint64_t now_ms)
 {
@@ -495,7 +504,7 @@
     sky_fleet_target_t *target;
     DL_FOREACH(fleet->targets, target)
     {
-        if (!is_usable(target, query->service)) {
+        if (!is_candidate(target, query)) {
             continue;
         }
         choice->has_usable_target = true;
@@ -561,8 +570,7 @@
                  const sky_fleet_query_t *query, sky_adapter_key_t adapter,
                  uint64_t now_ms)
 {
-    return is_usable(target, query->service) &&
-           target->blocked_until_ms <= now_ms &&
+    return is_candidate(target, query) && target->blocked_until_ms <= now_ms &&
            !waits_for_limit(target, now_ms) && is_allowed(query, target) &&
            !(query->without_adapter &&
              find_version(target, adapter, now_ms) > 0);
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -124,6 +124,7 @@
     uint32_t excluded_count;
     const uint64_t *allowed; /**< hashes of the targets to choose from */
     uint32_t allowed_count;  /**< 0: any target is allowed */
+    const char *software;    /**< only targets of this version; NULL: any */
     uint64_t tie_breaker;    /**< any number; breaks ties between targets */
     bool
         without_adapter; /**< rank targets where the adapter is not resident */
--- a/lib/decide/request_facts.h
+++ b/lib/decide/request_facts.h
@@ -34,8 +34,11 @@
     uint32_t output_tokens_hint; /**< the caller's estimate, 0: none */
     sky_prompt_part_t parts[SKY_PROMPT_PARTS_MAX];
     uint32_t part_count;
-    bool has_more_parts;   /**< than those in the list */
-    bool resumes;          /**< continues a stream after `resume_after` */
+    bool has_more_parts; /**< than those in the list */
+    bool resumes;        /**< continues a stream after `resume_after` */
+    /** Id of the request that began the stream: its own, or that of an earlier
+     *  attempt if it resumes one; "": not known. */
+    const char *stream_id;
     uint64_t resume_after; /**< number of the last event received */
 } sky_request_facts_t;
 
--- /dev/null
+++ b/lib/decide/stream_versions.h
@@ -0,0 +1,105 @@
+/**
+ * @file stream_versions.h
+ * @brief Which software version a stream began at, and so may go on at.
+ *
+ * What two versions of a target's software write does not fit together. A host
+ * records the version that brought a stream's first event, under the id of the
+ * request that got it. While the targets of a service run, or recently ran,
+ * more than one version, records are also told to other hosts, so that a
+ * stream can be taken up at any of them.
+ *
+ * Other hosts are asked for a stream without a record. If none has one, it may
+ * go on anywhere as long as no host has seen several versions of the service
+ * within the time that a stream can last; else it is refused. The module does
+ * no I/O; times are milliseconds of the caller's clock.
+ */
+#ifndef SKY_DECIDE_STREAM_VERSIONS_H
+#define SKY_DECIDE_STREAM_VERSIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/result.h"
+#include "decide/target_entry.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct sky_stream_versions sky_stream_versions_t;
+
+typedef struct {
+    /** Time from a stream's first event within which it may be taken up. */
+    uint64_t retention_ms;
+    uint32_t streams_max; /**< records kept; the oldest is displaced */
+} sky_stream_versions_options_t;
+
+/** @return SKY_OK or SKY_E_MEMORY. */
+sky_result_t
+SkyStreamVersions_Create(const sky_stream_versions_options_t *options,
+                         sky_stream_versions_t **versions);
+void SkyStreamVersions_Free(sky_stream_versions_t *versions);
+
+/** Records that a target of the service runs this software now. */
+void SkyStreamVersions_RecordTarget(sky_stream_versions_t *versions,
+                                    const char *service, const char *software,
+                                    uint64_t now_ms);
+/** @return whether targets of the service run several versions, or did so
+ *          within the retention time. */
+bool SkyStreamVersions_IsMixed(const sky_stream_versions_t *versions,
+                               const char *service, uint64_t now_ms);
+
+/** The version of one stream. */
+typedef struct {
+    uint64_t stream; /**< hash of the id of the request that began it */
+    char service[SKY_SERVICE_NAME_BYTES];
+    char software[SKY_SOFTWARE_VERSION_BYTES];
+} sky_stream_version_t;
+
+/** Records a stream that began at this host (@p is_own) or at another one. The
+ *  first record of a stream counts. */
+void SkyStreamVersions_RecordStream(sky_stream_versions_t *versions,
+                                    const sky_stream_version_t *stream,
+                                    bool is_own, uint64_t now_ms);
+/** @return software version that the stream began at; NULL: no record. */
+const char *SkyStreamVersions_FindStream(const sky_stream_versions_t *versions,
+                                         uint64_t stream, uint64_t now_ms);
+
+typedef void (*sky_stream_version_visitor_t)(
+    const sky_stream_version_t *stream, void *context);
+/** Calls @p visit once for each own stream of a service with several versions;
+ *  it is then known to others. */
+void SkyStreamVersions_TakeUntold(sky_stream_versions_t *versions,
+                                  uint64_t now_ms,
+                                  sky_stream_version_visitor_t visit,
+                                  void *context);
+
+typedef enum {
+    SKY_RESUME_ANYWHERE,    /**< at a target of any version */
+    SKY_RESUME_AT_SOFTWARE, /**< only at the version that began it */
+    SKY_RESUME_ASK_OTHERS,  /**< other hosts may know the version */
+    SKY_RESUME_REFUSED,     /**< nobody knows, and a guess may be wrong */
+} sky_resume_kind_t;
+
+typedef struct {
+    sky_resume_kind_t kind;
+    const char *software; /**< SKY_RESUME_AT_SOFTWARE: the version */
+} sky_resume_t;
+
+/** What other hosts answered. */
+typedef struct {
+    bool have_answered; /**< all that were asked have answered or timed out */
+    bool know_mixed;    /**< one of them has seen several versions */
+} sky_resume_answers_t;
+
+/** Decides where a stream that a caller takes up may go on.
+ *  @param stream hash of the id of the request that began it */
+sky_resume_t SkyStreamVersions_Decide(const sky_stream_versions_t *versions,
+                                      const char *service, uint64_t stream,
+                                      const sky_resume_answers_t *answers,
+                                      uint64_t now_ms);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -1,6 +1,7 @@
 #include "edge/proxy_request.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #include "core/clock.h"
 
@@ -58,6 +59,8 @@
     request->send_count++;
     request->events_before = request->event_stream.event_count;
     request->answer_recorded = false;
+    memcpy(request->sent_software, choice->target->entry.software,
+           sizeof request->sent_software);
     SkyAttempts_RecordSent(&request->attempts, choice->target->hash);
     SkyFleet_BeginRequest(request->target);
     write_request(request, &request_bytes);
@@ -162,6 +165,8 @@
         .engine = request->service->engine.present,
         .model = request->facts.model,
         .adapter = request->facts.adapter,
+        .software =
+            request->has_stream_software ? request->stream_software : NULL,
         .tie_breaker = SkyProxyRequest_IdHash(request),
     };
     SkyAttempts_RestrictQuery(&request->attempts, request->route->targets_max,
@@ -334,12 +339,66 @@
     return true;
 }
 
+static void
+on_resume_answers(void *context, const sky_resume_answers_t *answers)
+{
+    sky_proxy_request_t *request = context;
+    request->stream_ask = NULL;
+    request->resume_answers = *answers;
+    SkyProxyRequest_Dispatch(request);
+}
+
+/* Settles at which software version a stream that the caller takes up may go
+ * on. Returns false if it has to wait for other hosts, or was ended and freed.
+ */
+static bool
+settle_resume(sky_proxy_request_t *request)
+{
+    if (request->may_resume || !request->facts.resumes ||
+        !request->route->streaming) {
+        return true;
+    }
+    const sky_proxy_options_t *options = &request->proxy->options;
+    const char *service = request->service->name;
+    uint64_t stream = SkyStreamSharing_HashId(request->facts.stream_id);
+    sky_resume_t resume =
+        SkyStreamVersions_Decide(options->directory->streams, service, stream,
+                                 &request->resume_answers, SkyClock_NowMs());
+    if (resume.kind == SKY_RESUME_ASK_OTHERS) {
+        request->stream_ask =
+            SkyStreamSharing_Ask(options->stream_sharing, service, stream,
+                                 on_resume_answers, request);
+        if (request->stream_ask != NULL) {
+            return false;
+        }
+        request->resume_answers.have_answered = true;
+        resume = SkyStreamVersions_Decide(options->directory->streams, service,
+                                          stream, &request->resume_answers,
+                                          SkyClock_NowMs());
+    }
+    switch (resume.kind) {
+    case SKY_RESUME_ANYWHERE:
+        break;
+    case SKY_RESUME_AT_SOFTWARE:
+        snprintf(request->stream_software, sizeof request->stream_software,
+                 "%s", resume.software);
+        request->has_stream_software = true;
+        break;
+    case SKY_RESUME_ASK_OTHERS:
+    case SKY_RESUME_REFUSED:
+        SkyProxyRequest_Fail(request, RETRY_AFTER_START_MS, "stream_unknown");
+        return false;
+    }
+    request->may_resume = true;
+    return true;
+}
+
 void
 SkyProxyRequest_Dispatch(sky_proxy_request_t *request)
 {
     sky_fleet_query_t query;
     sky_fleet_choice_t choice;
-    if (fail_crashing(request)) {
+    if (fail_crashing(request) || !settle_resume(request)) {
         return;
     }
     choose_target(request, &query, &choice);
@@ -374,6 +433,7 @@
     else {
         SkyProxyRequest_Fail(request, RETRY_AFTER_START_MS,
                              choice.has_usable_target ? "no_other_target"
+                             : query.software != NULL ? "software_gone"
                                                       : "no_target");
     }
 }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -10,6 +10,7 @@
 #include "core/logging.h"
 #include "core/metrics.h"
 #include "edge/crash_sharing.h"
+#include "edge/stream_sharing.h"
 #include "edge/directory.h"
 #include "edge/feed.h"
 #include "edge/feed_relay.h"
@@ -68,6 +69,7 @@
     sky_rate_permits_t *rate_permits;
     sky_feed_relay_t *feed_relay;
     sky_crash_sharing_t *crash_sharing;
+    sky_stream_sharing_t *stream_sharing;
     sky_listener_t *probe_listener;
     sky_listener_t *metrics_listener;
     sky_listener_t *front_listener;
@@ -334,12 +336,24 @@
     if (!SkyResult_IsError(result)) {
         result = SkyRatePermits_Create(&permits_options, &edge->rate_permits);
     }
+    sky_stream_sharing_options_t stream_options = {
+        .loop = edge->loop,
+        .settings = settings,
+        .directory = &edge->directory,
+        .ownership = edge->ownership,
+        .host_calls = edge->host_calls};
+    if (!SkyResult_IsError(result)) {
+        result =
+            SkyStreamSharing_Create(&stream_options, &edge->stream_sharing);
+    }
     sky_proxy_options_t proxy_options = {.loop = edge->loop,
                                          .settings = settings,
                                          .directory = &edge->directory,
                                          .client = edge->client,
                                          .placement = edge->placement,
                                          .rate_permits = edge->rate_permits,
+                                         .stream_sharing =
+                                             edge->stream_sharing,
                                          .metrics = edge->metrics};
     if (!SkyResult_IsError(result)) {
         result = SkyProxy_Create(&proxy_options, &edge->proxy);
@@ -441,6 +455,7 @@
     SkyPlacement_Free(edge->placement);
     SkyFeedRelay_Free(edge->feed_relay);
     SkyCrashSharing_Free(edge->crash_sharing);
+    SkyStreamSharing_Free(edge->stream_sharing);
     SkyFeed_Free(edge->feed);
     SkyOwnership_Free(edge->ownership);
     SkyHostCalls_Free(edge->host_calls);
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -21,6 +21,7 @@
 #include "edge/host_settings.h"
 #include "edge/rate_permits.h"
 #include "edge/placement.h"
+#include "edge/stream_sharing.h"
 #include "net/client.h"
 #include "net/listener.h"
 
@@ -37,6 +38,7 @@
     sky_client_t *client;
     sky_placement_t *placement;
     sky_rate_permits_t *rate_permits;
+    sky_stream_sharing_t *stream_sharing;
     sky_metrics_t *metrics;
 } sky_proxy_options_t;
 
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -87,6 +87,10 @@
         SkyRatePermits_Cancel(request->permit_request);
         request->permit_request = NULL;
     }
+    if (request->stream_ask != NULL) {
+        SkyStreamSharing_CancelAsk(request->stream_ask);
+        request->stream_ask = NULL;
+    }
     if (request->target_request != NULL) {
         SkyClientRequest_Cancel(request->target_request);
         SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE);
@@ -110,7 +114,7 @@
         "id=%s route=%s service=%s adapter=%s/%s target=%s status=%u "
         "outcome=%s "
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
-        "config=%llu fingerprint=%016llx",
+        "config=%llu fingerprint=%016llx software=%s",
         request->facts.id, request->route ? request->route->name : "-",
         request->service ? request->service->name : "-",
         request->facts.model[0] ? request->facts.model : "-",
@@ -123,7 +127,8 @@
         request->send_count, request->placement_count,
         (unsigned long long)(request->deployment ? request->deployment->version
                                                  : 0),
-        (unsigned long long)request->fingerprint);
+        (unsigned long long)request->fingerprint,
+        request->has_stream_software ? request->stream_software : "-");
 }
 
 void
@@ -298,6 +303,26 @@
     }
 }
 
+void
+SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request)
+{
+    if (request->has_stream_software) {
+        return;
+    }
+    request->has_stream_software = true;
+    memcpy(request->stream_software, request->sent_software,
+           sizeof request->stream_software);
+    if (request->facts.stream_id[0] == '\0') {
+        return; /* nobody can name it when it is taken up */
+    }
+    sky_stream_version_t stream = {
+        .stream = SkyStreamSharing_HashId(request->facts.stream_id)};
+    memcpy(stream.service, request->service->name, sizeof stream.service);
+    memcpy(stream.software, request->stream_software, sizeof stream.software);
+    SkyStreamVersions_RecordStream(request->proxy->options.directory->streams,
+                                   &stream, true, SkyClock_NowMs());
+}
+
 void
 SkyProxyRequest_RecordAnswer(sky_proxy_request_t *request)
 {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -78,7 +78,16 @@
     sky_event_stream_t event_stream;
     uint64_t events_before; /**< events of earlier exchanges */
     bool answer_recorded;   /**< see SkyProxyRequest_RecordAnswer() */
-    bool is_part_trial;     /**< sent although it has a blamed prompt part */
+    /** Software version of the current exchange's target. */
+    char sent_software[SKY_SOFTWARE_VERSION_BYTES];
+    /** Version that brought the stream's first event, at which alone it may go
+     *  on; set if has_stream_software. */
+    char stream_software[SKY_SOFTWARE_VERSION_BYTES];
+    bool has_stream_software;
+    bool may_resume; /**< it is settled where the caller's stream may go on */
+    sky_stream_ask_t *stream_ask; /**< pending, or NULL */
+    sky_resume_answers_t resume_answers;
+    bool is_part_trial; /**< sent although it has a blamed prompt part */
     struct sky_proxy_request *prev;
     struct sky_proxy_request *next;
 } sky_proxy_request_t;
@@ -166,6 +175,9 @@
 void SkyProxyRequest_RetryOrFail(sky_proxy_request_t *request,
                                  uint32_t retry_after_ms, const char *reason);
 
+/** Records the version that began the stream, with its first event. */
+void SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request);
+
 /** Records, once in an exchange, that the answer got past its start: no part
  *  of the prompt crashes the target. */
 void SkyProxyRequest_RecordAnswer(sky_proxy_request_t *request);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -108,6 +108,9 @@
                                SkyBuffer_Data(&whole_events),
                                SkyBuffer_Size(&whole_events));
     SkyBuffer_Clear(&whole_events);
+    if (SkyProxyRequest_EventCount(request) > 0) {
+        SkyProxyRequest_RecordFirstEvent(request);
+    }
     if (SkyProxyRequest_EventCount(request) >= START_EVENTS) {
         SkyProxyRequest_RecordAnswer(request);
     }
--- /dev/null
+++ b/lib/edge/stream_sharing.c
@@ -0,0 +1,335 @@
+#include "edge/stream_sharing.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "core/clock.h"
+#include "core/logging.h"
+
+#define CALL_PATH "/streams"
+#define TICK_INTERVAL_S 0.1
+#define CALL_TIMEOUT_MS 300
+/** Hosts that are told of a stream: with three of eight, as many streams go on
+ *  as the rules want when more than half of the hosts are lost. */
+#define KEEPERS 3
+/** Hosts that are asked for a stream: its keepers come first. */
+#define ASKED_MAX 8
+/** Longer than any stream and its callers' retries last. */
+#define RETENTION_MS 60000
+#define STREAMS_MAX 16384
+
+/** One call of a question. */
+typedef struct {
+    sky_stream_ask_t *ask;
+    sky_host_call_t *call; /**< NULL: ended */
+} ask_call_t;
+
+struct sky_stream_ask {
+    sky_stream_sharing_t *sharing;
+    uint64_t stream;
+    char service[SKY_SERVICE_NAME_BYTES];
+    ask_call_t calls[ASKED_MAX];
+    uint32_t pending_count;
+    sky_resume_answers_t answers;
+    sky_stream_answer_callback_t on_answer;
+    void *context;
+    struct sky_stream_ask *prev;
+    struct sky_stream_ask *next;
+};
+
+struct sky_stream_sharing {
+    sky_stream_sharing_options_t options;
+    ev_timer tick;
+    sky_stream_ask_t *asks;
+};
+
+uint64_t
+SkyStreamSharing_HashId(const char *request_id)
+{
+    return XXH3_64bits(request_id, strlen(request_id));
+}
+
+typedef struct {
+    const char *address;
+    uint64_t weight;
+} ranked_host_t;
+
+/* Ranks the other members for a stream, the same way on each host. */
+static uint32_t
+rank_hosts(const sky_stream_sharing_t *sharing, uint64_t stream,
+           ranked_host_t *ranked, uint32_t max_count)
+{
+    sky_fanout_host_t members[SKY_GROUP_MEMBERS_MAX];
+    uint32_t member_count = SkyOwnership_ListMembers(
+        sharing->options.ownership, members, SKY_GROUP_MEMBERS_MAX);
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < member_count; i++) {
+        const char *address = members[i].address;
+        if (strcmp(address, sharing->options.settings->control) == 0) {
+            continue;
+        }
+        uint64_t weight =
+            XXH3_64bits_withSeed(address, strlen(address), stream);
+        uint32_t at = count < max_count ? count++ : max_count;
+        while (at > 0 && weight > ranked[at - 1].weight) {
+            if (at < max_count) {
+                ranked[at] = ranked[at - 1];
+            }
+            at--;
+        }
+        if (at < max_count) {
+            ranked[at] = (ranked_host_t){address, weight};
+        }
+    }
+    return count;
+}
+
+static void
+on_told(void *context, const json_t *body)
+{
+    const sky_stream_sharing_t *sharing = context;
+    (void)sharing;
+    if (body == NULL) {
+        SkyLog_Write(LOG_INFO, "streams_not_told", "reason=no_answer");
+    }
+}
+
+/** Rows for each host that keeps some of the streams. */
+typedef struct {
+    const sky_stream_sharing_t *sharing;
+    json_t *rows_by_address;
+} told_t;
+
+static void
+add_told_stream(const sky_stream_version_t *stream, void *context)
+{
+    const told_t *told = context;
+    ranked_host_t keepers[KEEPERS];
+    uint32_t count =
+        rank_hosts(told->sharing, stream->stream, keepers, KEEPERS);
+    for (uint32_t i = 0; i < count; i++) {
+        json_t *rows =
+            json_object_get(told->rows_by_address, keepers[i].address);
+        if (rows == NULL) {
+            rows = json_array();
+            json_object_set_new(told->rows_by_address, keepers[i].address,
+                                rows);
+        }
+        json_array_append_new(rows,
+                              json_pack("[I,s,s]", (json_int_t)stream->stream,
+                                        stream->service, stream->software));
+    }
+}
+
+static void
+tell_streams(sky_stream_sharing_t *sharing, uint64_t now_ms)
+{
+    told_t told = {sharing, json_object()};
+    SkyStreamVersions_TakeUntold(sharing->options.directory->streams, now_ms,
+                                 add_told_stream, &told);
+    const char *address;
+    json_t *rows;
+    json_object_foreach(told.rows_by_address, address, rows)
+    {
+        SkyHostCalls_SendCall(sharing->options.host_calls, address, CALL_PATH,
+                              json_pack("{s:O}", "streams", rows),
+                              CALL_TIMEOUT_MS, on_told, sharing);
+    }
+    json_decref(told.rows_by_address);
+}
+
+static void
+apply_streams(const sky_stream_sharing_t *sharing, const json_t *rows)
+{
+    size_t index;
+    json_t *row;
+    json_array_foreach(rows, index, row)
+    {
+        json_int_t id;
+        const char *service;
+        const char *software;
+        sky_stream_version_t stream = {0};
+        if (json_unpack(row, "[I,s,s]", &id, &service, &software) != 0 ||
+            strlen(service) >= sizeof stream.service ||
+            strlen(software) >= sizeof stream.software) {
+            SkyLog_Write(LOG_WARNING, "stream_ignored", "row=%zu", index);
+            continue;
+        }
+        stream.stream = (uint64_t)id;
+        strcpy(stream.service, service);
+        strcpy(stream.software, software);
+        SkyStreamVersions_RecordStream(sharing->options.directory->streams,
+                                       &stream, false, SkyClock_NowMs());
+    }
+}
+
+static json_t *
+answer_ask(const sky_stream_sharing_t *sharing, const json_t *body)
+{
+    const sky_stream_versions_t *streams = sharing->options.directory->streams;
+    uint64_t now_ms = SkyClock_NowMs();
+    uint64_t stream =
+        (uint64_t)json_integer_value(json_object_get(body, "ask"));
+    const char *service = json_string_value(json_object_get(body, "service"));
+    const char *software =
+        SkyStreamVersions_FindStream(streams, stream, now_ms);
+    return json_pack("{s:s*, s:b}", "software", software, "mixed",
+                     service != NULL &&
+                         SkyStreamVersions_IsMixed(streams, service, now_ms));
+}
+
+static void
+on_call(void *context, sky_server_request_t *server_request,
+        const json_t *body)
+{
+    const sky_stream_sharing_t *sharing = context;
+    apply_streams(sharing, json_object_get(body, "streams"));
+    SkyHostCalls_Respond(server_request, json_object_get(body, "ask") != NULL
+                                             ? answer_ask(sharing, body)
+                                             : json_object());
+}
+
+static void
+record_targets(const sky_stream_sharing_t *sharing, uint64_t now_ms)
+{
+    const sky_fleet_target_t *target =
+        SkyFleet_GetFirstTarget(sharing->options.directory->fleet);
+    for (; target != NULL; target = target->next) {
+        if (target->listed) {
+            SkyStreamVersions_RecordTarget(sharing->options.directory->streams,
+                                           target->entry.service,
+                                           target->entry.software, now_ms);
+        }
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_stream_sharing_t *sharing = watcher->data;
+    uint64_t now_ms = SkyClock_NowMs();
+    record_targets(sharing, now_ms);
+    tell_streams(sharing, now_ms);
+}
+
+void
+SkyStreamSharing_CancelAsk(sky_stream_ask_t *ask)
+{
+    for (uint32_t i = 0; i < ASKED_MAX; i++) {
+        if (ask->calls[i].call != NULL) {
+            SkyHostCalls_CancelCall(ask->calls[i].call);
+        }
+    }
+    DL_DELETE(ask->sharing->asks, ask);
+    free(ask);
+}
+
+/* Ends a question as soon as one host knows the version, or all have ended. */
+static void
+on_ask_answer(void *context, const json_t *body)
+{
+    ask_call_t *call = context;
+    sky_stream_ask_t *ask = call->ask;
+    const char *software =
+        json_string_value(json_object_get(body, "software"));
+    call->call = NULL;
+    ask->pending_count--;
+    ask->answers.know_mixed = ask->answers.know_mixed ||
+                              json_is_true(json_object_get(body, "mixed"));
+    sky_stream_version_t stream = {.stream = ask->stream};
+    bool is_known =
+        software != NULL && strlen(software) < sizeof stream.software;
+    if (is_known) {
+        strcpy(stream.service, ask->service);
+        strcpy(stream.software, software);
+        SkyStreamVersions_RecordStream(
+            ask->sharing->options.directory->streams, &stream, false,
+            SkyClock_NowMs());
+    }
+    if (!is_known && ask->pending_count > 0) {
+        return;
+    }
+    sky_stream_answer_callback_t on_answer = ask->on_answer;
+    void *answer_context = ask->context;
+    sky_resume_answers_t answers = ask->answers;
+    answers.have_answered = true;
+    SkyStreamSharing_CancelAsk(ask);
+    on_answer(answer_context, &answers);
+}
+
+sky_stream_ask_t *
+SkyStreamSharing_Ask(sky_stream_sharing_t *sharing, const char *service,
+                     uint64_t stream, sky_stream_answer_callback_t on_answer,
+                     void *context)
+{
+    ranked_host_t asked[ASKED_MAX];
+    uint32_t count = rank_hosts(sharing, stream, asked, ASKED_MAX);
+    sky_stream_ask_t *ask = calloc(1, sizeof *ask);
+    if (ask == NULL || strlen(service) >= sizeof ask->service) {
+        free(ask);
+        return NULL;
+    }
+    ask->sharing = sharing;
+    ask->stream = stream;
+    strcpy(ask->service, service);
+    ask->on_answer = on_answer;
+    ask->context = context;
+    for (uint32_t i = 0; i < count; i++) {
+        ask->calls[i].ask = ask;
+        ask->calls[i].call = SkyHostCalls_SendCall(
+            sharing->options.host_calls, asked[i].address, CALL_PATH,
+            json_pack("{s:I, s:s}", "ask", (json_int_t)stream, "service",
+                      service),
+            CALL_TIMEOUT_MS, on_ask_answer, &ask->calls[i]);
+        ask->pending_count += ask->calls[i].call != NULL ? 1 : 0;
+    }
+    if (ask->pending_count == 0) {
+        free(ask);
+        return NULL;
+    }
+    DL_APPEND(sharing->asks, ask);
+    return ask;
+}
+
+sky_result_t
+SkyStreamSharing_Create(const sky_stream_sharing_options_t *options,
+                        sky_stream_sharing_t **sharing)
+{
+    sky_stream_sharing_t *self = calloc(1, sizeof *self);
+    if (self == NULL) {
+        return SKY_E_MEMORY;
+    }
+    self->options = *options;
+    sky_stream_versions_options_t versions_options = {
+        .retention_ms = RETENTION_MS,
+        .streams_max = STREAMS_MAX,
+    };
+    if (SkyResult_IsError(SkyStreamVersions_Create(
+            &versions_options, &options->directory->streams))) {
+        free(self);
+        return SKY_E_MEMORY;
+    }
+    ev_timer_init(&self->tick, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
+    self->tick.data = self;
+    ev_timer_start(options->loop, &self->tick);
+    SkyHostCalls_RegisterHandler(options->host_calls, CALL_PATH, on_call, NULL,
+                                 self);
+    *sharing = self;
+    return SKY_OK;
+}
+
+void
+SkyStreamSharing_Free(sky_stream_sharing_t *sharing)
+{
+    if (sharing == NULL) {
+        return;
+    }
+    ev_timer_stop(sharing->options.loop, &sharing->tick);
+    SkyStreamVersions_Free(sharing->options.directory->streams);
+    sharing->options.directory->streams = NULL;
+    free(sharing);
+}
--- a/tests/proc_stream_version.sh
+++ b/tests/proc_stream_version.sh
@@ -150,7 +150,7 @@
 sleep 2
 
 check "a stream that no host knows is refused" \
-    "$(stream 0 u2 -H 'Last-Event-Id: 3' -H 'Resumes: nobody')" 503
+    "$(stream 0 u2 -H 'Last-Event-Id: 3' -H 'Resumes: stranger')" 503
 check "its caller is told when to come back" \
     "$(grep -ci '^Retry-After: [0-9]' "$DIR/head.u2")" 1
 begin 0 $(ids p)
--- /dev/null
+++ b/tests/test_stream_versions.cc
@@ -0,0 +1,239 @@
+// Streams at targets of two software versions, replayed on a clock of the
+// test: one host, then eight hosts under load, of which some are lost.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decide/stream_versions.h"
+
+namespace {
+
+constexpr uint64_t RETENTION_MS = 60000;
+
+sky_stream_version_t
+MakeStream(uint64_t id, const char *software)
+{
+    sky_stream_version_t stream = {};
+    stream.stream = id;
+    snprintf(stream.service, sizeof stream.service, "llm");
+    snprintf(stream.software, sizeof stream.software, "%s", software);
+    return stream;
+}
+
+class StreamVersions : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        sky_stream_versions_options_t options = {RETENTION_MS, 100};
+        ASSERT_EQ(SKY_OK, SkyStreamVersions_Create(&options, &versions));
+    }
+
+    void
+    TearDown() override
+    {
+        SkyStreamVersions_Free(versions);
+    }
+
+    void
+    See(const char *software)
+    {
+        SkyStreamVersions_RecordTarget(versions, "llm", software, now_ms);
+    }
+
+    void
+    Begin(uint64_t id, const char *software)
+    {
+        sky_stream_version_t stream = MakeStream(id, software);
+        SkyStreamVersions_RecordStream(versions, &stream, true, now_ms);
+    }
+
+    sky_resume_t
+    Decide(uint64_t id, sky_resume_answers_t answers = {})
+    {
+        return SkyStreamVersions_Decide(versions, "llm", id, &answers, now_ms);
+    }
+
+    std::vector<uint64_t>
+    TakeUntold()
+    {
+        std::vector<uint64_t> ids;
+        SkyStreamVersions_TakeUntold(
+            versions, now_ms,
+            [](const sky_stream_version_t *stream, void *context) {
+                static_cast<std::vector<uint64_t> *>(context)->push_back(
+                    stream->stream);
+            },
+            &ids);
+        return ids;
+    }
+
+    sky_stream_versions_t *versions = nullptr;
+    uint64_t now_ms = 1000000;
+};
+
+TEST_F(StreamVersions, AStreamGoesOnAtTheVersionThatBeganIt)
+{
+    See("v1");
+    See("v2");
+    Begin(7, "v2");
+    sky_resume_t resume = Decide(7);
+    EXPECT_EQ(SKY_RESUME_AT_SOFTWARE, resume.kind);
+    EXPECT_STREQ("v2", resume.software);
+}
+
+TEST_F(StreamVersions, TheFirstRecordOfAStreamCounts)
+{
+    Begin(7, "v1");
+    Begin(7, "v2");
+    EXPECT_STREQ("v1", Decide(7).software);
+}
+
+TEST_F(StreamVersions, WithOneVersionAnUnknownStreamGoesOnAnywhere)
+{
+    See("v1");
+    EXPECT_EQ(SKY_RESUME_ASK_OTHERS, Decide(7).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+}
+
+TEST_F(StreamVersions, AVersionThatOnlyAnotherHostHasSeenCounts)
+{
+    See("v1");
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, true}).kind);
+}
+
+TEST_F(StreamVersions, AnUnknownStreamIsNotGuessed)
+{
+    See("v1");
+    See("v2");
+    EXPECT_EQ(SKY_RESUME_ASK_OTHERS, Decide(7).kind);
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+}
+
+TEST_F(StreamVersions, AVersionThatIsGoneCountsForAsLongAsItsStreamsCanLast)
+{
+    See("v1");
+    now_ms += RETENTION_MS - 1;
+    See("v2");
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+    now_ms += 2;
+    See("v2");
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+}
+
+TEST_F(StreamVersions, OthersAreToldOnceOfStreamsOfSeveralVersionsOnly)
+{
+    See("v1");
+    Begin(7, "v1");
+    EXPECT_TRUE(TakeUntold().empty());
+    See("v2");
+    EXPECT_EQ(std::vector<uint64_t>{7}, TakeUntold());
+    EXPECT_TRUE(TakeUntold().empty());
+    Begin(8, "v2");
+    EXPECT_EQ(std::vector<uint64_t>{8}, TakeUntold());
+}
+
+TEST_F(StreamVersions, TheNewestRecordsAreKept)
+{
+    See("v1");
+    See("v2");
+    for (uint64_t id = 1; id <= 101; id++) {
+        Begin(id, "v1");
+    }
+    EXPECT_EQ(SKY_RESUME_ASK_OTHERS, Decide(1).kind);
+    EXPECT_EQ(SKY_RESUME_AT_SOFTWARE, Decide(101).kind);
+    now_ms += RETENTION_MS + 1;
+    See("v1");
+    See("v2");
+    EXPECT_EQ(SKY_RESUME_ASK_OTHERS, Decide(101).kind);
+}
+
+TEST_F(StreamVersions, ServicesAreApart)
+{
+    SkyStreamVersions_RecordTarget(versions, "app", "v9", now_ms);
+    See("v1");
+    EXPECT_FALSE(SkyStreamVersions_IsMixed(versions, "llm", now_ms));
+}
+
+// Eight hosts under load: streams begin at targets of both versions, break,
+// and are taken up at other hosts. Each record is told to three hosts, a
+// moment later; three hosts are lost at once.
+TEST(StreamVersionsUnderLoad, StreamsGoOnAtTheirVersionAlsoWhenHostsAreLost)
+{
+    constexpr uint32_t HOSTS = 8;
+    constexpr uint32_t KEEPERS = 3;
+    for (uint32_t seed = 1; seed <= 30; seed++) {
+        std::mt19937 random(seed);
+        uint64_t now_ms = 1000000;
+        std::vector<sky_stream_versions_t *> hosts(HOSTS);
+        sky_stream_versions_options_t options = {RETENTION_MS, 10000};
+        for (auto &host : hosts) {
+            ASSERT_EQ(SKY_OK, SkyStreamVersions_Create(&options, &host));
+        }
+        std::map<uint64_t, const char *> begun;
+        std::vector<bool> is_lost(HOSTS);
+        uint32_t mixed = 0;
+        uint32_t gone_on = 0;
+        uint32_t taken_up = 0;
+        for (uint64_t id = 1; id <= 4000; id++, now_ms += 5) {
+            const char *software = random() % 3 == 0 ? "v2" : "v1";
+            uint32_t at = random() % HOSTS;
+            if (id == 2000) {
+                is_lost[1] = is_lost[4] = is_lost[6] = true;
+            }
+            if (is_lost[at]) {
+                continue;
+            }
+            for (auto *host : hosts) {
+                SkyStreamVersions_RecordTarget(host, "llm", "v1", now_ms);
+                SkyStreamVersions_RecordTarget(host, "llm", "v2", now_ms);
+            }
+            sky_stream_version_t stream = MakeStream(id, software);
+            SkyStreamVersions_RecordStream(hosts[at], &stream, true, now_ms);
+            for (uint32_t i = 0; i < KEEPERS; i++) {
+                SkyStreamVersions_RecordStream(hosts[(id * 7 + i * 3) % HOSTS],
+                                               &stream, false, now_ms);
+            }
+            begun[id] = software;
+            uint64_t old = id > 200 ? id - random() % 200 : 0;
+            uint32_t taker = random() % HOSTS;
+            if (begun.count(old) == 0 || is_lost[taker]) {
+                continue;
+            }
+            taken_up++;
+            sky_resume_answers_t answers = {};
+            sky_resume_t resume = SkyStreamVersions_Decide(
+                hosts[taker], "llm", old, &answers, now_ms);
+            if (resume.kind == SKY_RESUME_ASK_OTHERS) {
+                answers.have_answered = true;
+                for (uint32_t i = 0; i < HOSTS; i++) {
+                    const char *known =
+                        is_lost[i] ? nullptr
+                                   : SkyStreamVersions_FindStream(hosts[i],
+                                                                  old, now_ms);
+                    if (known != nullptr) {
+                        resume = {SKY_RESUME_AT_SOFTWARE, known};
+                    }
+                }
+            }
+            gone_on += resume.kind == SKY_RESUME_AT_SOFTWARE;
+            mixed += resume.kind == SKY_RESUME_ANYWHERE ||
+                     (resume.kind == SKY_RESUME_AT_SOFTWARE &&
+                      std::string(resume.software) != begun[old]);
+        }
+        EXPECT_LE(mixed, 2u) << "seed " << seed;
+        EXPECT_GT(taken_up, 1000u) << "seed " << seed;
+        EXPECT_GE(2 * gone_on, taken_up) << "seed " << seed;
+        for (auto *host : hosts) {
+            SkyStreamVersions_Free(host);
+        }
+    }
+}
+
+} // namespace
