Test: responses without end (known red)

The stand-in's service and engines may send a body, an event or a report that goes on until the caller closes.

--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -30,6 +30,10 @@
  * - lose: the service runs the request, but closes the connection
  * - fail: the service runs the request and responds with 500
  * - garble: the service sends only a part of the response
+ * - endless_success, endless_unsealed, endless_error, endless_refusal: the
+ *   service's response, without a length, goes on until the caller closes
+ * - endless_event: so does the first event of an engine's stream
+ * - endless_report: so does an engine's report
  * - empty_crashes: an engine that crashes sends a response without a length
  *   and without a body first
  *
@@ -183,6 +187,7 @@
 static member_t group_members[MEMBERS_MAX];
 static uint64_t group_generation;
 static uint64_t generation_changes_ms[GENERATIONS_MAX];
+static uint32_t endless_open; /* endless responses that are being sent */
 static uint32_t store_era = 1;
 static uint32_t store_reads;
 static json_t *faults;
@@ -852,6 +857,65 @@
                                    0);
 }
 
+#define ENDLESS_INTERVAL_S 0.001
+#define ENDLESS_BURST_BYTES (256u * 1024u)
+
+/** A response body that goes on until the caller closes. */
+typedef struct endless {
+    sky_server_request_t *request;
+    ev_timer timer;
+    struct endless *prev;
+    struct endless *next;
+} endless_t;
+
+static endless_t *endless_responses;
+
+static void
+on_endless_timer(struct ev_loop *unused, ev_timer *timer, int events)
+{
+    static char bytes[ENDLESS_BURST_BYTES];
+    (void)unused;
+    (void)events;
+    endless_t *endless = timer->data;
+    if (!SkyServerRequest_IsCallerSlow(endless->request)) {
+        memset(bytes, 'x', sizeof bytes);
+        SkyServerRequest_WriteBody(endless->request, bytes, sizeof bytes);
+    }
+}
+
+static void
+start_endless_response(sky_server_request_t *request, uint16_t status,
+                       const char *fields, const char *first_bytes)
+{
+    endless_t *endless = calloc(1, sizeof *endless);
+    endless->request = request;
+    endless_open++;
+    DL_APPEND(endless_responses, endless);
+    SkyServerRequest_BeginResponse(request, status, fields,
+                                   SKY_FRAMING_UNTIL_CLOSE, 0);
+    SkyServerRequest_WriteBody(request, first_bytes, strlen(first_bytes));
+    ev_timer_init(&endless->timer, on_endless_timer, ENDLESS_INTERVAL_S,
+                  ENDLESS_INTERVAL_S);
+    endless->timer.data = endless;
+    ev_timer_start(loop, &endless->timer);
+}
+
+static void
+finish_endless_response(const sky_server_request_t *request)
+{
+    endless_t *endless;
+    endless_t *next;
+    DL_FOREACH_SAFE(endless_responses, endless, next)
+    {
+        if (endless->request == request) {
+            ev_timer_stop(loop, &endless->timer);
+            DL_DELETE(endless_responses, endless);
+            endless_open--;
+            free(endless);
+        }
+    }
+}
+
 static crashing_request_t *
 find_or_add_crashing_request(const char *name, uint32_t crashes_allowed)
 {
@@ -951,6 +1015,15 @@
     else {
         runs_after_leave += engine->is_leaving ? 1 : 0;
         count_run(id);
+        if (consume_fault("endless_event")) {
+            char fields[256];
+            write_response_fields(request, engine->limit_name, fields,
+                                  sizeof fields,
+                                  "X-Skylarkspar-Server-Seal: s1\r\n"
+                                  "Content-Type: text/event-stream\r\n");
+            start_endless_response(request, 200, fields, "id: 1\ndata: ");
+            return;
+        }
         start_stream(engine, request, id, adapter);
     }
 }
@@ -1082,6 +1155,11 @@
 send_report(engine_t *engine, sky_server_request_t *request)
 {
     finish_pending_unload(engine);
+    if (consume_fault("endless_report")) {
+        start_endless_response(request, 200,
+                               "Content-Type: application/json\r\n", "{");
+        return;
+    }
     json_t *resident = json_array();
     json_t *loading = json_array();
     for (int i = 0; i < ADAPTER_SLOTS_MAX; i++) {
@@ -1125,6 +1203,7 @@
 {
     (void)context;
     stream_t *stream = SkyServerRequest_UserData(request);
+    finish_endless_response(request);
     if (stream != NULL) {
         finish_stream(stream);
     }
@@ -1149,6 +1228,19 @@
     if (consume_fault("lose")) {
         SkyServerRequest_Abort(request);
     }
+    else if (consume_fault("endless_success")) {
+        start_endless_response(request, 200, fields, "");
+    }
+    else if (consume_fault("endless_unsealed")) {
+        start_endless_response(request, 200, "", "");
+    }
+    else if (consume_fault("endless_error")) {
+        start_endless_response(request, 500, fields, "");
+    }
+    else if (consume_fault("endless_refusal")) {
+        start_endless_response(request, 503,
+                               "X-Skylarkspar-Not-Executed: 1\r\n", "");
+    }
     else if (consume_fault("fail")) {
         SkyServerRequest_Respond(request, 500, fields, "failed", 6);
     }
@@ -1163,6 +1255,13 @@
     }
 }
 
+static void
+on_service_disconnect(void *context, sky_server_request_t *request)
+{
+    (void)context;
+    finish_endless_response(request);
+}
+
 static void
 ignore_disconnect(void *context, sky_server_request_t *request)
 {
@@ -1290,11 +1389,11 @@
     }
     free(text);
     json_t *state = json_pack(
-        "{s:O, s:i, s:i, s:i, s:I, s:o, s:o}", "runs", run_counts,
-        "overfilled", overfilled_loads, "after_leave", runs_after_leave,
-        "reads", store_reads, "generation", (json_int_t)group_generation,
-        "crashing", encode_crashing_requests(), "limits",
-        encode_limited_targets());
+        "{s:O, s:i, s:i, s:i, s:i, s:I, s:o, s:o}", "runs", run_counts,
+        "endless", endless_open, "overfilled", overfilled_loads, "after_leave",
+        runs_after_leave, "reads", store_reads, "generation",
+        (json_int_t)group_generation, "crashing", encode_crashing_requests(),
+        "limits", encode_limited_targets());
     send_json(request, 200, state);
 }
 
@@ -1367,10 +1466,10 @@
         start_engine_listener(&engines[i]);
         start_engine(&engines[i]);
     }
-    start_listener(
-        (uint16_t)(base_port + SERVICE_PORT_OFFSET),
-        (sky_listener_events_t){on_service_request, ignore_disconnect, NULL},
-        NULL);
+    start_listener((uint16_t)(base_port + SERVICE_PORT_OFFSET),
+                   (sky_listener_events_t){on_service_request,
+                                           on_service_disconnect, NULL},
+                   NULL);
     start_listener(
         (uint16_t)(base_port + CONTROL_PORT_OFFSET),
         (sky_listener_events_t){on_control_request, ignore_disconnect, NULL},
--- /dev/null
+++ b/tests/proc_endless_response.sh
@@ -0,0 +1,89 @@
+#!/bin/sh
+# Checks hosts on the users' platform, as processes, against its fake: a target
+# sends bytes without end. A host must close the connection, keep its memory,
+# and retry the request or refuse it at once.
+set -u
+BASE=${BASE:-22900}
+DIR=$(mktemp -d)
+: "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
+trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
+. tests/proc_check.sh
+. tests/edge_site.sh
+
+# memoryMb in the settings of the tests
+MEMORY_MAX_KB=$((160 * 1024))
+# memory_within: prints whether all hosts have kept to their limit
+memory_within() {
+    for n in 0 1 2; do
+        eval "pid=\$EDGE$n"
+        peak=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid/status")
+        [ "${peak:-999999999}" -le $MEMORY_MAX_KB ] || {
+            echo "host $n: ${peak:-gone} kB"
+            return
+        }
+    done
+    echo within
+}
+# timed COMMAND...: prints its output, and whether it took less than 600 ms,
+# which is well before a deadline
+timed() {
+    start_ms=$(date +%s%3N)
+    printed=$("$@")
+    took_ms=$(($(date +%s%3N) - start_ms))
+    [ $took_ms -lt 600 ] && echo "$printed at once" ||
+        echo "$printed after $took_ms ms"
+}
+closed() { [ "$(state_field endless)" = 0 ] && echo closed; }
+look() { send_request 0 /look/1 "$1" -m 3; }
+book() { send_request 0 /book/1 "$1" -m 3 -X POST -d order; }
+generate() { send_request 1 /gen/1 "$1" -m 6 -X POST -d "prompt $1" \
+    -H 'X-Skylarkspar-Model: m1'; }
+
+start_site 4
+publish_config 7 ""
+for n in 0 1 2; do
+    check "host $n becomes ready" "$(until_status 200 50 readyz_status $n)" 200
+done
+
+set_fault '{"endless_unsealed": 4}'
+check "no answer: a request that may be repeated fails" "$(timed look a1)" \
+    "502 at once"
+check "no answer: one that must not be repeated fails" "$(timed book a2)" \
+    "502 at once"
+set_fault '{"endless_unsealed": 0, "endless_error": 1}'
+check "an error is passed on or fails" \
+    "$(timed book b1 | sed 's/^50[02]/50x/')" "50x at once"
+set_fault '{"endless_error": 0, "endless_refusal": 4}'
+check "a refusal counts" "$(timed book c1)" "503 at once"
+set_fault '{"endless_refusal": 0}'
+check "memory" "$(memory_within)" within
+check "the connections are closed" "$(until_status closed 10 closed)" closed
+
+set_fault '{"endless_success": 1}'
+look d1 >/dev/null
+check "a success without end takes no memory" "$(memory_within)" within
+check "and is given up at its deadline" "$(until_status closed 10 closed)" \
+    closed
+set_fault '{"endless_success": 1}'
+send_request 0 /look/1 d2 -m 3 --limit-rate 1000 >/dev/null
+check "nor with a caller that reads slowly" "$(memory_within)" within
+check "and is closed" "$(until_status closed 10 closed)" closed
+
+set_fault '{"endless_event": 1}'
+check "an event without end: the stream goes on elsewhere" \
+    "$(timed generate e1) $(event_count e1)" "200 at once 8"
+set_fault '{"endless_event": 4}'
+generate e2 >/dev/null
+set_fault '{"endless_event": 0}'
+check "memory after events" "$(memory_within)" within
+check "their connections are closed" "$(until_status closed 10 closed)" closed
+
+set_fault '{"endless_report": 40}'
+sleep 3
+set_fault '{"endless_report": 0}'
+check "reports without end take no memory" "$(memory_within)" within
+check "and are closed" "$(until_status closed 10 closed)" closed
+check "all is served at the end" "$(look f1) $(book f2) $(generate f3)" \
+    "200 200 200"
+[ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
+[ "$failures" -eq 0 ]
