Bound responses without end in memory and time

A target in trouble may send bytes without end, in a head or a body.

Cause: a response that is not passed on was buffered whole, whatever its size; one that cannot be used was read to its end; an event had no limit; interim responses and those to earlier requests were skipped for ever; a caller that reads slowly had the rest of its response buffered.

A response that cannot be used ends at its head. A larger one that can be is passed on at the pace of its caller. The request is retried, or fails at once.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -59,6 +59,8 @@
     request->send_count++;
     request->events_before = request->event_stream.event_count;
     request->answer_recorded = false;
+    request->response.facts.not_run = false;
+    request->response.is_invalid = false;
     memcpy(request->sent_software, choice->target->entry.software,
            sizeof request->sent_software);
     SkyAttempts_RecordSent(&request->attempts, choice->target->hash);
--- a/lib/edge/host_calls.c
+++ b/lib/edge/host_calls.c
@@ -148,9 +148,7 @@
 on_response_body(void *context, const char *bytes, size_t size)
 {
     sky_host_call_t *call = context;
-    if (SkyBuffer_Size(&call->response_body) + size <= RESPONSE_BYTES_MAX) {
-        SkyBuffer_Append(&call->response_body, bytes, size);
-    }
+    SkyBuffer_Append(&call->response_body, bytes, size);
 }
 
 static void
@@ -206,6 +204,7 @@
         .address = peer_address,
         .request = &request,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .max_body_bytes = RESPONSE_BYTES_MAX,
         .events = {on_response_head, on_response_body, on_request_end},
         .context = call,
     };
--- a/lib/edge/owned_target.c
+++ b/lib/edge/owned_target.c
@@ -18,6 +18,7 @@
 #define QUEUED_ADAPTERS_MAX 24 /**< for one target: 2 s of loads */
 #define ORDER_TIMEOUT_MS 120   /**< responses take a few ms */
 #define CONNECT_TIMEOUT_MS 300
+#define RESPONSE_MAX_BYTES (1024u * 1024u) /**< to an order or of a report */
 #define MS_PER_S 1000.0
 /** Long, as a target without its model never stops needing it. */
 #define MODEL_LOAD_TIMEOUT_MS 60000
@@ -206,6 +207,7 @@
         .address = owned->address,
         .request = &request,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .max_body_bytes = RESPONSE_MAX_BYTES,
         .events = {on_response_head, on_response_body, on_response_end},
         .context = owned,
     };
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -148,11 +148,22 @@
     }
 }
 
+static void
+on_caller_ready(void *context, sky_server_request_t *caller_request)
+{
+    (void)context;
+    sky_proxy_request_t *request = SkyServerRequest_UserData(caller_request);
+    if (request != NULL) {
+        SkyProxyRequest_ContinueReading(request);
+    }
+}
+
 sky_listener_events_t
 SkyProxy_ListenerEvents(void)
 {
     return (sky_listener_events_t){.on_request = on_request,
-                                   .on_disconnect = on_caller_disconnect};
+                                   .on_disconnect = on_caller_disconnect,
+                                   .on_caller_ready = on_caller_ready};
 }
 
 sky_result_t
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -207,6 +207,9 @@
 void SkyProxy_CheckOpenRequests(struct ev_loop *loop, ev_timer *watcher,
                                 int events);
 
+/** Continues to read a response after its caller was slow. */
+void SkyProxyRequest_ContinueReading(sky_proxy_request_t *request);
+
 /** @return callbacks for a target's response; their context is the request. */
 sky_client_request_events_t SkyProxyRequest_ResponseEvents(void);
 
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -6,6 +6,8 @@
 /** Responses up to this size are buffered whole before any byte is passed on,
  *  so that the request can still be retried if the response is cut short. */
 #define BUFFERED_RESPONSE_MAX_BYTES (256u * 1024u)
+/** Larger events are taken for bytes without end. */
+#define EVENT_MAX_BYTES (1024u * 1024u)
 
 /** Events after which an answer is past its start. The first one may be the
  *  last that a target writes before it crashes. */
@@ -29,6 +31,15 @@
     }
 }
 
+/* Whether more than the head is to be read. The body of a response that is not
+ * passed on may have no end. */
+static bool
+needs_body(const sky_proxy_response_t *response)
+{
+    return !response->is_invalid &&
+           (!response->facts.not_run || response->is_framed);
+}
+
 static bool
 on_response_head(void *context, const sky_http_head_t *head)
 {
@@ -49,7 +60,7 @@
             head->status == 200 && facts.sealed && !facts.encoded;
         response->facts.not_run = facts.not_run;
         response->is_invalid = !continues_stream;
-        return true;
+        return needs_body(response);
     }
     response->status = head->status;
     response->facts = facts;
@@ -61,7 +72,7 @@
         response->is_invalid = true;
     }
     SkyWire_WriteResponseFields(&response->header_fields, head);
-    return true;
+    return needs_body(response);
 }
 
 /* Whether the response is passed on as it arrives; others are buffered. */
@@ -72,7 +83,8 @@
     return response->status < 400 && !response->is_invalid &&
            !response->facts.not_run &&
            (request->route->streaming || response->facts.events ||
-            response->content_length > BUFFERED_RESPONSE_MAX_BYTES);
+            response->content_length > BUFFERED_RESPONSE_MAX_BYTES ||
+            SkyBuffer_Size(&response->body) > BUFFERED_RESPONSE_MAX_BYTES);
 }
 
 static void
@@ -95,11 +107,30 @@
                        request->relay_started_ms - request->received_ms);
 }
 
+/* Reads on when the caller has caught up: SkyProxyRequest_ContinueReading().
+ */
+static void
+wait_for_slow_caller(const sky_proxy_request_t *request)
+{
+    if (SkyServerRequest_IsCallerSlow(request->caller_request)) {
+        SkyClientRequest_SetReading(request->target_request, false);
+    }
+}
+
+void
+SkyProxyRequest_ContinueReading(sky_proxy_request_t *request)
+{
+    if (request->target_request != NULL) {
+        SkyClientRequest_SetReading(request->target_request, true);
+    }
+}
+
 static void
 relay_bytes(sky_proxy_request_t *request, const char *bytes, size_t size)
 {
     if (!request->response.facts.events) {
         SkyServerRequest_WriteBody(request->caller_request, bytes, size);
+        wait_for_slow_caller(request);
         return;
     }
     sky_buffer_t whole_events = {0};
@@ -108,6 +139,7 @@
                                SkyBuffer_Data(&whole_events),
                                SkyBuffer_Size(&whole_events));
     SkyBuffer_Clear(&whole_events);
+    wait_for_slow_caller(request);
     if (SkyProxyRequest_EventCount(request) > 0) {
         SkyProxyRequest_RecordFirstEvent(request);
     }
@@ -116,27 +148,6 @@
     }
 }
 
-static void
-on_response_body(void *context, const char *bytes, size_t size)
-{
-    sky_proxy_request_t *request = context;
-    record_activity(request);
-    request->response.body_bytes += size;
-    if (request->response.is_invalid) {
-        return;
-    }
-    if (request->response_started) {
-        relay_bytes(request, bytes, size);
-    }
-    else if (is_relayed(request)) {
-        begin_relay(request);
-        relay_bytes(request, bytes, size);
-    }
-    else {
-        SkyBuffer_Append(&request->response.body, bytes, size);
-    }
-}
-
 /* Handles a response by which the target states that it did not run the
  * request. */
 static void
@@ -180,6 +191,56 @@
     SkyProxyRequest_RetryOrFail(request, 0, cause);
 }
 
+/* Ends an exchange whose response goes beyond all limits; may free the
+ * request. */
+static void
+break_off(sky_proxy_request_t *request, const char *cause)
+{
+    SkyClientRequest_Cancel(request->target_request);
+    request->target_request = NULL;
+    if (request->response.facts.not_run) {
+        handle_refusal(request);
+        return;
+    }
+    request->may_have_run = true;
+    handle_failure(request, cause);
+}
+
+/* Starts to pass on a response, with what was buffered of it. */
+static void
+begin_relay_of_buffered(sky_proxy_request_t *request)
+{
+    sky_buffer_t *body = &request->response.body;
+    begin_relay(request);
+    relay_bytes(request, SkyBuffer_Data(body), SkyBuffer_Size(body));
+    SkyBuffer_Clear(body);
+}
+
+static void
+on_response_body(void *context, const char *bytes, size_t size)
+{
+    sky_proxy_request_t *request = context;
+    sky_proxy_response_t *response = &request->response;
+    record_activity(request);
+    response->body_bytes += size;
+    if (request->response_started) {
+        relay_bytes(request, bytes, size);
+    }
+    else {
+        SkyBuffer_Append(&response->body, bytes, size);
+        if (is_relayed(request)) {
+            begin_relay_of_buffered(request);
+        }
+    }
+    if (SkyBuffer_Size(&response->body) > BUFFERED_RESPONSE_MAX_BYTES) {
+        break_off(request, "too_large");
+    }
+    else if (SkyBuffer_Size(&request->event_stream.partial_event) >
+             EVENT_MAX_BYTES) {
+        break_off(request, "endless_event");
+    }
+}
+
 static void
 finish_relay(sky_proxy_request_t *request)
 {
@@ -218,10 +279,6 @@
         return;
     }
     request->may_have_run = true;
-    if (response->is_invalid) {
-        handle_failure(request, "bad_answer");
-        return;
-    }
     if (is_body_missing(request)) {
         SkyProxyRequest_SuspectCrash(request);
         SkyProxyRequest_SuspectParts(request);
@@ -266,8 +323,18 @@
         SkyProxyRequest_RetryOrFail(request, RETRY_AFTER_FULL_MS,
                                     "unreachable");
         break;
-    case SKY_CLIENT_OUTCOME_BROKEN:
     case SKY_CLIENT_OUTCOME_GARBLED:
+        if (request->response.facts.not_run) {
+            handle_refusal(request);
+            break;
+        }
+        if (request->response.is_invalid) {
+            request->may_have_run = true;
+            handle_failure(request, "bad_answer");
+            break;
+        }
+        /* fall through */
+    case SKY_CLIENT_OUTCOME_BROKEN:
         request->may_have_run = true;
         request->response.status =
             request->response_started ? request->response.status : 0;
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -19,6 +19,11 @@
  *  that no request is sent while the server closes the connection. A timeout
  *  of at most twice this margin is halved instead. */
 #define KEEP_ALIVE_MARGIN_MS 700u
+#define RESPONSE_HEAD_MAX_BYTES (64u * 1024u)
+/** Interim responses and those to earlier requests that are skipped before the
+ *  response to a request, and the bytes of their bodies. */
+#define SKIPPED_RESPONSES_MAX 16
+#define SKIPPED_BODY_MAX_BYTES (256u * 1024u)
 
 /* A connection, and the handle of the request that uses it while is_active. An
  * idle connection stays in the pool of its address. */
@@ -38,6 +43,9 @@
     bool has_sent_bytes;    /**< a byte of the current request was sent */
     bool skips_response;    /**< the response being read is an interim one, or
                                that of an earlier request */
+    uint32_t skipped_count; /**< responses skipped for this request */
+    uint64_t skipped_body_bytes;
+    uint64_t body_bytes;    /**< of the response, received so far */
     bool is_closed;         /**< freed when the running callback returns */
     bool in_callback;       /**< a callback of the event loop is running */
     uint32_t keep_alive_ms; /**< announced by the server; 0: none */
@@ -178,6 +186,7 @@
     }
     DL_DELETE(client->active_list, connection);
     connection->is_active = false;
+    SkyClientRequest_SetReading(connection, true);
     connection->idle_since_ms = SkyClock_NowMs();
     DL_PREPEND(pool->idle_list, connection);
     pool->idle_count++;
@@ -213,7 +222,8 @@
         connection->client->stats.skipped_responses++;
     }
     if (connection->skips_response) {
-        return true;
+        connection->skipped_count++;
+        return connection->skipped_count <= SKIPPED_RESPONSES_MAX;
     }
     return connection->options.events.on_head(connection->options.context,
                                               head) &&
@@ -224,10 +234,17 @@
 on_body(void *context, const char *bytes, size_t size)
 {
     sky_client_request_t *connection = context;
-    if (!connection->skips_response) {
-        connection->options.events.on_body(connection->options.context, bytes,
-                                           size);
+    if (connection->skips_response) {
+        connection->skipped_body_bytes += size;
+        return connection->skipped_body_bytes <= SKIPPED_BODY_MAX_BYTES;
+    }
+    uint64_t max_bytes = connection->options.max_body_bytes;
+    connection->body_bytes += size;
+    if (max_bytes > 0 && connection->body_bytes > max_bytes) {
+        return false;
     }
+    connection->options.events.on_body(connection->options.context, bytes,
+                                       size);
     return !connection->is_closed;
 }
 
@@ -437,7 +454,7 @@
     connection->key = address_key(&options->address);
     connection->fd = SkySocket_Connect(&options->address);
     SkyHttpReader_Init(&connection->reader, SKY_HTTP_RESPONSE, &EVENTS,
-                       connection, 0);
+                       connection, RESPONSE_HEAD_MAX_BYTES);
     ev_io_init(&connection->read_watcher, on_readable, connection->fd,
                EV_READ);
     ev_io_init(&connection->write_watcher, on_writable, connection->fd,
@@ -465,6 +482,9 @@
     connection->is_active = true;
     connection->has_sent_bytes = false;
     connection->skips_response = false;
+    connection->skipped_count = 0;
+    connection->skipped_body_bytes = 0;
+    connection->body_bytes = 0;
     connection->reader.response_has_no_body = options->is_head_request;
     DL_APPEND(connection->client->active_list, connection);
     if (connection->fd < 0) {
@@ -512,6 +532,19 @@
     return connection;
 }
 
+void
+SkyClientRequest_SetReading(sky_client_request_t *client_request,
+                            bool is_reading)
+{
+    struct ev_loop *loop = client_request->client->options.loop;
+    if (is_reading) {
+        ev_io_start(loop, &client_request->read_watcher);
+    }
+    else {
+        ev_io_stop(loop, &client_request->read_watcher);
+    }
+}
+
 void
 SkyClientRequest_Cancel(sky_client_request_t *client_request)
 {
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -31,8 +31,8 @@
     /** The request was sent, at least in part. Its response is incomplete or
      *  missing. */
     SKY_CLIENT_OUTCOME_BROKEN,
-    /** The request counts as sent. What was received is no valid response, or
-     *  on_head rejected it. */
+    /** The request counts as sent. What was received is no valid response,
+     *  exceeds a limit, or on_head rejected it. */
     SKY_CLIENT_OUTCOME_GARBLED,
 } sky_client_outcome_t;
 
@@ -56,6 +56,8 @@
      *  long as the server keeps it. */
     uint32_t max_idle_ms;
     bool is_head_request; /**< a HEAD request: the response has no body */
+    /** A larger response body ends the request as garbled; 0: any size. */
+    uint64_t max_body_bytes;
     /** Name of a field that the server echoes, not copied. A response with
      *  another value in it belongs to an earlier request and is skipped.
      *  NULL: no such check. */
@@ -92,6 +94,10 @@
 sky_client_request_t *
 SkyClient_Send(sky_client_t *client,
                const sky_client_request_options_t *options);
+/** Stops or continues to read the response, so that a slow receiver of it sets
+ *  the pace. */
+void SkyClientRequest_SetReading(sky_client_request_t *client_request,
+                                 bool is_reading);
 /** Cancels the request by closing its connection. No callback follows. */
 void SkyClientRequest_Cancel(sky_client_request_t *client_request);
 /** @return whether any byte of the request was sent. */
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -152,9 +152,10 @@
         options.context = this;
         EXPECT_NE(nullptr, SkyClient_Send(client, &options));
         SkyBuffer_Clear(&request);
-        while (!ended) {
-            ev_run(loop, EVRUN_ONCE);
+        for (int i = 0; i < 5000 && !ended; i++) {
+            RunLoop(1);
         }
+        EXPECT_TRUE(ended);
         return outcome;
     }
 
@@ -268,6 +269,39 @@
     EXPECT_EQ(2, accepted_connections);
 }
 
+// Bytes that go on until the client closes must not be read for ever.
+TEST_F(ClientTest, EndsAResponseWhoseHeadHasNoEnd)
+{
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest("1", {{"HTTP/1.1 200 OK\r\nX-Id: " +
+                                     std::string(100000, 'x'),
+                                 ScriptedResponse::KEEP_OPEN}}));
+    std::string fields = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 70; i++) {
+        fields += "X-" + std::to_string(i) + ": 1\r\n";
+    }
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest("2", {{fields, ScriptedResponse::KEEP_OPEN}}));
+}
+
+TEST_F(ClientTest, EndsInterimResponsesWithoutEnd)
+{
+    std::string interim;
+    for (int i = 0; i < 2000; i++) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest("1", {{interim, ScriptedResponse::KEEP_OPEN}}));
+}
+
+TEST_F(ClientTest, EndsAResponseToAnEarlierRequestWithoutEnd)
+{
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest("2", {{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n" +
+                                     std::string(400000, 'x'),
+                                 ScriptedResponse::KEEP_OPEN}}));
+}
+
 TEST_F(ClientTest, DoesNotReuseConnectionClosedByServer)
 {
     EXPECT_EQ(
