Test: what targets say of themselves in a response (known red)

The stand-in's engines may say in a response that they leave, though the list does not, and a target that sheds a request may ask for a pause.

--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -39,6 +39,9 @@
  *
  * - second_software_from: engines that start, from this number on, run
  * software version v2, others v1; each event names the version; 0: all run v1
+ * - tell_leaving_N: the engine says in its responses that it leaves, though
+ * its entry does not
+ * - pause_s: the pause that a target asks for when it sheds a request; 0: none
  * - limit_N, limit_app: the engine or the service names a limit of so many
  *   tenths of a request a second in its responses; 0: none
  */
@@ -91,6 +94,10 @@
 #define LIMIT_TOLD_MS 500
 #define LIMIT_ARRIVALS_MAX 4096
 #define SERVICE_LIMIT_NAME "limit_app"
+/* Hosts have PAUSE_TOLD_MS to react to a pause that a target asks for, and
+ * LEAVING_TOLD_MS (drainMs in the tests' settings) to its leaving. */
+#define PAUSE_TOLD_MS 500
+#define LEAVING_TOLD_MS 2000
 
 typedef struct {
     char key[64];
@@ -122,6 +129,8 @@
     sky_listener_t *listener;
     char id[32];
     char limit_name[32]; /* of the fault that holds its limit */
+    char leaving_name[32];
+    uint64_t told_leaving_ms; /* first response that says so; 0: none */
     uint64_t started_ms;
     uint64_t applied_orders; /* revision that an order has to expect */
     const char *software;    /* version */
@@ -187,6 +196,10 @@
 static member_t group_members[MEMBERS_MAX];
 static uint64_t group_generation;
 static uint64_t generation_changes_ms[GENERATIONS_MAX];
+static uint32_t arrivals_after_told; /* at engines that said that they leave */
+static uint64_t pause_begins_ms;     /* requests count from here on */
+static uint64_t pause_ends_ms;
+static uint32_t arrivals_in_pause;
 static uint32_t endless_open; /* endless responses that are being sent */
 static uint32_t store_era = 1;
 static uint32_t store_reads;
@@ -822,6 +835,25 @@
     SkyServerRequest_Respond(request, status, fields, "", 0);
 }
 
+/** Refuses a request for lack of capacity, and may ask for a pause. */
+static void
+shed_request(sky_server_request_t *request, const char *limit_name)
+{
+    char fields[192];
+    char extra_fields[96] = "X-Skylarkspar-Not-Executed: 1\r\n";
+    int64_t pause_s = get_fault("pause_s");
+    if (pause_s > 0) {
+        snprintf(extra_fields, sizeof extra_fields,
+                 "X-Skylarkspar-Not-Executed: 1\r\nRetry-After: %lld\r\n",
+                 (long long)pause_s);
+        pause_begins_ms = SkyClock_NowMs() + PAUSE_TOLD_MS;
+        pause_ends_ms = SkyClock_NowMs() + (uint64_t)pause_s * 1000;
+    }
+    write_response_fields(request, limit_name, fields, sizeof fields,
+                          extra_fields);
+    SkyServerRequest_Respond(request, 503, fields, "", 0);
+}
+
 static void
 start_stream(engine_t *engine, sky_server_request_t *request, const char *id,
              const char *adapter)
@@ -851,8 +883,12 @@
     DL_APPEND2(open_streams, stream, prev, next_stream);
     SkyServerRequest_SetUserData(request, stream);
     write_response_fields(request, engine->limit_name, fields, sizeof fields,
-                          "X-Skylarkspar-Server-Seal: s1\r\n"
-                          "Content-Type: text/event-stream\r\n");
+                          get_fault(engine->leaving_name) > 0
+                              ? "X-Skylarkspar-Server-Seal: s1\r\n"
+                                "Content-Type: text/event-stream\r\n"
+                                "Server-Leaving: 1\r\n"
+                              : "X-Skylarkspar-Server-Seal: s1\r\n"
+                                "Content-Type: text/event-stream\r\n");
     SkyServerRequest_BeginResponse(request, 200, fields, SKY_FRAMING_CHUNKED,
                                    0);
 }
@@ -996,6 +1032,13 @@
     const adapter_slot_t *slot = find_adapter_slot(engine, adapter);
     crashing_request_t *crashing = find_crashing_request(head);
     count_limited_arrival(engine->limit_name);
+    bool tells_leaving = get_fault(engine->leaving_name) > 0;
+    arrivals_after_told +=
+        tells_leaving && engine->told_leaving_ms > 0 &&
+        SkyClock_NowMs() > engine->told_leaving_ms + LEAVING_TOLD_MS;
+    if (tells_leaving && engine->told_leaving_ms == 0) {
+        engine->told_leaving_ms = SkyClock_NowMs();
+    }
     bool is_resident = adapter[0] == '\0' ||
                        (slot != NULL && slot->loaded_ms <= SkyClock_NowMs());
     if (expected_instance != NULL &&
@@ -1006,7 +1049,7 @@
         refuse_request(request, engine->limit_name, slot ? 503 : 421);
     }
     else if (consume_fault("shed")) {
-        refuse_request(request, engine->limit_name, 503);
+        shed_request(request, engine->limit_name);
     }
     else if (crashing != NULL) {
         count_run(id);
@@ -1218,8 +1261,10 @@
                                            "X-Skylarkspar-Attempt-Id");
     SkyServerRequest_SetUserData(request, NULL);
     count_limited_arrival(SERVICE_LIMIT_NAME);
+    uint64_t now_ms = SkyClock_NowMs();
+    arrivals_in_pause += now_ms > pause_begins_ms && now_ms < pause_ends_ms;
     if (consume_fault("shed")) {
-        refuse_request(request, SERVICE_LIMIT_NAME, 503);
+        shed_request(request, SERVICE_LIMIT_NAME);
         return;
     }
     count_run(id ? id : "-");
@@ -1389,11 +1434,12 @@
     }
     free(text);
     json_t *state = json_pack(
-        "{s:O, s:i, s:i, s:i, s:i, s:I, s:o, s:o}", "runs", run_counts,
-        "endless", endless_open, "overfilled", overfilled_loads, "after_leave",
-        runs_after_leave, "reads", store_reads, "generation",
-        (json_int_t)group_generation, "crashing", encode_crashing_requests(),
-        "limits", encode_limited_targets());
+        "{s:O, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:o, s:o}", "runs",
+        run_counts, "after_told", arrivals_after_told, "in_pause",
+        arrivals_in_pause, "endless", endless_open, "overfilled",
+        overfilled_loads, "after_leave", runs_after_leave, "reads",
+        store_reads, "generation", (json_int_t)group_generation, "crashing",
+        encode_crashing_requests(), "limits", encode_limited_targets());
     send_json(request, 200, state);
 }
 
@@ -1458,6 +1504,8 @@
         engines[i].number = i;
         snprintf(engines[i].limit_name, sizeof engines[i].limit_name,
                  "limit_%d", i);
+        snprintf(engines[i].leaving_name, sizeof engines[i].leaving_name,
+                 "tell_leaving_%d", i);
         engines[i].port = (uint16_t)(base_port + ENGINE_PORT_OFFSET + i);
         ev_init(&engines[i].crash_timer, on_crash_timer);
         ev_init(&engines[i].restart_timer, on_restart_timer);
