Send nothing more to a target that says in a response that it leaves

Requests reached targets long after they had said in their responses that they leave (Server-Leaving), and failed when these ended: only the list of targets was believed, which says so later, or not at all while the store is away.

The fields Resumes and the shared parts of a prompt get tests of the wire, the software version one of the choice of a target.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -201,6 +201,14 @@
     return has_newer_owner_report || index_residents(target) ? target : NULL;
 }
 
+bool
+SkyFleet_RecordLeaving(sky_fleet_target_t *target)
+{
+    bool is_new = target->entry.state != SKY_TARGET_LEAVING;
+    target->entry.state = SKY_TARGET_LEAVING;
+    return is_new;
+}
+
 void
 SkyFleet_ScheduleRemoval(sky_fleet_t *fleet, const char *id, uint64_t at_ms)
 {
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -86,6 +86,9 @@
 sky_fleet_target_t *SkyFleet_ApplyEntry(sky_fleet_t *fleet,
                                         sky_target_entry_t *entry,
                                         uint64_t now_ms);
+/** A target said in a response that it leaves: it gets no more requests in
+ * this run. @return false if that was known */
+bool SkyFleet_RecordLeaving(sky_fleet_target_t *target);
 /** A target is missing from the list: removes it at @p at_ms, unless its entry
  *  comes back. */
 void SkyFleet_ScheduleRemoval(sky_fleet_t *fleet, const char *id,
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -20,14 +20,20 @@
     request->target->last_byte_ms = request->last_activity_ms;
 }
 
-/* A response with status 421 may be that of another target. */
+/* Records what the target says of itself. A response with status 421 may be
+ * that of another target. */
 static void
-record_limit(const sky_proxy_request_t *request,
-             const sky_response_facts_t *facts)
+record_target_facts(const sky_proxy_request_t *request,
+                    const sky_response_facts_t *facts)
 {
-    if (!facts->wrong_target) {
-        SkyRatePermits_RecordLimit(request->proxy->options.rate_permits,
-                                   request->target, facts->limit_per_s);
+    if (facts->wrong_target) {
+        return;
+    }
+    SkyRatePermits_RecordLimit(request->proxy->options.rate_permits,
+                               request->target, facts->limit_per_s);
+    if (facts->leaves && SkyFleet_RecordLeaving(request->target)) {
+        SkyLog_Write(LOG_NOTICE, "target_leaves", "target=%s in_flight=%u",
+                     request->target->entry.id, request->target->in_flight);
     }
 }
 
@@ -48,7 +54,7 @@
     sky_proxy_response_t *response = &request->response;
     sky_response_facts_t facts;
     SkyWire_ParseResponse(head, &facts);
-    record_limit(request, &facts);
+    record_target_facts(request, &facts);
     if (!request->response_started) {
         SkyProxyResponse_Clear(response);
     }
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -108,6 +108,40 @@
     EXPECT_TRUE(none.has_usable_target);
 }
 
+TEST_F(FleetTest, ATargetThatSaidItLeavesIsNotChosenWhateverItsEntrySays)
+{
+    sky_fleet_target_t *target = Add("t1", {"a1"});
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+    EXPECT_TRUE(SkyFleet_RecordLeaving(target));
+    EXPECT_FALSE(SkyFleet_RecordLeaving(target));
+    EXPECT_EQ("", TargetId(Choose("a1")));
+    Add("t1", {"a1"});
+    EXPECT_EQ("", TargetId(Choose("a1")));
+    Add("t1", {"a1"}, SKY_TARGET_READY, 2); // its next run
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+}
+
+TEST_F(FleetTest, AStreamIsOfferedOnlyTargetsOfItsSoftwareVersion)
+{
+    snprintf(Add("t1", {"a1"})->entry.software,
+             sizeof(sky_target_entry_t::software), "v1");
+    snprintf(Add("t2", {})->entry.software,
+             sizeof(sky_target_entry_t::software), "v2");
+    sky_fleet_query_t query = Query("a1");
+    query.software = "v2";
+    sky_fleet_choice_t choice;
+    SkyFleet_ChooseTarget(fleet, &query, now_ms, &choice);
+    EXPECT_EQ(nullptr, choice.target);
+    EXPECT_TRUE(choice.is_adapter_missing);
+    sky_fleet_target_t *preferred[2];
+    ASSERT_EQ(1u, SkyFleet_RankPreferredTargets(fleet, &query, now_ms,
+                                                preferred, 2));
+    EXPECT_STREQ("t2", preferred[0]->entry.id);
+    query.software = "v3";
+    SkyFleet_ChooseTarget(fleet, &query, now_ms, &choice);
+    EXPECT_FALSE(choice.has_usable_target);
+}
+
 TEST_F(FleetTest, DoesNotChooseLeavingOrRemovedTargets)
 {
     Add("t1", {"a1"}, SKY_TARGET_LEAVING);
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -92,6 +92,45 @@
     EXPECT_EQ(410u, facts.parts[1].tokens);
 }
 
+TEST_F(WireTest, ParsesWhichRequestBeganAStream)
+{
+    struct {
+        const char *fields;
+        bool resumes;
+        const char *stream_id;
+    } const CASES[] = {
+        {"", false, "r1"},
+        {"Last-Event-Id: 3\r\n", true, ""},
+        {"Last-Event-Id: 3\r\nResumes: r0\r\n", true, "r0"},
+    };
+    for (const auto &c : CASES) {
+        std::string text =
+            std::string("POST /x HTTP/1.1\r\nX-Skylarkspar-Attempt-Id: "
+                        "r1\r\n") +
+            c.fields + "Content-Length: 0\r\n\r\n";
+        sky_request_facts_t facts;
+        ASSERT_EQ(SKY_OK, SkyWire_ParseRequest(
+                              ParseHead(text, SKY_HTTP_REQUEST), &facts));
+        EXPECT_EQ(c.resumes, facts.resumes) << c.fields;
+        EXPECT_STREQ(c.stream_id, facts.stream_id) << c.fields;
+    }
+}
+
+TEST_F(WireTest, TheLastPartOfAPromptIsNotShared)
+{
+    std::string parts;
+    for (int i = 1; i <= SKY_PROMPT_PARTS_MAX + 1; i++) {
+        parts += (i > 1 ? "," : "") + std::to_string(i) + ":9";
+        std::string text = "POST /x HTTP/1.1\r\nX-Skylarkspar-Attempt-Id: "
+                           "r1\r\nX-Skylarkspar-Prompt-Prefix: " +
+                           parts + "\r\nContent-Length: 0\r\n\r\n";
+        sky_request_facts_t facts;
+        ASSERT_EQ(SKY_OK, SkyWire_ParseRequest(
+                              ParseHead(text, SKY_HTTP_REQUEST), &facts));
+        EXPECT_EQ(uint32_t(i - 1), SkyRequestFacts_SharedPartCount(&facts));
+    }
+}
+
 TEST_F(WireTest, RefusesRequestsWithoutIdOrWithTooLongModel)
 {
     sky_request_facts_t facts;
@@ -224,4 +263,15 @@
                  SkyBuffer_Data(&out));
 }
 
+TEST_F(WireTest, OnlyAOneSaysThatATargetLeaves)
+{
+    for (const char *value : {"1", "0", "", "yes", "-1", "11"}) {
+        std::string text = std::string("HTTP/1.1 200 OK\r\nServer-Leaving: ") +
+                           value + "\r\nContent-Length: 0\r\n\r\n";
+        sky_response_facts_t facts;
+        SkyWire_ParseResponse(ParseHead(text, SKY_HTTP_RESPONSE), &facts);
+        EXPECT_EQ(std::string(value) == "1", facts.leaves) << value;
+    }
+}
+
 } // namespace
