Keep to the pause that a target asks for

A target that sheds a request may say for how long it wants nothing of that host (Retry-After).

Such a target now gets no request and no load until the end, a minute at most.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -10,6 +10,8 @@
 
 /* Weights in a target's score. A score of 1 is one whole batch of requests. */
 
+/** A target that asks for a longer pause is asked again then. */
+#define PAUSE_MAX_MS 60000
 /** Another failure domain costs some ms and traffic that is billed, but no
  *  queueing. */
 #define OTHER_DOMAIN_WEIGHT 0.10
@@ -209,6 +211,14 @@
     return is_new;
 }
 
+void
+SkyFleet_RecordPause(sky_fleet_target_t *target, uint32_t pause_ms,
+                     uint64_t now_ms)
+{
+    target->pause_until_ms =
+        now_ms + (pause_ms < PAUSE_MAX_MS ? pause_ms : PAUSE_MAX_MS);
+}
+
 void
 SkyFleet_ScheduleRemoval(sky_fleet_t *fleet, const char *id, uint64_t at_ms)
 {
@@ -405,10 +415,15 @@
             strcmp(target->entry.software, query->software) == 0);
 }
 
-static bool
-waits_for_limit(const sky_fleet_target_t *target, uint64_t now_ms)
+/* Returns until when the target takes no request of this host, for a limit or
+ * a pause that it named; a time that has passed if it takes one now. */
+static uint64_t
+wait_until(const sky_fleet_target_t *target)
 {
-    return target->limit.per_s > 0.0 && target->limit_wait_until_ms > now_ms;
+    uint64_t limit_ms =
+        target->limit.per_s > 0.0 ? target->limit_wait_until_ms : 0;
+    return target->pause_until_ms > limit_ms ? target->pause_until_ms
+                                             : limit_ms;
 }
 
 bool
@@ -526,10 +541,11 @@
         if (target->blocked_until_ms > now_ms || !is_allowed(query, target)) {
             continue;
         }
-        if (waits_for_limit(target, now_ms)) {
+        uint64_t wait_until_ms = wait_until(target);
+        if (wait_until_ms > now_ms) {
             if (choice->limit_wait_until_ms == 0 ||
-                target->limit_wait_until_ms < choice->limit_wait_until_ms) {
-                choice->limit_wait_until_ms = target->limit_wait_until_ms;
+                wait_until_ms < choice->limit_wait_until_ms) {
+                choice->limit_wait_until_ms = wait_until_ms;
             }
             continue;
         }
@@ -579,7 +595,7 @@
                  uint64_t now_ms)
 {
     return is_candidate(target, query) && target->blocked_until_ms <= now_ms &&
-           !waits_for_limit(target, now_ms) && is_allowed(query, target) &&
+           wait_until(target) <= now_ms && is_allowed(query, target) &&
            !(query->without_adapter &&
              find_version(target, adapter, now_ms) > 0);
 }
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -57,6 +57,7 @@
     uint64_t last_byte_ms;    /**< last byte received from it by this host */
     sky_target_limit_t limit; /**< as it names it to this host */
     uint64_t limit_wait_until_ms; /**< gets no request before, if limited */
+    uint64_t pause_until_ms; /**< it wants no requests of this host before */
     uint64_t limit_owner_silent_until_ms; /**< its owner is not asked before */
     sky_residency_t
         *listed_adapters; /**< by its entry or its owner's report */
@@ -89,6 +90,10 @@
 /** A target said in a response that it leaves: it gets no more requests in
  * this run. @return false if that was known */
 bool SkyFleet_RecordLeaving(sky_fleet_target_t *target);
+/** A target wants no requests of this host for @p pause_ms; a later word of it
+ *  replaces an earlier one, and a pause is bounded. */
+void SkyFleet_RecordPause(sky_fleet_target_t *target, uint32_t pause_ms,
+                          uint64_t now_ms);
 /** A target is missing from the list: removes it at @p at_ms, unless its entry
  *  comes back. */
 void SkyFleet_ScheduleRemoval(sky_fleet_t *fleet, const char *id,
@@ -141,8 +146,8 @@
     uint32_t
         extra_replicas; /**< further replicas of the adapter to load at once */
     double batch_utilization; /**< utilization of the chosen target's batch */
-    /** When the first of the targets that were left out for their limit takes
-     *  a request; 0: none was. */
+    /** When the first of the targets that were left out for their limit or a
+     *  pause takes a request; 0: none was. */
     uint64_t limit_wait_until_ms;
 } sky_fleet_choice_t;
 
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -191,6 +191,22 @@
                 0);
 }
 
+uint32_t
+SkyProxyRequest_GetTargetWaitMs(const sky_proxy_request_t *request)
+{
+    uint64_t now = SkyClock_NowMs();
+    sky_fleet_query_t query;
+    sky_fleet_choice_t choice;
+    build_query(request, &query);
+    query.excluded_count = 0; /* a later attempt may go there again */
+    query.allowed_count = 0;
+    SkyFleet_ChooseTarget(request->proxy->options.directory->fleet, &query,
+                          now, &choice);
+    return choice.target == NULL && choice.limit_wait_until_ms > now
+               ? (uint32_t)(choice.limit_wait_until_ms - now)
+               : 0;
+}
+
 /* Whether the chosen target's owner must first confirm that the target still
  * holds the adapter: the last report is too old to rely on. */
 static bool
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -198,6 +198,10 @@
  *  report or capacity; ends and frees it if no target can serve it. */
 void SkyProxyRequest_Dispatch(sky_proxy_request_t *request);
 
+/** @return time until a target takes requests again, if all that could serve
+ *          this one wait for a limit or a pause; else 0. */
+uint32_t SkyProxyRequest_GetTargetWaitMs(const sky_proxy_request_t *request);
+
 /** @return whether any target could serve the request now, or after it has
  *  loaded the adapter. */
 bool SkyProxyRequest_HasEligibleTarget(const sky_proxy_request_t *request);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -31,6 +31,12 @@
     }
     SkyRatePermits_RecordLimit(request->proxy->options.rate_permits,
                                request->target, facts->limit_per_s);
+    if (facts->has_pause) {
+        SkyFleet_RecordPause(request->target, facts->pause_ms,
+                             SkyClock_NowMs());
+        SkyLog_Write(LOG_NOTICE, "target_pause", "target=%s ms=%u",
+                     request->target->entry.id, facts->pause_ms);
+    }
     if (facts->leaves && SkyFleet_RecordLeaving(request->target)) {
         SkyLog_Write(LOG_NOTICE, "target_leaves", "target=%s in_flight=%u",
                      request->target->entry.id, request->target->in_flight);
@@ -180,9 +186,10 @@
     SkyProxyRequest_EndExchange(request, is_wrong_target
                                              ? SKY_EXCHANGE_INCONCLUSIVE
                                              : SKY_EXCHANGE_TARGET_FULL);
-    SkyProxyRequest_RetryOrFail(request, RETRY_AFTER_FULL_MS,
-                                is_wrong_target ? "adapter_missing"
-                                                : "target_full");
+    uint32_t wait_ms = SkyProxyRequest_GetTargetWaitMs(request);
+    SkyProxyRequest_RetryOrFail(
+        request, wait_ms > RETRY_AFTER_FULL_MS ? wait_ms : RETRY_AFTER_FULL_MS,
+        is_wrong_target ? "adapter_missing" : "target_full");
 }
 
 static void
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -29,7 +29,8 @@
     for script in tests/proc_answers.sh tests/proc_faults.sh tests/proc_edge.sh \
         tests/proc_crashes.sh tests/proc_crashing_part.sh \
         tests/proc_endless_response.sh tests/proc_limits.sh \
-        tests/proc_store_era.sh tests/proc_stream_version.sh; do
+        tests/proc_store_era.sh tests/proc_stream_version.sh \
+        tests/proc_target_words.sh; do
         [ -f "$script" ] || continue
         name=$(basename "$script" .sh)
         BIN=$build/skylarkspar-check FAKE=$build/skyfake \
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -121,6 +121,29 @@
     EXPECT_EQ("t1", TargetId(Choose("a1")));
 }
 
+TEST_F(FleetTest, ATargetGetsNothingInThePauseThatItAskedFor)
+{
+    sky_fleet_target_t *target = Add("t1", {"a1"});
+    Add("t2", {});
+    SkyFleet_RecordPause(target, 5000, now_ms);
+    sky_fleet_choice_t choice = Choose("a1");
+    EXPECT_EQ("", TargetId(choice));
+    EXPECT_EQ(now_ms + 5000, choice.limit_wait_until_ms);
+    sky_fleet_query_t query = Query("a2");
+    sky_fleet_target_t *preferred[2];
+    EXPECT_EQ(1u, SkyFleet_RankPreferredTargets(fleet, &query, now_ms,
+                                                preferred, 2));
+    SkyFleet_RecordPause(target, 1000, now_ms); // a shorter word replaces it
+    now_ms += 1000;
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+    SkyFleet_RecordPause(target, UINT32_MAX, now_ms);
+    now_ms += 60000;
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+    SkyFleet_RecordPause(target, 60000, now_ms);
+    Add("t1", {"a1"}, SKY_TARGET_READY, 2); // ends with the run
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+}
+
 TEST_F(FleetTest, AStreamIsOfferedOnlyTargetsOfItsSoftwareVersion)
 {
     snprintf(Add("t1", {"a1"})->entry.software,
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -263,6 +263,40 @@
                  SkyBuffer_Data(&out));
 }
 
+TEST_F(WireTest, ParsesThePauseThatATargetAsksFor)
+{
+    struct {
+        const char *head;
+        bool has_pause;
+        uint32_t pause_ms;
+    } const CASES[] = {
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: 3\r\n", true,
+         3000},
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: 0.5\r\n",
+         true, 500},
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: 1e99\r\n",
+         true, UINT32_MAX},
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: -1\r\n",
+         false, 0},
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: soon\r\n",
+         false, 0},
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: \r\n", false,
+         0},
+        {"503 S\r\nX-Skylarkspar-Not-Executed: 1\r\n", false, 0},
+        {"503 S\r\nRetry-After: 3\r\n", false, 0},
+        {"200 OK\r\nX-Skylarkspar-Not-Executed: 1\r\nRetry-After: 3\r\n",
+         false, 0},
+    };
+    for (const auto &c : CASES) {
+        std::string text =
+            std::string("HTTP/1.1 ") + c.head + "Content-Length: 0\r\n\r\n";
+        sky_response_facts_t facts;
+        SkyWire_ParseResponse(ParseHead(text, SKY_HTTP_RESPONSE), &facts);
+        EXPECT_EQ(c.has_pause, facts.has_pause) << c.head;
+        EXPECT_EQ(c.pause_ms, facts.pause_ms) << c.head;
+    }
+}
+
 TEST_F(WireTest, OnlyAOneSaysThatATargetLeaves)
 {
     for (const char *value : {"1", "0", "", "yes", "-1", "11"}) {
