Report a request that was sent in part as broken, not as unsent

A request on a reused connection, of which a part was sent before the send failed, was reported as unsent: it may then be repeated, though the target may have read and run it, also where that must not happen twice. The failure is reported from the event loop through the connect timer, whose callback took every failure for one before the first byte.

test_client, before: UNSENT for a request of 8 MB on a connection that the server had closed; now BROKEN. No caller was seen to suffer from it.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -402,7 +402,9 @@
     (void)loop;
     (void)events;
     sky_client_request_t *connection = watcher->data;
-    fail_request(connection, SKY_CLIENT_OUTCOME_UNSENT);
+    /* Also called for a failed send on a reused connection, of which a part
+     * may have been sent: fail_request() tells them apart. */
+    fail_request(connection, SKY_CLIENT_OUTCOME_BROKEN);
 }
 
 static bool
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -269,6 +269,21 @@
     EXPECT_EQ(2, accepted_connections);
 }
 
+// The server may have read what was sent before the connection failed.
+TEST_F(ClientTest, ReportsBrokenIfAReusedConnectionFailsMidway)
+{
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest(
+                  "1", {{Response("1", "one"), ScriptedResponse::KEEP_OPEN}}));
+    ASSERT_EQ(1u, connections.size());
+    ev_io_stop(loop, connections[0]);
+    close(connections[0]->fd); // the client has not noticed it yet
+    ev_io_set(connections[0], -1, EV_READ);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_BROKEN,
+              SendRequest(std::string(8000000, 'x').c_str(), {}));
+    EXPECT_EQ(1u, SkyClient_Stats(client)->connection_reuses);
+}
+
 // Bytes that go on until the client closes must not be read for ever.
 TEST_F(ClientTest, EndsAResponseWhoseHeadHasNoEnd)
 {
