--- a/lib/decide/crash_watch.h
+++ b/lib/decide/crash_watch.h
@@ -23,6 +23,10 @@
 extern "C" {
 #endif
 
+/** Time for which hosts count a crash, and blame a prompt part. Callers repeat
+ *  a request for minutes; an operator needs some to react. */
+#define SKY_CRASH_RETENTION_MS 600000
+
 typedef struct sky_crash_watch sky_crash_watch_t;
 
 /** What this host knows of a target now. */
--- a/lib/edge/crash_sharing.c
+++ b/lib/edge/crash_sharing.c
@@ -19,8 +19,6 @@
  *  read back by then. */
 #define STORE_CHECK_INTERVAL_MS 500
 #define APPENDED_RECORDS_MAX 256
-/** Callers repeat a request for minutes; an operator needs some to react. */
-#define RETENTION_MS 600000
 /** The clocks of hosts differ by less. A record is deleted only when no host
  *  counts it any more. */
 #define DELETE_MARGIN_MS 60000
@@ -263,8 +261,9 @@
     sky_rec_crash_t crash;
     uint64_t part;
     uint64_t confirmed_wall_ms = strtoull(value, NULL, 10);
-    bool is_expired = SkyClock_WallMs() >
-                      confirmed_wall_ms + RETENTION_MS + DELETE_MARGIN_MS;
+    bool is_expired = SkyClock_WallMs() > confirmed_wall_ms +
+                                              SKY_CRASH_RETENTION_MS +
+                                              DELETE_MARGIN_MS;
     if (SkyPart_ParseKey(key, &part)) {
         /* Each host has applied the record: what it does not blame now has
          * been acquitted since, or has expired. */
@@ -351,7 +350,7 @@
     self->asks_left = PEERS_ASKED;
     self->suspicions = json_array();
     sky_crash_watch_options_t watch_options = {
-        .retention_ms = RETENTION_MS,
+        .retention_ms = SKY_CRASH_RETENTION_MS,
         .get_target_state = get_target_state,
         .on_event = on_crash_event,
         .context = self,
--- a/lib/edge/part_sharing.c
+++ b/lib/edge/part_sharing.c
@@ -9,9 +9,6 @@
 #include "core/clock.h"
 #include "core/logging.h"
 
-/** Callers repeat a request for minutes; an operator needs some to react. */
-#define RETENTION_MS 600000
-
 struct sky_part_sharing {
     sky_part_sharing_options_t options;
     json_t *news; /**< message that is being collected */
@@ -233,7 +230,7 @@
     uint64_t age_ms = wall_ms > since_wall_ms ? wall_ms - since_wall_ms : 0;
     sky_part_blame_t blame = {part, time_of_age((json_int_t)age_ms),
                               trial_count};
-    if (age_ms < RETENTION_MS) {
+    if (age_ms < SKY_CRASH_RETENTION_MS) {
         SkyPartWatch_ApplyBlame(parts, &blame, SkyClock_NowMs());
     }
 }
@@ -259,7 +256,7 @@
     self->options = *options;
     self->news = json_object();
     sky_part_watch_options_t watch_options = {
-        .retention_ms = RETENTION_MS,
+        .retention_ms = SKY_CRASH_RETENTION_MS,
         .on_event = on_part_event,
         .on_explained = on_explained,
         .is_tester = is_tester,
--- a/lib/edge/stream_sharing.c
+++ b/lib/edge/stream_sharing.c
@@ -11,9 +11,7 @@
 #define CALL_PATH "/streams"
 #define TICK_INTERVAL_S 0.1
 #define CALL_TIMEOUT_MS 300
-/** Hosts that are told of a stream: with three of eight, as many streams go on
- *  as the rules want when more than half of the hosts are lost. */
-#define KEEPERS 3
+#define KEEPERS 3 /**< hosts that are told of a stream */
 /** Hosts that are asked for a stream: its keepers come first. */
 #define ASKED_MAX 8
 /** Longer than any stream and its callers' retries last. */
@@ -89,8 +87,7 @@
 static void
 on_told(void *context, const json_t *body)
 {
-    const sky_stream_sharing_t *sharing = context;
-    (void)sharing;
+    (void)context;
     if (body == NULL) {
         SkyLog_Write(LOG_INFO, "streams_not_told", "reason=no_answer");
     }
--- a/tests/edge_site.sh
+++ b/tests/edge_site.sh
@@ -121,3 +121,27 @@
         start_edge $n
     done
 }
+# late_sends NAME: prints whether the late sends of a crashing request, by its
+# path or prompt part, stay within LATE_SENDS_MAX, else the counts of the fake
+late_sends() {
+    counts=$(curl -fsS -m 5 "$control_url/state" |
+        sed -n "s|.*\"$1\": *\"\([^\"]*\)\".*|\1|p")
+    late=$(echo "$counts" | sed -n 's/.*, \([0-9]*\) late/\1/p')
+    if [ "${late:-99}" -le $LATE_SENDS_MAX ]; then
+        echo within
+    else
+        echo "$counts"
+    fi
+}
+# restart_hosts HOST...: kills the hosts at once and starts them again
+restart_hosts() {
+    for n in "$@"; do
+        eval "kill -KILL \$EDGE$n"
+    done
+    for n in "$@"; do
+        start_edge "$n"
+    done
+    for n in "$@"; do
+        until_status 200 60 readyz_status "$n" >/dev/null
+    done
+}
--- a/tests/proc_crashes.sh
+++ b/tests/proc_crashes.sh
@@ -25,30 +25,6 @@
         sleep 0.4
     done
 }
-# late_sends PATH: prints the fake's counts of a request, and whether the late
-# sends stay within the bound
-late_sends() {
-    counts=$(curl -fsS -m 5 "$control_url/state" |
-        sed -n "s|.*\"$1\": *\"\([^\"]*\)\".*|\1|p")
-    late=$(echo "$counts" | sed -n 's/.*, \([0-9]*\) late/\1/p')
-    if [ "${late:-99}" -le $LATE_SENDS_MAX ]; then
-        echo within
-    else
-        echo "$counts"
-    fi
-}
-# restart_hosts HOST...: kills the hosts at once and starts them again
-restart_hosts() {
-    for n in "$@"; do
-        eval "kill -KILL \$EDGE$n"
-    done
-    for n in "$@"; do
-        start_edge "$n"
-    done
-    for n in "$@"; do
-        until_status 200 60 readyz_status "$n" >/dev/null
-    done
-}
 # served HOST ID: prints the status of an ordinary stream
 served() { until_status 200 40 send_request "$1" /gen/1 "$2" -X POST -d prompt \
     -H 'X-Skylarkspar-Model: m1'; }
--- a/tests/proc_crashing_part.sh
+++ b/tests/proc_crashing_part.sh
@@ -47,18 +47,6 @@
         wait $guilty $sound
     done
 }
-# late_sends PART: prints whether the late sends stay within the bound, else
-# the fake's counts
-late_sends() {
-    counts=$(curl -fsS -m 5 "$control_url/state" |
-        sed -n "s|.*\"$1\": *\"\([^\"]*\)\".*|\1|p")
-    late=$(echo "$counts" | sed -n 's/.*, \([0-9]*\) late/\1/p')
-    if [ "${late:-99}" -le $LATE_SENDS_MAX ]; then
-        echo within
-    else
-        echo "$counts"
-    fi
-}
 # sound_share: prints whether at least half of the sound requests of the mixes
 # since the last call were served, else the counts
 sound_share() {
@@ -71,18 +59,6 @@
         echo "$served of $sent"
     fi
 }
-restart_hosts() {
-    for n in "$@"; do
-        eval "kill -KILL \$EDGE$n"
-    done
-    for n in "$@"; do
-        start_edge "$n"
-    done
-    for n in "$@"; do
-        until_status 200 60 readyz_status "$n" >/dev/null
-    done
-}
-
 start_site 8
 publish_config 7 ""
 for n in 0 1 2; do
--- a/tests/proc_stream_version.sh
+++ b/tests/proc_stream_version.sh
@@ -69,12 +69,6 @@
 ids() { # PREFIX: twelve ids
     for i in 1 2 3 4 5 6 7 8 9 10 11 12; do echo "$1$i"; done
 }
-restart_host() {
-    eval "kill -KILL \$EDGE$1"
-    start_edge "$1"
-    until_status 200 60 readyz_status "$1" >/dev/null
-}
-
 start_site 8
 publish_config 7 ""
 for n in 0 1 2; do
