Take requests at a stopping host only if they end before its exit

decide/stop_admission knows the longest recent response of each route. A stopping host takes a request if that time and a quarter, or the request's deadline, ends before the exit. All else is refused at once, as not run, to be asked again in 20 ms, when another host gets it.

--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -9,10 +9,10 @@
 #include "core/logging.h"
 #include "edge/proxy_request.h"
 
-/** All but a few requests take less time. One that is received with less time
- *  left until this host exits is better served by another host. */
-#define TYPICAL_REQUEST_MAX_MS 4000
 #define RETRY_AFTER_STOPPING_MS 20
+/** Longer than most responses, and long enough for some of each busy route. */
+#define STOP_ADMISSION_WINDOW_MS 30000
+#define STOP_ADMISSION_ROUTES_MAX 512
 /** For a host that starts while the store is unreachable: outages last for
  *  seconds, and many callers retry only once. */
 #define RETRY_AFTER_STORE_UNREACHABLE_MS 1500
@@ -91,11 +91,6 @@
     const sky_http_head_t *head =
         SkyServerRequest_Head(request->caller_request);
     const char *host = SkyHttpHead_FindField(head, "Host");
-    if (proxy->exits_at_ms > 0 &&
-        request->received_ms + TYPICAL_REQUEST_MAX_MS > proxy->exits_at_ms) {
-        reject_unrouted(request, 503, RETRY_AFTER_STOPPING_MS, "stopping");
-        return;
-    }
     if (proxy->options.directory->deployment == NULL ||
         !proxy->options.directory->targets_known) {
         reject_unrouted(request, 503,
@@ -126,6 +121,13 @@
     uint32_t limit_ms = request->route->timeout_ms < request->facts.deadline_ms
                             ? request->route->timeout_ms
                             : request->facts.deadline_ms;
+    if (proxy->exits_at_ms > 0 &&
+        !SkyStopAdmission_EndsInTime(
+            proxy->stop_admission, SkyProxyRequest_RouteHash(request),
+            proxy->exits_at_ms, limit_ms, request->received_ms)) {
+        reject_unrouted(request, 503, RETRY_AFTER_STOPPING_MS, "stopping");
+        return;
+    }
     request->deadline_at_ms = request->received_ms + limit_ms;
     ev_timer_set(&request->deadline_timer, limit_ms / 1000.0, 0.0);
     ev_timer_start(proxy->options.loop, &request->deadline_timer);
@@ -227,6 +229,15 @@
         (sky_retry_budget_options_t){.ratio = bounds->retry_ratio,
                                      .slack = bounds->retry_slack,
                                      .window_ms = bounds->retry_window_ms};
+    sky_stop_admission_options_t stop_options = {
+        .window_ms = STOP_ADMISSION_WINDOW_MS,
+        .routes_max = STOP_ADMISSION_ROUTES_MAX};
+    sky_result_t result =
+        SkyStopAdmission_Create(&stop_options, &self->stop_admission);
+    if (SkyResult_IsError(result)) {
+        free(self);
+        return result;
+    }
     ev_timer_init(&self->check_timer, SkyProxy_CheckOpenRequests,
                   CHECK_INTERVAL_S, CHECK_INTERVAL_S);
     self->check_timer.data = self;
@@ -254,6 +265,7 @@
     {
         free(budget);
     }
+    SkyStopAdmission_Free(proxy->stop_admission);
     free(proxy);
 }
 
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -38,6 +38,13 @@
     return XXH3_64bits(request->facts.id, strlen(request->facts.id));
 }
 
+uint64_t
+SkyProxyRequest_RouteHash(const sky_proxy_request_t *request)
+{
+    const char *name = request->route->name;
+    return XXH3_64bits(name, strlen(name));
+}
+
 sky_adapter_key_t
 SkyProxyRequest_AdapterKey(const sky_proxy_request_t *request)
 {
@@ -258,8 +265,13 @@
     SkyProxyRequest_LogEnd(request, LOG_INFO, status, "answered", "-");
     SkyMetrics_CountResponse(metrics, request->service->name,
                              status < 400 ? "ok" : "target_failure");
+    uint64_t now_ms = SkyClock_NowMs();
+    uint64_t duration_ms = now_ms - request->received_ms;
     SkyMetrics_Observe(metrics, request->service->name, SKY_HIST_TOTAL,
-                       SkyClock_NowMs() - request->received_ms);
+                       duration_ms);
+    SkyStopAdmission_RecordResponse(request->proxy->stop_admission,
+                                    SkyProxyRequest_RouteHash(request),
+                                    duration_ms, now_ms);
 }
 
 void
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -17,6 +17,7 @@
 
 #include "decide/attempts.h"
 #include "decide/retry_budget.h"
+#include "decide/stop_admission.h"
 #include "edge/hop_fields.h"
 #include "edge/proxy.h"
 #include "net/event_stream.h"
@@ -120,6 +121,7 @@
     sky_proxy_stats_t stats;
     ev_timer check_timer;
     uint64_t exits_at_ms; /**< of this host; 0: it is not stopping */
+    sky_stop_admission_t *stop_admission;
 };
 
 /** @return the retry budget of a service, created at its first use; NULL: out
@@ -131,6 +133,9 @@
  *  between targets, and jitters retry delays. */
 uint64_t SkyProxyRequest_IdHash(const sky_proxy_request_t *request);
 
+/** @return hash of the route's name. */
+uint64_t SkyProxyRequest_RouteHash(const sky_proxy_request_t *request);
+
 /** @return the key of the request's adapter. */
 sky_adapter_key_t
 SkyProxyRequest_AdapterKey(const sky_proxy_request_t *request);
