--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -42,7 +42,8 @@
  *   and without a body first
  *
  * - second_software_from: engines that start, from this number on, run
- * software version v2, others v1; each event names the version; 0: all run v1
+ * software version v2, others v1; each event names the version; 0: all run v1,
+ * -1: all run v2
  * - tell_leaving_N: the engine says in its responses that it leaves, though
  * its entry does not
  * - pause_s: the pause that a target asks for when it sheds a request; 0: none
@@ -723,7 +724,9 @@
     engine->applied_orders = 0;
     int64_t second_from = get_fault("second_software_from");
     engine->software =
-        second_from > 0 && engine->number >= second_from ? "v2" : "v1";
+        second_from < 0 || (second_from > 0 && engine->number >= second_from)
+            ? "v2"
+            : "v1";
     engine->unloading_adapter[0] = '\0';
     snprintf(engine->id, sizeof engine->id, "i-%d-%llx", engine->number,
              (unsigned long long)engine->started_ms);
