Refuse streams whose version all hosts have forgotten

The readers of the store now keep there which version of a service was seen last and when several were in use, one record a service, written when that changes and every 5 s while several are in use. A host that has not read them yet, or finds another version kept than the one it sees, refuses streams without a record, so that callers begin anew. The list of targets is also looked at with each question, not only ten times a second.

--- a/lib/decide/stream_versions.c
+++ b/lib/decide/stream_versions.c
@@ -1,5 +1,6 @@
 #include "decide/stream_versions.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +8,9 @@
 
 /** Software versions that are remembered, of all services. */
 #define SEEN_MAX 64
+#define KEY_PREFIX "versions."
+/** The kept time at which several versions were seen may lag by this. */
+#define HISTORY_LAG_MS 5000
 
 /** A software version that targets of a service run or ran. */
 typedef struct {
@@ -15,6 +19,12 @@
     uint64_t last_seen_ms;
 } seen_t;
 
+/** A service of which several versions were in use before this host saw it. */
+typedef struct {
+    char service[SKY_SERVICE_NAME_BYTES];
+    uint64_t mixed_until_ms; /**< end of the retention time */
+} mixed_t;
+
 typedef struct record {
     sky_stream_version_t stream;
     uint64_t recorded_ms;
@@ -26,6 +36,9 @@
     sky_stream_versions_options_t options;
     seen_t seen[SEEN_MAX];
     uint32_t seen_count;
+    mixed_t mixed[SEEN_MAX];
+    uint32_t mixed_count;
+    bool is_history_known;
     record_t *records; /**< in the order of their times */
     uint32_t record_count;
     uint32_t untold_count;
@@ -101,17 +114,194 @@
         now_ms > seen->last_seen_ms ? now_ms : seen->last_seen_ms;
 }
 
+/* Finds the version of the service that was seen last, and the time at which
+ * another one was seen last; 0: none was. Returns NULL if none was seen. */
+static const seen_t *
+find_last_seen(const sky_stream_versions_t *versions, const char *service,
+               uint64_t *other_seen_ms)
+{
+    const seen_t *last = NULL;
+    *other_seen_ms = 0;
+    for (uint32_t i = 0; i < versions->seen_count; i++) {
+        const seen_t *seen = &versions->seen[i];
+        if (strcmp(seen->service, service) != 0) {
+            continue;
+        }
+        const seen_t *other = seen;
+        if (last == NULL || seen->last_seen_ms > last->last_seen_ms) {
+            other = last;
+            last = seen;
+        }
+        if (other != NULL && other->last_seen_ms > *other_seen_ms) {
+            *other_seen_ms = other->last_seen_ms;
+        }
+    }
+    return last;
+}
+
+static mixed_t *
+find_mixed(sky_stream_versions_t *versions, const char *service)
+{
+    for (uint32_t i = 0; i < versions->mixed_count; i++) {
+        if (strcmp(versions->mixed[i].service, service) == 0) {
+            return &versions->mixed[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns the end of the time for which several versions count; 0: only one
+ * was ever seen. */
+static uint64_t
+get_mixed_until_ms(const sky_stream_versions_t *versions, const char *service)
+{
+    uint64_t other_seen_ms;
+    uint64_t until_ms = 0;
+    if (find_last_seen(versions, service, &other_seen_ms) != NULL &&
+        other_seen_ms > 0) {
+        until_ms = other_seen_ms + versions->options.retention_ms;
+    }
+    const mixed_t *mixed =
+        find_mixed((sky_stream_versions_t *)versions, service);
+    return mixed != NULL && mixed->mixed_until_ms > until_ms
+               ? mixed->mixed_until_ms
+               : until_ms;
+}
+
 bool
 SkyStreamVersions_IsMixed(const sky_stream_versions_t *versions,
                           const char *service, uint64_t now_ms)
 {
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < versions->seen_count; i++) {
-        const seen_t *seen = &versions->seen[i];
-        count += strcmp(seen->service, service) == 0 &&
-                 now_ms <= seen->last_seen_ms + versions->options.retention_ms;
+    uint64_t until_ms = get_mixed_until_ms(versions, service);
+    return until_ms > 0 && now_ms <= until_ms;
+}
+
+bool
+SkyStreamVersions_GetHistory(const sky_stream_versions_t *versions,
+                             const char *service, uint64_t now_ms,
+                             sky_version_history_t *history)
+{
+    uint64_t other_seen_ms;
+    const seen_t *last = find_last_seen(versions, service, &other_seen_ms);
+    if (last == NULL) {
+        return false;
+    }
+    uint64_t until_ms = get_mixed_until_ms(versions, service);
+    history->mixed_age_ms =
+        until_ms > 0 ? now_ms + versions->options.retention_ms - until_ms
+                     : UINT64_MAX;
+    memcpy(history->software, last->software, sizeof history->software);
+    return true;
+}
+
+static void
+record_mixed(sky_stream_versions_t *versions, const char *service,
+             uint64_t until_ms)
+{
+    mixed_t *mixed = find_mixed(versions, service);
+    if (mixed == NULL) {
+        /* Services that are no longer in use make room. */
+        mixed = &versions->mixed[0];
+        for (uint32_t i = 1; i < versions->mixed_count; i++) {
+            if (versions->mixed[i].mixed_until_ms < mixed->mixed_until_ms) {
+                mixed = &versions->mixed[i];
+            }
+        }
+        if (versions->mixed_count < SEEN_MAX) {
+            mixed = &versions->mixed[versions->mixed_count++];
+        }
+        *mixed = (mixed_t){.mixed_until_ms = 0};
+        snprintf(mixed->service, sizeof mixed->service, "%s", service);
     }
-    return count > 1;
+    if (until_ms > mixed->mixed_until_ms) {
+        mixed->mixed_until_ms = until_ms;
+    }
+}
+
+void
+SkyStreamVersions_ApplyHistory(sky_stream_versions_t *versions,
+                               const char *service,
+                               const sky_version_history_t *history,
+                               uint64_t now_ms)
+{
+    uint64_t retention_ms = versions->options.retention_ms;
+    uint64_t other_seen_ms;
+    const seen_t *last = find_last_seen(versions, service, &other_seen_ms);
+    if (history->mixed_age_ms <= retention_ms) {
+        record_mixed(versions, service,
+                     now_ms + retention_ms - history->mixed_age_ms);
+    }
+    /* A host that has seen the kept version itself knows until when. */
+    if (last != NULL && other_seen_ms == 0 &&
+        strcmp(last->software, history->software) != 0 &&
+        find_mixed(versions, service) == NULL) {
+        record_mixed(versions, service, now_ms + retention_ms);
+    }
+}
+
+void
+SkyStreamVersions_SetHistoryKnown(sky_stream_versions_t *versions)
+{
+    versions->is_history_known = true;
+}
+
+void
+SkyVersionHistory_FormatKey(const char *service,
+                            char key[SKY_VERSION_HISTORY_KEY_BYTES])
+{
+    snprintf(key, SKY_VERSION_HISTORY_KEY_BYTES, KEY_PREFIX "%s", service);
+}
+
+bool
+SkyVersionHistory_IsKey(const char *key)
+{
+    return strncmp(key, KEY_PREFIX, sizeof KEY_PREFIX - 1) == 0;
+}
+
+void
+SkyVersionHistory_FormatValue(const sky_version_history_t *history,
+                              uint64_t wall_ms,
+                              char value[SKY_VERSION_HISTORY_VALUE_BYTES])
+{
+    /* Earlier builds delete records of this topic by their first number. */
+    snprintf(value, SKY_VERSION_HISTORY_VALUE_BYTES,
+             "%" PRIu64 " %" PRIu64 " %s", wall_ms,
+             history->mixed_age_ms < wall_ms ? wall_ms - history->mixed_age_ms
+                                             : 0,
+             history->software);
+}
+
+bool
+SkyVersionHistory_ParseValue(const char *value, uint64_t wall_ms,
+                             sky_version_history_t *history)
+{
+    uint64_t written_ms;
+    uint64_t mixed_ms;
+    int length = 0;
+    if (sscanf(value, "%20" SCNu64 " %20" SCNu64 " %n", &written_ms, &mixed_ms,
+               &length) < 2 ||
+        length == 0 || strlen(value + length) >= sizeof history->software) {
+        return false;
+    }
+    history->mixed_age_ms = mixed_ms == 0        ? UINT64_MAX
+                            : mixed_ms < wall_ms ? wall_ms - mixed_ms
+                                                 : 0;
+    strcpy(history->software, value + length);
+    return true;
+}
+
+bool
+SkyVersionHistory_IsOutdated(const sky_version_history_t *stored,
+                             const sky_version_history_t *current)
+{
+    bool is_mixed_later =
+        current->mixed_age_ms != UINT64_MAX &&
+        (stored->mixed_age_ms == UINT64_MAX ||
+         stored->mixed_age_ms > current->mixed_age_ms + HISTORY_LAG_MS);
+    /* While several versions are in use, either is the one seen last. */
+    bool is_other_in_use = current->mixed_age_ms > HISTORY_LAG_MS &&
+                           strcmp(stored->software, current->software) != 0;
+    return is_mixed_later || is_other_in_use;
 }
 
 /* Whether targets of any service run several versions, or did so. */
@@ -215,11 +405,12 @@
     if (software != NULL) {
         return (sky_resume_t){SKY_RESUME_AT_SOFTWARE, software};
     }
-    bool is_mixed = SkyStreamVersions_IsMixed(versions, service, now_ms);
+    bool may_be_mixed = !versions->is_history_known ||
+                        SkyStreamVersions_IsMixed(versions, service, now_ms);
     if (!answers->have_answered) {
         return (sky_resume_t){.kind = SKY_RESUME_ASK_OTHERS};
     }
-    return (sky_resume_t){.kind = is_mixed || answers->know_mixed
+    return (sky_resume_t){.kind = may_be_mixed || answers->know_mixed
                                       ? SKY_RESUME_REFUSED
                                       : SKY_RESUME_ANYWHERE};
 }
--- a/lib/decide/stream_versions.h
+++ b/lib/decide/stream_versions.h
@@ -10,8 +10,13 @@
  *
  * Other hosts are asked for a stream without a record. If none has one, it may
  * go on anywhere as long as no host has seen several versions of the service
- * within the time that a stream can last; else it is refused. The module does
- * no I/O; times are milliseconds of the caller's clock.
+ * within the time that a stream can last; else it is refused.
+ *
+ * All hosts may lose their records at once. What they saw of a service is
+ * therefore kept in the store (sky_version_history_t); a host that does not
+ * know it yet refuses streams without a record.
+ *
+ * The module does no I/O; times are milliseconds of the caller's clock.
  */
 #ifndef SKY_DECIDE_STREAM_VERSIONS_H
 #define SKY_DECIDE_STREAM_VERSIONS_H
@@ -49,6 +54,47 @@
 bool SkyStreamVersions_IsMixed(const sky_stream_versions_t *versions,
                                const char *service, uint64_t now_ms);
 
+/** What is kept of a service's versions where all hosts find it again. */
+typedef struct {
+    /** Time since several versions were seen last; UINT64_MAX: never. */
+    uint64_t mixed_age_ms;
+    char software[SKY_SOFTWARE_VERSION_BYTES]; /**< the version seen last */
+} sky_version_history_t;
+
+/** @return whether a version of the service has been seen; @p history is then
+ *          what this host knows, also from other hosts. */
+bool SkyStreamVersions_GetHistory(const sky_stream_versions_t *versions,
+                                  const char *service, uint64_t now_ms,
+                                  sky_version_history_t *history);
+/** Adds what is kept of a service: a version that differs from the one that is
+ *  in use was in use until now. */
+void SkyStreamVersions_ApplyHistory(sky_stream_versions_t *versions,
+                                    const char *service,
+                                    const sky_version_history_t *history,
+                                    uint64_t now_ms);
+/** Records that all that is kept has been applied. */
+void SkyStreamVersions_SetHistoryKnown(sky_stream_versions_t *versions);
+
+#define SKY_VERSION_HISTORY_KEY_BYTES (SKY_SERVICE_NAME_BYTES + 16)
+#define SKY_VERSION_HISTORY_VALUE_BYTES (SKY_SOFTWARE_VERSION_BYTES + 48)
+/** Writes key and value of a service's record in the store. */
+void SkyVersionHistory_FormatKey(const char *service,
+                                 char key[SKY_VERSION_HISTORY_KEY_BYTES]);
+/** @return whether the key is one of these. */
+bool SkyVersionHistory_IsKey(const char *key);
+void
+SkyVersionHistory_FormatValue(const sky_version_history_t *history,
+                              uint64_t wall_ms,
+                              char value[SKY_VERSION_HISTORY_VALUE_BYTES]);
+/** @param wall_ms the current time of day, which may differ from that of the
+ *         host that wrote the value
+ *  @return whether the value is well-formed */
+bool SkyVersionHistory_ParseValue(const char *value, uint64_t wall_ms,
+                                  sky_version_history_t *history);
+/** @return whether the store is to get @p current in place of @p stored. */
+bool SkyVersionHistory_IsOutdated(const sky_version_history_t *stored,
+                                  const sky_version_history_t *current);
+
 /** The version of one stream. */
 typedef struct {
     uint64_t stream; /**< hash of the id of the request that began it */
--- a/lib/edge/crash_sharing.c
+++ b/lib/edge/crash_sharing.c
@@ -332,6 +332,9 @@
     bool is_expired = SkyClock_WallMs() > confirmed_wall_ms +
                                               SKY_CRASH_RETENTION_MS +
                                               DELETE_MARGIN_MS;
+    if (SkyVersionHistory_IsKey(key)) {
+        return;
+    }
     if (SkyPart_ParseKey(key, &part)) {
         /* Each host has applied the record: what it does not blame now has
          * been acquitted since, or has expired. */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -386,9 +386,8 @@
     const sky_proxy_options_t *options = &request->proxy->options;
     const char *service = request->service->name;
     uint64_t stream = SkyStreamSharing_HashId(request->facts.stream_id);
-    sky_resume_t resume =
-        SkyStreamVersions_Decide(options->directory->streams, service, stream,
-                                 &request->resume_answers, SkyClock_NowMs());
+    sky_resume_t resume = SkyStreamSharing_Decide(
+        options->stream_sharing, service, stream, &request->resume_answers);
     if (resume.kind == SKY_RESUME_ASK_OTHERS) {
         request->stream_ask =
             SkyStreamSharing_Ask(options->stream_sharing, service, stream,
@@ -397,9 +396,8 @@
             return false;
         }
         request->resume_answers.have_answered = true;
-        resume = SkyStreamVersions_Decide(options->directory->streams, service,
-                                          stream, &request->resume_answers,
-                                          SkyClock_NowMs());
+        resume = SkyStreamSharing_Decide(options->stream_sharing, service,
+                                         stream, &request->resume_answers);
     }
     switch (resume.kind) {
     case SKY_RESUME_ANYWHERE:
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -413,12 +413,23 @@
     if (!SkyResult_IsError(result)) {
         result = SkyRatePermits_Create(&permits_options, &edge->rate_permits);
     }
+    sky_feed_options_t feed_options = {.loop = edge->loop,
+                                       .settings = settings,
+                                       .directory = &edge->directory,
+                                       .store = edge->store,
+                                       .on_change = on_feed_change,
+                                       .context = edge};
+    if (!SkyResult_IsError(result)) {
+        result = SkyFeed_Create(&feed_options, &edge->feed);
+    }
     sky_stream_sharing_options_t stream_options = {
         .loop = edge->loop,
         .settings = settings,
         .directory = &edge->directory,
         .ownership = edge->ownership,
-        .host_calls = edge->host_calls};
+        .host_calls = edge->host_calls,
+        .store = edge->store,
+        .feed = edge->feed};
     if (!SkyResult_IsError(result)) {
         result =
             SkyStreamSharing_Create(&stream_options, &edge->stream_sharing);
@@ -472,15 +483,6 @@
         SkyLog_Write(LOG_WARNING, "metrics_not_served", "address=%s",
                      settings->metrics);
     }
-    sky_feed_options_t feed_options = {.loop = edge->loop,
-                                       .settings = settings,
-                                       .directory = &edge->directory,
-                                       .store = edge->store,
-                                       .on_change = on_feed_change,
-                                       .context = edge};
-    if (!SkyResult_IsError(result)) {
-        result = SkyFeed_Create(&feed_options, &edge->feed);
-    }
     sky_feed_relay_options_t relay_options = {.loop = edge->loop,
                                               .settings = settings,
                                               .feed = edge->feed,
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -169,8 +169,8 @@
     sky_crash_watch_t *crashes = feed->options.directory->crashes;
     sky_rec_crash_t crash;
     uint64_t part;
-    if (record->is_tombstone) {
-        return;
+    if (record->is_tombstone || SkyVersionHistory_IsKey(record->key)) {
+        return; /* edge/stream_sharing looks the latter up */
     }
     if (SkyPart_ParseKey(record->key, &part)) {
         SkyPartSharing_ApplyRecord(feed->options.directory->parts, part,
--- a/lib/edge/stream_sharing.c
+++ b/lib/edge/stream_sharing.c
@@ -17,6 +17,9 @@
 /** Longer than any stream and its callers' retries last. */
 #define RETENTION_MS 60000
 #define STREAMS_MAX 16384
+/** Between two comparisons with the store; a record that was appended has been
+ *  read back by then. */
+#define STORE_CHECK_INTERVAL_MS 500
 
 /** One call of a question. */
 typedef struct {
@@ -41,6 +44,8 @@
     sky_stream_sharing_options_t options;
     ev_timer tick;
     sky_stream_ask_t *asks;
+    bool append_pending;
+    uint64_t next_store_check_ms;
 };
 
 uint64_t
@@ -162,11 +167,127 @@
     }
 }
 
+static void
+record_targets(const sky_stream_sharing_t *sharing, uint64_t now_ms)
+{
+    const sky_fleet_target_t *target =
+        SkyFleet_GetFirstTarget(sharing->options.directory->fleet);
+    for (; target != NULL; target = target->next) {
+        if (target->listed) {
+            SkyStreamVersions_RecordTarget(sharing->options.directory->streams,
+                                           target->entry.service,
+                                           target->entry.software, now_ms);
+        }
+    }
+}
+
+/* Returns whether the store has a record of the service's versions. */
+static bool
+find_stored_history(const sky_stream_sharing_t *sharing, const char *service,
+                    sky_version_history_t *history)
+{
+    char key[SKY_VERSION_HISTORY_KEY_BYTES];
+    SkyVersionHistory_FormatKey(service, key);
+    const char *value =
+        SkyFeed_FindValue(sharing->options.feed, SKY_FEED_CRASHES, key);
+    return value != NULL &&
+           SkyVersionHistory_ParseValue(value, SkyClock_WallMs(), history);
+}
+
+/* Takes over what the list of targets and the store say now. */
+static void
+update_versions(const sky_stream_sharing_t *sharing, uint64_t now_ms)
+{
+    const sky_directory_t *directory = sharing->options.directory;
+    const sky_deployment_t *deployment = directory->deployment;
+    record_targets(sharing, now_ms);
+    if (deployment == NULL ||
+        !SkyFeed_IsSynced(sharing->options.feed, SKY_FEED_CRASHES)) {
+        return;
+    }
+    for (uint32_t i = 0; i < deployment->service_count; i++) {
+        const char *service = deployment->services[i].name;
+        sky_version_history_t history;
+        if (find_stored_history(sharing, service, &history)) {
+            SkyStreamVersions_ApplyHistory(directory->streams, service,
+                                           &history, now_ms);
+        }
+    }
+    SkyStreamVersions_SetHistoryKnown(directory->streams);
+}
+
+sky_resume_t
+SkyStreamSharing_Decide(sky_stream_sharing_t *sharing, const char *service,
+                        uint64_t stream, const sky_resume_answers_t *answers)
+{
+    uint64_t now_ms = SkyClock_NowMs();
+    update_versions(sharing, now_ms);
+    return SkyStreamVersions_Decide(sharing->options.directory->streams,
+                                    service, stream, answers, now_ms);
+}
+
+static void
+on_appended(void *context, const sky_store_response_t *response)
+{
+    sky_stream_sharing_t *sharing = context;
+    sharing->append_pending = false;
+    if (response->outcome != SKY_STORE_DONE) {
+        SkyLog_Write(LOG_WARNING, "versions_not_stored", "reason=%s",
+                     SkyStore_OutcomeName(response->outcome));
+    }
+}
+
+/* Appends the versions of the service if the store has others. */
+static void
+store_history(sky_stream_sharing_t *sharing, const char *service,
+              uint64_t now_ms)
+{
+    sky_version_history_t stored;
+    sky_version_history_t current;
+    if (!SkyStreamVersions_GetHistory(sharing->options.directory->streams,
+                                      service, now_ms, &current) ||
+        (find_stored_history(sharing, service, &stored) &&
+         !SkyVersionHistory_IsOutdated(&stored, &current))) {
+        return;
+    }
+    char key[SKY_VERSION_HISTORY_KEY_BYTES];
+    char value[SKY_VERSION_HISTORY_VALUE_BYTES];
+    SkyVersionHistory_FormatKey(service, key);
+    SkyVersionHistory_FormatValue(&current, SkyClock_WallMs(), value);
+    sky_store_record_t record = {
+        .key = key, .value = value, .value_bytes = strlen(value)};
+    sharing->append_pending = true;
+    SkyStore_AppendRecords(sharing->options.store, SKY_TOPIC_CRASHES, &record,
+                           1, on_appended, sharing);
+}
+
+/* Makes the store hold what versions the services have, one at a time. */
+static void
+update_store(sky_stream_sharing_t *sharing, uint64_t now_ms)
+{
+    const sky_stream_sharing_options_t *options = &sharing->options;
+    const sky_deployment_t *deployment = options->directory->deployment;
+    sky_fanout_host_t member;
+    /* Without members each host takes itself for a reader. */
+    if (now_ms < sharing->next_store_check_ms || deployment == NULL ||
+        SkyOwnership_ListMembers(options->ownership, &member, 1) == 0 ||
+        !SkyFeed_IsStoreReader(options->feed) ||
+        !SkyFeed_IsSynced(options->feed, SKY_FEED_CRASHES)) {
+        return;
+    }
+    sharing->next_store_check_ms = now_ms + STORE_CHECK_INTERVAL_MS;
+    for (uint32_t i = 0;
+         i < deployment->service_count && !sharing->append_pending; i++) {
+        store_history(sharing, deployment->services[i].name, now_ms);
+    }
+}
+
 static json_t *
 answer_ask(const sky_stream_sharing_t *sharing, const json_t *body)
 {
     const sky_stream_versions_t *streams = sharing->options.directory->streams;
     uint64_t now_ms = SkyClock_NowMs();
+    update_versions(sharing, now_ms);
     uint64_t stream =
         (uint64_t)json_integer_value(json_object_get(body, "ask"));
     const char *service = json_string_value(json_object_get(body, "service"));
@@ -188,20 +309,6 @@
                                              : json_object());
 }
 
-static void
-record_targets(const sky_stream_sharing_t *sharing, uint64_t now_ms)
-{
-    const sky_fleet_target_t *target =
-        SkyFleet_GetFirstTarget(sharing->options.directory->fleet);
-    for (; target != NULL; target = target->next) {
-        if (target->listed) {
-            SkyStreamVersions_RecordTarget(sharing->options.directory->streams,
-                                           target->entry.service,
-                                           target->entry.software, now_ms);
-        }
-    }
-}
-
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -209,8 +316,9 @@
     (void)events;
     sky_stream_sharing_t *sharing = watcher->data;
     uint64_t now_ms = SkyClock_NowMs();
-    record_targets(sharing, now_ms);
+    update_versions(sharing, now_ms);
     tell_streams(sharing, now_ms);
+    update_store(sharing, now_ms);
 }
 
 void
--- a/lib/edge/stream_sharing.h
+++ b/lib/edge/stream_sharing.h
@@ -4,8 +4,9 @@
  *        began it.
  *
  * Decisions are those of decide/stream_versions.h. Each record is told to a
- * few* hosts, chosen by a hash of the stream; a host that lacks one asks
- * these, and some more.
+ * few hosts, chosen by a hash of the stream; a host that lacks one asks these,
+ * and some more. The readers of the store keep there which versions a service
+ * had, for hosts that have all been restarted.
  */
 #ifndef SKY_EDGE_STREAM_SHARING_H
 #define SKY_EDGE_STREAM_SHARING_H
@@ -14,6 +15,7 @@
 
 #include "core/result.h"
 #include "edge/directory.h"
+#include "edge/feed.h"
 #include "edge/host_calls.h"
 #include "edge/ownership.h"
 
@@ -30,6 +32,8 @@
     sky_directory_t *directory;
     sky_ownership_t *ownership;
     sky_host_calls_t *host_calls;
+    sky_store_t *store;
+    sky_feed_t *feed;
 } sky_stream_sharing_options_t;
 
 /** Creates the directory's stream versions.
@@ -43,6 +47,12 @@
  *  @param request_id of the request that began it */
 uint64_t SkyStreamSharing_HashId(const char *request_id);
 
+/** Decides where a stream may go on, from all that this host knows now.
+ *  @return as SkyStreamVersions_Decide() */
+sky_resume_t SkyStreamSharing_Decide(sky_stream_sharing_t *sharing,
+                                     const char *service, uint64_t stream,
+                                     const sky_resume_answers_t *answers);
+
 /** What other hosts answered; a version that one of them knows is recorded. */
 typedef void (*sky_stream_answer_callback_t)(
     void *context, const sky_resume_answers_t *answers);
--- a/tests/test_stream_versions.cc
+++ b/tests/test_stream_versions.cc
@@ -33,6 +33,7 @@
     {
         sky_stream_versions_options_t options = {RETENTION_MS, 100};
         ASSERT_EQ(SKY_OK, SkyStreamVersions_Create(&options, &versions));
+        SkyStreamVersions_SetHistoryKnown(versions);
     }
 
     void
@@ -60,6 +61,23 @@
         return SkyStreamVersions_Decide(versions, "llm", id, &answers, now_ms);
     }
 
+    // Loses all records; the clock starts anew.
+    void
+    Restart(uint64_t down_ms)
+    {
+        sky_stream_versions_options_t options = {RETENTION_MS, 100};
+        SkyStreamVersions_Free(versions);
+        ASSERT_EQ(SKY_OK, SkyStreamVersions_Create(&options, &versions));
+        now_ms = 50 + down_ms;
+    }
+
+    void
+    Apply(const sky_version_history_t &history)
+    {
+        SkyStreamVersions_ApplyHistory(versions, "llm", &history, now_ms);
+        SkyStreamVersions_SetHistoryKnown(versions);
+    }
+
     std::vector<uint64_t>
     TakeUntold()
     {
@@ -161,6 +179,108 @@
     EXPECT_FALSE(SkyStreamVersions_IsMixed(versions, "llm", now_ms));
 }
 
+// Guards against streams joined from two versions after all hosts have been
+// restarted, while the targets of the first version have just left.
+TEST_F(StreamVersions, AfterARestartOfAllHostsAnUnknownStreamIsNotGuessed)
+{
+    sky_version_history_t kept;
+    See("v1");
+    now_ms += 1000;
+    See("v1");
+    See("v2");
+    ASSERT_TRUE(SkyStreamVersions_GetHistory(versions, "llm", now_ms, &kept));
+    for (uint64_t down_ms : {0, 2000, 40000}) {
+        Restart(down_ms);
+        See("v2");
+        EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+        kept.mixed_age_ms += down_ms;
+        Apply(kept);
+        EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+    }
+    Restart(RETENTION_MS);
+    kept.mixed_age_ms += RETENTION_MS;
+    See("v2");
+    Apply({kept.mixed_age_ms, "v2"});
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+}
+
+TEST_F(StreamVersions, AfterARestartWithOneVersionAnUnknownStreamGoesOn)
+{
+    sky_version_history_t kept;
+    See("v1");
+    ASSERT_TRUE(SkyStreamVersions_GetHistory(versions, "llm", now_ms, &kept));
+    EXPECT_EQ(UINT64_MAX, kept.mixed_age_ms);
+    Restart(1000);
+    See("v1");
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+    Apply(kept);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+}
+
+// The store was unreachable while the version changed.
+TEST_F(StreamVersions, AVersionThatIsNotTheKeptOneCountsAsASecond)
+{
+    Restart(1000);
+    See("v2");
+    for (uint32_t i = 0; i < 10; i++) {
+        Apply({UINT64_MAX, "v1"});
+        EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+        now_ms += 1000;
+        See("v2");
+    }
+    now_ms += RETENTION_MS;
+    See("v2");
+    Apply({UINT64_MAX, "v1"});
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+}
+
+TEST_F(StreamVersions, TheStoreGetsAChangeOfVersionsAndLittleElse)
+{
+    uint32_t writes = 0;
+    sky_version_history_t stored = {};
+    sky_version_history_t current;
+    for (uint32_t second = 0; second < 300; second++, now_ms += 1000) {
+        if (second < 130) {
+            See("v1");
+        }
+        if (second >= 100) {
+            See("v2");
+        }
+        ASSERT_TRUE(
+            SkyStreamVersions_GetHistory(versions, "llm", now_ms, &current));
+        stored.mixed_age_ms +=
+            stored.mixed_age_ms != UINT64_MAX && writes > 0 ? 1000 : 0;
+        if (writes == 0 || SkyVersionHistory_IsOutdated(&stored, &current)) {
+            stored = current;
+            writes++;
+        }
+    }
+    EXPECT_EQ("v2", std::string(stored.software));
+    EXPECT_LE(writes, 10u); // 30 s with both, kept to within 5 s
+}
+
+TEST_F(StreamVersions, AHistoryIsReadAsItWasWritten)
+{
+    char value[SKY_VERSION_HISTORY_VALUE_BYTES];
+    sky_version_history_t read;
+    for (uint64_t age_ms : {uint64_t{0}, uint64_t{1500}, UINT64_MAX}) {
+        sky_version_history_t written = {age_ms, "v1.2 beta"};
+        SkyVersionHistory_FormatValue(&written, 1700000000000, value);
+        ASSERT_TRUE(SkyVersionHistory_ParseValue(value, 1700000000000, &read));
+        EXPECT_EQ(age_ms, read.mixed_age_ms);
+        EXPECT_STREQ("v1.2 beta", read.software);
+        // The clock of the host that reads may be behind.
+        ASSERT_TRUE(SkyVersionHistory_ParseValue(value, 1600000000000, &read));
+        EXPECT_EQ(age_ms == UINT64_MAX ? UINT64_MAX : 0, read.mixed_age_ms);
+    }
+    for (const char *malformed : {"", "1", "x 2 v1", "1 y v1"}) {
+        EXPECT_FALSE(SkyVersionHistory_ParseValue(malformed, 1, &read))
+            << malformed;
+    }
+    std::string too_long = "1 2 " + std::string(500, 'v');
+    EXPECT_FALSE(SkyVersionHistory_ParseValue(too_long.c_str(), 1, &read));
+}
+
 // Eight hosts under load: streams begin at targets of both versions, break,
 // and are taken up at other hosts. Each record is told to three hosts, a
 // moment later; three hosts are lost at once.
