Pack the streams that the store keeps, and append them sooner

Hosts tell their collector after 0.1 s and 1 ms a host (5 ms before), and a collector appends every 150 ms.

--- a/lib/edge/stream_archive.c
+++ b/lib/edge/stream_archive.c
@@ -1,6 +1,7 @@
 #include "edge/stream_archive.h"
 
 #include <inttypes.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,14 +15,16 @@
 /** Interval at which a host tells its collector, with few hosts; and what each
  *  further host adds, so that a collector gets a bounded number of calls. */
 #define TELL_INTERVAL_MIN_MS 100
-#define TELL_INTERVAL_PER_HOST_MS 5
-#define APPEND_INTERVAL_MS 250
+#define TELL_INTERVAL_PER_HOST_MS 1
+#define APPEND_INTERVAL_MS 150
 #define READ_RETRY_MS 300
 /** Streams in a record of the store, well below the largest record. */
 #define BATCH_STREAMS_MAX 2000
 /** Streams that wait to be appended; further ones are left out. */
 #define COLLECTED_STREAMS_MAX 20000
 #define KEY_BYTES 32
+/** Services and software versions in a batch. */
+#define BATCH_GROUPS_MAX 64
 
 typedef enum {
     READ_NOT_DONE,
@@ -222,6 +225,83 @@
     }
 }
 
+/** The streams of a batch that began at one version of one service. */
+typedef struct {
+    const char *service;
+    const char *software;
+    sky_buffer_t ids; /**< eight bytes each, least significant first */
+} group_t;
+
+static group_t *
+find_or_add_group(group_t *groups, size_t *count, const char *service,
+                  const char *software)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (strcmp(groups[i].service, service) == 0 &&
+            strcmp(groups[i].software, software) == 0) {
+            return &groups[i];
+        }
+    }
+    if (*count == BATCH_GROUPS_MAX) {
+        return NULL;
+    }
+    groups[*count] = (group_t){service, software, {0}};
+    return &groups[(*count)++];
+}
+
+static json_t *
+encode_group(const group_t *group)
+{
+    size_t size = SkyBuffer_Size(&group->ids);
+    size_t capacity =
+        sodium_base64_encoded_len(size, sodium_base64_VARIANT_ORIGINAL);
+    char *text = malloc(capacity);
+    if (text == NULL) {
+        return NULL;
+    }
+    sodium_bin2base64(text, capacity,
+                      (const unsigned char *)SkyBuffer_Data(&group->ids), size,
+                      sodium_base64_VARIANT_ORIGINAL);
+    json_t *row = json_pack("[s,s,s]", group->service, group->software, text);
+    free(text);
+    return row;
+}
+
+/* Encodes the first rows as the value of a record. All restarted hosts read
+ * all batches over their own links, so that ids are packed. Returns NULL if
+ * memory ran out. */
+static char *
+encode_batch(const json_t *rows, size_t row_count)
+{
+    group_t groups[BATCH_GROUPS_MAX];
+    size_t group_count = 0;
+    for (size_t i = 0; i < row_count; i++) {
+        json_int_t id;
+        const char *service;
+        const char *software;
+        if (json_unpack(json_array_get(rows, i), "[I,s,s]", &id, &service,
+                        &software) != 0) {
+            continue; /* has been logged */
+        }
+        group_t *group =
+            find_or_add_group(groups, &group_count, service, software);
+        for (uint32_t shift = 0; group != NULL && shift < 64; shift += 8) {
+            char byte = (char)((uint64_t)id >> shift);
+            SkyBuffer_Append(&group->ids, &byte, 1);
+        }
+    }
+    json_t *encoded = json_array();
+    for (size_t i = 0; i < group_count; i++) {
+        json_array_append_new(encoded, encode_group(&groups[i]));
+        SkyBuffer_Clear(&groups[i].ids);
+    }
+    json_t *batch = json_pack(
+        "{s:I, s:o}", "at", (json_int_t)SkyClock_WallMs(), "groups", encoded);
+    char *text = batch != NULL ? json_dumps(batch, JSON_COMPACT) : NULL;
+    json_decref(batch);
+    return text;
+}
+
 static void
 append_collected(sky_stream_archive_t *archive, uint64_t now_ms)
 {
@@ -232,14 +312,7 @@
     }
     archive->next_append_ms = now_ms + APPEND_INTERVAL_MS;
     count = count < BATCH_STREAMS_MAX ? count : BATCH_STREAMS_MAX;
-    json_t *rows = json_array();
-    for (size_t i = 0; i < count; i++) {
-        json_array_append(rows, json_array_get(archive->collected, i));
-    }
-    json_t *batch = json_pack("{s:I, s:o}", "at",
-                              (json_int_t)SkyClock_WallMs(), "streams", rows);
-    char *text = batch != NULL ? json_dumps(batch, JSON_COMPACT) : NULL;
-    json_decref(batch);
+    char *text = encode_batch(archive->collected, count);
     if (text == NULL) {
         SkyLog_Write(LOG_WARNING, "streams_not_stored", "reason=memory");
         return;
@@ -254,19 +327,59 @@
     free(text);
 }
 
+/* Returns whether the row is well-formed. */
+static bool
+apply_group(sky_stream_archive_t *archive, json_t *row)
+{
+    const char *service;
+    const char *software;
+    const char *text;
+    sky_stream_version_t stream = {0};
+    if (json_unpack(row, "[s,s,s]", &service, &software, &text) != 0 ||
+        strlen(service) >= sizeof stream.service ||
+        strlen(software) >= sizeof stream.software) {
+        return false;
+    }
+    size_t size = 0;
+    size_t capacity = strlen(text);
+    unsigned char *ids = malloc(capacity + 1);
+    bool is_valid =
+        ids != NULL &&
+        sodium_base642bin(ids, capacity, text, capacity, NULL, &size, NULL,
+                          sodium_base64_VARIANT_ORIGINAL) == 0;
+    strcpy(stream.service, service);
+    strcpy(stream.software, software);
+    for (size_t at = 0; is_valid && at + 8 <= size; at += 8) {
+        stream.stream = 0;
+        for (uint32_t i = 0; i < 8; i++) {
+            stream.stream |= (uint64_t)ids[at + i] << (8 * i);
+        }
+        SkyStreamVersions_RecordStream(archive->options.directory->streams,
+                                       &stream, false, SkyClock_NowMs());
+        archive->read_count++;
+    }
+    free(ids);
+    return is_valid;
+}
+
 static void
 apply_batch(sky_stream_archive_t *archive, const sky_store_record_t *record)
 {
     json_t *batch = json_loadb(record->value, record->value_bytes, 0, NULL);
-    const json_t *rows = json_object_get(batch, "streams");
+    const json_t *groups = json_object_get(batch, "groups");
     uint64_t written_ms =
         (uint64_t)json_integer_value(json_object_get(batch, "at"));
-    if (!record->is_tombstone && rows == NULL) {
-        SkyLog_Write(LOG_WARNING, "stream_ignored", "key=%s", record->key);
-    }
+    bool is_valid = record->is_tombstone || json_is_array(groups);
     if (written_ms + archive->options.retention_ms > SkyClock_WallMs()) {
-        archive->read_count += (uint32_t)json_array_size(rows);
-        SkyStreamArchive_ApplyRows(archive->options.directory, rows);
+        size_t index;
+        json_t *row;
+        json_array_foreach(groups, index, row)
+        {
+            is_valid = apply_group(archive, row) && is_valid;
+        }
+    }
+    if (!is_valid) {
+        SkyLog_Write(LOG_WARNING, "stream_ignored", "key=%s", record->key);
     }
     json_decref(batch);
 }
