Count a route at a stopping host only after it has been observed long enough

A route that has been in use for less time than the deadline of its requests now counts by that deadline.

--- a/lib/decide/stop_admission.c
+++ b/lib/decide/stop_admission.c
@@ -14,6 +14,7 @@
     uint64_t window; /**< number of the current window */
     uint64_t longest_ms;
     uint64_t longest_before_ms;
+    uint64_t first_ms; /**< arrival of the first request with a response */
     UT_hash_handle hh;
 } route_times_t;
 
@@ -76,7 +77,7 @@
 
 static route_times_t *
 find_or_add_times(sky_stop_admission_t *admission, uint64_t route,
-                  uint64_t window)
+                  uint64_t first_ms, uint64_t window)
 {
     route_times_t *times = find_times(admission, route);
     if (times != NULL) {
@@ -91,6 +92,7 @@
     times = calloc(1, sizeof *times);
     if (times != NULL) {
         times->route = route;
+        times->first_ms = first_ms;
         times->window = window;
         HASH_ADD(hh, admission->routes, route, sizeof times->route, times);
     }
@@ -103,7 +105,8 @@
                                 uint64_t now_ms)
 {
     uint64_t window = now_ms / admission->options.window_ms;
-    route_times_t *times = find_or_add_times(admission, route, window);
+    route_times_t *times =
+        find_or_add_times(admission, route, now_ms - duration_ms, window);
     if (times == NULL) {
         return; /* the route's deadline counts */
     }
@@ -118,14 +121,16 @@
     }
 }
 
-/* Returns the longest recent response of the route; 0: there was none. */
+/* Returns the longest recent response of the route; 0: there was none, or the
+ * route has been in use for so short that longer ones may be under way. */
 static uint64_t
 get_longest_ms(const sky_stop_admission_t *admission, uint64_t route,
-               uint64_t now_ms)
+               uint64_t limit_ms, uint64_t now_ms)
 {
     const route_times_t *times = find_times(admission, route);
     uint64_t window = now_ms / admission->options.window_ms;
-    if (times == NULL || times->window + 1 < window) {
+    if (times == NULL || times->window + 1 < window ||
+        now_ms < times->first_ms + limit_ms) {
         return 0;
     }
     return times->window == window &&
@@ -140,7 +145,7 @@
                             uint64_t limit_ms, uint64_t now_ms)
 {
     uint64_t left_ms = exits_at_ms > now_ms ? exits_at_ms - now_ms : 0;
-    uint64_t longest_ms = get_longest_ms(admission, route, now_ms);
+    uint64_t longest_ms = get_longest_ms(admission, route, limit_ms, now_ms);
     return limit_ms <= left_ms ||
            (longest_ms > 0 &&
             (double)longest_ms * GROWTH_MAX <= (double)left_ms);
--- a/tests/test_stop_admission.cc
+++ b/tests/test_stop_admission.cc
@@ -56,12 +56,24 @@
 {
     SkyStopAdmission_RecordResponse(admission_, 1, 40, now_ms_);
     SkyStopAdmission_RecordResponse(admission_, 2, 6000, now_ms_);
+    now_ms_ += 15000;
     EXPECT_TRUE(EndsInTime(1, 100, 1500));
     EXPECT_FALSE(EndsInTime(2, 6500, 15000));
     EXPECT_TRUE(EndsInTime(2, 7600, 15000));
     EXPECT_FALSE(EndsInTime(1, 0, 1500));
 }
 
+// Guards against a host that stops soon after its start: what it has seen end
+// by then is short, and long responses are still under way.
+TEST_F(StopAdmission, ARouteInUseForAMomentCountsByItsDeadline)
+{
+    SkyStopAdmission_RecordResponse(admission_, 1, 900, now_ms_);
+    now_ms_ += 3000;
+    EXPECT_FALSE(EndsInTime(1, 3800, 15000));
+    now_ms_ += 12000;
+    EXPECT_TRUE(EndsInTime(1, 3800, 15000));
+}
+
 TEST_F(StopAdmission, ALongResponseIsForgottenAfterTwoWindows)
 {
     SkyStopAdmission_RecordResponse(admission_, 1, 9000, now_ms_);
@@ -80,10 +92,12 @@
     for (uint64_t route = 0; route < 100; route++) {
         SkyStopAdmission_RecordResponse(admission_, route, 50, now_ms_);
     }
+    now_ms_ += 15000;
     EXPECT_TRUE(EndsInTime(0, 1000, 15000));
     EXPECT_FALSE(EndsInTime(99, 1000, 15000));
     now_ms_ += 90000;
     SkyStopAdmission_RecordResponse(admission_, 99, 50, now_ms_);
+    now_ms_ += 15000;
     EXPECT_TRUE(EndsInTime(99, 1000, 15000));
 }
 
