Revert "Share the reads of a failing store among hosts"

A host whose sources get no records needs those of any host that the store serves sooner than by polls of peers in turn, every third or fourth of its polls, each held for 0.2 s. With the reads of its own put off by 8 s and more it has them too late.

Ruled out: admission at a stop and kept streams, which this commit has both.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -19,6 +19,8 @@
 #define TARGETS_POLL_INTERVAL_MS 300
 /** Crashes are rare, and the store responds at once when one is appended. */
 #define CRASHES_LONG_POLL_MS 2000
+#define RETRY_DELAY_MIN_MS 100 /**< doubles with each failed read in a row */
+#define RETRY_DELAY_MAX_MS 800
 /** Interval at which a host that does not read the store checks whether the
  *  records from its peers are still fresh. */
 #define FOLLOWER_CHECK_INTERVAL_MS 100
@@ -47,9 +49,6 @@
     uint32_t failed_reads; /**< in a row */
     uint64_t first_failure_ms;
     sky_freshness_t freshness;
-    /** The records of the peers are stale, and this host reads by itself, or
-     *  has set the time of its first read. */
-    bool reads_by_itself;
     ev_timer read_timer;
     record_t *records;
 } topic_t;
@@ -58,8 +57,6 @@
     sky_feed_options_t options;
     topic_t topics[SKY_FEED_TOPIC_COUNT];
     bool is_store_reader;
-    sky_store_role_t store_role;
-    uint32_t listed_hosts;
 };
 
 static void read_store(topic_t *topic);
@@ -416,19 +413,6 @@
     topic->failed_reads = 0;
 }
 
-static sky_store_retry_t
-make_store_retry(const topic_t *topic)
-{
-    const sky_feed_t *feed = topic->feed;
-    return (sky_store_retry_t){
-        .role = topic->synced ? feed->store_role : SKY_STORE_ROLE_STARTING,
-        .listed_hosts = feed->listed_hosts,
-        .topics = SKY_FEED_TOPIC_COUNT,
-        .failed_reads = topic->failed_reads,
-        .random = randombytes_random(),
-    };
-}
-
 static void
 handle_read_failure(topic_t *topic, sky_store_outcome_t outcome)
 {
@@ -439,9 +423,13 @@
                      topic->name, SkyStore_OutcomeName(outcome),
                      (unsigned long long)topic->next_offset);
     }
+    uint32_t delay_ms = RETRY_DELAY_MIN_MS;
+    for (uint32_t i = 0;
+         i < topic->failed_reads && delay_ms < RETRY_DELAY_MAX_MS; i++) {
+        delay_ms *= 2;
+    }
     topic->failed_reads++;
-    sky_store_retry_t retry = make_store_retry(topic);
-    schedule_read(topic, SkyStoreRetry_GetDelayMs(&retry));
+    schedule_read(topic, delay_ms);
 }
 
 static void
@@ -542,20 +530,9 @@
     (void)loop;
     (void)events;
     topic_t *topic = watcher->data;
-    if (topic->synced && !topic->feed->is_store_reader) {
-        if (is_relayed(topic)) {
-            topic->reads_by_itself = false;
-            schedule_read(topic, FOLLOWER_CHECK_INTERVAL_MS);
-            return;
-        }
-        sky_store_retry_t retry = make_store_retry(topic);
-        uint32_t delay_ms =
-            topic->reads_by_itself ? 0 : SkyStoreRetry_GetFirstDelayMs(&retry);
-        topic->reads_by_itself = true;
-        if (delay_ms > 0) {
-            schedule_read(topic, delay_ms);
-            return;
-        }
+    if (topic->synced && !topic->feed->is_store_reader && is_relayed(topic)) {
+        schedule_read(topic, FOLLOWER_CHECK_INTERVAL_MS);
+        return;
     }
     read_store(topic);
 }
@@ -613,14 +590,6 @@
     feed->is_store_reader = is_store_reader;
 }
 
-void
-SkyFeed_SetStoreRole(sky_feed_t *feed, sky_store_role_t role,
-                     uint32_t listed_hosts)
-{
-    feed->store_role = role;
-    feed->listed_hosts = listed_hosts;
-}
-
 bool
 SkyFeed_IsStoreReader(const sky_feed_t *feed)
 {
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -18,7 +18,6 @@
 #include <stdint.h>
 
 #include "core/result.h"
-#include "decide/store_retry.h"
 #include "edge/directory.h"
 #include "edge/host_settings.h"
 #include "platform/store.h"
@@ -75,10 +74,6 @@
  *  Otherwise it reads the store only while the records from its peers are
  *  stale or a topic is not known yet. */
 void SkyFeed_SetStoreReader(sky_feed_t *feed, bool is_store_reader);
-/** Sets which part this host has in reading a store that fails.
- *  @param listed_hosts members that this host knows */
-void SkyFeed_SetStoreRole(sky_feed_t *feed, sky_store_role_t role,
-                          uint32_t listed_hosts);
 bool SkyFeed_IsStoreReader(const sky_feed_t *feed);
 /** @return whether the last read of the store, by this host or by a peer that
  *  passed its records on, is too long ago for the operator's topic or the list
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -1,6 +1,5 @@
 #include "edge/feed_relay.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -44,7 +43,6 @@
     /** Polls that failed or left this host with stale records, since the
      *  sources were chosen. Selects the source of the next poll. */
     uint32_t unhelpful_polls;
-    uint32_t peer_offset; /**< makes each host poll other peers */
 };
 
 static const char *const TOPIC_KEYS[] = {"operator", "targets", "crashes"};
@@ -153,18 +151,16 @@
     return strcmp(address, relay->options.settings->control) == 0;
 }
 
-/* @return control address of the host to poll next: each source, then any
- * peer, as another host may get records where the sources get none; NULL if
- * there is no peer. */
+/* @return control address of the source to poll next, or of any peer while no
+ * source is known; NULL if there is no peer. */
 static const char *
 get_poll_address(const sky_feed_relay_t *relay)
 {
-    uint32_t choice = relay->unhelpful_polls % (relay->source_count + 1);
-    if (choice < relay->source_count) {
-        return relay->sources[choice];
+    if (relay->source_count > 0) {
+        return relay->sources[relay->unhelpful_polls % relay->source_count];
     }
-    return SkyOwnership_ChoosePeerAddress(
-        relay->options.ownership, relay->unhelpful_polls + relay->peer_offset);
+    return SkyOwnership_ChoosePeerAddress(relay->options.ownership,
+                                          relay->unhelpful_polls);
 }
 
 static void
@@ -284,26 +280,6 @@
     }
 }
 
-static sky_store_role_t
-get_store_role(const sky_feed_relay_t *relay, const sky_fanout_host_t *members,
-               uint32_t member_count, bool reads_store)
-{
-    uint32_t domain_relay;
-    if (reads_store ||
-        (SkyFanout_ChooseHosts(members, member_count,
-                               relay->options.settings->domain, &domain_relay,
-                               1) > 0 &&
-         is_own_address(relay, members[domain_relay].address))) {
-        return SKY_STORE_ROLE_READER;
-    }
-    for (uint32_t i = 0; i < member_count; i++) {
-        if (is_own_address(relay, members[i].address)) {
-            return SKY_STORE_ROLE_FOLLOWER;
-        }
-    }
-    return SKY_STORE_ROLE_UNLISTED;
-}
-
 void
 SkyFeedRelay_HandleOwnersChange(sky_feed_relay_t *relay)
 {
@@ -319,10 +295,6 @@
             reads_store || is_own_address(relay, members[readers[i]].address);
     }
     choose_sources(relay, members, member_count, readers, reader_count);
-    SkyFeed_SetStoreRole(relay->options.feed,
-                         get_store_role(relay, members, member_count,
-                                        reads_store || reader_count == 0),
-                         member_count);
     SkyFeed_SetStoreReader(relay->options.feed,
                            reads_store || reader_count == 0);
     SkyOwnership_SetStoreReader(relay->options.ownership,
@@ -338,7 +310,6 @@
         return SKY_E_MEMORY;
     }
     self->options = *options;
-    self->peer_offset = randombytes_uniform(SKY_GROUP_MEMBERS_MAX);
     ev_timer_init(&self->tick, on_tick, TICK_INTERVAL_S, TICK_INTERVAL_S);
     self->tick.data = self;
     ev_timer_start(options->loop, &self->tick);
