Give prompts turns at a target's owner, so that streams keep their interval

No host knows what the others send, and most clumps come within 40 ms.

A request with a long prompt asks the target's owner for a turn, in the call that asks for its report. decide/prompt_pacer lets four fifths of any interval go to prompts and says how long to wait, at most half of the request's latency objective. decide/prompt_times estimates how long a prompt takes from the times to first events. The part of its time that a target reads prompts counts as its utilization, so that requests go to another replica, and replicas are loaded, also where batch slots are free. Earlier builds ignore the new fields, and are not waited for.

A route with an unusable objective (negative, text, huge) serves without one; it was left out before.

--- a/lib/decide/deployment.c
+++ b/lib/decide/deployment.c
@@ -21,6 +21,35 @@
     return deployment;
 }
 
+static bool
+leads_to(const sky_route_t *route, uint32_t service)
+{
+    for (uint32_t i = 0; i < route->service_weight_count; i++) {
+        if (route->service_weights[i].service == service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+SkyDeployment_GetEventIntervalMs(const sky_deployment_t *deployment,
+                                 const sky_service_t *service)
+{
+    uint32_t index = (uint32_t)(service - deployment->services);
+    uint32_t shortest_ms = 0;
+    for (uint32_t i = 0; i < deployment->route_count; i++) {
+        const sky_route_t *route = &deployment->routes[i];
+        uint32_t interval_ms = route->event_interval_max_ms;
+        if (interval_ms > 0 &&
+            (shortest_ms == 0 || interval_ms < shortest_ms) &&
+            leads_to(route, index)) {
+            shortest_ms = interval_ms;
+        }
+    }
+    return shortest_ms;
+}
+
 static void
 free_route(sky_route_t *route)
 {
--- a/lib/decide/deployment.h
+++ b/lib/decide/deployment.h
@@ -38,7 +38,7 @@
     uint32_t timeout_ms;
     uint32_t latency_objective_ms;  /**< to the first event */
     uint32_t event_interval_max_ms; /**< objective for the interval between
-                                       events */
+                                       events; 0: none */
     uint32_t urgency;               /**< 0 is the most urgent */
     uint32_t targets_max;           /**< targets that may run one request */
     sky_service_weight_t *service_weights;
@@ -98,6 +98,11 @@
  */
 void SkyDeployment_Release(sky_deployment_t *deployment);
 
+/** @return the shortest objective for the interval between events of all
+ *          routes to the service, in ms; 0: no route has one. */
+uint32_t SkyDeployment_GetEventIntervalMs(const sky_deployment_t *deployment,
+                                          const sky_service_t *service);
+
 /** @return index of a service, or UINT32_MAX. */
 uint32_t SkyDeployment_FindService(const sky_deployment_t *deployment,
                                    const char *name);
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -466,9 +466,18 @@
 double
 SkyFleet_GetUtilization(const sky_fleet_target_t *target, uint64_t now_ms)
 {
-    uint32_t other_requests =
-        is_owner_report_current(target, now_ms) ? target->others_in_flight : 0;
-    return (double)(target->in_flight + other_requests) / target->entry.slots;
+    bool is_current = is_owner_report_current(target, now_ms);
+    uint32_t other_requests = is_current ? target->others_in_flight : 0;
+    double batch_load =
+        (double)(target->in_flight + other_requests) / target->entry.slots;
+    double prompt_load = is_current ? target->prompt_load : 0.0;
+    return prompt_load > batch_load ? prompt_load : batch_load;
+}
+
+void
+SkyFleet_RecordPromptLoad(sky_fleet_target_t *target, double load)
+{
+    target->prompt_load = load;
 }
 
 void
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -51,7 +51,9 @@
     uint32_t in_flight;  /**< requests of this host that are running on it */
     uint32_t others_in_flight; /**< requests of all other hosts on it */
     uint64_t owner_report_ms;  /**< last report of its owner; 0: none */
-    double failure; /**< moving average of failed requests, 0 to 1 */
+    double prompt_load; /**< part of the time that it reads prompts, 0 to 1,
+                             by that report */
+    double failure;     /**< moving average of failed requests, 0 to 1 */
     uint32_t refused_connections; /**< in a row; stops at a maximum */
     uint64_t blocked_until_ms;    /**< after a refused connection */
     uint64_t full_until_ms; /**< it refused a request for lack of capacity */
@@ -184,12 +186,18 @@
                                const sky_residency_t *residents,
                                uint32_t count, uint64_t now_ms);
 
+/** Records the part of the time that the target reads prompts, 0 to 1, by its
+ *  owner's newest report. */
+void SkyFleet_RecordPromptLoad(sky_fleet_target_t *target, double load);
+
 /** @return whether the owner's report is so recent that a new request can rely
  *  on it. */
 bool SkyFleet_HasRecentOwnerReport(const sky_fleet_target_t *target,
                                    uint64_t now_ms);
 
-/** @return requests of all hosts per batch slot of the target: 1 is full. */
+/** @return the larger of two: requests of all hosts per batch slot of the
+ *          target, and the part of its time that it reads prompts; 1 is full.
+ */
 double SkyFleet_GetUtilization(const sky_fleet_target_t *target,
                                uint64_t now_ms);
 
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/clock.h"
+#include "core/logging.h"
 
 /** Owner's reports that one request may cause: an adapter has few replicas. */
 #define OWNER_REPORTS_PER_REQUEST_MAX 3
@@ -18,6 +19,9 @@
  *  at this host, so that another replica, or a slot that is free earlier, can
  *  serve them. */
 #define BATCH_UTILIZATION_MAX 1.25
+/** Prompts of which so many are read in an interval between events are sent
+ *  without a turn. */
+#define SHORT_PROMPTS_PER_INTERVAL 16
 #define URGENCY_MAX 9  /**< least urgent value that the wire carries */
 #define NO_URGENCY 255 /**< of requests to services without an engine */
 
@@ -54,6 +58,9 @@
              choice->target->entry.id);
     request->adapter_version = choice->version;
     request->last_activity_ms = SkyClock_NowMs();
+    request->sent_ms = request->last_activity_ms;
+    request->prompt_time_recorded = false;
+    request->turn_target = 0;
     request->first_sent_ms = request->first_sent_ms
                                  ? request->first_sent_ms
                                  : request->last_activity_ms;
@@ -226,43 +233,92 @@
            !SkyFleet_HasRecentOwnerReport(choice->target, SkyClock_NowMs());
 }
 
+/* Returns how long the prompt can wait so that the request still meets its
+ * objective, with as much time again for what comes after. */
+static uint32_t
+prompt_wait_max_ms(const sky_proxy_request_t *request, uint32_t read_ms)
+{
+    uint64_t spent_ms = SkyClock_NowMs() - request->received_ms + read_ms;
+    uint64_t allowed_ms = request->route->latency_objective_ms / 2;
+    return spent_ms < allowed_ms ? (uint32_t)(allowed_ms - spent_ms) : 0;
+}
+
+/* Whether the prompt takes so long to read that the owner of the target must
+ * say when it may be sent. */
+static bool
+needs_prompt_turn(const sky_proxy_request_t *request,
+                  const sky_fleet_target_t *target, sky_prompt_turn_t *turn)
+{
+    if (target == NULL || !request->service->engine.present ||
+        !request->route->streaming || request->turn_target == target->hash ||
+        request->owner_report_count >= OWNER_REPORTS_PER_REQUEST_MAX) {
+        return false;
+    }
+    const sky_prompt_times_t *times =
+        SkyProxy_GetPromptTimes(request->proxy, request->service->name);
+    turn->interval_ms = SkyDeployment_GetEventIntervalMs(request->deployment,
+                                                         request->service);
+    turn->read_ms =
+        times != NULL
+            ? SkyPromptTimes_EstimateMs(times, request->facts.prompt_tokens)
+            : 0;
+    turn->wait_max_ms = prompt_wait_max_ms(request, turn->read_ms);
+    return turn->read_ms > turn->interval_ms / SHORT_PROMPTS_PER_INTERVAL &&
+           turn->interval_ms > 0;
+}
+
 static void
 on_owner_report(void *context, const sky_placement_result_t *result)
 {
-    (void)result;
     sky_proxy_request_t *request = context;
     request->placement_request = NULL;
+    request->turn_ms = SkyClock_NowMs() + result->prompt_wait_ms;
     SkyProxyRequest_Dispatch(request);
 }
 
+/* @param turn to take for the prompt; NULL: none */
 static bool
 request_owner_report(sky_proxy_request_t *request,
-                     const sky_fleet_target_t *target)
+                     const sky_fleet_target_t *target,
+                     const sky_prompt_turn_t *turn)
 {
+    sky_placement_t *placement = request->proxy->options.placement;
     request->owner_report_count++;
+    if (turn != NULL) {
+        request->turn_target = target->hash;
+    }
     request->placement_request = SkyPlacement_RequestOwnerReport(
-        request->proxy->options.placement, target,
-        SkyProxyRequest_AdapterKey(request), on_owner_report, request);
+        placement, target, SkyProxyRequest_AdapterKey(request), turn,
+        on_owner_report, request);
+    if (request->placement_request == NULL && turn != NULL) {
+        request->turn_ms = SkyClock_NowMs() + SkyPlacement_TakePromptTurn(
+                                                  placement, target, turn);
+    }
     return request->placement_request != NULL;
 }
 
-/* Chooses the target that a permit is held for, if it can still run the
- * request, else any. */
+/* Chooses the target that a permit is held for, or at which the prompt has a
+ * turn, if it can still run the request, else any. */
 static void
 choose_target(sky_proxy_request_t *request, sky_fleet_query_t *query,
               sky_fleet_choice_t *choice)
 {
     const sky_fleet_t *fleet = request->proxy->options.directory->fleet;
     uint64_t now = SkyClock_NowMs();
-    if (request->permitted_target != 0) {
+    const uint64_t *held = request->permitted_target != 0
+                               ? &request->permitted_target
+                               : &request->turn_target;
+    if (*held != 0) {
         *query = SkyProxyRequest_BuildQuery(request);
-        query->allowed = &request->permitted_target;
+        query->allowed = held;
         query->allowed_count = 1;
         SkyFleet_ChooseTarget(fleet, query, now, choice);
-        if (choice->target != NULL) {
+        if (choice->target != NULL &&
+            choice->batch_utilization < BATCH_UTILIZATION_MAX) {
             return;
         }
         request->permitted_target = 0;
+        request->turn_target = 0;
     }
     *query = SkyProxyRequest_BuildQuery(request);
     SkyFleet_ChooseTarget(fleet, query, now, choice);
@@ -421,7 +477,9 @@
 {
     sky_fleet_query_t query;
     sky_fleet_choice_t choice;
+    bool was_waiting = request->waits_for_turn;
     request->waits_for_path = false;
+    request->waits_for_turn = false;
     if (fail_crashing(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
          SkyProxyRequest_TryPeer(request)) ||
@@ -433,13 +491,17 @@
         SkyProxyRequest_TryPeer(request)) {
         return;
     }
-    if (needs_owner_report(request, &choice) &&
-        request_owner_report(request, choice.target)) {
-        return;
-    }
     bool has_no_room =
         choice.batch_utilization >= BATCH_UTILIZATION_MAX ||
         (choice.target == NULL && choice.has_full_brittle_target);
+    sky_prompt_turn_t turn;
+    bool needs_turn =
+        !has_no_room && needs_prompt_turn(request, choice.target, &turn);
+    if ((needs_turn || needs_owner_report(request, &choice)) &&
+        request_owner_report(request, choice.target,
+                             needs_turn ? &turn : NULL)) {
+        return;
+    }
     request->capacity_wait_since_ms =
         has_no_room ? (request->capacity_wait_since_ms
                            ? request->capacity_wait_since_ms
@@ -451,6 +513,18 @@
     if (request->capacity_wait_since_ms > 0) {
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
+    if (choice.target != NULL && choice.target->hash == request->turn_target &&
+        request->turn_ms > SkyClock_NowMs()) {
+        if (!was_waiting) {
+            SkyLog_Write(
+                LOG_INFO, "prompt_waits",
+                "id=%s target=%s tokens=%u wait_ms=%llu", request->facts.id,
+                choice.target->entry.id, request->facts.prompt_tokens,
+                (unsigned long long)(request->turn_ms - SkyClock_NowMs()));
+        }
+        request->waits_for_turn = true;
+        return; /* as above */
+    }
     if (choice.target != NULL) {
         if (acquire_permit(request, choice.target)) {
             send_request(request, &choice);
--- a/lib/edge/load_report.c
+++ b/lib/edge/load_report.c
@@ -5,12 +5,15 @@
 #include <xxhash.h>
 
 #include "core/clock.h"
+#include "core/logging.h"
 #include "edge/placement_internal.h"
 
 /** Short: an owner may evict an adapter that it does not know to be in use. */
 #define EARLY_REPORT_DELAY_S 0.01
 #define REPORTED_LOAD_TTL_MS 1000 /**< older reports no longer count */
 #define RESIDENTS_MAX 256         /**< in an owner's report of one target */
+/** A turn with longer times is not taken: no prompt waits so long. */
+#define PROMPT_TURN_MAX_MS 60000
 /** Stands for this host among the users of its own targets' adapters. */
 #define LOCAL_HOST_ID 1
 
@@ -81,6 +84,9 @@
         SkyFleet_ApplyOwnerReport(
             target, in_flight_except(owned, options->settings->name),
             residents, count, SkyClock_NowMs());
+        SkyFleet_RecordPromptLoad(
+            target,
+            SkyPromptPacer_GetLoad(&owned->prompt_pacer, SkyClock_NowMs()));
     }
 }
 
@@ -97,8 +103,68 @@
                             (json_int_t)residents[i].version,
                             (json_int_t)(residents[i].use_fraction * 100)));
     }
-    return json_pack("[s,I,o]", owned->id,
-                     (json_int_t)in_flight_except(owned, host), rows);
+    double prompt_load =
+        SkyPromptPacer_GetLoad(&owned->prompt_pacer, SkyClock_NowMs());
+    return json_pack("[s,I,o,I]", owned->id,
+                     (json_int_t)in_flight_except(owned, host), rows,
+                     (json_int_t)(prompt_load * 100));
+}
+
+void
+SkyLoadReport_EncodePromptTurn(json_t *body, const sky_prompt_turn_t *turn)
+{
+    json_object_set_new(body, "prompt",
+                        json_pack("[I,I,I]", (json_int_t)turn->read_ms,
+                                  (json_int_t)turn->interval_ms,
+                                  (json_int_t)turn->wait_max_ms));
+}
+
+static bool
+decode_prompt_turn(const json_t *row, sky_prompt_turn_t *turn)
+{
+    json_int_t read_ms = 0;
+    json_int_t interval_ms = 0;
+    json_int_t wait_max_ms = 0;
+    if (json_unpack((json_t *)row, "[I,I,I]", &read_ms, &interval_ms,
+                    &wait_max_ms) != 0 ||
+        read_ms < 0 || read_ms > PROMPT_TURN_MAX_MS || interval_ms < 0 ||
+        interval_ms > PROMPT_TURN_MAX_MS || wait_max_ms < 0 ||
+        wait_max_ms > PROMPT_TURN_MAX_MS) {
+        SkyLog_Write(LOG_WARNING, "peer_call_refused",
+                     "path=/share field=prompt");
+        return false;
+    }
+    *turn = (sky_prompt_turn_t){.read_ms = (uint32_t)read_ms,
+                                .interval_ms = (uint32_t)interval_ms,
+                                .wait_max_ms = (uint32_t)wait_max_ms};
+    return true;
+}
+
+/* Returns how long the prompt of a load report has to wait before it is sent
+ * to the first target of the report; 0 if there is none. */
+static uint32_t
+take_prompt_turn(sky_placement_t *placement, const json_t *body)
+{
+    const json_t *row = json_object_get(body, "prompt");
+    const char *id = json_string_value(json_array_get(
+        json_array_get(json_object_get(body, "targets"), 0), 0));
+    sky_owned_target_t *owned =
+        id != NULL ? SkyOwnedTarget_Find(placement, id) : NULL;
+    sky_prompt_turn_t turn;
+    if (row == NULL || owned == NULL || !decode_prompt_turn(row, &turn)) {
+        return 0;
+    }
+    return SkyPromptPacer_TakeTurn(&owned->prompt_pacer, &turn,
+                                   SkyClock_NowMs());
+}
+
+uint32_t
+SkyLoadReport_DecodePromptWait(const json_t *body)
+{
+    json_int_t wait_ms =
+        json_integer_value(json_object_get(body, "prompt_wait_ms"));
+    return wait_ms > 0 && wait_ms <= PROMPT_TURN_MAX_MS ? (uint32_t)wait_ms
+                                                        : 0;
 }
 
 void
@@ -138,8 +204,10 @@
         }
         json_array_append_new(response, encode_owner_report(owned, host));
     }
-    SkyHostCalls_Respond(server_request,
-                         json_pack("{s:o}", "targets", response));
+    SkyHostCalls_Respond(
+        server_request,
+        json_pack("{s:o, s:I}", "targets", response, "prompt_wait_ms",
+                  (json_int_t)take_prompt_turn(placement, body)));
 }
 
 static void
@@ -173,8 +241,13 @@
         }
     }
     if (target != NULL) {
+        json_int_t prompt_percent = json_integer_value(json_array_get(row, 3));
         SkyFleet_ApplyOwnerReport(target, (uint32_t)other_in_flight, residents,
                                   count, SkyClock_NowMs());
+        SkyFleet_RecordPromptLoad(target,
+                                  prompt_percent >= 0 && prompt_percent <= 100
+                                      ? (double)prompt_percent / 100
+                                      : 0.0);
     }
 }
 
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -123,6 +123,7 @@
     request->response.is_invalid = false;
     request->capacity_wait_since_ms = 0;
     request->waits_for_path = false;
+    request->waits_for_turn = false;
     SkyProxyRequest_Uncount(request);
     SkyReachability_RecordPeerSend(
         request->proxy->options.directory->reachability,
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -475,17 +475,20 @@
 static void
 on_owner_report(void *context, const json_t *body)
 {
-    static const sky_placement_result_t RESULT = {.reason = "confirmed"};
     sky_placement_request_t *request = context;
+    sky_placement_result_t result = {.reason = "confirmed",
+                                     .prompt_wait_ms =
+                                         SkyLoadReport_DecodePromptWait(body)};
     request->owner_call = NULL;
     SkyLoadReport_ApplyResponse(request->placement, body);
-    finish_request(request, &RESULT);
+    finish_request(request, &result);
 }
 
 sky_placement_request_t *
 SkyPlacement_RequestOwnerReport(sky_placement_t *placement,
                                 const sky_fleet_target_t *target,
                                 sky_adapter_key_t adapter,
+                                const sky_prompt_turn_t *turn,
                                 sky_placement_done_t done, void *context)
 {
     const sky_placement_options_t *options = &placement->options;
@@ -510,6 +513,9 @@
         json_pack("{s:s, s:[[s, I, [[I, i, i]]]]}", "host",
                   options->settings->name, "targets", target->entry.id,
                   (json_int_t)target->in_flight, (json_int_t)adapter, 0, 1);
+    if (turn != NULL) {
+        SkyLoadReport_EncodePromptTurn(body, turn);
+    }
     request->owner_call = SkyHostCalls_SendCall(
         options->host_calls, owner, "/share", body, OWNER_REPORT_TIMEOUT_MS,
         on_owner_report, request);
@@ -520,6 +526,18 @@
     return request;
 }
 
+uint32_t
+SkyPlacement_TakePromptTurn(sky_placement_t *placement,
+                            const sky_fleet_target_t *target,
+                            const sky_prompt_turn_t *turn)
+{
+    sky_owned_target_t *owned =
+        SkyOwnedTarget_Find(placement, target->entry.id);
+    return owned != NULL ? SkyPromptPacer_TakeTurn(&owned->prompt_pacer, turn,
+                                                   SkyClock_NowMs())
+                         : 0;
+}
+
 /* Assigns the new replica to waiting requests; later ones find it in the
  * fleet. */
 static void
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -15,6 +15,7 @@
 
 #include "core/result.h"
 #include "decide/fleet.h"
+#include "decide/prompt_pacer.h"
 #include "edge/directory.h"
 #include "edge/ownership.h"
 #include "edge/host_calls.h"
@@ -58,6 +59,7 @@
     uint32_t version;
     uint32_t retry_after_ms; /**< if not placed */
     const char *reason;      /**< if not placed, for the log */
+    uint32_t prompt_wait_ms; /**< of an owner's report: the prompt's turn */
 } sky_placement_result_t;
 
 typedef void (*sky_placement_done_t)(void *context,
@@ -78,13 +80,25 @@
 void SkyPlacement_Cancel(sky_placement_request_t *request);
 
 /** Requests a target's residents and load from its owner, which also protects
- *  @p adapter from eviction there for a moment. @p done is called once, from
- *  the event loop, also if the owner does not respond in time. @return NULL,
- *  and @p done is not called, if there is no owner to call, the call could not
- *  be made, or this host owns the target, whose state is applied at once. */
+ *  @p adapter from eviction there for a moment.
+ *  @param turn a prompt to be sent to the target, for which the owner is asked
+ *         when it may be; NULL: none
+ *  @param done called once, from the event loop, also if the owner does not
+ *         respond in time
+ *  @return NULL, and @p done is not called, if there is no owner to call, the
+ *          call could not be made, or this host owns the target, whose state
+ *          is applied at once. */
 sky_placement_request_t *SkyPlacement_RequestOwnerReport(
     sky_placement_t *placement, const sky_fleet_target_t *target,
-    sky_adapter_key_t adapter, sky_placement_done_t done, void *context);
+    sky_adapter_key_t adapter, const sky_prompt_turn_t *turn,
+    sky_placement_done_t done, void *context);
+
+/** Takes a turn for a prompt at a target that this host owns. @return how long
+ *  the prompt has to wait, in ms; 0 also if this host does not own the target.
+ */
+uint32_t SkyPlacement_TakePromptTurn(sky_placement_t *placement,
+                                     const sky_fleet_target_t *target,
+                                     const sky_prompt_turn_t *turn);
 
 /** Requests @p count further replicas of an adapter whose targets fill up,
  *  less those that were requested a moment ago. */
--- a/lib/edge/placement_internal.h
+++ b/lib/edge/placement_internal.h
@@ -11,6 +11,7 @@
 #define SKY_EDGE_PLACEMENT_INTERNAL_H
 
 #include "decide/placer.h"
+#include "decide/prompt_pacer.h"
 #include "edge/placement.h"
 
 /** Targets that are tried in turn for an immediate load of a cold adapter. At
@@ -54,6 +55,7 @@
      *  in the load reports yet. */
     uint32_t admitted_count;
     uint64_t admission_window_start_ms;
+    sky_prompt_pacer_t prompt_pacer; /**< of the prompts of all hosts */
     struct sky_owned_target *prev;
     struct sky_owned_target *next;
 } sky_owned_target_t;
@@ -177,6 +179,12 @@
  *  @param context the placement
  *  @param body NULL if the call failed */
 void SkyLoadReport_ApplyResponse(void *context, const json_t *body);
+/** Adds to a load report that a prompt is to be sent to its first target. */
+void SkyLoadReport_EncodePromptTurn(json_t *body,
+                                    const sky_prompt_turn_t *turn);
+/** @param body of the owner's response; NULL if the call failed
+ *  @return how long the prompt has to wait, in ms */
+uint32_t SkyLoadReport_DecodePromptWait(const json_t *body);
 /** Handles the load report of another host; responds with the owner's report
  *  of each target in it that this host owns. */
 void SkyLoadReport_HandleCall(void *context,
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -259,11 +259,11 @@
         SkyProxyRequest_Free(request);
     }
     ev_timer_stop(proxy->options.loop, &proxy->check_timer);
-    sky_service_retry_budget_t *budget;
-    sky_service_retry_budget_t *next_budget;
-    LL_FOREACH_SAFE(proxy->retry_budgets, budget, next_budget)
+    sky_service_record_t *record;
+    sky_service_record_t *next_record;
+    LL_FOREACH_SAFE(proxy->service_records, record, next_record)
     {
-        free(budget);
+        free(record);
     }
     SkyStopAdmission_Free(proxy->stop_admission);
     free(proxy);
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -13,23 +13,36 @@
 #define RETRY_AFTER_JITTER_MS 300 /**< spreads callers' retries */
 #define RESPONSE_MIN_MS 20        /**< no target responds in less time */
 
-sky_retry_budget_t *
-SkyProxy_GetRetryBudget(sky_proxy_t *proxy, const char *service)
+static sky_service_record_t *
+find_or_add_record(sky_proxy_t *proxy, const char *service)
 {
-    sky_service_retry_budget_t *entry;
-    LL_FOREACH(proxy->retry_budgets, entry)
+    sky_service_record_t *record;
+    LL_FOREACH(proxy->service_records, record)
     {
-        if (strcmp(entry->service, service) == 0) {
-            return &entry->budget;
+        if (strcmp(record->service, service) == 0) {
+            return record;
         }
     }
-    entry = calloc(1, sizeof *entry);
-    if (entry == NULL) {
-        return NULL;
+    record = calloc(1, sizeof *record);
+    if (record != NULL) {
+        snprintf(record->service, sizeof record->service, "%s", service);
+        LL_PREPEND(proxy->service_records, record);
     }
-    snprintf(entry->service, sizeof entry->service, "%s", service);
-    LL_PREPEND(proxy->retry_budgets, entry);
-    return &entry->budget;
+    return record;
+}
+
+sky_retry_budget_t *
+SkyProxy_GetRetryBudget(sky_proxy_t *proxy, const char *service)
+{
+    sky_service_record_t *record = find_or_add_record(proxy, service);
+    return record != NULL ? &record->retry_budget : NULL;
+}
+
+sky_prompt_times_t *
+SkyProxy_GetPromptTimes(sky_proxy_t *proxy, const char *service)
+{
+    sky_service_record_t *record = find_or_add_record(proxy, service);
+    return record != NULL ? &record->prompt_times : NULL;
 }
 
 uint64_t
@@ -404,6 +417,27 @@
     }
 }
 
+void
+SkyProxyRequest_RecordPromptTime(sky_proxy_request_t *request)
+{
+    uint64_t first_event_ms = SkyClock_NowMs() - request->sent_ms;
+    /* Slower ones waited for something else than their prompts. */
+    bool is_typical = first_event_ms <= request->route->latency_objective_ms;
+    if (request->prompt_time_recorded || request->target == NULL ||
+        !request->service->engine.present || request->facts.resumes ||
+        request->events_before > 0 || !is_typical) {
+        return;
+    }
+    request->prompt_time_recorded = true;
+    sky_prompt_times_t *times =
+        SkyProxy_GetPromptTimes(request->proxy, request->service->name);
+    if (times != NULL) {
+        sky_prompt_sample_t sample = {request->facts.prompt_tokens,
+                                      (uint32_t)first_event_ms};
+        SkyPromptTimes_Record(times, &sample);
+    }
+}
+
 void
 SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request)
 {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -16,6 +16,7 @@
 #define SKY_EDGE_PROXY_REQUEST_H
 
 #include "decide/attempts.h"
+#include "decide/prompt_times.h"
 #include "decide/retry_budget.h"
 #include "decide/stop_admission.h"
 #include "edge/hop_fields.h"
@@ -65,6 +66,10 @@
     sky_rate_permit_request_t *permit_request; /**< pending, or NULL */
     uint64_t permitted_target; /**< hash of a limited target to send to; 0:
                                     no permit is held */
+    uint64_t turn_target; /**< hash of a target at which the prompt has a turn;
+                               0: it has none */
+    uint64_t turn_ms;     /**< when the prompt may be sent there */
+    bool waits_for_turn;
     sky_client_request_t *target_request; /**< in progress, or NULL */
     sky_fleet_target_t *target; /**< of the exchange; NULL: none, or a peer */
     /** Peer of the exchange, by its address; "": none, or a target. */
@@ -87,6 +92,8 @@
     bool response_started;     /**< the caller has the response's head */
     uint64_t last_activity_ms; /**< last byte received in this exchange, or
                                     its start */
+    uint64_t sent_ms;          /**< start of this exchange */
+    bool prompt_time_recorded; /**< of this exchange */
     uint64_t capacity_wait_since_ms; /**< 0: does not wait for capacity */
     sky_proxy_response_t response;
     sky_event_stream_t event_stream;
@@ -106,16 +113,18 @@
     struct sky_proxy_request *next;
 } sky_proxy_request_t;
 
-typedef struct sky_service_retry_budget {
+/** What this host knows of the requests to a service. */
+typedef struct sky_service_record {
     char service[SKY_SERVICE_NAME_BYTES];
-    sky_retry_budget_t budget;
-    struct sky_service_retry_budget *next;
-} sky_service_retry_budget_t;
+    sky_retry_budget_t retry_budget;
+    sky_prompt_times_t prompt_times;
+    struct sky_service_record *next;
+} sky_service_record_t;
 
 struct sky_proxy {
     sky_proxy_options_t options;
     sky_retry_budget_options_t retry_options;
-    sky_service_retry_budget_t *retry_budgets;
+    sky_service_record_t *service_records;
     sky_proxy_request_t *requests;
     uint32_t open_count;
     sky_proxy_stats_t stats;
@@ -128,6 +137,9 @@
  *  of memory. */
 sky_retry_budget_t *SkyProxy_GetRetryBudget(sky_proxy_t *proxy,
                                             const char *service);
+/** @return the times that prompts take at a service; NULL: out of memory. */
+sky_prompt_times_t *SkyProxy_GetPromptTimes(sky_proxy_t *proxy,
+                                            const char *service);
 
 /** @return hash of the request's id: splits routes by weight, breaks ties
  *  between targets, and jitters retry delays. */
@@ -207,6 +219,9 @@
 void SkyProxyRequest_RetryOrFail(sky_proxy_request_t *request,
                                  uint32_t retry_after_ms, const char *reason);
 
+/** Records, once in an exchange, how long the first event took. */
+void SkyProxyRequest_RecordPromptTime(sky_proxy_request_t *request);
+
 /** Records the version that began the stream, with its first event. */
 void SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request);
 
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -191,6 +191,7 @@
     SkyBuffer_Clear(&whole_events);
     wait_for_slow_caller(request);
     if (SkyProxyRequest_EventCount(request) > 0) {
+        SkyProxyRequest_RecordPromptTime(request);
         SkyProxyRequest_RecordFirstEvent(request);
     }
     if (SkyProxyRequest_EventCount(request) >= START_EVENTS) {
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -34,7 +34,8 @@
     sky_proxy_request_t *request;
     DL_FOREACH(proxy->requests, request)
     {
-        if ((request->capacity_wait_since_ms > 0 || request->waits_for_path) &&
+        if ((request->capacity_wait_since_ms > 0 || request->waits_for_path ||
+             request->waits_for_turn) &&
             request->placement_request == NULL &&
             request->permit_request == NULL &&
             (after == NULL || is_dispatched_before(after, request)) &&
--- a/tests/seeded_run.h
+++ b/tests/seeded_run.h
@@ -145,11 +145,11 @@
         else {
             uint32_t adapter =
                 Driver_RandomBelow(d, 1 + Driver_RandomBelow(d, 30));
-            /* One after the other, so that a seed means the same run
-             * whatever the order in which arguments are evaluated. */
+            /* Not within the call: the order in which arguments are evaluated
+             * differs between machines, a seed's run must not. */
             uint32_t tokens = 5 + Driver_RandomBelow(d, 60);
-            uint32_t deadline_ms = 2000 + Driver_RandomBelow(d, 15000);
-            cluster.SendRequest(host, adapter, deadline_ms, tokens);
+            uint32_t timeout_ms = 2000 + Driver_RandomBelow(d, 15000);
+            cluster.SendRequest(host, adapter, timeout_ms, tokens);
         }
     }
 
--- a/tests/test_deployment.cc
+++ b/tests/test_deployment.cc
@@ -90,6 +90,35 @@
     EXPECT_FALSE(deployment->routes[3].streaming);
 }
 
+TEST_F(DeploymentTest, FindsTheShortestEventIntervalOfAService)
+{
+    EXPECT_EQ(600u, deployment->routes[0].event_interval_max_ms);
+    EXPECT_EQ(600u, SkyDeployment_GetEventIntervalMs(
+                        deployment, &deployment->services[0]));
+    EXPECT_EQ(0u, SkyDeployment_GetEventIntervalMs(deployment,
+                                                   &deployment->services[1]))
+        << "a split leads there, of a route without an objective";
+}
+
+// Guards against a route that is left out for an objective that it can serve
+// without.
+TEST(Documents, ARouteWithAnUnusableEventIntervalServesWithoutOne)
+{
+    for (const char *value : {"0", "-1", "\"soon\"", "null", "1e300", "true",
+                              "[]", "60001", "9223372036854775807", "0.5"}) {
+        std::string text = R"({"version":1,"services":[{"name":"llm"}],
+            "routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",
+            "routeKind":"streaming","service":"llm","gapTargetMs":)" +
+                           std::string(value) + "}]}";
+        sky_deployment_t *deployment = nullptr;
+        ASSERT_EQ(SKY_OK, SkyPlatformDocument_ParseDeployment(
+                              text.c_str(), text.size(), &deployment));
+        ASSERT_EQ(1u, deployment->route_count) << value;
+        EXPECT_EQ(0u, deployment->routes[0].event_interval_max_ms) << value;
+        SkyDeployment_Release(deployment);
+    }
+}
+
 TEST_F(DeploymentTest, MatchesTheLongestPrefixOfTheHost)
 {
     EXPECT_EQ("r1", Match("a.example", "/x/"));
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -96,6 +96,30 @@
     uint64_t now_ms = 100000;
 };
 
+// Guards against prompts that pile up at a target with free batch slots.
+TEST_F(FleetTest, ATargetThatReadsPromptsMostOfTheTimeIsFull)
+{
+    sky_fleet_target_t *busy = Add("t1", {"a1"});
+    Add("t2", {"a1"});
+    sky_residency_t residency = {};
+    residency.adapter = SkyFleet_MakeAdapterKey("m", "a1");
+    residency.version = 1;
+    residency.present = true;
+    for (const char *id : {"t1", "t2"}) {
+        sky_fleet_target_t *target = SkyFleet_FindTarget(fleet, id);
+        SkyFleet_ApplyOwnerReport(target, 1, &residency, 1, now_ms);
+        SkyFleet_RecordPromptLoad(target, 0.1);
+    }
+    EXPECT_DOUBLE_EQ(0.1, SkyFleet_GetUtilization(busy, now_ms));
+    SkyFleet_RecordPromptLoad(busy, 0.9);
+    EXPECT_DOUBLE_EQ(0.9, SkyFleet_GetUtilization(busy, now_ms));
+    for (uint64_t i = 0; i < 20; i++) {
+        EXPECT_EQ("t2", TargetId(Choose("a1", i)));
+    }
+    EXPECT_DOUBLE_EQ(0.0, SkyFleet_GetUtilization(busy, now_ms + 5000))
+        << "the report is too old";
+}
+
 TEST_F(FleetTest, ChoosesAHolderOfTheAdapter)
 {
     Add("t1", {"a1"});
