Loads that hosts report: a module of their own; test at 1,000 hosts (known red)

An owner of a target keeps the load of at most 128 hosts, in silence, while on the large site 195 report: the target then looks emptier than it is to the host that chooses it. decide/reported_loads takes over the account of edge/load_report with the same bound; a report that is not kept now has a log line.

--- a/lib/edge/load_report.c
+++ b/lib/edge/load_report.c
@@ -10,28 +10,26 @@
 
 /** Short: an owner may evict an adapter that it does not know to be in use. */
 #define EARLY_REPORT_DELAY_S 0.01
-#define REPORTED_LOAD_TTL_MS 1000 /**< older reports no longer count */
-#define RESIDENTS_MAX 256         /**< in an owner's report of one target */
+#define RESIDENTS_MAX 256 /**< in an owner's report of one target */
 /** A turn with longer times is not taken: no prompt waits so long. */
 #define PROMPT_TURN_MAX_MS 60000
 /** Stands for this host among the users of its own targets' adapters. */
 #define LOCAL_HOST_ID 1
 
+static uint64_t
+hash_host(const char *name)
+{
+    return XXH3_64bits(name, strlen(name));
+}
+
 /* Requests in flight on an owned target, of all hosts but one; "" excludes
  * none. */
 static uint32_t
 in_flight_except(const sky_owned_target_t *owned, const char *excluded_host)
 {
     const sky_placement_options_t *options = &owned->placement->options;
-    uint64_t now = SkyClock_NowMs();
-    uint32_t total = 0;
-    for (uint32_t i = 0; i < owned->reported_load_count; i++) {
-        const sky_reported_load_t *load = &owned->reported_loads[i];
-        if (load->received_ms + REPORTED_LOAD_TTL_MS > now &&
-            strcmp(load->host, excluded_host) != 0) {
-            total += load->in_flight;
-        }
-    }
+    uint32_t total = SkyReportedLoads_Sum(
+        &owned->reported_loads, hash_host(excluded_host), SkyClock_NowMs());
     const sky_fleet_target_t *target = SkyOwnedTarget_FindFleetTarget(owned);
     if (target != NULL &&
         strcmp(options->settings->name, excluded_host) != 0) {
@@ -50,25 +48,10 @@
 apply_host_load(sky_owned_target_t *owned, const char *host,
                 uint32_t in_flight)
 {
-    uint64_t now = SkyClock_NowMs();
-    sky_reported_load_t *found = NULL;
-    for (uint32_t i = 0; i < owned->reported_load_count; i++) {
-        sky_reported_load_t *load = &owned->reported_loads[i];
-        if (strcmp(load->host, host) == 0) {
-            found = load;
-            break;
-        }
-        if (found == NULL && load->received_ms + REPORTED_LOAD_TTL_MS <= now) {
-            found = load;
-        }
-    }
-    if (found == NULL && owned->reported_load_count < REPORTING_HOSTS_MAX) {
-        found = &owned->reported_loads[owned->reported_load_count++];
-    }
-    if (found != NULL) {
-        snprintf(found->host, sizeof found->host, "%s", host);
-        found->in_flight = in_flight;
-        found->received_ms = now;
+    if (!SkyReportedLoads_Record(&owned->reported_loads, hash_host(host),
+                                 in_flight, SkyClock_NowMs())) {
+        SkyLog_Write(LOG_WARNING, "load_not_kept", "target=%s from=%s",
+                     owned->id, host);
     }
 }
 
@@ -197,7 +180,7 @@
             SkyPlacer_RecordUse(
                 owned->placer,
                 (sky_adapter_key_t)json_integer_value(json_array_get(use, 0)),
-                XXH3_64bits(host, strlen(host)),
+                hash_host(host),
                 (uint32_t)json_integer_value(json_array_get(use, 1)),
                 (uint32_t)json_integer_value(json_array_get(use, 2)),
                 SkyClock_NowMs());
--- a/lib/edge/placement_internal.h
+++ b/lib/edge/placement_internal.h
@@ -12,6 +12,7 @@
 
 #include "decide/placer.h"
 #include "decide/prompt_pacer.h"
+#include "decide/reported_loads.h"
 #include "edge/placement.h"
 
 /** Targets that are tried in turn for an immediate load of a cold adapter. At
@@ -21,18 +22,10 @@
 /** Of these, targets that are then tried again, now with a place in the
  *  queue. */
 #define QUEUE_TARGETS_MAX 2
-#define REPORTING_HOSTS_MAX 128 /**< hosts whose load on a target is kept */
-#define ADAPTER_USES_MAX 256    /**< distinct uses between two reports */
+#define ADAPTER_USES_MAX 256 /**< distinct uses between two reports */
 #define REPLICA_WINDOWS_MAX 64
 #define OWNER_TIMEOUT_MS 900 /**< of one owner; then the next is tried */
 
-/** Load of one host on a target, as last reported. */
-typedef struct {
-    char host[SKY_HOST_NAME_BYTES];
-    uint32_t in_flight;
-    uint64_t received_ms;
-} sky_reported_load_t;
-
 /** A target that this host owns. */
 typedef struct sky_owned_target {
     sky_placement_t *placement;
@@ -49,8 +42,7 @@
     uint16_t response_status;             /**< 0: none received */
     sky_buffer_t response_body;
     ev_timer timer; /**< timeout of client_request, else the next action */
-    sky_reported_load_t reported_loads[REPORTING_HOSTS_MAX];
-    uint32_t reported_load_count;
+    sky_reported_loads_t reported_loads; /**< of other hosts */
     /** Placement requests completed since the window began. Their load is not
      *  in the load reports yet. */
     uint32_t admitted_count;
--- /dev/null
+++ b/tests/test_reported_loads.cc
@@ -0,0 +1,48 @@
+// Requests in flight on a target, by the reports of the hosts.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "decide/reported_loads.h"
+
+namespace {
+
+class ReportedLoads : public testing::Test {
+  protected:
+    sky_reported_loads_t reported_ = {};
+    uint64_t now_ms_ = 5000;
+};
+
+TEST_F(ReportedLoads, ANewReportReplacesTheLastOneOfItsHost)
+{
+    EXPECT_TRUE(SkyReportedLoads_Record(&reported_, 1, 7, now_ms_));
+    EXPECT_TRUE(SkyReportedLoads_Record(&reported_, 2, 5, now_ms_));
+    EXPECT_TRUE(SkyReportedLoads_Record(&reported_, 1, 3, now_ms_ + 200));
+    EXPECT_EQ(SkyReportedLoads_Sum(&reported_, 0, now_ms_ + 300), 8u);
+    EXPECT_EQ(SkyReportedLoads_Sum(&reported_, 2, now_ms_ + 300), 3u);
+}
+
+TEST_F(ReportedLoads, AHostThatIsSilentDoesNotCount)
+{
+    SkyReportedLoads_Record(&reported_, 1, 7, now_ms_);
+    SkyReportedLoads_Record(&reported_, 2, 5, now_ms_ + 900);
+    EXPECT_EQ(SkyReportedLoads_Sum(&reported_, 0, now_ms_ + 1000), 5u);
+}
+
+// Guards against a target that looks empty to a large fleet, as only the first
+// hosts that report are counted.
+TEST_F(ReportedLoads, AllHostsOfALargeFleetCount)
+{
+    const char *hosts_text = getenv("SKY_HOSTS");
+    uint64_t hosts = hosts_text ? strtoull(hosts_text, nullptr, 10) : 100;
+    for (uint64_t round = 0; round < 5; round++) {
+        for (uint64_t host = 1; host <= hosts; host++) {
+            EXPECT_TRUE(SkyReportedLoads_Record(&reported_, host, 1,
+                                                now_ms_ + round * 200));
+        }
+        EXPECT_EQ(SkyReportedLoads_Sum(&reported_, 0, now_ms_ + round * 200),
+                  hosts);
+    }
+}
+
+} // namespace
