Turns for prompts: wait at most half of the time left, and no longer than allowed

Found by reading: on a route whose objective is longer than its callers' deadlines a prompt could wait for its turn until its deadline, and a host believed an owner that asked for a longer wait than it had offered. The wait is now also bounded by half of the time that is left and by 10 s, at both ends. A request that waits does not ask for a report again meanwhile, and a permit is kept as before while the target has no room.

--- a/lib/decide/prompt_times.c
+++ b/lib/decide/prompt_times.c
@@ -1,8 +1,8 @@
 #include "decide/prompt_times.h"
 
 #define LONG_PROMPTS_MIN 4 /**< before which nothing is known */
-#define FASTER_PART 0.25   /**< of the long prompts: those that hardly waited \
-                            */
+/** Part of the long prompts that hardly waited for anything else. */
+#define FASTER_PART 0.25
 
 void
 SkyPromptTimes_Record(sky_prompt_times_t *times,
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -22,6 +22,7 @@
 /** Prompts of which so many are read in an interval between events are sent
  *  without a turn. */
 #define SHORT_PROMPTS_PER_INTERVAL 16
+#define PROMPT_WAIT_MAX_MS 10000 /**< also on routes with long objectives */
 #define URGENCY_MAX 9  /**< least urgent value that the wire carries */
 #define NO_URGENCY 255 /**< of requests to services without an engine */
 
@@ -233,14 +234,26 @@
            !SkyFleet_HasRecentOwnerReport(choice->target, SkyClock_NowMs());
 }
 
+static uint32_t
+min_ms(uint64_t one, uint64_t other)
+{
+    return (uint32_t)(one < other ? one : other);
+}
+
 /* Returns how long the prompt can wait so that the request still meets its
  * objective, with as much time again for what comes after. */
 static uint32_t
 prompt_wait_max_ms(const sky_proxy_request_t *request, uint32_t read_ms)
 {
-    uint64_t spent_ms = SkyClock_NowMs() - request->received_ms + read_ms;
+    uint64_t now = SkyClock_NowMs();
+    uint64_t spent_ms = now - request->received_ms + read_ms;
     uint64_t allowed_ms = request->route->latency_objective_ms / 2;
-    return spent_ms < allowed_ms ? (uint32_t)(allowed_ms - spent_ms) : 0;
+    uint64_t left_ms =
+        request->deadline_at_ms > now ? request->deadline_at_ms - now : 0;
+    return spent_ms < allowed_ms
+               ? min_ms(min_ms(allowed_ms - spent_ms, left_ms / 2),
+                        PROMPT_WAIT_MAX_MS)
+               : 0;
 }
 
 /* Whether the prompt takes so long to read that the owner of the target must
@@ -258,10 +271,11 @@
         SkyProxy_GetPromptTimes(request->proxy, request->service->name);
     turn->interval_ms = SkyDeployment_GetEventIntervalMs(request->deployment,
                                                          request->service);
-    turn->read_ms =
-        times != NULL
-            ? SkyPromptTimes_EstimateMs(times, request->facts.prompt_tokens)
-            : 0;
+    turn->read_ms = times != NULL
+                        ? min_ms(SkyPromptTimes_EstimateMs(
+                                     times, request->facts.prompt_tokens),
+                                 PROMPT_WAIT_MAX_MS)
+                        : 0;
     turn->wait_max_ms = prompt_wait_max_ms(request, turn->read_ms);
     return turn->read_ms > turn->interval_ms / SHORT_PROMPTS_PER_INTERVAL &&
            turn->interval_ms > 0;
@@ -272,7 +286,9 @@
 {
     sky_proxy_request_t *request = context;
     request->placement_request = NULL;
-    request->turn_ms = SkyClock_NowMs() + result->prompt_wait_ms;
+    request->turn_ms =
+        SkyClock_NowMs() +
+        min_ms(result->prompt_wait_ms, prompt_wait_max_ms(request, 0));
     SkyProxyRequest_Dispatch(request);
 }
 
@@ -297,31 +313,63 @@
     return request->placement_request != NULL;
 }
 
+/* Chooses one target if it can still run the request. */
+static bool
+choose_only(const sky_proxy_request_t *request, const uint64_t *target,
+            sky_fleet_query_t *query, sky_fleet_choice_t *choice)
+{
+    *query = SkyProxyRequest_BuildQuery(request);
+    query->allowed = target;
+    query->allowed_count = 1;
+    SkyFleet_ChooseTarget(request->proxy->options.directory->fleet, query,
+                          SkyClock_NowMs(), choice);
+    return choice->target != NULL;
+}
+
 /* Chooses the target that a permit is held for, or at which the prompt has a
  * turn, if it can still run the request, else any. */
 static void
 choose_target(sky_proxy_request_t *request, sky_fleet_query_t *query,
               sky_fleet_choice_t *choice)
 {
-    const sky_fleet_t *fleet = request->proxy->options.directory->fleet;
-    uint64_t now = SkyClock_NowMs();
-    const uint64_t *held = request->permitted_target != 0
-                               ? &request->permitted_target
-                               : &request->turn_target;
-    if (*held != 0) {
-        *query = SkyProxyRequest_BuildQuery(request);
-        query->allowed = held;
-        query->allowed_count = 1;
-        SkyFleet_ChooseTarget(fleet, query, now, choice);
-        if (choice->target != NULL &&
-            choice->batch_utilization < BATCH_UTILIZATION_MAX) {
+    if (request->permitted_target != 0) {
+        if (choose_only(request, &request->permitted_target, query, choice)) {
             return;
         }
         request->permitted_target = 0;
+    }
+    if (request->turn_target != 0) {
+        if (choose_only(request, &request->turn_target, query, choice) &&
+            choice->batch_utilization < BATCH_UTILIZATION_MAX) {
+            return;
+        }
         request->turn_target = 0;
     }
     *query = SkyProxyRequest_BuildQuery(request);
-    SkyFleet_ChooseTarget(fleet, query, now, choice);
+    SkyFleet_ChooseTarget(request->proxy->options.directory->fleet, query,
+                          SkyClock_NowMs(), choice);
+}
+
+/* Whether the prompt's turn at the target is yet to come: then
+ * SkyProxy_CheckOpenRequests() dispatches the request again.
+ * @param has_waited it waited for the turn before: the log has a line */
+static bool
+wait_for_turn(sky_proxy_request_t *request, const sky_fleet_target_t *target,
+              bool has_waited)
+{
+    uint64_t now = SkyClock_NowMs();
+    if (target == NULL || target->hash != request->turn_target ||
+        request->turn_ms <= now) {
+        return false;
+    }
+    if (!has_waited) {
+        SkyLog_Write(
+            LOG_INFO, "prompt_waits", "id=%s target=%s tokens=%u wait_ms=%llu",
+            request->facts.id, target->entry.id, request->facts.prompt_tokens,
+            (unsigned long long)(request->turn_ms - now));
+    }
+    request->waits_for_turn = true;
+    return true;
 }
 
 static void
@@ -477,7 +525,7 @@
 {
     sky_fleet_query_t query;
     sky_fleet_choice_t choice;
-    bool was_waiting = request->waits_for_turn;
+    bool has_waited = request->waits_for_turn;
     request->waits_for_path = false;
     request->waits_for_turn = false;
     if (fail_crashing(request) ||
@@ -494,6 +542,9 @@
     bool has_no_room =
         choice.batch_utilization >= BATCH_UTILIZATION_MAX ||
         (choice.target == NULL && choice.has_full_brittle_target);
+    if (wait_for_turn(request, choice.target, has_waited)) {
+        return;
+    }
     sky_prompt_turn_t turn;
     bool needs_turn =
         !has_no_room && needs_prompt_turn(request, choice.target, &turn);
@@ -513,17 +564,8 @@
     if (request->capacity_wait_since_ms > 0) {
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
-    if (choice.target != NULL && choice.target->hash == request->turn_target &&
-        request->turn_ms > SkyClock_NowMs()) {
-        if (!was_waiting) {
-            SkyLog_Write(
-                LOG_INFO, "prompt_waits",
-                "id=%s target=%s tokens=%u wait_ms=%llu", request->facts.id,
-                choice.target->entry.id, request->facts.prompt_tokens,
-                (unsigned long long)(request->turn_ms - SkyClock_NowMs()));
-        }
-        request->waits_for_turn = true;
-        return; /* as above */
+    if (wait_for_turn(request, choice.target, has_waited)) {
+        return;
     }
     if (choice.target != NULL) {
         if (acquire_permit(request, choice.target)) {
