--- a/lib/decide/prompt_pacer.c
+++ b/lib/decide/prompt_pacer.c
@@ -5,7 +5,7 @@
 /** Part of an interval that may go to prompts. The rest is for the steps of
  *  the streams themselves. */
 #define PROMPT_FRACTION 0.8
-/** Time constant of the load: about as long as a stream runs. */
+/** Time constant of the load: short, so that a new replica shows soon. */
 #define LOAD_DECAY_MS 500.0
 
 static void
--- a/lib/decide/prompt_pacer.h
+++ b/lib/decide/prompt_pacer.h
@@ -45,8 +45,8 @@
 } sky_prompt_turn_t;
 
 /** Adds a prompt to the account.
- *  @return how long it has to wait before it is sent, at most wait_max_ms; 0
- *          if the target is too busy for that to help */
+ *  @return how long it has to wait before it is sent, at most wait_max_ms:
+ *          until there is room for it, else until the least is read */
 uint32_t SkyPromptPacer_TakeTurn(sky_prompt_pacer_t *pacer,
                                  const sky_prompt_turn_t *turn,
                                  uint64_t now_ms);
