--- a/lib/edge/stream_archive.c
+++ b/lib/edge/stream_archive.c
@@ -10,6 +10,7 @@
 #include "core/clock.h"
 #include "core/logging.h"
 #include "decide/fanout.h"
+#include "decide/stream_backlog.h"
 
 #define CALL_TIMEOUT_MS 300
 /** Interval at which a host tells its collector, and what each listed member
@@ -34,9 +35,9 @@
 
 struct sky_stream_archive {
     sky_stream_archive_options_t options;
-    json_t *untold;        /**< rows of this host, for its collector */
-    json_t *collected;     /**< rows of all hosts, to be appended */
-    size_t appended_count; /**< of them, in the append under way; 0: none */
+    json_t *untold; /**< rows of this host, for its collector */
+    sky_stream_backlog_t *collected; /**< streams of all hosts */
+    bool append_pending;
     uint64_t next_tell_ms;
     uint64_t next_append_ms;
     read_state_t read_state;
@@ -54,13 +55,15 @@
     }
     self->options = *options;
     self->untold = json_array();
-    self->collected = json_array();
-    *archive = self;
-    if (self->untold == NULL || self->collected == NULL) {
+    sky_stream_backlog_options_t backlog_options = {.streams_max =
+                                                        COLLECTED_STREAMS_MAX};
+    sky_result_t result =
+        SkyStreamBacklog_Create(&backlog_options, &self->collected);
+    if (self->untold == NULL || result != SKY_OK) {
         SkyStreamArchive_Free(self);
-        *archive = NULL;
         return SKY_E_MEMORY;
     }
+    *archive = self;
     return SKY_OK;
 }
 
@@ -71,7 +74,7 @@
         return;
     }
     json_decref(archive->untold);
-    json_decref(archive->collected);
+    SkyStreamBacklog_Free(archive->collected);
     free(archive);
 }
 
@@ -82,6 +85,24 @@
                      stream->software);
 }
 
+/* Returns whether the row is well-formed. */
+static bool
+decode_stream(json_t *row, sky_stream_version_t *stream)
+{
+    json_int_t id;
+    const char *service;
+    const char *software;
+    if (json_unpack(row, "[I,s,s]", &id, &service, &software) != 0 ||
+        strlen(service) >= sizeof stream->service ||
+        strlen(software) >= sizeof stream->software) {
+        return false;
+    }
+    *stream = (sky_stream_version_t){.stream = (uint64_t)id};
+    strcpy(stream->service, service);
+    strcpy(stream->software, software);
+    return true;
+}
+
 void
 SkyStreamArchive_ApplyRows(sky_directory_t *directory, const json_t *rows)
 {
@@ -89,19 +110,11 @@
     json_t *row;
     json_array_foreach(rows, index, row)
     {
-        json_int_t id;
-        const char *service;
-        const char *software;
-        sky_stream_version_t stream = {0};
-        if (json_unpack(row, "[I,s,s]", &id, &service, &software) != 0 ||
-            strlen(service) >= sizeof stream.service ||
-            strlen(software) >= sizeof stream.software) {
+        sky_stream_version_t stream;
+        if (!decode_stream(row, &stream)) {
             SkyLog_Write(LOG_WARNING, "stream_ignored", "row=%zu", index);
             continue;
         }
-        stream.stream = (uint64_t)id;
-        strcpy(stream.service, service);
-        strcpy(stream.software, software);
         SkyStreamVersions_RecordStream(directory->streams, &stream, false,
                                        SkyClock_NowMs());
     }
@@ -123,11 +136,21 @@
 void
 SkyStreamArchive_Collect(sky_stream_archive_t *archive, const json_t *rows)
 {
-    if (json_array_size(archive->collected) >= COLLECTED_STREAMS_MAX) {
-        SkyLog_Write(LOG_WARNING, "streams_not_stored", "reason=full");
-        return;
+    size_t index;
+    json_t *row;
+    size_t left_out_count = 0;
+    json_array_foreach(rows, index, row)
+    {
+        sky_stream_version_t stream;
+        if (decode_stream(row, &stream) &&
+            !SkyStreamBacklog_Add(archive->collected, &stream)) {
+            left_out_count++;
+        }
+    }
+    if (left_out_count > 0) {
+        SkyLog_Write(LOG_WARNING, "streams_not_stored",
+                     "reason=full count=%zu", left_out_count);
     }
-    json_array_extend(archive->collected, (json_t *)rows);
 }
 
 static void
@@ -217,15 +240,12 @@
 on_appended(void *context, const sky_store_response_t *response)
 {
     sky_stream_archive_t *archive = context;
-    size_t count = archive->appended_count;
-    archive->appended_count = 0;
-    if (response->outcome != SKY_STORE_DONE) {
-        SkyLog_Write(LOG_WARNING, "streams_not_stored", "reason=%s count=%zu",
+    bool is_stored = response->outcome == SKY_STORE_DONE;
+    uint32_t count = SkyStreamBacklog_EndBatch(archive->collected, is_stored);
+    archive->append_pending = false;
+    if (!is_stored) {
+        SkyLog_Write(LOG_WARNING, "streams_not_stored", "reason=%s count=%u",
                      SkyStore_OutcomeName(response->outcome), count);
-        return; /* they are sent again with the next batch */
-    }
-    for (size_t i = 0; i < count; i++) {
-        json_array_remove(archive->collected, 0);
     }
 }
 
@@ -271,30 +291,24 @@
     return row;
 }
 
-/* Encodes the first rows as the value of a record. All restarted hosts read
- * all batches over their own links, so that ids are packed. Returns NULL if
- * memory ran out. */
+/* Encodes streams as the value of a record. All restarted hosts read all
+ * batches over their own links, so that ids are packed. Returns NULL if memory
+ * ran out. */
 static char *
-encode_batch(const json_t *rows, size_t row_count)
+encode_batch(const sky_stream_version_t *const *streams, uint32_t count)
 {
     group_t groups[BATCH_GROUPS_MAX];
     size_t group_count = 0;
-    for (size_t i = 0; i < row_count; i++) {
-        json_int_t id;
-        const char *service;
-        const char *software;
-        if (json_unpack(json_array_get(rows, i), "[I,s,s]", &id, &service,
-                        &software) != 0) {
-            continue; /* has been logged */
-        }
-        group_t *group =
-            find_or_add_group(groups, &group_count, service, software);
+    for (uint32_t i = 0; i < count; i++) {
+        const sky_stream_version_t *stream = streams[i];
+        group_t *group = find_or_add_group(groups, &group_count,
+                                           stream->service, stream->software);
         if (group == NULL) {
             SkyLog_Write(LOG_WARNING, "streams_not_stored",
-                         "reason=versions service=%s", service);
+                         "reason=versions service=%s", stream->service);
         }
         for (uint32_t shift = 0; group != NULL && shift < 64; shift += 8) {
-            char byte = (char)((uint64_t)id >> shift);
+            char byte = (char)(stream->stream >> shift);
             SkyBuffer_Append(&group->ids, &byte, 1);
         }
     }
@@ -313,15 +327,19 @@
 static void
 append_collected(sky_stream_archive_t *archive, uint64_t now_ms)
 {
-    size_t count = json_array_size(archive->collected);
-    if (count == 0 || archive->appended_count > 0 ||
-        now_ms < archive->next_append_ms) {
+    if (archive->append_pending || now_ms < archive->next_append_ms) {
+        return;
+    }
+    const sky_stream_version_t *streams[BATCH_STREAMS_MAX];
+    uint32_t count = SkyStreamBacklog_BeginBatch(archive->collected, streams,
+                                                 BATCH_STREAMS_MAX);
+    if (count == 0) {
         return;
     }
     archive->next_append_ms = now_ms + APPEND_INTERVAL_MS;
-    count = count < BATCH_STREAMS_MAX ? count : BATCH_STREAMS_MAX;
-    char *text = encode_batch(archive->collected, count);
+    char *text = encode_batch(streams, count);
     if (text == NULL) {
+        SkyStreamBacklog_EndBatch(archive->collected, false);
         SkyLog_Write(LOG_WARNING, "streams_not_stored", "reason=memory");
         return;
     }
@@ -329,7 +347,7 @@
     format_key(archive, key);
     sky_store_record_t record = {
         .key = key, .value = text, .value_bytes = strlen(text)};
-    archive->appended_count = count;
+    archive->append_pending = true;
     SkyStore_AppendRecords(archive->options.store, SKY_TOPIC_STREAMS, &record,
                            1, on_appended, archive);
     free(text);
