Append streams to the store newest first

What callers see: after a loss of all hosts they can go on with a stream only if the store has its version.

A batch now takes the newest streams, one that was not stored waits again behind those that began since, and the oldest are left out if there is no room: most of them have ended.

--- a/lib/decide/stream_backlog.c
+++ b/lib/decide/stream_backlog.c
@@ -1,5 +1,6 @@
 #include "decide/stream_backlog.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <utlist.h>
 
@@ -11,10 +12,13 @@
 
 struct sky_stream_backlog {
     sky_stream_backlog_options_t options;
-    entry_t *waiting; /**< oldest first */
+    entry_t *waiting; /**< newest first */
     uint32_t waiting_count;
-    entry_t *batch; /**< oldest first */
+    entry_t *batch; /**< newest first */
     uint32_t batch_count;
+    /** The newest one that waited when the batch began; those before it in the
+     *  list were added since. NULL: none waited. */
+    entry_t *older_than_batch;
 };
 
 sky_result_t
@@ -52,21 +56,45 @@
     free(backlog);
 }
 
+/* Leaves out the oldest streams beyond the bound. Returns whether there was
+ * room for all. */
+static bool
+make_room(sky_stream_backlog_t *backlog)
+{
+    bool had_room = true;
+    while (backlog->waiting != NULL &&
+           backlog->waiting_count > backlog->options.streams_max) {
+        entry_t *oldest = backlog->waiting->prev; /* of a DL list: its tail */
+        assert(oldest != NULL && oldest->prev != NULL);
+        if (backlog->older_than_batch == oldest) {
+            backlog->older_than_batch = NULL;
+        }
+        if (oldest == backlog->waiting) {
+            backlog->waiting = NULL;
+        }
+        else {
+            oldest->prev->next = NULL;
+            backlog->waiting->prev = oldest->prev;
+        }
+        free(oldest);
+        backlog->waiting_count--;
+        had_room = false;
+    }
+    return had_room;
+}
+
 bool
 SkyStreamBacklog_Add(sky_stream_backlog_t *backlog,
                      const sky_stream_version_t *stream)
 {
-    if (backlog->waiting_count >= backlog->options.streams_max) {
-        return false;
-    }
     entry_t *entry = calloc(1, sizeof *entry);
     if (entry == NULL) {
         return false;
     }
     entry->stream = *stream;
-    DL_APPEND(backlog->waiting, entry);
+    DL_PREPEND(backlog->waiting, entry);
     backlog->waiting_count++;
-    return true;
+    return make_room(backlog);
 }
 
 uint32_t
@@ -90,6 +118,7 @@
         batch[backlog->batch_count++] = &entry->stream;
     }
     backlog->waiting_count -= backlog->batch_count;
+    backlog->older_than_batch = backlog->waiting;
     return backlog->batch_count;
 }
 
@@ -100,12 +129,14 @@
     if (is_stored) {
         free_entries(&backlog->batch);
     }
-    else {
-        DL_CONCAT(backlog->batch, backlog->waiting);
-        backlog->waiting = backlog->batch;
-        backlog->waiting_count += count;
-        backlog->batch = NULL;
+    while (backlog->batch != NULL) {
+        entry_t *entry = backlog->batch;
+        DL_DELETE(backlog->batch, entry);
+        DL_PREPEND_ELEM(backlog->waiting, backlog->older_than_batch, entry);
+        backlog->waiting_count++;
     }
     backlog->batch_count = 0;
+    backlog->older_than_batch = NULL;
+    make_room(backlog);
     return count;
 }
--- a/lib/decide/stream_backlog.h
+++ b/lib/decide/stream_backlog.h
@@ -1,12 +1,13 @@
 /**
  * @file stream_backlog.h
  * @brief Streams that a collector has still to append to the store, and which
- *        of them come first.
+ *        of them come first: the newest.
  *
  * Load pattern: once a second software version is listed, all hosts tell their
  * collectors the streams of the last minute at once, many times what one batch
- * holds, while further streams begin. A caller is most likely to take up one
- * that began last.
+ * holds, while further streams begin. Most of those told have ended; those
+ * that callers can still take up are among the newest. The oldest are left out
+ * if there is no room.
  *
  * The module does no I/O.
  */
@@ -49,7 +50,8 @@
                                      const sky_stream_version_t **batch,
                                      uint32_t max_count);
 /** Ends the batch. Unless it was stored, its streams wait again.
- *  @return number of streams that were in it */
+ *  @return number of streams that were in it; some may have been left out
+ *          since for lack of room */
 uint32_t SkyStreamBacklog_EndBatch(sky_stream_backlog_t *backlog,
                                    bool is_stored);
 
