--- a/lib/core/metrics.h
+++ b/lib/core/metrics.h
@@ -21,7 +21,8 @@
     X(SKY_HIST_QUEUE_WAIT, "queue_wait", "ms", "arrival to dispatch")         \
     X(SKY_HIST_FIRST_TOKEN, "first_token", "ms", "arrival to first token")    \
     X(SKY_HIST_TOTAL, "total", "ms", "arrival to end of answer")              \
-    X(SKY_HIST_BATCH_FILL, "batch_fill", "percent", "fill at the grant")
+    X(SKY_HIST_BATCH_FILL, "batch_fill", "percent", "fill at the grant")      \
+    X(SKY_HIST_LIST_AGE, "list_age", "ms", "age of the target list at a send")
 
 typedef enum {
 #define X(symbol, name, unit, help) symbol,
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -10,6 +10,8 @@
 #define OWNER_REPORTS_PER_REQUEST_MAX 3
 /** Permits that one request may ask for: few targets are limited at once. */
 #define PERMITS_PER_REQUEST_MAX 6
+/** Sends by a list of targets that is older are logged. */
+#define LIST_AGE_LOGGED_MS 1500
 #define CONNECT_TIMEOUT_MS 400 /**< TCP retransmits lost packets later */
 /** Max idle time of a connection that is reused for a request which must not
  *  run twice. On a connection that was idle for longer, the server's close is
@@ -48,6 +50,23 @@
                          body, size, &forward);
 }
 
+/* Shows which requests were sent by an old list of targets. */
+static void
+record_list_age(sky_proxy_request_t *request)
+{
+    const sky_proxy_options_t *options = &request->proxy->options;
+    uint64_t read_ms = options->directory->targets_read_ms;
+    request->list_age_ms = request->last_activity_ms - read_ms;
+    SkyMetrics_Observe(options->metrics, request->service->name,
+                       SKY_HIST_LIST_AGE, request->list_age_ms);
+    if (request->list_age_ms > LIST_AGE_LOGGED_MS) {
+        SkyLog_Write(LOG_NOTICE, "sent_by_old_list",
+                     "id=%s target=%s list_age_ms=%llu", request->facts.id,
+                     request->last_target_id,
+                     (unsigned long long)request->list_age_ms);
+    }
+}
+
 static void
 send_request(sky_proxy_request_t *request, const sky_fleet_choice_t *choice)
 {
@@ -59,6 +78,7 @@
              choice->target->entry.id);
     request->adapter_version = choice->version;
     request->last_activity_ms = SkyClock_NowMs();
+    record_list_age(request);
     request->sent_ms = request->last_activity_ms;
     request->prompt_time_recorded = false;
     request->turn_target = 0;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -29,7 +29,8 @@
 #define LOG_LINES_PER_S_MAX 400
 #define LOG_FLUSH_INTERVAL_S 0.2
 #define TICK_INTERVAL_S 0.1
-#define STORE_TIMEOUT_MS 1500 /**< a slow store takes some hundred ms */
+#define LOOP_LATE_LOGGED_MS 300 /**< a longer delay of a tick is logged */
+#define STORE_TIMEOUT_MS 1500   /**< a slow store takes some hundred ms */
 /** The store closes idle connections later than this. */
 #define STORE_IDLE_TIMEOUT_MS 8000
 /** For targets whose responses have no Keep-Alive field. */
@@ -84,6 +85,8 @@
     ev_check loop_check;
     uint64_t suspended_total_ms; /**< at the last turn of the loop */
     uint64_t term_received_ms;   /**< SIGTERM; 0: not received */
+    uint64_t last_tick_ms;
+    uint64_t loop_late_max_ms; /**< longest delay of a tick */
     bool was_ready;
     sky_hand_over_t hand_over;
 } edge_t;
@@ -110,6 +113,8 @@
                            "sky_connects_total %llu\n"
                            "# TYPE sky_reuses_total counter\n"
                            "sky_reuses_total %llu\n"
+                           "# TYPE sky_loop_late_max_ms gauge\n"
+                           "sky_loop_late_max_ms %llu\n"
                            "# TYPE sky_requests_open gauge\n"
                            "sky_requests_open %u\n"
                            "# TYPE sky_forwarded_sent_total counter\n"
@@ -119,6 +124,7 @@
                            (unsigned long long)SkyLog_DroppedLineCount(),
                            (unsigned long long)stats->connection_attempts,
                            (unsigned long long)stats->connection_reuses,
+                           (unsigned long long)edge->loop_late_max_ms,
                            SkyProxy_OpenRequestCount(edge->proxy),
                            (unsigned long long)proxied->sent_to_peers,
                            (unsigned long long)proxied->received_from_peers);
@@ -278,12 +284,31 @@
     }
 }
 
+/* Shows how late the event loop runs its callbacks. */
+static void
+record_tick(edge_t *edge, uint64_t now)
+{
+    uint64_t due_ms = edge->last_tick_ms + (uint64_t)(TICK_INTERVAL_S * 1000);
+    uint64_t late_ms =
+        edge->last_tick_ms > 0 && now > due_ms ? now - due_ms : 0;
+    edge->last_tick_ms = now;
+    if (late_ms > edge->loop_late_max_ms) {
+        edge->loop_late_max_ms = late_ms;
+    }
+    if (late_ms > LOOP_LATE_LOGGED_MS) {
+        SkyLog_Write(LOG_NOTICE, "loop_late", "ms=%llu open=%u",
+                     (unsigned long long)late_ms,
+                     SkyProxy_OpenRequestCount(edge->proxy));
+    }
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     (void)events;
     edge_t *edge = watcher->data;
     uint64_t now = SkyClock_NowMs();
+    record_tick(edge, now);
     SkyFleet_Tick(edge->directory.fleet, now);
     update_hand_over(edge, now);
     if (is_ready(edge) != edge->was_ready) {
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -61,6 +61,40 @@
 
 static void read_store(topic_t *topic);
 
+/** A longer interval between the reads that reach this host is logged. */
+#define GAP_LOGGED_MS 1000
+
+/* Records that a topic was read from the store at @p read_ms, by this host or
+ * by the one that passed the records on. */
+static void
+record_read(topic_t *topic, uint64_t read_ms, bool is_relayed)
+{
+    uint64_t now_ms = SkyClock_NowMs();
+    uint64_t before_ms = topic->freshness.read_ms;
+    SkyFreshness_RecordRead(&topic->freshness, read_ms, now_ms);
+    if (topic->id == SKY_FEED_TARGETS) {
+        topic->feed->options.directory->targets_read_ms =
+            topic->freshness.read_ms;
+    }
+    if (topic->id != SKY_FEED_CRASHES && before_ms > 0 &&
+        read_ms > before_ms + GAP_LOGGED_MS) {
+        SkyLog_Write(LOG_NOTICE, "feed_gap",
+                     "topic=%s gap_ms=%llu age_ms=%llu source=%s reader=%d "
+                     "failed_reads=%u",
+                     topic->name, (unsigned long long)(read_ms - before_ms),
+                     (unsigned long long)(now_ms - read_ms),
+                     is_relayed ? "peer" : "store",
+                     topic->feed->is_store_reader, topic->failed_reads);
+    }
+}
+
+/* Returns the time since the topic was read from the store. */
+static unsigned long long
+age_ms(const topic_t *topic)
+{
+    return SkyClock_NowMs() - topic->freshness.read_ms;
+}
+
 static void
 apply_deployment(sky_feed_t *feed, const record_t *record)
 {
@@ -132,8 +166,9 @@
             uint64_t gone_at_ms =
                 SkyFreshness_GetRemovalMs(&topic->freshness, now_ms);
             SkyLog_Write(LOG_NOTICE, "target_missing",
-                         "target=%s gone_in_ms=%llu", record->key,
-                         (unsigned long long)(gone_at_ms - now_ms));
+                         "target=%s gone_in_ms=%llu age_ms=%llu", record->key,
+                         (unsigned long long)(gone_at_ms - now_ms),
+                         age_ms(topic));
             SkyFleet_ScheduleRemoval(fleet, record->key, gone_at_ms);
         }
         return;
@@ -149,11 +184,11 @@
         fleet_target->entry.started_unix_ms != entry.started_unix_ms) {
         SkyLog_Write(LOG_NOTICE, "target_listed",
                      "target=%s service=%s state=%s slots=%u born=%llu "
-                     "software=%s adapters=%u",
+                     "software=%s adapters=%u age_ms=%llu",
                      entry.id, entry.service,
                      entry.state == SKY_TARGET_READY ? "ready" : "leaving",
                      entry.slots, (unsigned long long)entry.started_unix_ms,
-                     entry.software, entry.resident_count);
+                     entry.software, entry.resident_count, age_ms(topic));
     }
     if (SkyFleet_ApplyEntry(fleet, &entry, SkyClock_NowMs()) == NULL) {
         SkyLog_Write(LOG_ERR, "target_entry_ignored",
@@ -402,8 +437,7 @@
 handle_read_success(topic_t *topic)
 {
     topic->feed->options.directory->store_unreachable = false;
-    SkyFreshness_RecordRead(&topic->freshness, SkyClock_NowMs(),
-                            SkyClock_NowMs());
+    record_read(topic, SkyClock_NowMs(), false);
     if (topic->failed_reads > 0) {
         SkyLog_Write(
             LOG_NOTICE, "store_regained", "topic=%s failures=%u after_ms=%llu",
@@ -635,7 +669,6 @@
         return NULL;
     }
     uint64_t from_offset = from->era == state->era ? from->next_offset : 0;
-    uint64_t age_ms = SkyClock_NowMs() - state->freshness.read_ms;
     json_t *rows = json_array();
     const record_t *record;
     for (record = state->records; record != NULL; record = record->hh.next) {
@@ -650,7 +683,7 @@
     }
     return json_pack("{s:I, s:I, s:I, s:o}", "era", (json_int_t)state->era,
                      "next", (json_int_t)state->next_offset, "age_ms",
-                     (json_int_t)age_ms, "records", rows);
+                     (json_int_t)age_ms(state), "records", rows);
 }
 
 static bool
@@ -689,12 +722,12 @@
     json_int_t era = 0;
     json_int_t next_offset = 0;
     json_t *rows = NULL;
-    json_int_t age_ms = 0;
+    json_int_t relayed_age_ms = 0;
     uint64_t now_ms = SkyClock_NowMs();
     if (json_unpack((json_t *)update, "{s?I, s:I, s:I, s:o}", "era", &era,
-                    "next", &next_offset, "age_ms", &age_ms, "records",
+                    "next", &next_offset, "age_ms", &relayed_age_ms, "records",
                     &rows) != 0 ||
-        era < 0 || age_ms < 0 || !json_is_array(rows)) {
+        era < 0 || relayed_age_ms < 0 || !json_is_array(rows)) {
         return SKY_E_BAD_REQUEST;
     }
     if ((uint64_t)era < state->era) {
@@ -707,9 +740,8 @@
     bool valid = true;
     size_t index;
     json_t *row;
-    if ((uint64_t)age_ms < now_ms) {
-        SkyFreshness_RecordRead(&state->freshness, now_ms - (uint64_t)age_ms,
-                                now_ms);
+    if ((uint64_t)relayed_age_ms < now_ms) {
+        record_read(state, now_ms - (uint64_t)relayed_age_ms, true);
     }
     json_array_foreach(rows, index, row)
     {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -93,7 +93,8 @@
     uint64_t last_activity_ms; /**< last byte received in this exchange, or
                                     its start */
     uint64_t sent_ms;          /**< start of this exchange */
-    bool prompt_time_recorded; /**< of this exchange */
+    uint64_t list_age_ms; /**< age of the list of targets at the last send */
+    bool prompt_time_recorded;       /**< of this exchange */
     uint64_t capacity_wait_since_ms; /**< 0: does not wait for capacity */
     sky_proxy_response_t response;
     sky_event_stream_t event_stream;
