--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -10,11 +10,15 @@
  * PORT + 20..       engines of service "llm"
  * PORT + 40..       targets of plain service "app", 1 by default
  * PORT + 50         control by tests: POST /fault, /op, /leave, /crash,
- *                   /go-back, /cut; GET /state
+ *                   /go-back, /cut, /vanish, /appear; GET /state
  *
  * /cut?n=HOST&state=STATE&service=SERVICE sets the state (see links.h) of the
  * links from a host to the targets of a service, or of all.
  *
+ * After /vanish?n=TARGET the entry of a target of "app" is missing, and the
+ * target serves on; `late_sends` counts the requests that reach it later than
+ * VANISHED_SEND_MAX_MS after. /appear?n=TARGET writes the entry again.
+ *
  * After /go-back?n=SECONDS the store has lost what it got in that time, and
  * its era, in all its responses, is one higher.
  *
@@ -106,6 +110,8 @@
 #define PART_CRASHES_ALLOWED 5
 #define CRASHING_PART_PREFIX "dead"
 #define CRASHES_KNOWN_MS 1000
+/* drainMs of the settings that the tests write */
+#define VANISHED_SEND_MAX_MS 2000
 #define CRASHING_REQUESTS_MAX 16
 /* From LIMIT_KNOWN_MS (stableMs in the tests' settings) after a target first
  * named its limit, it is expected to get in any window no more than 1.5 times
@@ -170,7 +176,9 @@
     uint16_t port;
     sky_listener_t *listener;
     char id[32];
-    bool is_down; /* after a crash; restarted by restart_timer */
+    uint64_t started_ms;  /* Unix time */
+    uint64_t vanished_ms; /* its entry is missing since; 0: it is listed */
+    bool is_down;         /* after a crash; restarted by restart_timer */
     ev_timer crash_timer;
     ev_timer restart_timer;
     uint32_t running;
@@ -261,6 +269,7 @@
 static uint32_t overfilled_loads;    /* loads beyond the adapter slots */
 static uint64_t longest_interval_ms; /* between events of a stream */
 static uint32_t runs_after_leave;    /* requests to a leaving engine */
+static uint32_t late_sends;          /* requests to vanished targets */
 static crashing_request_t crashing_requests[CRASHING_REQUESTS_MAX];
 static limited_target_t limited_targets[ENGINES_MAX + 1];
 static long_poll_t *long_polls;
@@ -1490,6 +1499,8 @@
         refuse_for_want_of_room(target, request);
         return;
     }
+    late_sends += target->vanished_ms > 0 &&
+                  now_ms > target->vanished_ms + VANISHED_SEND_MAX_MS;
     count_run(id ? id : "-");
     record_plain_run_at(id ? id : "-", target->number);
     crashing_request_t *crashing =
@@ -1551,19 +1562,27 @@
 }
 
 static void
-publish_plain_entry(plain_target_t *target)
+write_plain_entry(const plain_target_t *target)
 {
     char text[256];
-    uint64_t started_ms = SkyClock_WallMs();
-    snprintf(target->id, sizeof target->id, "i-app%d-%llx", target->number,
-             (unsigned long long)started_ms);
     snprintf(text, sizeof text,
              "{\"service\":\"app\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"z1\","
              "\"slots\":6,\"state\":\"ready\",\"born\":%llu}",
-             target->port, (unsigned long long)started_ms);
+             target->port, (unsigned long long)target->started_ms);
     append_record("keyed.servers", target->id, text);
 }
 
+/** Writes the entry of a new run. */
+static void
+publish_plain_entry(plain_target_t *target)
+{
+    target->started_ms = SkyClock_WallMs();
+    target->vanished_ms = 0;
+    snprintf(target->id, sizeof target->id, "i-app%d-%llx", target->number,
+             (unsigned long long)target->started_ms);
+    write_plain_entry(target);
+}
+
 static sky_listener_t *
 start_listener(uint16_t port, sky_listener_events_t events, void *context)
 {
@@ -1686,6 +1705,14 @@
     else if (strncmp(url, "/crash", 6) == 0) {
         crash_engine(&engines[number]);
     }
+    else if (strncmp(url, "/vanish", 7) == 0) {
+        append_record("keyed.servers", plain_targets[number].id, NULL);
+        plain_targets[number].vanished_ms = SkyClock_NowMs();
+    }
+    else if (strncmp(url, "/appear", 7) == 0) {
+        plain_targets[number].vanished_ms = 0;
+        write_plain_entry(&plain_targets[number]);
+    }
     else if (strncmp(url, "/cut", 4) == 0) {
         cut_links(url, number);
     }
@@ -1701,6 +1728,7 @@
         store_reads, "generation", (json_int_t)group_generation, "crashing",
         encode_crashing_requests(), "limits", encode_limited_targets());
     json_object_set_new(state, "falls", json_integer(falls));
+    json_object_set_new(state, "late_sends", json_integer(late_sends));
     json_object_set_new(state, "longest_interval",
                         json_integer((json_int_t)longest_interval_ms));
     json_object_set(state, "plain_targets_of", plain_runs_at);
