--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -49,10 +49,11 @@
     // Puts a feed into the state after a read of the target topic that ended
     // before offset `next`, `age_ms` ago.
     static void
-    SimulateRead(sky_feed_t *feed, json_int_t next, json_int_t age_ms)
+    SimulateRead(sky_feed_t *feed, json_int_t next, json_int_t age_ms,
+                 json_int_t era = 0)
     {
-        json_t *records = json_pack("{s:I, s:I, s:[]}", "next", next, "age_ms",
-                                    age_ms, "records");
+        json_t *records = json_pack("{s:I, s:I, s:I, s:[]}", "era", era,
+                                    "next", next, "age_ms", age_ms, "records");
         EXPECT_EQ(SKY_OK,
                   SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, records));
         json_decref(records);
@@ -185,4 +186,26 @@
               SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &later));
 }
 
+// A host that restarted knows which keys are left, not which ones were deleted
+// before. One that had missed a deletion learned the offset after it from that
+// host, but not the deletion, and sent requests to a target that had left.
+TEST_F(FeedTest, ADeletionBeforeThePeersStartIsNotMissed)
+{
+    ApplyEntry(follower, 1, 20, "ready");
+    SimulateRead(follower, 25, 10, 1);
+    ASSERT_NE(nullptr, Target());
+    SimulateRead(reader, 30, 10, 1); // a snapshot without the target
+    sky_feed_position_t position =
+        SkyFeed_GetPosition(follower, SKY_FEED_TARGETS);
+    json_t *update =
+        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position);
+    ASSERT_NE(nullptr, update);
+    EXPECT_EQ(SKY_OK,
+              SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update));
+    EXPECT_EQ(nullptr, Target());
+    EXPECT_EQ(30u,
+              SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
+    json_decref(update);
+}
+
 } // namespace
