--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -46,6 +46,9 @@
     uint64_t snapshot_end_offset;
     uint64_t era; /**< of the offsets; 0: not known */
     uint64_t next_offset;
+    /** The first records are a snapshot, which has no deletions: those from
+     *  this offset on are known. */
+    uint64_t deletions_from_offset;
     uint32_t failed_reads; /**< in a row */
     uint64_t first_failure_ms;
     sky_freshness_t freshness;
@@ -309,14 +312,14 @@
     ev_timer_start(loop, &topic->read_timer);
 }
 
-/* Marks keys that are missing from a complete snapshot as deleted. */
+/* Marks keys that are missing from a complete snapshot as deleted.
+ * @param end_offset follows the last record that the snapshot covers */
 static void
-delete_missing_keys(topic_t *topic)
+delete_missing_keys(topic_t *topic, uint64_t end_offset)
 {
     record_t *record;
     for (record = topic->records; record != NULL; record = record->hh.next) {
-        bool is_newer = !record->is_outdated &&
-                        record->offset >= topic->snapshot_end_offset;
+        bool is_newer = !record->is_outdated && record->offset >= end_offset;
         if (record->is_outdated) {
             record->is_outdated = false;
             record->offset = 0;
@@ -325,9 +328,7 @@
             continue;
         }
         record->is_tombstone = true;
-        record->offset = topic->snapshot_end_offset > 0
-                             ? topic->snapshot_end_offset - 1
-                             : 0;
+        record->offset = end_offset > 0 ? end_offset - 1 : 0;
         if (topic->id == SKY_FEED_TARGETS) {
             apply_target_record(topic, record);
         }
@@ -337,9 +338,12 @@
 static void
 finish_snapshot(topic_t *topic)
 {
-    delete_missing_keys(topic);
+    delete_missing_keys(topic, topic->snapshot_end_offset);
     topic->snapshot_pending = false;
     topic->synced = true;
+    if (topic->deletions_from_offset < topic->snapshot_end_offset) {
+        topic->deletions_from_offset = topic->snapshot_end_offset;
+    }
     if (topic->next_offset < topic->snapshot_end_offset) {
         topic->next_offset = topic->snapshot_end_offset;
     }
@@ -352,17 +356,23 @@
 }
 
 static void
-begin_snapshot(topic_t *topic)
+clear_snapshot_marks(topic_t *topic)
 {
-    topic->snapshot_pending = true;
-    free(topic->after_key);
-    topic->after_key = NULL;
     record_t *record;
     for (record = topic->records; record != NULL; record = record->hh.next) {
         record->in_snapshot = false;
     }
 }
 
+static void
+begin_snapshot(topic_t *topic)
+{
+    topic->snapshot_pending = true;
+    free(topic->after_key);
+    topic->after_key = NULL;
+    clear_snapshot_marks(topic);
+}
+
 /* The records stay in use until those of the new era are known: their sources
  * write again what the store has lost. */
 static void
@@ -375,6 +385,7 @@
     topic->era = era;
     topic->next_offset = 0;
     topic->snapshot_end_offset = 0;
+    topic->deletions_from_offset = 0;
     topic->synced = false;
     begin_snapshot(topic);
     record_t *record;
@@ -668,11 +679,12 @@
     if (!state->synced || from->era > state->era) {
         return NULL;
     }
-    uint64_t from_offset = from->era == state->era ? from->next_offset : 0;
+    bool is_whole = from->era < state->era ||
+                    from->next_offset < state->deletions_from_offset;
     json_t *rows = json_array();
     const record_t *record;
     for (record = state->records; record != NULL; record = record->hh.next) {
-        if (record->offset < from_offset) {
+        if (!is_whole && record->offset < from->next_offset) {
             continue;
         }
         char *value = encode_base64(record->value, record->value_bytes);
@@ -681,9 +693,10 @@
                             record->is_tombstone, (json_int_t)record->offset));
         free(value);
     }
-    return json_pack("{s:I, s:I, s:I, s:o}", "era", (json_int_t)state->era,
-                     "next", (json_int_t)state->next_offset, "age_ms",
-                     (json_int_t)age_ms(state), "records", rows);
+    return json_pack(
+        "{s:I, s:I, s:I, s:b, s:o}", "era", (json_int_t)state->era, "next",
+        (json_int_t)state->next_offset, "age_ms", (json_int_t)age_ms(state),
+        "whole", is_whole, "records", rows);
 }
 
 static bool
@@ -723,10 +736,11 @@
     json_int_t next_offset = 0;
     json_t *rows = NULL;
     json_int_t relayed_age_ms = 0;
+    int is_whole = 0;
     uint64_t now_ms = SkyClock_NowMs();
-    if (json_unpack((json_t *)update, "{s?I, s:I, s:I, s:o}", "era", &era,
-                    "next", &next_offset, "age_ms", &relayed_age_ms, "records",
-                    &rows) != 0 ||
+    if (json_unpack((json_t *)update, "{s?I, s:I, s:I, s?b, s:o}", "era", &era,
+                    "next", &next_offset, "age_ms", &relayed_age_ms, "whole",
+                    &is_whole, "records", &rows) != 0 ||
         era < 0 || relayed_age_ms < 0 || !json_is_array(rows)) {
         return SKY_E_BAD_REQUEST;
     }
@@ -737,12 +751,15 @@
     if (is_new_era) {
         state->snapshot_end_offset = (uint64_t)next_offset;
     }
-    bool valid = true;
-    size_t index;
-    json_t *row;
+    if (is_whole) {
+        clear_snapshot_marks(state);
+    }
     if ((uint64_t)relayed_age_ms < now_ms) {
         record_read(state, now_ms - (uint64_t)relayed_age_ms, true);
     }
+    bool valid = true;
+    size_t index;
+    json_t *row;
     json_array_foreach(rows, index, row)
     {
         valid = apply_peer_record(state, row) && valid;
@@ -750,8 +767,11 @@
     if (!valid) {
         return SKY_E_BAD_REQUEST;
     }
-    if (is_new_era) {
-        delete_missing_keys(state);
+    if (is_new_era || is_whole) {
+        delete_missing_keys(state, (uint64_t)next_offset);
+    }
+    if (is_new_era || is_whole || !state->synced) {
+        state->deletions_from_offset = (uint64_t)next_offset;
     }
     if (is_new_era || (uint64_t)next_offset > state->next_offset) {
         state->next_offset = (uint64_t)next_offset;
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -81,8 +81,9 @@
 bool SkyFeed_IsStale(const sky_feed_t *feed);
 /** @return the records that a peer at @p from lacks as JSON, with the time
  *  since the topic was read from the store; the records are empty if the peer
- *  knows more. NULL if this host does not know the topic yet, or not in the
- *  peer's era. */
+ *  knows more. All records, marked as such, if this host does not know all
+ *  deletions since @p from. NULL if this host does not know the topic yet, or
+ * not in the peer's era. */
 json_t *SkyFeed_EncodeRecords(const sky_feed_t *feed, sky_feed_topic_t topic,
                               const sky_feed_position_t *from);
 /** Applies the output of a peer's SkyFeed_EncodeRecords(); that of an earlier
