--- /dev/null
+++ b/lib/decide/poll_sources.c
@@ -0,0 +1,53 @@
+#include "decide/poll_sources.h"
+
+#include <string.h>
+
+/** About the time after which a host that fails is no longer a member, so that
+ *  it is tried in vain once or twice. */
+#define PREFERRED_RETRY_MS 2000
+
+void
+SkyPollSources_Set(sky_poll_sources_t *sources, const char *const *addresses,
+                   uint32_t count)
+{
+    sky_poll_sources_t chosen = {.moved_ms = sources->moved_ms};
+    const char *before = sources->current < sources->count
+                             ? sources->addresses[sources->current]
+                             : "";
+    for (uint32_t i = 0; i < count && chosen.count < SKY_POLL_SOURCES_MAX;
+         i++) {
+        size_t length = strlen(addresses[i]);
+        if (length >= SKY_POLL_ADDRESS_BYTES) {
+            continue;
+        }
+        memcpy(chosen.addresses[chosen.count], addresses[i], length + 1);
+        if (strcmp(addresses[i], before) == 0) {
+            chosen.current = chosen.count;
+        }
+        chosen.count++;
+    }
+    *sources = chosen;
+}
+
+const char *
+SkyPollSources_Choose(sky_poll_sources_t *sources, uint64_t now_ms)
+{
+    if (sources->count == 0) {
+        return NULL;
+    }
+    if (sources->current > 0 &&
+        now_ms > sources->moved_ms + PREFERRED_RETRY_MS) {
+        sources->current = 0;
+        sources->moved_ms = now_ms;
+    }
+    return sources->addresses[sources->current];
+}
+
+void
+SkyPollSources_RecordFailure(sky_poll_sources_t *sources, uint64_t now_ms)
+{
+    if (sources->count > 0) {
+        sources->current = (sources->current + 1) % sources->count;
+        sources->moved_ms = now_ms;
+    }
+}
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -24,6 +24,11 @@
 /** Interval at which a host that does not read the store checks whether the
  *  records from its peers are still fresh. */
 #define FOLLOWER_CHECK_INTERVAL_MS 100
+#define CHECK_INTERVAL_S 0.05 /**< of SkyFreshness_CheckStore() */
+
+/* Values of "regained_age_ms" in the updates of peers. */
+#define REGAINED_NEVER ((json_int_t)-1) /**< the store was never lost */
+#define REGAINED_NOT_TOLD ((json_int_t)-2)
 
 typedef struct {
     char *key;
@@ -51,6 +56,11 @@
     uint64_t deletions_from_offset;
     uint32_t failed_reads; /**< in a row */
     uint64_t first_failure_ms;
+    /** When the newest call was made, or the end of the wait that it asked
+     *  for: a response without records shows the store of that time. */
+    uint64_t call_due_ms;
+    uint64_t call_sent_ms;
+    uint64_t snapshot_began_ms;
     sky_freshness_t freshness;
     ev_timer read_timer;
     record_t *records;
@@ -60,42 +70,56 @@
     sky_feed_options_t options;
     topic_t topics[SKY_FEED_TOPIC_COUNT];
     bool is_store_reader;
+    ev_timer check_timer;
 };
 
 static void read_store(topic_t *topic);
 
+/** Time from a decision by the records until a target gets the request:
+ *  connect, and the links. */
+#define ACT_MAX_MS 600
 /** A longer interval between the reads that reach this host is logged. */
 #define GAP_LOGGED_MS 1000
 
-/* Records that a topic was read from the store at @p read_ms, by this host or
- * by the one that passed the records on. */
+/* Returns the time since the topic was read from the store. */
+static unsigned long long
+age_ms(const topic_t *topic)
+{
+    return SkyClock_NowMs() - topic->freshness.read_ms;
+}
+
+/* Takes over the time of the newest read, and logs a gap before it. */
 static void
-record_read(topic_t *topic, uint64_t read_ms, bool is_relayed)
+publish_read(const topic_t *topic, uint64_t before_ms, bool is_relayed)
 {
-    uint64_t now_ms = SkyClock_NowMs();
-    uint64_t before_ms = topic->freshness.read_ms;
-    SkyFreshness_RecordRead(&topic->freshness, read_ms, now_ms);
+    uint64_t read_ms = topic->freshness.read_ms;
     if (topic->id == SKY_FEED_TARGETS) {
-        topic->feed->options.directory->targets_read_ms =
-            topic->freshness.read_ms;
+        topic->feed->options.directory->targets_read_ms = read_ms;
     }
     if (topic->id != SKY_FEED_CRASHES && before_ms > 0 &&
         read_ms > before_ms + GAP_LOGGED_MS) {
         SkyLog_Write(LOG_NOTICE, "feed_gap",
                      "topic=%s gap_ms=%llu age_ms=%llu source=%s reader=%d "
-                     "failed_reads=%u",
+                     "failed_reads=%u outage=%d",
                      topic->name, (unsigned long long)(read_ms - before_ms),
-                     (unsigned long long)(now_ms - read_ms),
-                     is_relayed ? "peer" : "store",
-                     topic->feed->is_store_reader, topic->failed_reads);
+                     age_ms(topic), is_relayed ? "peer" : "store",
+                     topic->feed->is_store_reader, topic->failed_reads,
+                     topic->freshness.store_regained_ms > before_ms);
     }
 }
 
-/* Returns the time since the topic was read from the store. */
-static unsigned long long
-age_ms(const topic_t *topic)
+/* Records that the store responded with all that the topic had when it was
+ * asked. */
+static void
+record_read(topic_t *topic)
 {
-    return SkyClock_NowMs() - topic->freshness.read_ms;
+    uint64_t before_ms = topic->freshness.read_ms;
+    uint64_t now_ms = SkyClock_NowMs();
+    SkyFreshness_RecordRead(&topic->freshness,
+                            topic->call_due_ms <= now_ms ? topic->call_due_ms
+                                                         : topic->call_sent_ms,
+                            now_ms);
+    publish_read(topic, before_ms, false);
 }
 
 static void
@@ -173,6 +197,7 @@
                          (unsigned long long)(gone_at_ms - now_ms),
                          age_ms(topic));
             SkyFleet_ScheduleRemoval(fleet, record->key, gone_at_ms);
+            SkyFleet_Tick(fleet, now_ms);
         }
         return;
     }
@@ -434,7 +459,9 @@
 {
     switch (topic->id) {
     case SKY_FEED_OPERATOR:
-        return OPERATOR_LONG_POLL_MS;
+        return SkyFreshness_IsStale(&topic->freshness, SkyClock_NowMs())
+                   ? 0
+                   : OPERATOR_LONG_POLL_MS;
     case SKY_FEED_CRASHES:
         return CRASHES_LONG_POLL_MS;
     case SKY_FEED_TARGETS:
@@ -445,10 +472,9 @@
 }
 
 static void
-handle_read_success(topic_t *topic)
+handle_response(topic_t *topic)
 {
     topic->feed->options.directory->store_unreachable = false;
-    record_read(topic, SkyClock_NowMs(), false);
     if (topic->failed_reads > 0) {
         SkyLog_Write(
             LOG_NOTICE, "store_regained", "topic=%s failures=%u after_ms=%llu",
@@ -485,17 +511,27 @@
         handle_read_failure(topic, response->outcome);
         return;
     }
-    handle_read_success(topic);
+    handle_response(topic);
     if (handle_era(topic, response->era)) {
+        SkyFreshness_RecordResponse(&topic->freshness);
         return;
     }
     if (topic->after_key == NULL) {
         topic->snapshot_end_offset = response->end_offset;
+        topic->snapshot_began_ms = topic->call_sent_ms;
+    }
+    bool has_more = response->has_more && response->record_count > 0;
+    if (has_more) {
+        SkyFreshness_RecordResponse(&topic->freshness);
+    }
+    else {
+        topic->call_due_ms = topic->snapshot_began_ms;
+        record_read(topic);
     }
     for (size_t i = 0; i < response->record_count; i++) {
         apply_record(topic, &response->records[i]);
     }
-    if (response->has_more && response->record_count > 0) {
+    if (has_more) {
         char *after_key =
             strdup(response->records[response->record_count - 1].key);
         free(topic->after_key);
@@ -508,29 +544,48 @@
     schedule_read(topic, read_interval_ms(topic));
 }
 
+/* Begins a snapshot: the store no longer keeps the records to read on. */
+static void
+handle_expired_offset(topic_t *topic, uint64_t era)
+{
+    handle_response(topic);
+    SkyFreshness_RecordResponse(&topic->freshness);
+    if (handle_era(topic, era)) {
+        return;
+    }
+    SkyLog_Write(LOG_NOTICE, "feed_forgotten", "topic=%s next=%llu",
+                 topic->name, (unsigned long long)topic->next_offset);
+    begin_snapshot(topic);
+    schedule_read(topic, 0);
+}
+
 static void
 on_records(void *context, const sky_store_response_t *response)
 {
     topic_t *topic = context;
     if (response->outcome == SKY_STORE_OFFSET_EXPIRED) {
-        handle_read_success(topic);
-        if (handle_era(topic, response->era)) {
-            return;
-        }
-        SkyLog_Write(LOG_NOTICE, "feed_forgotten", "topic=%s next=%llu",
-                     topic->name, (unsigned long long)topic->next_offset);
-        begin_snapshot(topic);
-        schedule_read(topic, 0);
+        handle_expired_offset(topic, response->era);
         return;
     }
     if (response->outcome != SKY_STORE_DONE) {
         handle_read_failure(topic, response->outcome);
         return;
     }
-    handle_read_success(topic);
+    handle_response(topic);
     if (handle_era(topic, response->era)) {
+        SkyFreshness_RecordResponse(&topic->freshness);
         return;
     }
+    if (response->record_count > 0) {
+        /* The store responded before the end of the wait. */
+        topic->call_due_ms = topic->call_sent_ms;
+    }
+    if (response->has_more) {
+        SkyFreshness_RecordResponse(&topic->freshness);
+    }
+    else {
+        record_read(topic);
+    }
     for (size_t i = 0; i < response->record_count; i++) {
         apply_record(topic, &response->records[i]);
     }
@@ -541,21 +596,28 @@
     if (response->end_offset > topic->next_offset) {
         topic->next_offset = response->end_offset;
     }
-    schedule_read(topic, read_interval_ms(topic));
+    /* A response that arrived late shows an old state of the store. */
+    bool is_late = SkyFreshness_IsStale(&topic->freshness, SkyClock_NowMs());
+    schedule_read(topic,
+                  response->has_more || is_late ? 0 : read_interval_ms(topic));
 }
 
 static void
 read_store(topic_t *topic)
 {
     sky_store_t *store = topic->feed->options.store;
+    uint32_t wait_ms = topic->snapshot_pending ? 0 : long_poll_ms(topic);
+    topic->call_sent_ms = SkyClock_NowMs();
+    topic->call_due_ms = topic->call_sent_ms + wait_ms;
+    SkyFreshness_RecordCall(&topic->freshness, topic->call_due_ms);
     if (topic->snapshot_pending) {
         SkyStore_ReadNewestRecords(store, topic->name,
                                    topic->after_key ? topic->after_key : "",
                                    on_snapshot_page, topic);
         return;
     }
-    SkyStore_ReadRecords(store, topic->name, topic->next_offset,
-                         long_poll_ms(topic), on_records, topic);
+    SkyStore_ReadRecords(store, topic->name, topic->next_offset, wait_ms,
+                         on_records, topic);
 }
 
 /* Whether the peers pass on what they read. For the crashes, whose reads are
@@ -582,6 +644,18 @@
     read_store(topic);
 }
 
+static void
+on_check_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_feed_t *feed = watcher->data;
+    uint64_t now_ms = SkyClock_NowMs();
+    for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
+        SkyFreshness_CheckStore(&feed->topics[i].freshness, now_ms);
+    }
+}
+
 bool
 SkyFeed_IsSynced(const sky_feed_t *feed, sky_feed_topic_t topic)
 {
@@ -651,6 +725,26 @@
                                 now_ms);
 }
 
+/* Returns how old records may be that are acted on, if an update has to apply
+ * within @p limit_ms. */
+static uint32_t
+max_age_ms(uint32_t limit_ms)
+{
+    return limit_ms > 2 * ACT_MAX_MS ? limit_ms - ACT_MAX_MS : limit_ms / 2;
+}
+
+bool
+SkyFeed_AreRecordsUsable(const sky_feed_t *feed)
+{
+    const sky_deployment_bounds_t *bounds = &feed->options.settings->bounds;
+    uint64_t now_ms = SkyClock_NowMs();
+    return SkyFreshness_IsUsable(&feed->topics[SKY_FEED_OPERATOR].freshness,
+                                 max_age_ms(bounds->config_apply_ms),
+                                 now_ms) &&
+           SkyFreshness_IsUsable(&feed->topics[SKY_FEED_TARGETS].freshness,
+                                 max_age_ms(bounds->target_drain_ms), now_ms);
+}
+
 bool
 SkyFeed_IsStoreFailing(const sky_feed_t *feed)
 {
@@ -693,10 +787,15 @@
                             record->is_tombstone, (json_int_t)record->offset));
         free(value);
     }
-    return json_pack(
-        "{s:I, s:I, s:I, s:b, s:o}", "era", (json_int_t)state->era, "next",
-        (json_int_t)state->next_offset, "age_ms", (json_int_t)age_ms(state),
-        "whole", is_whole, "records", rows);
+    uint64_t regained_ms = state->freshness.store_regained_ms;
+    json_int_t regained_age_ms =
+        regained_ms > 0 ? (json_int_t)(SkyClock_NowMs() - regained_ms)
+                        : REGAINED_NEVER;
+    return json_pack("{s:I, s:I, s:I, s:I, s:b, s:o}", "era",
+                     (json_int_t)state->era, "next",
+                     (json_int_t)state->next_offset, "age_ms",
+                     (json_int_t)age_ms(state), "regained_age_ms",
+                     regained_age_ms, "whole", is_whole, "records", rows);
 }
 
 static bool
@@ -727,54 +826,90 @@
     return valid;
 }
 
+/* What a peer says of its records besides them. Ages are those of the time at
+ * which it responded. */
+typedef struct {
+    json_int_t era;
+    json_int_t next_offset;
+    json_int_t age_ms;
+    json_int_t regained_age_ms;
+    int is_whole;
+    json_t *rows;
+} peer_update_t;
+
+static bool
+parse_peer_update(const json_t *json, peer_update_t *update)
+{
+    *update = (peer_update_t){.regained_age_ms = REGAINED_NOT_TOLD};
+    return json_unpack((json_t *)json, "{s?I, s:I, s:I, s?I, s?b, s:o}", "era",
+                       &update->era, "next", &update->next_offset, "age_ms",
+                       &update->age_ms, "regained_age_ms",
+                       &update->regained_age_ms, "whole", &update->is_whole,
+                       "records", &update->rows) == 0 &&
+           update->era >= 0 && update->next_offset >= 0 &&
+           update->age_ms >= 0 && json_is_array(update->rows);
+}
+
+static void
+record_peer_read(topic_t *topic, const peer_update_t *update,
+                 uint64_t responded_ms)
+{
+    if ((uint64_t)update->age_ms >= responded_ms) {
+        return; /* before this host's clock began */
+    }
+    uint64_t before_ms = topic->freshness.read_ms;
+    sky_peer_read_t read = {
+        .read_ms = responded_ms - (uint64_t)update->age_ms,
+        .tells_regained = update->regained_age_ms != REGAINED_NOT_TOLD,
+    };
+    if (update->regained_age_ms >= 0 &&
+        (uint64_t)update->regained_age_ms < responded_ms) {
+        read.store_regained_ms =
+            responded_ms - (uint64_t)update->regained_age_ms;
+    }
+    SkyFreshness_RecordPeerRead(&topic->freshness, &read, SkyClock_NowMs());
+    publish_read(topic, before_ms, true);
+}
+
 sky_result_t
 SkyFeed_ApplyRecords(sky_feed_t *feed, sky_feed_topic_t topic,
-                     const json_t *update)
+                     const json_t *json, uint64_t responded_ms)
 {
     topic_t *state = &feed->topics[topic];
-    json_int_t era = 0;
-    json_int_t next_offset = 0;
-    json_t *rows = NULL;
-    json_int_t relayed_age_ms = 0;
-    int is_whole = 0;
-    uint64_t now_ms = SkyClock_NowMs();
-    if (json_unpack((json_t *)update, "{s?I, s:I, s:I, s?b, s:o}", "era", &era,
-                    "next", &next_offset, "age_ms", &relayed_age_ms, "whole",
-                    &is_whole, "records", &rows) != 0 ||
-        era < 0 || relayed_age_ms < 0 || !json_is_array(rows)) {
+    peer_update_t update;
+    if (!parse_peer_update(json, &update)) {
         return SKY_E_BAD_REQUEST;
     }
-    if ((uint64_t)era < state->era) {
+    uint64_t next_offset = (uint64_t)update.next_offset;
+    if ((uint64_t)update.era < state->era) {
         return SKY_OK;
     }
-    bool is_new_era = apply_era(state, (uint64_t)era);
+    bool is_new_era = apply_era(state, (uint64_t)update.era);
     if (is_new_era) {
-        state->snapshot_end_offset = (uint64_t)next_offset;
+        state->snapshot_end_offset = next_offset;
     }
-    if (is_whole) {
+    if (update.is_whole) {
         clear_snapshot_marks(state);
     }
-    if ((uint64_t)relayed_age_ms < now_ms) {
-        record_read(state, now_ms - (uint64_t)relayed_age_ms, true);
-    }
+    record_peer_read(state, &update, responded_ms);
     bool valid = true;
     size_t index;
     json_t *row;
-    json_array_foreach(rows, index, row)
+    json_array_foreach(update.rows, index, row)
     {
         valid = apply_peer_record(state, row) && valid;
     }
     if (!valid) {
         return SKY_E_BAD_REQUEST;
     }
-    if (is_new_era || is_whole) {
-        delete_missing_keys(state, (uint64_t)next_offset);
+    if (is_new_era || update.is_whole) {
+        delete_missing_keys(state, next_offset);
     }
-    if (is_new_era || is_whole || !state->synced) {
-        state->deletions_from_offset = (uint64_t)next_offset;
+    if (is_new_era || update.is_whole || !state->synced) {
+        state->deletions_from_offset = next_offset;
     }
-    if (is_new_era || (uint64_t)next_offset > state->next_offset) {
-        state->next_offset = (uint64_t)next_offset;
+    if (is_new_era || next_offset > state->next_offset) {
+        state->next_offset = next_offset;
         state->snapshot_pending = false;
         state->synced = true;
         if (topic == SKY_FEED_TARGETS) {
@@ -806,6 +941,10 @@
         topic->read_timer.data = topic;
         schedule_read(topic, 0);
     }
+    ev_timer_init(&self->check_timer, on_check_timer, CHECK_INTERVAL_S,
+                  CHECK_INTERVAL_S);
+    self->check_timer.data = self;
+    ev_timer_start(options->loop, &self->check_timer);
     *feed = self;
     return SKY_OK;
 }
@@ -832,6 +971,7 @@
     if (feed == NULL) {
         return;
     }
+    ev_timer_stop(feed->options.loop, &feed->check_timer);
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
         free_topic(&feed->topics[i]);
     }
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -79,6 +79,10 @@
  *  passed its records on, is too long ago for the operator's topic or the list
  *  of targets. */
 bool SkyFeed_IsStale(const sky_feed_t *feed);
+/** @return whether this host may act on the operator's topic and the list of
+ *  targets: they are young enough for the time limits of updates, or the store
+ *  is unreachable. */
+bool SkyFeed_AreRecordsUsable(const sky_feed_t *feed);
 /** @return the records that a peer at @p from lacks as JSON, with the time
  *  since the topic was read from the store; the records are empty if the peer
  *  knows more. All records, marked as such, if this host does not know all
@@ -88,10 +92,11 @@
                               const sky_feed_position_t *from);
 /** Applies the output of a peer's SkyFeed_EncodeRecords(); that of an earlier
  *  era is ignored.
+ *  @param responded_ms when the peer made it, or before
  *  @return SKY_E_BAD_REQUEST if it is malformed; valid records in it are
  *  applied all the same. */
 sky_result_t SkyFeed_ApplyRecords(sky_feed_t *feed, sky_feed_topic_t topic,
-                                  const json_t *update);
+                                  const json_t *json, uint64_t responded_ms);
 /** @return whether the last read of the operator's topic or of the list of
  *  targets failed. */
 bool SkyFeed_IsStoreFailing(const sky_feed_t *feed);
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -7,18 +7,21 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "decide/poll_sources.h"
 
 /** Time for which a peer holds a poll while it has no updates. Two hops and
  *  the 0.4 s between two reads of the store then add up to less than the age
  *  at which records are stale (1.1 s). */
 #define POLL_HOLD_MS 200
 #define POLL_TRANSIT_MARGIN_MS 250 /**< to send a poll and its response */
+#define POLL_TIMEOUT_MS (POLL_HOLD_MS + POLL_TRANSIT_MARGIN_MS)
 #define TICK_INTERVAL_S 0.05
 /** After a poll that failed or did not help. */
 #define POLL_RETRY_DELAY_MS 150
 
-/** The store readers, and the relay of this failure domain. */
-#define SOURCES_MAX (SKY_FANOUT_READER_COUNT + 1)
+/** A poll that ends later than this after its time limit says nothing of the
+ *  source: this host did not run meanwhile. */
+#define POLL_LATE_MS 150
 
 /** A poll of a peer that this host holds until it has updates. */
 typedef struct long_poll {
@@ -36,17 +39,18 @@
     long_poll_t *polls; /**< held for peers */
     ev_timer tick;
     sky_host_call_t *call; /**< this host's own poll; NULL: none is open */
+    uint64_t poll_sent_ms; /**< of the newest poll */
     uint64_t next_poll_at_ms;
-    /** Control addresses of the hosts to poll, preferred one first. */
-    char sources[SOURCES_MAX][SKY_HOST_ADDRESS_BYTES];
-    uint32_t source_count;
-    /** Polls that failed or left this host with stale records, since the
-     *  sources were chosen. Selects the source of the next poll. */
+    sky_poll_sources_t sources;
+    /** Polls that failed or left this host with stale records. Selects the
+     *  peer to poll while no source is known. */
     uint32_t unhelpful_polls;
 };
 
 static const char *const TOPIC_KEYS[] = {"operator", "targets", "crashes"};
 static const char OWNERS_KEY[] = "owners";
+/** Time for which the peer held the poll. */
+static const char HELD_KEY[] = "held_ms";
 
 static void
 respond(sky_feed_relay_t *relay, long_poll_t *poll)
@@ -59,6 +63,9 @@
             json_object_set_new(body, TOPIC_KEYS[i], records);
         }
     }
+    json_object_set_new(
+        body, HELD_KEY,
+        json_integer((json_int_t)(SkyClock_NowMs() - poll->received_ms)));
     json_t *owners = SkyOwnership_EncodeOwners(relay->options.ownership,
                                                poll->owners_generation);
     if (owners != NULL) {
@@ -154,25 +161,57 @@
 /* @return control address of the source to poll next, or of any peer while no
  * source is known; NULL if there is no peer. */
 static const char *
-get_poll_address(const sky_feed_relay_t *relay)
+choose_poll_address(sky_feed_relay_t *relay)
 {
-    if (relay->source_count > 0) {
-        return relay->sources[relay->unhelpful_polls % relay->source_count];
+    const char *source =
+        SkyPollSources_Choose(&relay->sources, SkyClock_NowMs());
+    return source != NULL
+               ? source
+               : SkyOwnership_ChoosePeerAddress(relay->options.ownership,
+                                                relay->unhelpful_polls);
+}
+
+/* The poll failed, or left this host with stale records. */
+static void
+handle_unhelpful_poll(sky_feed_relay_t *relay)
+{
+    uint64_t now_ms = SkyClock_NowMs();
+    relay->next_poll_at_ms = now_ms;
+    if (now_ms > relay->poll_sent_ms + POLL_TIMEOUT_MS + POLL_LATE_MS) {
+        return;
     }
-    return SkyOwnership_ChoosePeerAddress(relay->options.ownership,
-                                          relay->unhelpful_polls);
+    relay->unhelpful_polls++;
+    SkyPollSources_RecordFailure(&relay->sources, now_ms);
+    relay->next_poll_at_ms += POLL_RETRY_DELAY_MS;
+}
+
+/* Returns a time at which the peer had not made the response yet: what the
+ * poll and the response spent on their way makes the records older. A peer of
+ * an earlier build does not say how long it held the poll. */
+static uint64_t
+get_response_ms(const sky_feed_relay_t *relay, const json_t *response)
+{
+    const json_t *held = json_object_get(response, HELD_KEY);
+    uint64_t now_ms = SkyClock_NowMs();
+    uint64_t responded_ms =
+        relay->poll_sent_ms + (uint64_t)json_integer_value(held);
+    return json_is_integer(held) && json_integer_value(held) >= 0 &&
+                   responded_ms < now_ms
+               ? responded_ms
+               : now_ms;
 }
 
 static void
 apply_records(sky_feed_relay_t *relay, const json_t *response)
 {
+    uint64_t responded_ms = get_response_ms(relay, response);
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
         const json_t *records = json_object_get(response, TOPIC_KEYS[i]);
         if (records == NULL) {
             continue;
         }
         sky_result_t result = SkyFeed_ApplyRecords(
-            relay->options.feed, (sky_feed_topic_t)i, records);
+            relay->options.feed, (sky_feed_topic_t)i, records, responded_ms);
         if (SkyResult_IsError(result)) {
             SkyLog_Write(LOG_WARNING, "peer_records_refused",
                          "topic=%s result=%s", TOPIC_KEYS[i],
@@ -187,8 +226,7 @@
     sky_feed_relay_t *relay = context;
     relay->call = NULL;
     if (response == NULL) {
-        relay->unhelpful_polls++;
-        relay->next_poll_at_ms = SkyClock_NowMs() + POLL_RETRY_DELAY_MS;
+        handle_unhelpful_poll(relay);
         return;
     }
     apply_records(relay, response);
@@ -198,9 +236,7 @@
     }
     relay->next_poll_at_ms = SkyClock_NowMs();
     if (SkyFeed_IsStale(relay->options.feed)) {
-        /* The records of this source are stale as well. */
-        relay->unhelpful_polls++;
-        relay->next_poll_at_ms += POLL_RETRY_DELAY_MS;
+        handle_unhelpful_poll(relay);
     }
 }
 
@@ -208,7 +244,7 @@
 send_poll(sky_feed_relay_t *relay)
 {
     const sky_feed_t *feed = relay->options.feed;
-    const char *address = get_poll_address(relay);
+    const char *address = choose_poll_address(relay);
     if (address == NULL) {
         return;
     }
@@ -223,9 +259,10 @@
                             json_pack("[I,I]", (json_int_t)position.era,
                                       (json_int_t)position.next_offset));
     }
-    relay->call = SkyHostCalls_SendCall(
-        relay->options.host_calls, address, "/feed", body,
-        POLL_HOLD_MS + POLL_TRANSIT_MARGIN_MS, on_poll_response, relay);
+    relay->poll_sent_ms = SkyClock_NowMs();
+    relay->call =
+        SkyHostCalls_SendCall(relay->options.host_calls, address, "/feed",
+                              body, POLL_TIMEOUT_MS, on_poll_response, relay);
 }
 
 static void
@@ -250,15 +287,6 @@
     respond_to_due_polls(relay);
 }
 
-static void
-add_source(sky_feed_relay_t *relay, const char *address)
-{
-    if (!is_own_address(relay, address) && relay->source_count < SOURCES_MAX) {
-        snprintf(relay->sources[relay->source_count++], SKY_HOST_ADDRESS_BYTES,
-                 "%s", address);
-    }
-}
-
 /* The relay of a failure domain polls the store readers. The other hosts of
  * the domain poll the relay first, and the readers if that does not help. */
 static void
@@ -266,18 +294,21 @@
                uint32_t member_count, const uint32_t *readers,
                uint32_t reader_count)
 {
+    const char *addresses[SKY_POLL_SOURCES_MAX];
     uint32_t domain_relay;
-    relay->source_count = 0;
-    relay->unhelpful_polls = 0;
+    uint32_t count = 0;
     if (SkyFanout_ChooseHosts(members, member_count,
                               relay->options.settings->domain, &domain_relay,
                               1) > 0 &&
         !is_own_address(relay, members[domain_relay].address)) {
-        add_source(relay, members[domain_relay].address);
+        addresses[count++] = members[domain_relay].address;
     }
     for (uint32_t i = 0; i < reader_count; i++) {
-        add_source(relay, members[readers[i]].address);
+        if (!is_own_address(relay, members[readers[i]].address)) {
+            addresses[count++] = members[readers[i]].address;
+        }
     }
+    SkyPollSources_Set(&relay->sources, addresses, count);
 }
 
 void
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -54,8 +54,8 @@
     {
         json_t *records = json_pack("{s:I, s:I, s:I, s:[]}", "era", era,
                                     "next", next, "age_ms", age_ms, "records");
-        EXPECT_EQ(SKY_OK,
-                  SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, records));
+        EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, records,
+                                               SkyClock_NowMs()));
         json_decref(records);
     }
 
@@ -79,8 +79,8 @@
             json_pack("{s:I, s:I, s:I, s:[[s,s,b,I]]}", "era", era, "next",
                       next, "age_ms", json_int_t{10}, "records", "i-1", value,
                       state == nullptr, next - 1);
-        EXPECT_EQ(SKY_OK,
-                  SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, update));
+        EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, update,
+                                               SkyClock_NowMs()));
         json_decref(update);
     }
 
@@ -118,8 +118,8 @@
         SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position);
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(0u, json_array_size(json_object_get(update, "records")));
-    EXPECT_EQ(SKY_OK,
-              SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update));
+    EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
+                                           SkyClock_NowMs()));
     EXPECT_EQ(12u,
               SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
     json_decref(update);
@@ -153,8 +153,8 @@
     json_t *update =
         json_pack("{s:I, s:I, s:I, s:[]}", "era", json_int_t{2}, "next",
                   json_int_t{0}, "age_ms", json_int_t{10}, "records");
-    EXPECT_EQ(SKY_OK,
-              SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update));
+    EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
+                                           SkyClock_NowMs()));
     json_decref(update);
     EXPECT_EQ(nullptr, Target());
 }
@@ -200,8 +200,8 @@
     json_t *update =
         SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position);
     ASSERT_NE(nullptr, update);
-    EXPECT_EQ(SKY_OK,
-              SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update));
+    EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
+                                           SkyClock_NowMs()));
     EXPECT_EQ(nullptr, Target());
     EXPECT_EQ(30u,
               SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
