--- a/lib/edge/directory.h
+++ b/lib/edge/directory.h
@@ -26,10 +26,10 @@
     sky_part_watch_t *parts;          /**< prompt parts that crash targets */
     sky_stream_versions_t *streams;   /**< versions that began streams */
     sky_reachability_t *reachability; /**< of services from this host */
-    bool targets_known;     /**< the list of targets was read at least once */
+    bool targets_known; /**< the list of targets was read at least once */
     uint64_t targets_read_ms; /**< when the list was read from the store, by
                                    this host or another; 0: never */
-    bool store_unreachable; /**< the last read from the store failed */
+    bool store_unreachable;   /**< the last read from the store failed */
     /** Hosts that share the retry budgets, this one included. */
     uint32_t host_count;
 } sky_directory_t;
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -548,6 +548,11 @@
     bool has_waited = request->waits_for_turn;
     request->waits_for_path = false;
     request->waits_for_turn = false;
+    request->waits_for_records =
+        !SkyFeed_AreRecordsUsable(request->proxy->options.feed);
+    if (request->waits_for_records) {
+        return; /* SkyProxy_CheckOpenRequests() dispatches it again */
+    }
     if (fail_crashing(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
          SkyProxyRequest_TryPeer(request)) ||
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -462,6 +462,7 @@
     sky_proxy_options_t proxy_options = {.loop = edge->loop,
                                          .settings = settings,
                                          .directory = &edge->directory,
+                                         .feed = edge->feed,
                                          .client = edge->client,
                                          .placement = edge->placement,
                                          .rate_permits = edge->rate_permits,
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -84,10 +84,15 @@
                  request->facts.id, hop.from, hop.may_have_run_count);
 }
 
-static void
-route_request(sky_proxy_request_t *request)
+void
+SkyProxyRequest_Route(sky_proxy_request_t *request)
 {
     sky_proxy_t *proxy = request->proxy;
+    request->waits_for_records =
+        !SkyFeed_AreRecordsUsable(proxy->options.feed);
+    if (request->waits_for_records) {
+        return; /* SkyProxy_CheckOpenRequests() routes it */
+    }
     const sky_http_head_t *head =
         SkyServerRequest_Head(request->caller_request);
     const char *host = SkyHttpHead_FindField(head, "Host");
@@ -128,8 +133,12 @@
         reject_unrouted(request, 503, RETRY_AFTER_STOPPING_MS, "stopping");
         return;
     }
+    uint64_t waited_ms = SkyClock_NowMs() - request->received_ms;
     request->deadline_at_ms = request->received_ms + limit_ms;
-    ev_timer_set(&request->deadline_timer, limit_ms / 1000.0, 0.0);
+    ev_timer_set(&request->deadline_timer,
+                 waited_ms < limit_ms ? (double)(limit_ms - waited_ms) / 1000.0
+                                      : 0.0,
+                 0.0);
     ev_timer_start(proxy->options.loop, &request->deadline_timer);
     if (request->is_forwarded) {
         apply_hop_request(request);
@@ -158,7 +167,7 @@
     DL_APPEND(proxy->requests, request);
     proxy->open_count++;
     SkyServerRequest_SetUserData(caller_request, request);
-    route_request(request);
+    SkyProxyRequest_Route(request);
 }
 
 static void
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -18,6 +18,7 @@
 #include "core/metrics.h"
 #include "core/result.h"
 #include "edge/directory.h"
+#include "edge/feed.h"
 #include "edge/host_settings.h"
 #include "edge/rate_permits.h"
 #include "edge/placement.h"
@@ -36,6 +37,7 @@
     struct ev_loop *loop;
     const sky_host_settings_t *settings;
     sky_directory_t *directory;
+    sky_feed_t *feed;
     sky_client_t *client;
     sky_placement_t *placement;
     sky_rate_permits_t *rate_permits;
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -70,6 +70,8 @@
                                0: it has none */
     uint64_t turn_ms;     /**< when the prompt may be sent there */
     bool waits_for_turn;
+    /** The records are too old to route the request, or to choose a target. */
+    bool waits_for_records;
     sky_client_request_t *target_request; /**< in progress, or NULL */
     sky_fleet_target_t *target; /**< of the exchange; NULL: none, or a peer */
     /** Peer of the exchange, by its address; "": none, or a target. */
@@ -130,6 +132,7 @@
     uint32_t open_count;
     sky_proxy_stats_t stats;
     ev_timer check_timer;
+    bool awaits_records;  /**< those known are too old to act on */
     uint64_t exits_at_ms; /**< of this host; 0: it is not stopping */
     sky_stop_admission_t *stop_admission;
 };
@@ -284,8 +287,11 @@
  *  loaded the adapter. */
 bool SkyProxyRequest_HasEligibleTarget(const sky_proxy_request_t *request);
 
+/** Matches the request to a route and dispatches it, or ends and frees it. */
+void SkyProxyRequest_Route(sky_proxy_request_t *request);
+
 /** Timer callback: withdraws requests from silent targets and dispatches those
- *  that wait for capacity. */
+ *  that wait for capacity or newer records. */
 void SkyProxy_CheckOpenRequests(struct ev_loop *loop, ev_timer *watcher,
                                 int events);
 
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -1,6 +1,7 @@
 #include <utlist.h>
 
 #include "core/clock.h"
+#include "core/logging.h"
 #include "edge/proxy_request.h"
 
 /** A target from which no request of this host received a byte for this many
@@ -34,8 +35,9 @@
     sky_proxy_request_t *request;
     DL_FOREACH(proxy->requests, request)
     {
-        if ((request->capacity_wait_since_ms > 0 || request->waits_for_path ||
-             request->waits_for_turn) &&
+        if (request->route != NULL &&
+            (request->capacity_wait_since_ms > 0 || request->waits_for_path ||
+             request->waits_for_turn || request->waits_for_records) &&
             request->placement_request == NULL &&
             request->permit_request == NULL &&
             (after == NULL || is_dispatched_before(after, request)) &&
@@ -138,6 +140,20 @@
     }
 }
 
+/* Routes the requests that came while the records were too old. */
+static void
+route_waiting(sky_proxy_t *proxy)
+{
+    sky_proxy_request_t *request;
+    sky_proxy_request_t *next;
+    DL_FOREACH_SAFE(proxy->requests, request, next)
+    {
+        if (request->route == NULL && request->waits_for_records) {
+            SkyProxyRequest_Route(request);
+        }
+    }
+}
+
 void
 SkyProxy_CheckOpenRequests(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -145,6 +161,16 @@
     (void)events;
     sky_proxy_t *proxy = watcher->data;
     uint64_t now = SkyClock_NowMs();
+    bool are_usable = SkyFeed_AreRecordsUsable(proxy->options.feed);
+    if (are_usable == proxy->awaits_records) {
+        proxy->awaits_records = !are_usable;
+        SkyLog_Write(LOG_NOTICE, "records_awaited", "waits=%d open=%u",
+                     proxy->awaits_records, proxy->open_count);
+    }
+    if (!are_usable) {
+        return; /* all that follows chooses targets */
+    }
+    route_waiting(proxy);
     withdraw_from_silent_targets(proxy);
     leave_unreached_placements(proxy);
     /* The most urgent request first. */
