--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -39,6 +39,10 @@
 /** Above this utilization a target is ranked last for another adapter. */
 #define PREFERRED_UTILIZATION_MAX 0.8
 #define OWNER_REPORT_TTL_MS 1500
+/** A write of a target may reach the store some seconds late, and a host may
+ *  then be suspended or cut off for a while. */
+#define DEPARTURE_TTL_MS 300000
+#define LATE_WRITE_MAX_MS 10000
 /** New requests rely on an owner's report for about the run of a request. */
 #define OWNER_REPORT_RELIABLE_MS 300
 /** Observations younger than this are newer than an owner's report. */
@@ -55,6 +59,13 @@
     UT_hash_handle hh;
 } announcement_t;
 
+/** A run of a target that said it leaves, and is no longer listed. */
+typedef struct {
+    uint64_t key; /**< of the target's id and the time of its start */
+    uint64_t unlisted_ms;
+    UT_hash_handle hh;
+} departure_t;
+
 struct sky_fleet {
     char domain[SKY_SERVICE_NAME_BYTES];
     sky_fleet_options_t options;
@@ -62,6 +73,7 @@
     uint32_t host_count;
     sky_fleet_target_t *targets;
     announcement_t *announcements;
+    departure_t *departures; /**< oldest first */
 };
 
 sky_adapter_key_t
@@ -95,6 +107,18 @@
     free(target);
 }
 
+/* Forgets the departures of targets that were unlisted before. */
+static void
+forget_departures(sky_fleet_t *fleet, uint64_t before_ms)
+{
+    while (fleet->departures != NULL &&
+           fleet->departures->unlisted_ms < before_ms) {
+        departure_t *oldest = fleet->departures;
+        HASH_DEL(fleet->departures, oldest);
+        free(oldest);
+    }
+}
+
 void
 SkyFleet_Free(sky_fleet_t *fleet)
 {
@@ -107,6 +131,7 @@
     {
         free_target(fleet, target);
     }
+    forget_departures(fleet, UINT64_MAX);
     announcement_t *announcement;
     announcement_t *after;
     HASH_ITER(hh, fleet->announcements, announcement, after)
@@ -136,10 +161,42 @@
     return fleet->targets;
 }
 
+static uint64_t
+make_run_key(const sky_target_entry_t *entry)
+{
+    return XXH3_64bits_withSeed(entry->id, strlen(entry->id),
+                                entry->started_unix_ms);
+}
+
+static bool
+has_departed(const sky_fleet_t *fleet, const sky_target_entry_t *entry)
+{
+    uint64_t key = make_run_key(entry);
+    const departure_t *departure;
+    HASH_FIND(hh, fleet->departures, &key, sizeof key, departure);
+    return departure != NULL;
+}
+
+static void
+record_departure(sky_fleet_t *fleet, const sky_target_entry_t *entry,
+                 uint64_t now_ms)
+{
+    departure_t *departure =
+        has_departed(fleet, entry) ? NULL : calloc(1, sizeof *departure);
+    if (departure != NULL) {
+        departure->key = make_run_key(entry);
+        departure->unlisted_ms = now_ms;
+        HASH_ADD(hh, fleet->departures, key, sizeof departure->key, departure);
+    }
+}
+
 static void
-unlist_target(sky_fleet_t *fleet, sky_fleet_target_t *target)
+unlist_target(sky_fleet_t *fleet, sky_fleet_target_t *target, uint64_t now_ms)
 {
     target->listed = false;
+    if (target->entry.state == SKY_TARGET_LEAVING) {
+        record_departure(fleet, &target->entry, now_ms);
+    }
     if (target->references == 0) {
         free_target(fleet, target);
     }
@@ -175,15 +232,29 @@
            now_ms < target->owner_report_ms + OWNER_REPORT_TTL_MS;
 }
 
+/* Whether a late write of an earlier run reached the store after those of the
+ * known one. A target whose clock was set back gets by after a while. */
+static bool
+is_of_earlier_run(const sky_fleet_target_t *target,
+                  const sky_target_entry_t *entry, uint64_t now_ms)
+{
+    return entry->started_unix_ms < target->entry.started_unix_ms &&
+           now_ms < target->run_listed_ms + LATE_WRITE_MAX_MS;
+}
+
 sky_fleet_target_t *
 SkyFleet_ApplyEntry(sky_fleet_t *fleet, sky_target_entry_t *entry,
                     uint64_t now_ms)
 {
     sky_fleet_target_t *target = SkyFleet_FindTarget(fleet, entry->id);
+    if (target != NULL && is_of_earlier_run(target, entry, now_ms)) {
+        SkyTargetEntry_Clear(entry);
+        return target;
+    }
     if (target != NULL &&
         target->entry.started_unix_ms != entry->started_unix_ms) {
         /* The target restarted under the same id: its state is lost. */
-        unlist_target(fleet, target);
+        unlist_target(fleet, target, now_ms);
         target = NULL;
     }
     if (target == NULL) {
@@ -192,10 +263,12 @@
             return NULL;
         }
         target->listed = true;
+        target->run_listed_ms = now_ms;
         target->hash = XXH3_64bits(entry->id, strlen(entry->id));
         DL_APPEND(fleet->targets, target);
     }
-    bool leaves = target->entry.state == SKY_TARGET_LEAVING;
+    bool leaves = target->entry.state == SKY_TARGET_LEAVING ||
+                  has_departed(fleet, entry);
     SkyTargetEntry_Clear(&target->entry);
     target->entry = *entry;
     if (leaves) {
@@ -266,9 +339,12 @@
     {
         if (target->listed && target->removal_ms > 0 &&
             target->removal_ms <= now_ms) {
-            unlist_target(fleet, target);
+            unlist_target(fleet, target, now_ms);
         }
     }
+    if (now_ms > DEPARTURE_TTL_MS) {
+        forget_departures(fleet, now_ms - DEPARTURE_TTL_MS);
+    }
 }
 
 void
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -44,8 +44,9 @@
 
 typedef struct sky_fleet_target {
     sky_target_entry_t entry;
-    uint64_t hash;       /**< of its id */
-    bool listed;         /**< false: removed, kept for its requests */
+    uint64_t hash;          /**< of its id */
+    bool listed;            /**< false: removed, kept for its requests */
+    uint64_t run_listed_ms; /**< when this run was first listed */
     uint64_t removal_ms; /**< missing from the list, removed then; 0: listed */
     uint32_t references; /**< requests of this host that refer to it */
     uint32_t in_flight;  /**< requests of this host that are running on it */
@@ -93,7 +94,9 @@
 
 /** Adds or updates a target by its entry in the list; takes over the memory of
  *  @p entry and clears it. A target that leaves does so for the rest of its
- *  run, also if an older entry of it comes back. @return the target, or NULL
+ *  run, also if an older entry of it comes back, before or after it was
+ *  removed. A late entry of an earlier run is
+ *  ignored. @return the target, or NULL
  * if memory ran out. */
 sky_fleet_target_t *SkyFleet_ApplyEntry(sky_fleet_t *fleet,
                                         sky_target_entry_t *entry,
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -96,6 +96,57 @@
     uint64_t now_ms = 100000;
 };
 
+// A late write of a target that had left listed it again as ready, and it got
+// requests until it exited.
+TEST_F(FleetTest, ATargetThatLeftIsNotListedAgainByALateEntry)
+{
+    Add("t1", {"a1"}, SKY_TARGET_LEAVING);
+    SkyFleet_ScheduleRemoval(fleet, "t1", now_ms);
+    SkyFleet_Tick(fleet, now_ms);
+    ASSERT_EQ(nullptr, SkyFleet_FindTarget(fleet, "t1"));
+    now_ms += 4000;
+    Add("t1", {"a1"});
+    EXPECT_EQ(nullptr, Choose("a1").target);
+    Add("t1", {"a1"}, SKY_TARGET_READY, 2); // it started again
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+    Add("t1", {"a1"}); // once more
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+}
+
+// An entry that lapsed says nothing of its target.
+TEST_F(FleetTest, ATargetWhoseEntryLapsedIsListedAgain)
+{
+    Add("t1", {"a1"});
+    SkyFleet_ScheduleRemoval(fleet, "t1", now_ms);
+    SkyFleet_Tick(fleet, now_ms);
+    now_ms += 4000;
+    Add("t1", {"a1"});
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+}
+
+TEST_F(FleetTest, ALateEntryOfAnEarlierRunChangesNothing)
+{
+    Add("t1", {"a1"}, SKY_TARGET_READY, 2);
+    now_ms += 5000;
+    Add("t1", {"a2"}, SKY_TARGET_READY, 1);
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+    EXPECT_EQ(nullptr, Choose("a2").target);
+    now_ms += 6000; // its clock was set back
+    Add("t1", {"a2"}, SKY_TARGET_READY, 1);
+    EXPECT_EQ("t1", TargetId(Choose("a2")));
+}
+
+TEST_F(FleetTest, AnOldDepartureIsForgotten)
+{
+    Add("t1", {"a1"}, SKY_TARGET_LEAVING);
+    SkyFleet_ScheduleRemoval(fleet, "t1", now_ms);
+    SkyFleet_Tick(fleet, now_ms);
+    now_ms += 400000;
+    SkyFleet_Tick(fleet, now_ms);
+    Add("t1", {"a1"});
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+}
+
 // Guards against prompts that pile up at a target with free batch slots.
 TEST_F(FleetTest, ATargetThatReadsPromptsMostOfTheTimeIsFull)
 {
