--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -173,11 +173,15 @@
 
 /* The poll failed, or left this host with stale records. */
 static void
-handle_unhelpful_poll(sky_feed_relay_t *relay)
+handle_unhelpful_poll(sky_feed_relay_t *relay, const char *reason)
 {
     uint64_t now_ms = SkyClock_NowMs();
+    uint64_t duration_ms = now_ms - relay->poll_sent_ms;
+    SkyLog_Write(LOG_INFO, "poll_unhelpful", "source=%s reason=%s ms=%llu",
+                 choose_poll_address(relay), reason,
+                 (unsigned long long)duration_ms);
     relay->next_poll_at_ms = now_ms;
-    if (now_ms > relay->poll_sent_ms + POLL_TIMEOUT_MS + POLL_LATE_MS) {
+    if (duration_ms > POLL_TIMEOUT_MS + POLL_LATE_MS) {
         return;
     }
     relay->unhelpful_polls++;
@@ -226,7 +230,7 @@
     sky_feed_relay_t *relay = context;
     relay->call = NULL;
     if (response == NULL) {
-        handle_unhelpful_poll(relay);
+        handle_unhelpful_poll(relay, "no_response");
         return;
     }
     apply_records(relay, response);
@@ -236,7 +240,7 @@
     }
     relay->next_poll_at_ms = SkyClock_NowMs();
     if (SkyFeed_IsStale(relay->options.feed)) {
-        handle_unhelpful_poll(relay);
+        handle_unhelpful_poll(relay, "stale");
     }
 }
 
