--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SAN ?=
 comma := ,
 BUILD ?= build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
-PACKAGES := neon jansson libsodium libmicrohttpd libtirpc liburcu-bp liburcu-cds
+PACKAGES := neon jansson zlib libsodium libmicrohttpd libtirpc liburcu-bp liburcu-cds
 DEP_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
 DEP_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lev -lhttp_parser -lxxhash -lm -lpthread
 SANFLAGS := $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
--- a/lib/decide/poll_sources.h
+++ b/lib/decide/poll_sources.h
@@ -5,8 +5,14 @@
  * Load pattern: hosts start, stop and fail in waves, so that the sources are
  * chosen anew several times a second, while the preferred one is dead or slow.
  * A host that then began with the preferred one each time would never reach
- * another. The module does no I/O; times are milliseconds of the caller's
- * clock.
+ * another.
+ *
+ * Load pattern: a relay is late with a large document. If all its followers
+ * polled the store readers then, these would be late too, and with them all
+ * relays. Followers therefore poll another host of their domain first, and the
+ * less often the longer they poll in vain: meanwhile they read the store.
+ *
+ * The module does no I/O; times are milliseconds of the caller's clock.
  */
 #ifndef SKY_DECIDE_POLL_SOURCES_H
 #define SKY_DECIDE_POLL_SOURCES_H
@@ -19,8 +25,9 @@
 extern "C" {
 #endif
 
-/** The store readers, and the relay of a failure domain. */
-#define SKY_POLL_SOURCES_MAX (SKY_FANOUT_READER_COUNT + 1)
+/** Relay of a failure domain, and the host that stands in for it. */
+#define SKY_POLL_RELAY_COUNT 2
+#define SKY_POLL_SOURCES_MAX (SKY_POLL_RELAY_COUNT + SKY_FANOUT_READER_COUNT)
 #define SKY_POLL_ADDRESS_BYTES 64
 
 /** Zero-initialised: no sources. */
@@ -30,20 +37,24 @@
     uint32_t count;
     uint32_t current;  /**< index of the source to poll */
     uint64_t moved_ms; /**< when it last changed */
+    uint32_t failures; /**< in a row */
 } sky_poll_sources_t;
 
 /** Replaces the sources. The current one stays if it is among the new ones.
- *  @param addresses preferred one first; those beyond the maximum, or too
- *         long, are left out */
+ *  @param addresses preferred one first; those beyond the maximum, too long or
+ *         listed before are left out */
 void SkyPollSources_Set(sky_poll_sources_t *sources,
                         const char *const *addresses, uint32_t count);
 /** @return the source to poll now; NULL if there is none. Some time after the
  *  preferred one failed it is tried again. */
 const char *SkyPollSources_Choose(sky_poll_sources_t *sources,
                                   uint64_t now_ms);
-/** Records that the current source did not respond, or with stale records. */
-void SkyPollSources_RecordFailure(sky_poll_sources_t *sources,
-                                  uint64_t now_ms);
+/** Records that the current source did not respond, or with stale records.
+ *  @return time until the next poll */
+uint32_t SkyPollSources_RecordFailure(sky_poll_sources_t *sources,
+                                      uint64_t now_ms);
+/** Records that a poll was of use. */
+void SkyPollSources_RecordSuccess(sky_poll_sources_t *sources);
 
 #ifdef __cplusplus
 }
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -1,12 +1,12 @@
 #include "edge/feed.h"
 
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "edge/encoded_value.h"
 #include "edge/part_sharing.h"
 #include "decide/freshness.h"
 #include "platform/documents.h"
@@ -34,7 +34,8 @@
     char *key;
     char *value;
     size_t value_bytes;
-    bool is_tombstone; /**< the key was deleted */
+    sky_encoded_value_t encoded; /**< of the value, once a peer asked for it */
+    bool is_tombstone;           /**< the key was deleted */
     uint64_t offset;
     bool in_snapshot; /**< found by the current read of a snapshot */
     bool is_outdated; /**< of an earlier era; its offset means nothing */
@@ -297,6 +298,7 @@
                         stored);
     }
     free(stored->value);
+    SkyEncodedValue_Clear(&stored->encoded);
     stored->value = value;
     stored->value_bytes = record->value_bytes;
     stored->is_tombstone = record->is_tombstone;
@@ -752,22 +754,37 @@
            feed->topics[SKY_FEED_TARGETS].failed_reads > 0;
 }
 
-static char *
-encode_base64(const char *bytes, size_t byte_count)
+/* Encodes a record for a peer. The text is kept for other peers. */
+static json_t *
+encode_row(record_t *record, bool reads_deflated)
 {
-    size_t capacity =
-        sodium_base64_encoded_len(byte_count, sodium_base64_VARIANT_ORIGINAL);
-    char *text = malloc(capacity);
-    if (text != NULL) {
-        sodium_bin2base64(text, capacity, (const unsigned char *)bytes,
-                          byte_count, sodium_base64_VARIANT_ORIGINAL);
+    sky_encoded_value_t plain = {0};
+    const sky_encoded_value_t *encoded = &record->encoded;
+    if (!reads_deflated && record->value_bytes > 0) {
+        SkyEncodedValue_Make(record->value, record->value_bytes, false,
+                             &plain);
+        encoded = &plain;
     }
-    return text;
+    else if (record->encoded.text == NULL && record->value_bytes > 0) {
+        SkyEncodedValue_Make(record->value, record->value_bytes, true,
+                             &record->encoded);
+    }
+    json_t *row = json_pack("[s,s,b,I,I]", record->key,
+                            encoded->text ? encoded->text : "",
+                            record->is_tombstone, (json_int_t)record->offset,
+                            (json_int_t)encoded->inflated_bytes);
+    SkyEncodedValue_Clear(&plain);
+    if (row == NULL) {
+        /* A host that misses it reads the store itself some time. */
+        SkyLog_Write(LOG_WARNING, "record_not_relayed", "offset=%llu",
+                     (unsigned long long)record->offset);
+    }
+    return row;
 }
 
 json_t *
 SkyFeed_EncodeRecords(const sky_feed_t *feed, sky_feed_topic_t topic,
-                      const sky_feed_position_t *from)
+                      const sky_feed_position_t *from, bool reads_deflated)
 {
     const topic_t *state = &feed->topics[topic];
     if (!state->synced || from->era > state->era) {
@@ -776,16 +793,11 @@
     bool is_whole = from->era < state->era ||
                     from->next_offset < state->deletions_from_offset;
     json_t *rows = json_array();
-    const record_t *record;
+    record_t *record;
     for (record = state->records; record != NULL; record = record->hh.next) {
-        if (!is_whole && record->offset < from->next_offset) {
-            continue;
+        if (is_whole || record->offset >= from->next_offset) {
+            json_array_append_new(rows, encode_row(record, reads_deflated));
         }
-        char *value = encode_base64(record->value, record->value_bytes);
-        json_array_append_new(
-            rows, json_pack("[s,s,b,I]", record->key, value ? value : "",
-                            record->is_tombstone, (json_int_t)record->offset));
-        free(value);
     }
     uint64_t regained_ms = state->freshness.store_regained_ms;
     json_int_t regained_age_ms =
@@ -805,25 +817,24 @@
     const char *text = NULL;
     int is_tombstone = 0;
     json_int_t offset = 0;
+    json_int_t inflated_bytes = json_integer_value(json_array_get(row, 4));
+    char *value = NULL;
+    size_t value_bytes = 0;
     if (json_unpack((json_t *)row, "[s,s,b,I]", &key, &text, &is_tombstone,
-                    &offset) != 0) {
+                    &offset) != 0 ||
+        inflated_bytes < 0 || inflated_bytes > UINT32_MAX ||
+        !SkyEncodedValue_Decode(text, (uint32_t)inflated_bytes, &value,
+                                &value_bytes)) {
         return false;
     }
-    size_t capacity = strlen(text) + 1;
-    unsigned char *value = malloc(capacity);
     sky_store_record_t record = {.key = key,
-                                 .value = (const char *)value,
+                                 .value = value,
+                                 .value_bytes = value_bytes,
                                  .is_tombstone = is_tombstone != 0,
                                  .offset = (uint64_t)offset};
-    bool valid = value != NULL &&
-                 sodium_base642bin(value, capacity, text, strlen(text), NULL,
-                                   &record.value_bytes, NULL,
-                                   sodium_base64_VARIANT_ORIGINAL) == 0;
-    if (valid) {
-        apply_record(topic, &record);
-    }
+    apply_record(topic, &record);
     free(value);
-    return valid;
+    return true;
 }
 
 /* What a peer says of its records besides them. Ages are those of the time at
@@ -960,6 +971,7 @@
         HASH_DEL(topic->records, record);
         free(record->key);
         free(record->value);
+        SkyEncodedValue_Clear(&record->encoded);
         free(record);
     }
     free(topic->after_key);
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -87,9 +87,11 @@
  *  since the topic was read from the store; the records are empty if the peer
  *  knows more. All records, marked as such, if this host does not know all
  *  deletions since @p from. NULL if this host does not know the topic yet, or
- * not in the peer's era. */
+ *  not in the peer's era.
+ *  @param reads_deflated see SkyEncodedValue_Make() */
 json_t *SkyFeed_EncodeRecords(const sky_feed_t *feed, sky_feed_topic_t topic,
-                              const sky_feed_position_t *from);
+                              const sky_feed_position_t *from,
+                              bool reads_deflated);
 /** Applies the output of a peer's SkyFeed_EncodeRecords(); that of an earlier
  *  era is ignored.
  *  @param responded_ms when the peer made it, or before
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -16,9 +16,6 @@
 #define POLL_TRANSIT_MARGIN_MS 250 /**< to send a poll and its response */
 #define POLL_TIMEOUT_MS (POLL_HOLD_MS + POLL_TRANSIT_MARGIN_MS)
 #define TICK_INTERVAL_S 0.05
-/** After a poll that failed or did not help. */
-#define POLL_RETRY_DELAY_MS 150
-
 /** A poll that ends later than this after its time limit says nothing of the
  *  source: this host did not run meanwhile. */
 #define POLL_LATE_MS 150
@@ -28,6 +25,7 @@
     sky_server_request_t *server_request;
     sky_feed_position_t positions[SKY_FEED_TOPIC_COUNT]; /**< of the peer */
     uint64_t owners_generation; /**< of the owners that the peer knows */
+    bool reads_deflated;        /**< as in SkyFeed_EncodeRecords() */
     uint64_t received_ms;
     uint64_t hold_ms;
     struct long_poll *prev;
@@ -40,6 +38,7 @@
     ev_timer tick;
     sky_host_call_t *call; /**< this host's own poll; NULL: none is open */
     uint64_t poll_sent_ms; /**< of the newest poll */
+    char polled[SKY_HOST_ADDRESS_BYTES]; /**< whom it went to */
     uint64_t next_poll_at_ms;
     sky_poll_sources_t sources;
     /** Polls that failed or left this host with stale records. Selects the
@@ -49,6 +48,8 @@
 
 static const char *const TOPIC_KEYS[] = {"operator", "targets", "crashes"};
 static const char OWNERS_KEY[] = "owners";
+/** Whether the poller reads compressed values. */
+static const char DEFLATED_KEY[] = "deflated";
 /** Time for which the peer held the poll. */
 static const char HELD_KEY[] = "held_ms";
 
@@ -57,8 +58,9 @@
 {
     json_t *body = json_object();
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
-        json_t *records = SkyFeed_EncodeRecords(
-            relay->options.feed, (sky_feed_topic_t)i, &poll->positions[i]);
+        json_t *records =
+            SkyFeed_EncodeRecords(relay->options.feed, (sky_feed_topic_t)i,
+                                  &poll->positions[i], poll->reads_deflated);
         if (records != NULL) {
             json_object_set_new(body, TOPIC_KEYS[i], records);
         }
@@ -130,6 +132,7 @@
     }
     poll->owners_generation =
         (uint64_t)json_integer_value(json_object_get(body, OWNERS_KEY));
+    poll->reads_deflated = json_is_true(json_object_get(body, DEFLATED_KEY));
     poll->server_request = server_request;
     poll->received_ms = SkyClock_NowMs();
     poll->hold_ms =
@@ -178,15 +181,14 @@
     uint64_t now_ms = SkyClock_NowMs();
     uint64_t duration_ms = now_ms - relay->poll_sent_ms;
     SkyLog_Write(LOG_INFO, "poll_unhelpful", "source=%s reason=%s ms=%llu",
-                 choose_poll_address(relay), reason,
-                 (unsigned long long)duration_ms);
+                 relay->polled, reason, (unsigned long long)duration_ms);
     relay->next_poll_at_ms = now_ms;
     if (duration_ms > POLL_TIMEOUT_MS + POLL_LATE_MS) {
         return;
     }
     relay->unhelpful_polls++;
-    SkyPollSources_RecordFailure(&relay->sources, now_ms);
-    relay->next_poll_at_ms += POLL_RETRY_DELAY_MS;
+    relay->next_poll_at_ms +=
+        SkyPollSources_RecordFailure(&relay->sources, now_ms);
 }
 
 /* Returns a time at which the peer had not made the response yet: what the
@@ -242,6 +244,9 @@
     if (SkyFeed_IsStale(relay->options.feed)) {
         handle_unhelpful_poll(relay, "stale");
     }
+    else {
+        SkyPollSources_RecordSuccess(&relay->sources);
+    }
 }
 
 static void
@@ -253,9 +258,9 @@
         return;
     }
     json_t *body = json_pack(
-        "{s:I, s:I}", OWNERS_KEY,
+        "{s:I, s:I, s:b}", OWNERS_KEY,
         (json_int_t)SkyOwnership_OwnersGeneration(relay->options.ownership),
-        "hold_ms", (json_int_t)POLL_HOLD_MS);
+        "hold_ms", (json_int_t)POLL_HOLD_MS, DEFLATED_KEY, 1);
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
         sky_feed_position_t position =
             SkyFeed_GetPosition(feed, (sky_feed_topic_t)i);
@@ -264,6 +269,7 @@
                                       (json_int_t)position.next_offset));
     }
     relay->poll_sent_ms = SkyClock_NowMs();
+    snprintf(relay->polled, sizeof relay->polled, "%s", address);
     relay->call =
         SkyHostCalls_SendCall(relay->options.host_calls, address, "/feed",
                               body, POLL_TIMEOUT_MS, on_poll_response, relay);
@@ -292,20 +298,24 @@
 }
 
 /* The relay of a failure domain polls the store readers. The other hosts of
- * the domain poll the relay first, and the readers if that does not help. */
+ * the domain poll the relay first, then the host that stands in for it, and
+ * the readers if that does not help. */
 static void
 choose_sources(sky_feed_relay_t *relay, const sky_fanout_host_t *members,
                uint32_t member_count, const uint32_t *readers,
                uint32_t reader_count)
 {
     const char *addresses[SKY_POLL_SOURCES_MAX];
-    uint32_t domain_relay;
+    uint32_t relays[SKY_POLL_RELAY_COUNT];
     uint32_t count = 0;
-    if (SkyFanout_ChooseHosts(members, member_count,
-                              relay->options.settings->domain, &domain_relay,
-                              1) > 0 &&
-        !is_own_address(relay, members[domain_relay].address)) {
-        addresses[count++] = members[domain_relay].address;
+    uint32_t relay_count = SkyFanout_ChooseHosts(
+        members, member_count, relay->options.settings->domain, relays,
+        SKY_POLL_RELAY_COUNT);
+    for (uint32_t i = 0; i < relay_count; i++) {
+        if (is_own_address(relay, members[relays[i]].address)) {
+            break;
+        }
+        addresses[count++] = members[relays[i]].address;
     }
     for (uint32_t i = 0; i < reader_count; i++) {
         if (!is_own_address(relay, members[readers[i]].address)) {
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -3,7 +3,7 @@
 # usage: deps.sh [ci]    "ci" adds the tools for lint, fuzzing and documentation
 set -eu
 packages="gcc g++ make pkg-config liburcu-dev libtirpc-dev libmicrohttpd-dev
-libneon27-gnutls-dev libtomlplusplus-dev libjansson-dev libxxhash-dev
+libneon27-gnutls-dev libtomlplusplus-dev libjansson-dev zlib1g-dev libxxhash-dev
 libsodium-dev uthash-dev libev-dev
 libhttp-parser-dev libgtest-dev curl"
 [ "${1:-}" = ci ] && packages="$packages clang clang-format clang-tidy cppcheck
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -101,7 +101,7 @@
 {
     sky_feed_position_t start = {};
     EXPECT_EQ(nullptr,
-              SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &start));
+              SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &start, true));
 }
 
 // A follower that had read the store itself knew newer records than its
@@ -115,7 +115,7 @@
     sky_feed_position_t position =
         SkyFeed_GetPosition(follower, SKY_FEED_TARGETS);
     json_t *update =
-        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position);
+        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position, true);
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(0u, json_array_size(json_object_get(update, "records")));
     EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
@@ -178,12 +178,13 @@
     sky_feed_position_t later = {3, 1};
     EXPECT_TRUE(SkyFeed_IsAhead(reader, SKY_FEED_TARGETS, &earlier));
     EXPECT_FALSE(SkyFeed_IsAhead(reader, SKY_FEED_TARGETS, &later));
-    json_t *update = SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &earlier);
+    json_t *update =
+        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &earlier, true);
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(1u, json_array_size(json_object_get(update, "records")));
     json_decref(update);
     EXPECT_EQ(nullptr,
-              SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &later));
+              SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &later, true));
 }
 
 // A host that restarted knows which keys are left, not which ones were deleted
@@ -198,7 +199,7 @@
     sky_feed_position_t position =
         SkyFeed_GetPosition(follower, SKY_FEED_TARGETS);
     json_t *update =
-        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position);
+        SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position, true);
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
                                            SkyClock_NowMs()));
--- a/tests/test_poll_sources.cc
+++ b/tests/test_poll_sources.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "decide/poll_sources.h"
 
@@ -57,9 +58,28 @@
     SkyPollSources_Set(&sources, OTHER_READER, 3);
     EXPECT_STREQ("relay", SkyPollSources_Choose(&sources, 1000));
     std::string long_address(SKY_POLL_ADDRESS_BYTES, 'a');
-    const char *const malformed[] = {long_address.c_str(), "reader-1"};
-    SkyPollSources_Set(&sources, malformed, 2);
+    const char *const malformed[] = {long_address.c_str(), "reader-1",
+                                     "reader-1"};
+    SkyPollSources_Set(&sources, malformed, 3);
     EXPECT_STREQ("reader-1", SkyPollSources_Choose(&sources, 1000));
+    EXPECT_EQ(1u, sources.count);
+}
+
+// Followers of a late relay overloaded the readers, and with them all relays.
+TEST(PollSources, PollsInVainBecomeRare)
+{
+    sky_poll_sources_t sources = {};
+    SkyPollSources_Set(&sources, RELAY_AND_READERS, 3);
+    std::vector<uint32_t> delays_ms;
+    for (int i = 0; i < 6; i++) {
+        delays_ms.push_back(SkyPollSources_RecordFailure(&sources, 1000));
+    }
+    EXPECT_EQ((std::vector<uint32_t>{150, 300, 600, 1200, 1200, 1200}),
+              delays_ms);
+    SkyPollSources_Set(&sources, OTHER_READER, 3);
+    EXPECT_EQ(1200u, SkyPollSources_RecordFailure(&sources, 1000));
+    SkyPollSources_RecordSuccess(&sources);
+    EXPECT_EQ(150u, SkyPollSources_RecordFailure(&sources, 1000));
 }
 
 } // namespace
--- a/tests/test_record_age.cc
+++ b/tests/test_record_age.cc
@@ -21,7 +21,6 @@
 constexpr uint64_t READ_INTERVAL_MS = 300;
 constexpr uint64_t POLL_HOLD_MS = 200;
 constexpr uint64_t POLL_TIMEOUT_MS = 450;
-constexpr uint64_t POLL_RETRY_MS = 150;
 constexpr uint64_t MEMBERSHIP_TTL_MS = 3200;
 constexpr uint64_t CALL_TIMEOUT_MS = 1500;
 constexpr uint32_t MAX_AGE_MS = 1400; // of a limit of 2 s, the shortest one
@@ -155,11 +154,14 @@
                                   nullptr, readers, SKY_FANOUT_READER_COUNT);
         for (Host &host : hosts_) {
             std::vector<const char *> addresses;
-            uint32_t relay;
-            if (SkyFanout_ChooseHosts(members.data(), (uint32_t)members.size(),
-                                      host.domain.c_str(), &relay, 1) > 0 &&
-                host.address != members[relay].address) {
-                addresses.push_back(members[relay].address);
+            uint32_t relays[SKY_POLL_RELAY_COUNT];
+            uint32_t relay_count = SkyFanout_ChooseHosts(
+                members.data(), (uint32_t)members.size(), host.domain.c_str(),
+                relays, SKY_POLL_RELAY_COUNT);
+            for (uint32_t i = 0;
+                 i < relay_count && host.address != members[relays[i]].address;
+                 i++) {
+                addresses.push_back(members[relays[i]].address);
             }
             host.is_reader = reader_count == 0;
             for (uint32_t i = 0; i < reader_count; i++) {
@@ -248,10 +250,13 @@
              SkyFreshness_IsStale(&host.freshness, now_))) {
             host.next_poll_ms = now_;
             if (now_ <= host.poll.sent_ms + POLL_TIMEOUT_MS + 150) {
-                SkyPollSources_RecordFailure(&host.sources, now_);
-                host.next_poll_ms += POLL_RETRY_MS;
+                host.next_poll_ms +=
+                    SkyPollSources_RecordFailure(&host.sources, now_);
             }
         }
+        else if (!host.poll.is_open) {
+            SkyPollSources_RecordSuccess(&host.sources);
+        }
     }
 
     void
