--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -67,6 +67,18 @@
     }
 }
 
+static bool
+was_sent_to(const sky_proxy_request_t *request, uint64_t target)
+{
+    for (uint32_t i = 0; i < request->send_count && i < SENDS_PER_REQUEST_MAX;
+         i++) {
+        if (request->sent_targets[i] == target) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 send_request(sky_proxy_request_t *request, const sky_fleet_choice_t *choice)
 {
@@ -85,6 +97,10 @@
     request->first_sent_ms = request->first_sent_ms
                                  ? request->first_sent_ms
                                  : request->last_activity_ms;
+    bool is_resent = was_sent_to(request, choice->target->hash);
+    if (request->send_count < SENDS_PER_REQUEST_MAX) {
+        request->sent_targets[request->send_count] = choice->target->hash;
+    }
     request->send_count++;
     request->events_before = request->event_stream.event_count;
     request->answer_recorded = false;
@@ -109,6 +125,7 @@
         .is_head_request =
             SkyServerRequest_Head(request->caller_request)->method ==
             HTTP_HEAD,
+        .is_new_connection = is_resent,
         .echo_field = SkyWire_RequestIdFieldName(),
         .echo_value = request->facts.id,
         .events = SkyProxyRequest_ResponseEvents(),
--- a/lib/edge/owned_target.c
+++ b/lib/edge/owned_target.c
@@ -219,6 +219,8 @@
         .request = &request,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .max_body_bytes = RESPONSE_MAX_BYTES,
+        .echo_field = SkyWire_RequestIdFieldName(),
+        .echo_value = "",
         .events = {on_response_head, on_response_body, on_response_end},
         .context = owned,
     };
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -85,6 +85,8 @@
     bool is_counted;                 /**< in this host's retry budget */
     char last_target_id[SKY_TARGET_ID_BYTES]; /**< "": not sent yet */
     sky_attempts_t attempts;
+    /** Hashes of the targets that it was sent to, by send. */
+    uint64_t sent_targets[SENDS_PER_REQUEST_MAX];
     uint32_t send_count;
     uint32_t placement_count;    /**< placements requested */
     uint32_t owner_report_count; /**< reports requested from owners */
--- a/lib/edge/reach_sharing.c
+++ b/lib/edge/reach_sharing.c
@@ -410,6 +410,8 @@
         .connect_timeout_ms = PROBE_CONNECT_TIMEOUT_MS,
         .max_idle_ms = 1, /* an idle connection may be one that hangs */
         .max_body_bytes = PROBE_BODY_MAX_BYTES,
+        .echo_field = SkyWire_RequestIdFieldName(),
+        .echo_value = "",
         .events = {on_probe_head, on_probe_body, on_probe_end},
         .context = probe,
     };
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -39,6 +39,7 @@
     sky_client_request_options_t options;
     char *echo_value;
     bool is_active; /**< a request is using the connection */
+    bool is_reused; /**< it served an earlier request */
     bool is_connected;
     bool has_sent_bytes;    /**< a byte of the current request was sent */
     bool skips_response;    /**< the response being read is an interim one, or
@@ -225,6 +226,10 @@
         connection->skipped_count++;
         return connection->skipped_count <= SKIPPED_RESPONSES_MAX;
     }
+    if (field != NULL && echo == NULL && connection->is_reused &&
+        connection->echo_value[0] != '\0') {
+        return false; /* it may belong to an earlier request */
+    }
     return connection->options.events.on_head(connection->options.context,
                                               head) &&
            !connection->is_closed;
@@ -439,6 +444,7 @@
     }
     DL_DELETE(pool->idle_list, connection);
     pool->idle_count--;
+    connection->is_reused = true;
     client->stats.connection_reuses++;
     return connection;
 }
@@ -508,7 +514,8 @@
                const sky_client_request_options_t *options)
 {
     sky_client_request_t *connection =
-        acquire_idle_connection(client, options);
+        options->is_new_connection ? NULL
+                                   : acquire_idle_connection(client, options);
     if (connection == NULL) {
         connection = open_connection(client, options);
     }
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -58,11 +58,16 @@
     bool is_head_request; /**< a HEAD request: the response has no body */
     /** A larger response body ends the request as garbled; 0: any size. */
     uint64_t max_body_bytes;
+    /** Uses a new connection: on an old one, a response to this request's id
+     *  may still arrive that belongs to an earlier exchange. */
+    bool is_new_connection;
     /** Name of a field that the server echoes, not copied. A response with
-     *  another value in it belongs to an earlier request and is skipped.
-     *  NULL: no such check. */
+     *  another value in it belongs to an earlier request and is skipped; one
+     *  without the field on a connection that served an earlier request may,
+     *  and counts as garbled. NULL: no such check. */
     const char *echo_field;
-    const char *echo_value; /**< copied */
+    /** Copied; "": the request has no such field, nor has its response. */
+    const char *echo_value;
     sky_client_request_events_t events;
     void *context;
 } sky_client_request_options_t;
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -131,13 +131,15 @@
         test->outcome = outcome;
     }
 
-    // Sends a request with an id and runs the loop until the request has
-    // ended.
+    // Sends a request with an id, "" for none, and runs the loop until the
+    // request has ended.
     sky_client_outcome_t
-    SendRequest(const char *id, std::vector<ScriptedResponse> responses)
+    SendRequest(const char *id, std::vector<ScriptedResponse> responses,
+                bool is_new_connection = false)
     {
         script = std::move(responses);
         body.clear();
+        status = 0;
         ended = false;
         sky_buffer_t request = {};
         SkyBuffer_AppendFormat(&request, "GET / HTTP/1.1\r\nX-Id: %s\r\n\r\n",
@@ -146,6 +148,7 @@
         options.address = address;
         options.request = &request;
         options.connect_timeout_ms = 2000;
+        options.is_new_connection = is_new_connection;
         options.echo_field = "X-Id";
         options.echo_value = id;
         options.events = {OnHead, OnBody, OnEnd};
@@ -255,6 +258,101 @@
     EXPECT_EQ(1u, SkyClient_Stats(client)->skipped_responses);
 }
 
+// A server wrote an earlier refusal once more on a kept connection: callers
+// were told that a request which it ran had not been run.
+class RepeatedRefusal : public ClientTest {
+  protected:
+    void
+    SetUp() override
+    {
+        ClientTest::SetUp();
+        EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+                  SendRequest("1", {{Refusal("X-Id: 1\r\n"),
+                                     ScriptedResponse::KEEP_OPEN}}));
+        EXPECT_EQ(503, status);
+    }
+
+    static std::string
+    Refusal(const std::string &fields)
+    {
+        return "HTTP/1.1 503 Busy\r\n" + fields + "Content-Length: 0\r\n\r\n";
+    }
+
+    // Sends bytes on the connection while no request is using it.
+    void
+    SendUnsolicited(const std::string &bytes)
+    {
+        send(connections.back()->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+};
+
+TEST_F(RepeatedRefusal, WhileIdleItClosesTheConnection)
+{
+    SendUnsolicited(Refusal("X-Id: 1\r\n"));
+    RunLoop(20);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest(
+                  "2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_EQ("two", body);
+    EXPECT_EQ(2, accepted_connections);
+}
+
+TEST_F(RepeatedRefusal, AsTheNextRequestIsSentItIsSkippedByItsId)
+{
+    SendUnsolicited(Refusal("X-Id: 1\r\n"));
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest(
+                  "2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_EQ(200, status);
+    EXPECT_EQ("two", body);
+}
+
+TEST_F(RepeatedRefusal, WithoutAnIdItIsNoAnswerToTheNextRequest)
+{
+    SendUnsolicited(Refusal(""));
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest(
+                  "2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_EQ(0, status);
+}
+
+TEST_F(RepeatedRefusal, InPlaceOfAResponseItIsNoneAndTheConnectionBreaks)
+{
+    EXPECT_EQ(
+        SKY_CLIENT_OUTCOME_BROKEN,
+        SendRequest("2", {{Refusal("X-Id: 1\r\n"), ScriptedResponse::CLOSE}}));
+    EXPECT_EQ(0, status);
+}
+
+// The same request, which the server refused, is sent to it again.
+TEST_F(RepeatedRefusal, OfTheSameIdIsNotMetOnANewConnection)
+{
+    SendUnsolicited(Refusal("X-Id: 1\r\n"));
+    EXPECT_EQ(
+        SKY_CLIENT_OUTCOME_COMPLETE,
+        SendRequest("1", {{Response("1", "one"), ScriptedResponse::KEEP_OPEN}},
+                    true));
+    EXPECT_EQ(200, status);
+    EXPECT_EQ(2, accepted_connections);
+}
+
+TEST_F(RepeatedRefusal, IsNoAnswerToARequestWithoutAnId)
+{
+    SendUnsolicited(Refusal("X-Id: 1\r\n"));
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest("", {{"HTTP/1.1 202 Ok\r\nContent-Length: 0\r\n\r\n",
+                                ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_EQ(202, status);
+}
+
+TEST_F(RepeatedRefusal, AResponseWithoutAnIdCountsOnANewConnection)
+{
+    EXPECT_EQ(
+        SKY_CLIENT_OUTCOME_COMPLETE,
+        SendRequest("2", {{Refusal(""), ScriptedResponse::KEEP_OPEN}}, true));
+    EXPECT_EQ(503, status);
+}
+
 // Unsolicited bytes must not be read as the response to the next request.
 TEST_F(ClientTest, ClosesConnectionOnBytesBeyondResponse)
 {
