--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -145,10 +145,12 @@
 sky_fleet_target_t *
 SkyFleet_FindTarget(sky_fleet_t *fleet, const char *id)
 {
+    uint64_t hash = XXH3_64bits(id, strlen(id));
     sky_fleet_target_t *target;
     DL_FOREACH(fleet->targets, target)
     {
-        if (target->listed && strcmp(target->entry.id, id) == 0) {
+        if (target->hash == hash && target->listed &&
+            strcmp(target->entry.id, id) == 0) {
             return target;
         }
     }
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -48,7 +48,7 @@
     const char *name;
     bool snapshot_pending; /**< the next read gets a page of a snapshot */
     bool synced;           /**< the records of a whole snapshot are known */
-    char *after_key;       /**< last key of the previous page; NULL: none */
+    char *cursor;          /**< of the previous page; NULL: none */
     uint64_t snapshot_end_offset;
     uint64_t era; /**< of the offsets; 0: not known */
     uint64_t next_offset;
@@ -395,8 +395,8 @@
 begin_snapshot(topic_t *topic)
 {
     topic->snapshot_pending = true;
-    free(topic->after_key);
-    topic->after_key = NULL;
+    free(topic->cursor);
+    topic->cursor = NULL;
     clear_snapshot_marks(topic);
 }
 
@@ -518,11 +518,14 @@
         SkyFreshness_RecordResponse(&topic->freshness);
         return;
     }
-    if (topic->after_key == NULL) {
+    if (topic->cursor == NULL) {
         topic->snapshot_end_offset = response->end_offset;
         topic->snapshot_began_ms = topic->call_sent_ms;
     }
-    bool has_more = response->has_more && response->record_count > 0;
+    /* A page that ends where the one before did would be read forever. */
+    bool has_more = response->has_more && response->cursor != NULL &&
+                    (topic->cursor == NULL ||
+                     strcmp(topic->cursor, response->cursor) != 0);
     if (has_more) {
         SkyFreshness_RecordResponse(&topic->freshness);
     }
@@ -534,10 +537,9 @@
         apply_record(topic, &response->records[i]);
     }
     if (has_more) {
-        char *after_key =
-            strdup(response->records[response->record_count - 1].key);
-        free(topic->after_key);
-        topic->after_key = after_key;
+        char *cursor = strdup(response->cursor);
+        free(topic->cursor);
+        topic->cursor = cursor;
         schedule_read(topic, 0);
         return;
     }
@@ -614,7 +616,7 @@
     SkyFreshness_RecordCall(&topic->freshness, topic->call_due_ms);
     if (topic->snapshot_pending) {
         SkyStore_ReadNewestRecords(store, topic->name,
-                                   topic->after_key ? topic->after_key : "",
+                                   topic->cursor ? topic->cursor : "",
                                    on_snapshot_page, topic);
         return;
     }
@@ -974,7 +976,7 @@
         SkyEncodedValue_Clear(&record->encoded);
         free(record);
     }
-    free(topic->after_key);
+    free(topic->cursor);
 }
 
 void
--- a/lib/edge/stream_archive.c
+++ b/lib/edge/stream_archive.c
@@ -425,11 +425,9 @@
     for (size_t i = 0; i < response->record_count; i++) {
         apply_batch(archive, &response->records[i]);
     }
-    if (response->has_more && response->record_count > 0) {
-        SkyStore_ReadNewestRecords(
-            archive->options.store, SKY_TOPIC_STREAMS,
-            response->records[response->record_count - 1].key, on_page,
-            archive);
+    if (response->has_more && response->cursor != NULL) {
+        SkyStore_ReadNewestRecords(archive->options.store, SKY_TOPIC_STREAMS,
+                                   response->cursor, on_page, archive);
         return;
     }
     archive->read_state = READ_DONE;
--- a/lib/net/socket.c
+++ b/lib/net/socket.c
@@ -24,7 +24,8 @@
     host[colon - text] = '\0';
     char *end = NULL;
     unsigned long port = strtoul(colon + 1, &end, 10);
-    if (end == colon + 1 || *end != '\0' || port == 0 || port > UINT16_MAX) {
+    if (colon[1] < '0' || colon[1] > '9' || *end != '\0' || port == 0 ||
+        port > UINT16_MAX) {
         return false;
     }
     *address = (struct sockaddr_in){.sin_family = AF_INET,
--- a/tests/test_deployment.cc
+++ b/tests/test_deployment.cc
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "decide/deployment.h"
 #include "platform/documents.h"
@@ -207,6 +208,67 @@
     }
 }
 
+std::string
+Entry(const std::string &address, const std::string &fields)
+{
+    return R"({"service":"s","addr":")" + address +
+           R"(","state":"ready","born":1700000000123)" + fields + "}";
+}
+
+// An odd entry of another writer must name no target, whatever it holds.
+TEST(Documents, RejectsOddTargetEntries)
+{
+    std::vector<std::string> texts;
+    for (const char *address :
+         {"10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:4294967297", "10.1.2.3:-1",
+          "10.1.2.3:-18446744073709551535", "10.1.2.3:+80", "10.1.2.3: 80",
+          "10.1.2.3:", "10.1.2.3", ":80", "10.1.2.256:80"}) {
+        texts.push_back(Entry(address, R"(,"slots":1)"));
+    }
+    for (const char *slots :
+         {"0", "-1", "1.5", "65537", "4294967297", "18446744073709551617",
+          "1e300", "1e400", "null", "[]", "true", "{}"}) {
+        texts.push_back(
+            Entry("10.1.2.3:80", std::string(R"(,"slots":)") + slots));
+    }
+    for (const char *name : {"a@-1", "a@", "a@x", "a@1x", "a@4294967297"}) {
+        texts.push_back(Entry(
+            "10.1.2.3:80",
+            std::string(R"(,"slots":1,"models":[{"name":"m","adapters":[")") +
+                name + R"("]}])"));
+    }
+    for (const char *version : {"-1", "0.5", "4294967297", "\"1\""}) {
+        texts.push_back(Entry(
+            "10.1.2.3:80",
+            std::string(R"(,"slots":1,"models":[{"name":"m","version":)") +
+                version + "}]"));
+    }
+    for (const char *born : {"-1", "1e300", "\"1\"", "[1]"}) {
+        texts.push_back(
+            Entry("10.1.2.3:80", std::string(R"(,"slots":1,"born":)") + born));
+    }
+    texts.push_back(
+        Entry("10.1.2.3:80", R"(,"slots":1,"x":)" + std::string(100000, '[')));
+    texts.push_back(Entry("10.1.2.3:80", R"(,"slots":1,"x":)" +
+                                             std::string(5000, '[') +
+                                             std::string(5000, ']')));
+    texts.push_back(Entry("10.1.2.3:80", ",\"slots\":1,\"x\":\"\xc3\x28\""));
+    texts.push_back(Entry("10.1.2.3:80", R"(,"slots":1,"x":")" +
+                                             std::string(3 << 20, 'x') + '"'));
+    for (const std::string &text : texts) {
+        sky_target_entry_t entry;
+        EXPECT_EQ(SKY_E_BAD_CONFIG, SkyPlatformDocument_ParseTargetEntry(
+                                        "i", text.data(), text.size(), &entry))
+            << text.substr(0, 200);
+        EXPECT_EQ(nullptr, entry.residents);
+    }
+    std::string valid = Entry("10.1.2.3:80", R"(,"slots":16.0)");
+    sky_target_entry_t entry;
+    EXPECT_EQ(SKY_OK, SkyPlatformDocument_ParseTargetEntry(
+                          "i", valid.data(), valid.size(), &entry));
+    SkyTargetEntry_Clear(&entry);
+}
+
 TEST(Documents, ParsesAReport)
 {
     const char text[] =
