--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -10,11 +10,14 @@
  * PORT + 20..       engines of service "llm"
  * PORT + 40..       targets of plain service "app", 1 by default
  * PORT + 50         control by tests: POST /fault, /op, /leave, /crash,
- *                   /go-back, /cut, /vanish, /appear; GET /state
+ *                   /go-back, /cut, /vanish, /appear, /entry; GET /state
  *
  * /cut?n=HOST&state=STATE&service=SERVICE sets the state (see links.h) of the
  * links from a host to the targets of a service, or of all.
  *
+ * /entry?key=KEY&n=COUNT writes the body as an entry of another writer: under
+ * KEY, or under COUNT keys that begin with it.
+ *
  * After /vanish?n=TARGET the entry of a target of "app" is missing, and the
  * target serves on; `late_sends` counts the requests that reach it later than
  * VANISHED_SEND_MAX_MS after. /appear?n=TARGET writes the entry again.
@@ -100,6 +103,7 @@
 #define MEMBER_TTL_MS 1600
 #define LATE_ORDER_MS 900
 #define MODEL_NAME "m1"
+#define NEWEST_PAGE_KEYS 50
 #define HEALTH_PATH "/h"
 #define ENTRY_TTL_MS 1200 /* age at which an engine's entry expires */
 #define CRASH_DOWN_MS 1200
@@ -507,10 +511,32 @@
     store_era++;
 }
 
+/** Decodes %XX in place. */
+static char *
+decode_percent(char *text)
+{
+    char *to = text;
+    for (const char *from = text; *from != '\0'; from++) {
+        unsigned int byte;
+        if (*from == '%' && sscanf(from + 1, "%2x", &byte) == 1) {
+            *to++ = (char)byte;
+            from += 2;
+        }
+        else {
+            *to++ = *from;
+        }
+    }
+    *to = '\0';
+    return text;
+}
+
+/** Sends a page of NEWEST_PAGE_KEYS keys, in the order of their first record,
+ *  from the one behind the parameter "after". */
 static void
 send_newest_records(sky_server_request_t *request, const char *url)
 {
     char text[64];
+    char after[256];
     topic_t *topic = find_or_create_topic(
         get_query_parameter(url, "topic", text, sizeof text));
     json_t *newest = json_object();
@@ -525,8 +551,20 @@
     json_t *items = json_array();
     const char *key;
     json_t *at;
+    bool has_more = false;
+    get_query_parameter(url, "after", after, sizeof after);
+    decode_percent(after);
+    bool is_on_page = after[0] == '\0';
     json_object_foreach(newest, key, at)
     {
+        if (!is_on_page) {
+            is_on_page = strcmp(key, after) == 0;
+            continue;
+        }
+        if (json_array_size(items) == NEWEST_PAGE_KEYS) {
+            has_more = true;
+            break;
+        }
         const char *value = topic->records[json_integer_value(at)].value;
         size_t encoded_size = sodium_base64_encoded_len(
             strlen(value), sodium_base64_VARIANT_ORIGINAL);
@@ -540,9 +578,15 @@
         free(encoded_value);
     }
     json_decref(newest);
+    if (!is_on_page) {
+        json_decref(items);
+        send_store_json(request, 400, NULL);
+        return;
+    }
     send_store_json(request, 200,
-                    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
-                              "endOffset", (json_int_t)topic->count));
+                    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore",
+                              has_more, "endOffset",
+                              (json_int_t)topic->count));
 }
 
 /** Removes members whose last join is older than MEMBER_TTL_MS.
@@ -1705,6 +1749,16 @@
     else if (strncmp(url, "/crash", 6) == 0) {
         crash_engine(&engines[number]);
     }
+    else if (strncmp(url, "/entry", 6) == 0) {
+        char entry_key[128];
+        decode_percent(
+            (char *)get_query_parameter(url, "key", key, sizeof key));
+        append_record("keyed.servers", key, text);
+        for (int i = 1; i < number; i++) {
+            snprintf(entry_key, sizeof entry_key, "%s%d", key, i);
+            append_record("keyed.servers", entry_key, text);
+        }
+    }
     else if (strncmp(url, "/vanish", 7) == 0) {
         append_record("keyed.servers", plain_targets[number].id, NULL);
         plain_targets[number].vanished_ms = SkyClock_NowMs();
