--- a/lib/decide/stream_versions.c
+++ b/lib/decide/stream_versions.c
@@ -411,7 +411,10 @@
     if (!answers->have_answered) {
         return (sky_resume_t){.kind = SKY_RESUME_ASK_OTHERS};
     }
-    return (sky_resume_t){.kind = may_be_mixed || answers->know_mixed
-                                      ? SKY_RESUME_REFUSED
-                                      : SKY_RESUME_ANYWHERE};
+    if (may_be_mixed || answers->know_mixed) {
+        return (sky_resume_t){.kind = SKY_RESUME_REFUSED};
+    }
+    bool is_in_step = answers->has_heard || answers->has_newer_list;
+    return (sky_resume_t){.kind = is_in_step ? SKY_RESUME_ANYWHERE
+                                             : SKY_RESUME_READ_LIST};
 }
--- a/lib/decide/stream_versions.h
+++ b/lib/decide/stream_versions.h
@@ -10,7 +10,9 @@
  *
  * Other hosts are asked for a stream without a record. If none has one, it may
  * go on anywhere as long as no host has seen several versions of the service
- * within the time that a stream can last; else it is refused.
+ * within the time that a stream can last; else it is refused. A host that no
+ * other one answers may be out of step with them: it relies on what it has
+ * seen only if it has read the list since.
  *
  * All hosts may lose their records at once. What they saw of a service is
  * therefore kept in the store (sky_version_history_t); a host that does not
@@ -128,7 +130,10 @@
     SKY_RESUME_ANYWHERE,    /**< at a target of any version */
     SKY_RESUME_AT_SOFTWARE, /**< only at the version that began it */
     SKY_RESUME_ASK_OTHERS,  /**< other hosts may know the version */
-    SKY_RESUME_REFUSED,     /**< nobody knows, and a guess may be wrong */
+    /** No other host answers, and targets of another version may have come
+     *  since this host read the list: it is to be read first. */
+    SKY_RESUME_READ_LIST,
+    SKY_RESUME_REFUSED, /**< nobody knows, and a guess may be wrong */
 } sky_resume_kind_t;
 
 typedef struct {
@@ -140,6 +145,9 @@
 typedef struct {
     bool have_answered; /**< all that were asked have answered or timed out */
     bool know_mixed;    /**< one of them has seen several versions */
+    bool has_heard;     /**< one of them has answered */
+    /** This host has read the list since the stream was taken up. */
+    bool has_newer_list;
 } sky_resume_answers_t;
 
 /** Decides where a stream that a caller takes up may go on.
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -527,6 +527,8 @@
     const sky_proxy_options_t *options = &request->proxy->options;
     const char *service = request->service->name;
     uint64_t stream = SkyStreamSharing_HashId(request->facts.stream_id);
+    request->resume_answers.has_newer_list =
+        options->directory->targets_read_ms > request->received_ms;
     sky_resume_t resume = SkyStreamSharing_Decide(
         options->stream_sharing, service, stream, &request->resume_answers);
     if (resume.kind == SKY_RESUME_ASK_OTHERS) {
@@ -548,6 +550,12 @@
                  "%s", resume.software);
         request->has_stream_software = true;
         break;
+    case SKY_RESUME_READ_LIST:
+        if (SkyFeed_ReadTargets(options->feed)) {
+            request->waits_for_records = true;
+            return false;
+        }
+        /* fall through */
     case SKY_RESUME_ASK_OTHERS:
     case SKY_RESUME_REFUSED:
         SkyProxyRequest_Fail(request, RETRY_AFTER_START_MS, "stream_unknown");
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -61,6 +61,8 @@
      *  for: a response without records shows the store of that time. */
     uint64_t call_due_ms;
     uint64_t call_sent_ms;
+    bool is_call_open;
+    bool is_read_wanted; /**< also if peers relay the topic */
     uint64_t snapshot_began_ms;
     sky_freshness_t freshness;
     ev_timer read_timer;
@@ -509,6 +511,7 @@
 on_snapshot_page(void *context, const sky_store_response_t *response)
 {
     topic_t *topic = context;
+    topic->is_call_open = false;
     if (response->outcome != SKY_STORE_DONE) {
         handle_read_failure(topic, response->outcome);
         return;
@@ -567,6 +570,7 @@
 on_records(void *context, const sky_store_response_t *response)
 {
     topic_t *topic = context;
+    topic->is_call_open = false;
     if (response->outcome == SKY_STORE_OFFSET_EXPIRED) {
         handle_expired_offset(topic, response->era);
         return;
@@ -602,8 +606,8 @@
     }
     /* A response that arrived late shows an old state of the store. */
     bool is_late = SkyFreshness_IsStale(&topic->freshness, SkyClock_NowMs());
-    schedule_read(topic,
-                  response->has_more || is_late ? 0 : read_interval_ms(topic));
+    bool is_next_due = response->has_more || is_late || topic->is_read_wanted;
+    schedule_read(topic, is_next_due ? 0 : read_interval_ms(topic));
 }
 
 static void
@@ -611,6 +615,8 @@
 {
     sky_store_t *store = topic->feed->options.store;
     uint32_t wait_ms = topic->snapshot_pending ? 0 : long_poll_ms(topic);
+    topic->is_call_open = true;
+    topic->is_read_wanted = false;
     topic->call_sent_ms = SkyClock_NowMs();
     topic->call_due_ms = topic->call_sent_ms + wait_ms;
     SkyFreshness_RecordCall(&topic->freshness, topic->call_due_ms);
@@ -641,7 +647,8 @@
     (void)loop;
     (void)events;
     topic_t *topic = watcher->data;
-    if (topic->synced && !topic->feed->is_store_reader && is_relayed(topic)) {
+    if (topic->synced && !topic->feed->is_store_reader &&
+        !topic->is_read_wanted && is_relayed(topic)) {
         schedule_read(topic, FOLLOWER_CHECK_INTERVAL_MS);
         return;
     }
@@ -729,6 +736,22 @@
                                 now_ms);
 }
 
+bool
+SkyFeed_ReadTargets(sky_feed_t *feed)
+{
+    topic_t *topic = &feed->topics[SKY_FEED_TARGETS];
+    if (SkyFreshness_IsStoreUnreachable(&topic->freshness)) {
+        return false;
+    }
+    if (!topic->is_read_wanted) {
+        topic->is_read_wanted = true;
+        if (!topic->is_call_open) {
+            schedule_read(topic, 0);
+        }
+    }
+    return true;
+}
+
 /* Returns how old records may be that are acted on, if an update has to apply
  * within @p limit_ms. */
 static uint32_t
--- a/lib/edge/stream_sharing.c
+++ b/lib/edge/stream_sharing.c
@@ -353,6 +353,7 @@
         json_string_value(json_object_get(body, "software"));
     call->call = NULL;
     ask->pending_count--;
+    ask->answers.has_heard = ask->answers.has_heard || body != NULL;
     ask->answers.know_mixed = ask->answers.know_mixed ||
                               json_is_true(json_object_get(body, "mixed"));
     sky_stream_version_t stream = {.stream = ask->stream};
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -34,7 +34,7 @@
         tests/proc_endless_response.sh tests/proc_forwarded.sh tests/proc_limits.sh \
         tests/proc_leaving_targets.sh tests/proc_lost_peer.sh tests/proc_odd_entries.sh tests/proc_prompt_turns.sh \
         tests/proc_silent_targets.sh tests/proc_stop.sh \
-        tests/proc_store_era.sh tests/proc_stream_restart.sh \
+        tests/proc_store_era.sh tests/proc_stream_out_of_step.sh tests/proc_stream_restart.sh \
         tests/proc_stream_version.sh \
         tests/proc_target_words.sh; do
         [ -f "$script" ] || continue
--- a/tests/edge_site.sh
+++ b/tests/edge_site.sh
@@ -38,9 +38,12 @@
 END
 }
 # start_edge HOST: its process id is in EDGE<HOST>. If USE_LINKS is set, it
-# reaches the targets by links of its own, see cut_host.
+# reaches the targets by links of its own, see cut_host; if it is "hosts", the
+# other hosts too.
 start_edge() {
-    SKY_TEST_LINKS="${USE_LINKS:+127.0.0.$((2 + $1)) $((BASE + 20)) $((BASE + 49))}" \
+    last_linked_port=$((BASE + 49))
+    [ "${USE_LINKS:-}" = hosts ] && last_linked_port=$((BASE + 149))
+    SKY_TEST_LINKS="${USE_LINKS:+127.0.0.$((2 + $1)) $((BASE + 20)) $last_linked_port}" \
         "$BIN" edge "$DIR/edge$1.toml" >"$DIR/edge$1.log" 2>&1 &
     eval "EDGE$1=$!"
     PIDS="$PIDS $!"
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -13,7 +13,8 @@
  *                   /go-back, /cut, /vanish, /appear, /entry; GET /state
  *
  * /cut?n=HOST&state=STATE&service=SERVICE sets the state (see links.h) of the
- * links from a host to the targets of a service, or of all.
+ * links from a host to the targets of a service, or of all; of those between
+ * the host and all other hosts, if the service is "hosts".
  *
  * /entry?key=KEY&n=COUNT writes the body as an entry of another writer: under
  * KEY, or under COUNT keys that begin with it.
@@ -86,6 +87,7 @@
 #define ENGINE_PORT_OFFSET 20
 #define SERVICE_PORT_OFFSET 40
 #define CONTROL_PORT_OFFSET 50
+#define HOST_PORT_OFFSET 140 /* of the hosts, for each other */
 #define STORE_PORTS_MAX 8
 #define ENGINES_MAX 8
 #define PLAIN_TARGETS_MAX 8
@@ -1714,7 +1716,15 @@
     link_state_t state = (link_state_t)atoi(
         get_query_parameter(url, "state", text, sizeof text));
     get_query_parameter(url, "service", text, sizeof text);
-    if (strcmp(text, "llm") == 0) {
+    if (strcmp(text, "hosts") == 0) {
+        uint16_t own_port = (uint16_t)(base_port + HOST_PORT_OFFSET + host);
+        first_port = base_port + HOST_PORT_OFFSET;
+        last_port = first_port + LINK_HOSTS_MAX - 1;
+        for (int other = 0; other < LINK_HOSTS_MAX; other++) {
+            Links_SetState(other, own_port, own_port, state);
+        }
+    }
+    else if (strcmp(text, "llm") == 0) {
         last_port = base_port + SERVICE_PORT_OFFSET - 1;
     }
     else if (strcmp(text, "app") == 0) {
@@ -1917,6 +1927,10 @@
         start_plain_target(target);
         Links_Add(loop, target->port, LINK_HOSTS_MAX);
     }
+    for (int i = 0; i < LINK_HOSTS_MAX; i++) {
+        Links_Add(loop, (uint16_t)(base_port + HOST_PORT_OFFSET + i),
+                  LINK_HOSTS_MAX);
+    }
     start_listener(
         (uint16_t)(base_port + CONTROL_PORT_OFFSET),
         (sky_listener_events_t){on_control_request, ignore_disconnect, NULL},
--- a/tests/test_stream_versions.cc
+++ b/tests/test_stream_versions.cc
@@ -113,17 +113,30 @@
     EXPECT_STREQ("v1", Decide(7).software);
 }
 
+// A host that was cut off from the others did not know of the targets of a new
+// version yet, and took a stream up that had begun there at the old one
+// (ORDER).
+TEST_F(StreamVersions, AHostThatNobodyAnswersReadsTheListFirst)
+{
+    See("v1");
+    EXPECT_EQ(SKY_RESUME_READ_LIST,
+              Decide(7, {true, false, false, false}).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false, false, true}).kind);
+    See("v2"); // in the list that it read
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false, false, true}).kind);
+}
+
 TEST_F(StreamVersions, WithOneVersionAnUnknownStreamGoesOnAnywhere)
 {
     See("v1");
     EXPECT_EQ(SKY_RESUME_ASK_OTHERS, Decide(7).kind);
-    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false, true, false}).kind);
 }
 
 TEST_F(StreamVersions, AVersionThatOnlyAnotherHostHasSeenCounts)
 {
     See("v1");
-    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, true}).kind);
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, true, true, false}).kind);
 }
 
 TEST_F(StreamVersions, AnUnknownStreamIsNotGuessed)
@@ -131,7 +144,7 @@
     See("v1");
     See("v2");
     EXPECT_EQ(SKY_RESUME_ASK_OTHERS, Decide(7).kind);
-    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false, true, false}).kind);
 }
 
 TEST_F(StreamVersions, AVersionThatIsGoneCountsForAsLongAsItsStreamsCanLast)
@@ -139,10 +152,10 @@
     See("v1");
     now_ms += RETENTION_MS - 1;
     See("v2");
-    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false, true, false}).kind);
     now_ms += 2;
     See("v2");
-    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false, true, false}).kind);
 }
 
 TEST_F(StreamVersions, OthersAreToldOnceOfStreamsOfSeveralVersionsOnly)
@@ -192,16 +205,18 @@
     for (uint64_t down_ms : {0, 2000, 40000}) {
         Restart(down_ms);
         See("v2");
-        EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+        EXPECT_EQ(SKY_RESUME_REFUSED,
+                  Decide(7, {true, false, true, false}).kind);
         kept.mixed_age_ms += down_ms;
         Apply(kept);
-        EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+        EXPECT_EQ(SKY_RESUME_REFUSED,
+                  Decide(7, {true, false, true, false}).kind);
     }
     Restart(RETENTION_MS);
     kept.mixed_age_ms += RETENTION_MS;
     See("v2");
     Apply({kept.mixed_age_ms, "v2"});
-    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false, true, false}).kind);
 }
 
 TEST_F(StreamVersions, AfterARestartWithOneVersionAnUnknownStreamGoesOn)
@@ -212,9 +227,9 @@
     EXPECT_EQ(UINT64_MAX, kept.mixed_age_ms);
     Restart(1000);
     See("v1");
-    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false, true, false}).kind);
     Apply(kept);
-    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false, true, false}).kind);
 }
 
 // The store was unreachable while the version changed.
@@ -224,14 +239,15 @@
     See("v2");
     for (uint32_t i = 0; i < 10; i++) {
         Apply({UINT64_MAX, "v1"});
-        EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, {true, false}).kind);
+        EXPECT_EQ(SKY_RESUME_REFUSED,
+                  Decide(7, {true, false, true, false}).kind);
         now_ms += 1000;
         See("v2");
     }
     now_ms += RETENTION_MS;
     See("v2");
     Apply({UINT64_MAX, "v1"});
-    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false}).kind);
+    EXPECT_EQ(SKY_RESUME_ANYWHERE, Decide(7, {true, false, true, false}).kind);
 }
 
 TEST_F(StreamVersions, TheStoreGetsAChangeOfVersionsAndLittleElse)
