--- a/lib/decide/poll_sources.h
+++ b/lib/decide/poll_sources.h
@@ -12,11 +12,16 @@
  * relays. Followers therefore poll another host of their domain first, and the
  * less often the longer they poll in vain: meanwhile they read the store.
  *
+ * Fault: the store refuses some hosts, and all sources are among them. A host
+ * that got nothing from any of them polls other hosts in turn, and stays with
+ * one that helps.
+ *
  * The module does no I/O; times are milliseconds of the caller's clock.
  */
 #ifndef SKY_DECIDE_POLL_SOURCES_H
 #define SKY_DECIDE_POLL_SOURCES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "decide/fanout.h"
@@ -38,6 +43,8 @@
     uint32_t current;  /**< index of the source to poll */
     uint64_t moved_ms; /**< when it last changed */
     uint32_t failures; /**< in a row */
+    /** Another host that is polled in their place; "": none. */
+    char substitute[SKY_POLL_ADDRESS_BYTES];
 } sky_poll_sources_t;
 
 /** Replaces the sources. The current one stays if it is among the new ones.
@@ -45,14 +52,19 @@
  *         listed before are left out */
 void SkyPollSources_Set(sky_poll_sources_t *sources,
                         const char *const *addresses, uint32_t count);
-/** @return the source to poll now; NULL if there is none. Some time after the
- *  preferred one failed it is tried again. */
+/** @return the host to poll now; NULL if there is no source, or all of them
+ *  failed: any other host. Some time after the preferred one failed it is
+ *  tried again. */
 const char *SkyPollSources_Choose(sky_poll_sources_t *sources,
                                   uint64_t now_ms);
-/** Records that the current source did not respond, or with stale records.
+/** Records that another host is polled as all sources failed. */
+void SkyPollSources_Substitute(sky_poll_sources_t *sources,
+                               const char *address, uint64_t now_ms);
+/** Records that the polled host did not respond, or with stale records.
+ *  @param reads_store this host can read the store meanwhile
  *  @return time until the next poll */
 uint32_t SkyPollSources_RecordFailure(sky_poll_sources_t *sources,
-                                      uint64_t now_ms);
+                                      bool reads_store, uint64_t now_ms);
 /** Records that a poll was of use. */
 void SkyPollSources_RecordSuccess(sky_poll_sources_t *sources);
 
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -14,7 +14,9 @@
 /** Crashes are rare, and the store responds at once when one is appended. */
 #define CRASHES_LONG_POLL_MS 2000
 #define RETRY_DELAY_MIN_MS 100 /**< doubles with each failed read in a row */
-#define RETRY_DELAY_MAX_MS 800
+/** Time that an outage seems to last longer than it does: with the time that
+ *  entries get to come back less than hosts get until they must be right. */
+#define RETRY_DELAY_MAX_MS 400
 /** Interval at which a host that does not read the store checks whether the
  *  records from its peers are still fresh. */
 #define FOLLOWER_CHECK_INTERVAL_MS 100
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -166,12 +166,16 @@
 static const char *
 choose_poll_address(sky_feed_relay_t *relay)
 {
-    const char *source =
-        SkyPollSources_Choose(&relay->sources, SkyClock_NowMs());
-    return source != NULL
-               ? source
-               : SkyOwnership_ChoosePeerAddress(relay->options.ownership,
-                                                relay->unhelpful_polls);
+    uint64_t now_ms = SkyClock_NowMs();
+    const char *address = SkyPollSources_Choose(&relay->sources, now_ms);
+    if (address == NULL) {
+        address = SkyOwnership_ChoosePeerAddress(relay->options.ownership,
+                                                 relay->unhelpful_polls);
+        if (address != NULL) {
+            SkyPollSources_Substitute(&relay->sources, address, now_ms);
+        }
+    }
+    return address;
 }
 
 /* The poll failed, or left this host with stale records. */
@@ -187,8 +191,8 @@
         return;
     }
     relay->unhelpful_polls++;
-    relay->next_poll_at_ms +=
-        SkyPollSources_RecordFailure(&relay->sources, now_ms);
+    relay->next_poll_at_ms += SkyPollSources_RecordFailure(
+        &relay->sources, !SkyFeed_IsStoreFailing(relay->options.feed), now_ms);
 }
 
 /* Returns a time at which the peer had not made the response yet: what the
@@ -257,10 +261,12 @@
     if (address == NULL) {
         return;
     }
+    /* Peers are not to hold a poll for records that this host lacks. */
+    json_int_t hold_ms = SkyFeed_IsStale(feed) ? 0 : POLL_HOLD_MS;
     json_t *body = json_pack(
         "{s:I, s:I, s:b}", OWNERS_KEY,
         (json_int_t)SkyOwnership_OwnersGeneration(relay->options.ownership),
-        "hold_ms", (json_int_t)POLL_HOLD_MS, DEFLATED_KEY, 1);
+        "hold_ms", hold_ms, DEFLATED_KEY, 1);
     for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
         sky_feed_position_t position =
             SkyFeed_GetPosition(feed, (sky_feed_topic_t)i);
--- a/tests/test_record_age.cc
+++ b/tests/test_record_age.cc
@@ -23,6 +23,7 @@
 constexpr uint64_t POLL_TIMEOUT_MS = 450;
 constexpr uint64_t MEMBERSHIP_TTL_MS = 3200;
 constexpr uint64_t CALL_TIMEOUT_MS = 1500;
+constexpr uint64_t LIMIT_MS = 2000;
 constexpr uint32_t MAX_AGE_MS = 1400; // of a limit of 2 s, the shortest one
 
 // A call to the store, or a poll of a peer.
@@ -33,6 +34,8 @@
     uint64_t state_ms = 0;   // of the store, that the response shows
     bool is_refused = false;
     uint64_t responded_ms = 0;
+    uint32_t peer = 0; // of a poll
+    uint64_t hold_ms = 0;
 };
 
 struct Host {
@@ -49,6 +52,7 @@
     uint64_t dead_until_ms = 0;
     uint64_t died_ms = 0;
     uint64_t still_until_ms = 0;
+    uint32_t turn = 0;      // of the peers in place of its sources
     uint32_t period_ms = 0; // it runs only once in so long; 0: always
 };
 
@@ -65,7 +69,7 @@
 class Replay {
   public:
     Replay(uint32_t host_count, uint32_t seed, const Faults &faults)
-        : faults_(faults), random_(seed), hosts_(host_count)
+        : faults_(faults), seed_(seed), random_(seed), hosts_(host_count)
     {
         for (uint32_t i = 0; i < host_count; i++) {
             hosts_[i].address = "h" + std::to_string(i);
@@ -77,6 +81,7 @@
     // Longest time between a change of the store and a host's last decision
     // without it, at hosts that ran and reached a store that responds.
     uint64_t worst_ms = 0;
+    uint64_t worst_refused_ms = 0; // at hosts that the store refuses
     uint64_t held = 0;     // host-steps in which a host acts on nothing
     uint64_t observed = 0; // all of hosts that run
 
@@ -187,8 +192,11 @@
     bool
     IsRefused(const Host &host) const
     {
-        return faults_.store_refuses_some &&
-               std::hash<std::string>()(host.address) % 3 == 0;
+        return faults_.store_refuses_some && now_ > 3000 &&
+               std::hash<std::string>()(host.address + "#" +
+                                        std::to_string(seed_)) %
+                       3 ==
+                   0;
     }
 
     void
@@ -219,16 +227,27 @@
         host.next_read_ms = is_old ? now_ : now_ + READ_INTERVAL_MS;
     }
 
+    uint32_t
+    ChoosePeer(Host &host)
+    {
+        const char *address = SkyPollSources_Choose(&host.sources, now_);
+        if (address == nullptr) {
+            uint32_t turn = host.turn++ % (uint32_t)hosts_.size();
+            SkyPollSources_Substitute(&host.sources,
+                                      hosts_[turn].address.c_str(), now_);
+            return turn;
+        }
+        return (uint32_t)std::stoul(address + 1);
+    }
+
     // The response is made when the peer next runs after the hold.
     void
     ReceivePoll(Host &host)
     {
-        const char *address =
-            SkyPollSources_Choose(&host.sources, host.poll.sent_ms);
-        Host *peer = address ? &hosts_[std::stoul(address + 1)] : nullptr;
-        bool is_due = now_ >= host.poll.sent_ms + POLL_HOLD_MS;
-        if (peer != nullptr && IsRunning(*peer) && is_due &&
-            host.poll.responded_ms == 0 && peer->freshness.read_ms > 0) {
+        Host *peer = &hosts_[host.poll.peer];
+        bool is_due = now_ >= host.poll.sent_ms + host.poll.hold_ms;
+        if (IsRunning(*peer) && is_due && host.poll.responded_ms == 0 &&
+            peer->freshness.read_ms > 0) {
             host.poll.responded_ms = now_;
             host.poll.state_ms = peer->knows_ms;
             polled_[&host] = peer->freshness;
@@ -250,8 +269,8 @@
              SkyFreshness_IsStale(&host.freshness, now_))) {
             host.next_poll_ms = now_;
             if (now_ <= host.poll.sent_ms + POLL_TIMEOUT_MS + 150) {
-                host.next_poll_ms +=
-                    SkyPollSources_RecordFailure(&host.sources, now_);
+                host.next_poll_ms += SkyPollSources_RecordFailure(
+                    &host.sources, !IsRefused(host) && !IsStoreDown(), now_);
             }
         }
         else if (!host.poll.is_open) {
@@ -279,11 +298,14 @@
             (host.is_reader || !is_fresh)) {
             SendRead(host);
         }
-        if (!host.poll.is_open && !host.is_reader &&
-            now_ >= host.next_poll_ms && host.sources.count > 0) {
+        bool needs_peers = !host.is_reader || IsRefused(host) || IsStoreDown();
+        if (!host.poll.is_open && needs_peers && now_ >= host.next_poll_ms &&
+            host.sources.count > 0) {
             host.poll = {};
             host.poll.is_open = true;
             host.poll.sent_ms = now_;
+            host.poll.peer = ChoosePeer(host);
+            host.poll.hold_ms = is_fresh ? POLL_HOLD_MS : 0;
         }
         Observe(host);
     }
@@ -298,12 +320,14 @@
         if (!SkyFreshness_IsUsable(&host.freshness, MAX_AGE_MS, now_)) {
             held++;
         }
-        else if (!IsRefused(host) && !IsStoreDown()) {
-            worst_ms = std::max(worst_ms, now_ - host.knows_ms);
+        else if (!IsStoreDown()) {
+            uint64_t &worst = IsRefused(host) ? worst_refused_ms : worst_ms;
+            worst = std::max(worst, now_ - host.knows_ms);
         }
     }
 
     Faults faults_;
+    uint32_t seed_;
     std::mt19937 random_;
     std::vector<Host> hosts_;
     std::map<const Host *, sky_freshness_t> polled_;
@@ -365,6 +389,19 @@
     Expect(faults, 0.05);
 }
 
+// The store refused a host, and all of its sources, for 9 s. It polled only
+// these, though all other hosts had fresh records.
+TEST_P(RecordAge, AHostThatTheStoreRefusesIsToldByOthers)
+{
+    Faults faults;
+    faults.store_refuses_some = true;
+    for (uint32_t seed = 1; seed <= (GetParam() > 100 ? 2u : 20u); seed++) {
+        Replay replay(GetParam(), seed, faults);
+        replay.Run(12000);
+        EXPECT_LE(replay.worst_refused_ms, LIMIT_MS) << "seed " << seed;
+    }
+}
+
 // Serving goes before: hosts wait for a moment only.
 TEST_P(RecordAge, AnOutageOfTheStoreHoldsRequestsForAMomentOnly)
 {
