Log where a stream that is taken up may go on, and on what grounds

Whether a stream was refused because nobody knew its version, or had no place at a version that was known, could not be told from the log; nor which requests take a stream up, nor on how old a list a decision rests.

stream_resume names the decision and its grounds, request_end says whether the request takes a stream up and which version it was sent to last.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -514,6 +514,34 @@
     SkyProxyRequest_Dispatch(request);
 }
 
+/* Shows on what grounds it was decided where a stream may go on. */
+static void
+log_resume(const sky_proxy_request_t *request, const sky_resume_t *resume)
+{
+    static const char *const DECISIONS[] = {
+        [SKY_RESUME_ANYWHERE] = "anywhere",
+        [SKY_RESUME_AT_SOFTWARE] = "at_software",
+        [SKY_RESUME_ASK_OTHERS] = "ask_others",
+        [SKY_RESUME_READ_LIST] = "read_list",
+        [SKY_RESUME_REFUSED] = "refused",
+    };
+    const sky_directory_t *directory = request->proxy->options.directory;
+    const sky_resume_answers_t *answers = &request->resume_answers;
+    uint64_t now = SkyClock_NowMs();
+    SkyLog_Write(
+        LOG_INFO, "stream_resume",
+        "id=%s stream=%016llx decision=%s software=%s mixed=%d "
+        "others_mixed=%d heard=%d list_age_ms=%llu",
+        request->facts.id,
+        (unsigned long long)SkyStreamSharing_HashId(request->facts.stream_id),
+        DECISIONS[resume->kind],
+        resume->kind == SKY_RESUME_AT_SOFTWARE ? resume->software : "-",
+        SkyStreamVersions_IsMixed(directory->streams, request->service->name,
+                                  now),
+        answers->know_mixed, answers->has_heard,
+        (unsigned long long)(now - directory->targets_read_ms));
+}
+
 /* Settles at which software version a stream that the caller takes up may go
  * on. Returns false if it has to wait for other hosts, or was ended and freed.
  */
@@ -542,6 +570,7 @@
         resume = SkyStreamSharing_Decide(options->stream_sharing, service,
                                          stream, &request->resume_answers);
     }
+    log_resume(request, &resume);
     switch (resume.kind) {
     case SKY_RESUME_ANYWHERE:
         break;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -169,7 +169,8 @@
         "id=%s route=%s service=%s adapter=%s/%s target=%s status=%u "
         "outcome=%s "
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
-        "config=%llu fingerprint=%016llx software=%s list_age_ms=%llu",
+        "config=%llu fingerprint=%016llx software=%s sent_software=%s "
+        "resumes=%d list_age_ms=%llu",
         request->facts.id, request->route ? request->route->name : "-",
         request->service ? request->service->name : "-",
         request->facts.model[0] ? request->facts.model : "-",
@@ -184,7 +185,8 @@
                                                  : 0),
         (unsigned long long)request->fingerprint,
         request->has_stream_software ? request->stream_software : "-",
-        (unsigned long long)request->list_age_ms);
+        request->sent_software[0] ? request->sent_software : "-",
+        request->facts.resumes, (unsigned long long)request->list_age_ms);
 }
 
 void
