--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -2,6 +2,7 @@
 # Runs the test programs given and tests/proc_*.sh; the last line has the counts.
 # The commands in KNOWN-RED.txt are run and printed, but not counted.
 # PROC_TESTS: 1 (default): all of tests/proc_*.sh; 0: none; else names to run.
+# PROC_JOBS: how many of them run at once (default 1); each has ports of its own.
 # usage: run-tests.sh BUILD PROGRAM...
 set -u
 build=$1
@@ -27,30 +28,34 @@
     record_result "$name" $code
 done
 if [ "${PROC_TESTS:-1}" != 0 ]; then
-    for script in tests/proc_answers.sh tests/proc_faults.sh tests/proc_edge.sh \
-        tests/proc_brittle.sh \
-        tests/proc_crashes.sh tests/proc_crash_waves.sh \
-        tests/proc_cut_hosts.sh tests/proc_cut_streams.sh \
-        tests/proc_endless_response.sh tests/proc_forwarded.sh tests/proc_limits.sh \
-        tests/proc_leaving_targets.sh tests/proc_lost_peer.sh tests/proc_odd_entries.sh tests/proc_prompt_turns.sh \
-        tests/proc_silent_targets.sh tests/proc_stop.sh \
-        tests/proc_store_era.sh tests/proc_stream_out_of_step.sh tests/proc_stream_restart.sh \
-        tests/proc_stream_version.sh \
-        tests/proc_target_words.sh; do
-        [ -f "$script" ] || continue
-        name=$(basename "$script" .sh)
+    scripts=""
+    for name in proc_answers proc_faults proc_edge \
+        proc_brittle \
+        proc_crashes proc_crash_waves \
+        proc_cut_hosts proc_cut_streams \
+        proc_endless_response proc_forwarded proc_limits \
+        proc_leaving_targets proc_lost_peer proc_odd_entries proc_prompt_turns \
+        proc_silent_targets proc_stop \
+        proc_store_era proc_stream_out_of_step proc_stream_restart \
+        proc_stream_version \
+        proc_target_words; do
+        [ -f "tests/$name.sh" ] || continue
         case " ${PROC_TESTS:-1} " in
-        " 1 " | *" $name "*) ;;
-        *) continue ;;
+        " 1 " | *" $name "*) scripts="$scripts $name" ;;
         esac
-        BIN=$build/skylarkspar-check FAKE=$build/skyfake \
-            timeout 240 sh "$script" >"$logs/$name" 2>&1
-        code=$?
-        [ $code -eq 0 ] || {
+    done
+    export build logs
+    # shellcheck disable=SC2016  # the inner shell expands these
+    printf '%s\n' $scripts | xargs -P "${PROC_JOBS:-1}" -I NAME sh -c \
+        'BIN=$build/skylarkspar-check FAKE=$build/skyfake timeout 240 sh tests/NAME.sh >"$logs/NAME" 2>&1
+         echo $? >"$logs/NAME.code"'
+    for name in $scripts; do
+        code=$(cat "$logs/$name.code")
+        [ "$code" -eq 0 ] || {
             grep '^FAILED' "$logs/$name"
             tail -n 60 "$logs/$name"
         }
-        record_result "$name" $code
+        record_result "$name" "$code"
     done
 fi
 if [ -f KNOWN-RED.txt ]; then
