--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -59,7 +59,7 @@
     done
 fi
 if [ -f KNOWN-RED.txt ]; then
-    sed -n "s|^command: ||p" KNOWN-RED.txt | sed "s|TESTS|$build/tests|" |
+    sed -n "s|^command: ||p" KNOWN-RED.txt | sed "s|TESTS|$build/tests|; s|BUILD/|$build/|g" |
         while read -r command; do
             if sh -c "$command" >/dev/null 2>&1; then
                 echo "KNOWN RED, now green: $command"
