Begin no streams at a software version before all hosts know of it

Cause: a version was used as soon as one host had it in its list, while others acted on lists up to 1.4 s older. Hosts told of their streams only once two versions were known, so that those of a host that died just then were known to nobody, and any later take-up had to be refused. "Only one version is in use" was settled once as "anywhere" and held through later waits and sends.

Change (decide/software_rollout): a version that is listed beside others begins no resumable streams for twice the age up to which hosts act on a list, unless no target of another version is left. Hosts tell of their streams from the first listing on. Until the introduction has passed since the last list without it, no stream can have begun at it, so that a stream without a record is of the older version: it goes on there and is recorded. A host that cannot tell takes the word of one that can. A decision always names the version. The times count suspensions, and a list that is older than the introduction is read anew.

--- a/lib/core/clock.c
+++ b/lib/core/clock.c
@@ -40,13 +40,25 @@
     return SkyClock_NowUs() / US_PER_MS;
 }
 
-uint64_t
-SkyClock_SuspendedMs(void)
+static uint64_t
+read_boot_us(void)
 {
     struct timespec since_boot;
     clock_gettime(CLOCK_BOOTTIME, &since_boot);
-    uint64_t boot_us = (uint64_t)since_boot.tv_sec * US_PER_S +
-                       (uint64_t)since_boot.tv_nsec / NS_PER_US;
+    return (uint64_t)since_boot.tv_sec * US_PER_S +
+           (uint64_t)since_boot.tv_nsec / NS_PER_US;
+}
+
+uint64_t
+SkyClock_BootMs(void)
+{
+    return read_boot_us() / US_PER_MS;
+}
+
+uint64_t
+SkyClock_SuspendedMs(void)
+{
+    uint64_t boot_us = read_boot_us();
     uint64_t monotonic_us = SkyClock_NowUs();
     return boot_us > monotonic_us ? (boot_us - monotonic_us) / US_PER_MS : 0;
 }
--- a/lib/core/clock.h
+++ b/lib/core/clock.h
@@ -22,6 +22,9 @@
 /** @return milliseconds since boot that the machine was suspended; the
  *          monotonic clock does not count them. */
 uint64_t SkyClock_SuspendedMs(void);
+/** @return time since boot in milliseconds; unlike the monotonic clock it also
+ *          runs while the machine is suspended. */
+uint64_t SkyClock_BootMs(void);
 /** @return Unix time in milliseconds. */
 uint64_t SkyClock_WallMs(void);
 /** @return the monotonic time @p wait_ms from now, as timed waits of pthreads
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -519,7 +519,11 @@
 {
     return is_usable(target, query->service) &&
            (query->software == NULL ||
-            strcmp(target->entry.software, query->software) == 0);
+            strcmp(target->entry.software, query->software) == 0) &&
+           (query->rollout == NULL ||
+            SkySoftwareRollout_MayBegin(query->rollout, query->service,
+                                        target->entry.software,
+                                        query->rollout_ms));
 }
 
 /* Returns until when the target takes no request of this host, for a limit or
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -16,6 +16,7 @@
 #include "core/result.h"
 #include "decide/brittle_target.h"
 #include "decide/request_facts.h"
+#include "decide/software_rollout.h"
 #include "decide/target_entry.h"
 #include "decide/target_limit.h"
 
@@ -158,7 +159,11 @@
     const uint64_t *allowed; /**< hashes of the targets to choose from */
     uint32_t allowed_count;  /**< 0: any target is allowed */
     const char *software;    /**< only targets of this version; NULL: any */
-    uint64_t tie_breaker;    /**< any number; breaks ties between targets */
+    /** Only targets of versions that may begin streams at rollout_ms; NULL:
+     *  any. */
+    const sky_software_rollout_t *rollout;
+    uint64_t rollout_ms;  /**< on the clock of the rollout */
+    uint64_t tie_breaker; /**< any number; breaks ties between targets */
     bool
         without_adapter; /**< rank targets where the adapter is not resident */
 } sky_fleet_query_t;
--- a/lib/decide/stream_versions.c
+++ b/lib/decide/stream_versions.c
@@ -6,19 +6,10 @@
 #include <string.h>
 #include <uthash.h>
 
-/** Software versions that are remembered, of all services. */
-#define SEEN_MAX 64
 #define KEY_PREFIX "versions."
 /** The kept time at which several versions were seen may lag by this. */
 #define HISTORY_LAG_MS 5000
 
-/** A software version that targets of a service run or ran. */
-typedef struct {
-    char service[SKY_SERVICE_NAME_BYTES];
-    char software[SKY_SOFTWARE_VERSION_BYTES];
-    uint64_t last_seen_ms;
-} seen_t;
-
 /** A service of which several versions were in use before this host saw it. */
 typedef struct {
     char service[SKY_SERVICE_NAME_BYTES];
@@ -34,9 +25,8 @@
 
 struct sky_stream_versions {
     sky_stream_versions_options_t options;
-    seen_t seen[SEEN_MAX];
-    uint32_t seen_count;
-    mixed_t mixed[SEEN_MAX];
+    sky_software_rollout_t rollout;
+    mixed_t mixed[SKY_ROLLOUT_VERSIONS_MAX];
     uint32_t mixed_count;
     bool is_history_known;
     record_t *records; /**< in the order of their times */
@@ -52,7 +42,12 @@
     if (self == NULL) {
         return SKY_E_MEMORY;
     }
+    sky_software_rollout_options_t rollout_options = {
+        .introduction_ms = options->introduction_ms,
+        .retention_ms = options->retention_ms,
+    };
     self->options = *options;
+    SkySoftwareRollout_Init(&self->rollout, &rollout_options);
     *versions = self;
     return SKY_OK;
 }
@@ -81,62 +76,10 @@
     free(versions);
 }
 
-/* Returns the entry of the version, a new one, or the one seen longest ago. */
-static seen_t *
-find_or_replace_seen(sky_stream_versions_t *versions, const char *service,
-                     const char *software)
+sky_software_rollout_t *
+SkyStreamVersions_GetRollout(sky_stream_versions_t *versions)
 {
-    seen_t *oldest = &versions->seen[0];
-    for (uint32_t i = 0; i < versions->seen_count; i++) {
-        seen_t *seen = &versions->seen[i];
-        if (strcmp(seen->service, service) == 0 &&
-            strcmp(seen->software, software) == 0) {
-            return seen;
-        }
-        oldest = seen->last_seen_ms < oldest->last_seen_ms ? seen : oldest;
-    }
-    if (versions->seen_count < SEEN_MAX) {
-        oldest = &versions->seen[versions->seen_count++];
-    }
-    *oldest = (seen_t){.last_seen_ms = 0};
-    snprintf(oldest->service, sizeof oldest->service, "%s", service);
-    snprintf(oldest->software, sizeof oldest->software, "%s", software);
-    return oldest;
-}
-
-void
-SkyStreamVersions_RecordTarget(sky_stream_versions_t *versions,
-                               const char *service, const char *software,
-                               uint64_t now_ms)
-{
-    seen_t *seen = find_or_replace_seen(versions, service, software);
-    seen->last_seen_ms =
-        now_ms > seen->last_seen_ms ? now_ms : seen->last_seen_ms;
-}
-
-/* Finds the version of the service that was seen last, and the time at which
- * another one was seen last; 0: none was. Returns NULL if none was seen. */
-static const seen_t *
-find_last_seen(const sky_stream_versions_t *versions, const char *service,
-               uint64_t *other_seen_ms)
-{
-    const seen_t *last = NULL;
-    *other_seen_ms = 0;
-    for (uint32_t i = 0; i < versions->seen_count; i++) {
-        const seen_t *seen = &versions->seen[i];
-        if (strcmp(seen->service, service) != 0) {
-            continue;
-        }
-        const seen_t *other = seen;
-        if (last == NULL || seen->last_seen_ms > last->last_seen_ms) {
-            other = last;
-            last = seen;
-        }
-        if (other != NULL && other->last_seen_ms > *other_seen_ms) {
-            *other_seen_ms = other->last_seen_ms;
-        }
-    }
-    return last;
+    return &versions->rollout;
 }
 
 static mixed_t *
@@ -150,16 +93,18 @@
     return NULL;
 }
 
-/* Returns the end of the time for which several versions count; 0: only one
- * was ever seen. */
+/* Returns the end of the time for which streams may be of several versions; 0:
+ * they never were. */
 static uint64_t
-get_mixed_until_ms(const sky_stream_versions_t *versions, const char *service)
+get_mixed_until_ms(const sky_stream_versions_t *versions, const char *service,
+                   uint64_t now_ms)
 {
-    uint64_t other_seen_ms;
+    uint64_t other_listed_ms;
     uint64_t until_ms = 0;
-    if (find_last_seen(versions, service, &other_seen_ms) != NULL &&
-        other_seen_ms > 0) {
-        until_ms = other_seen_ms + versions->options.retention_ms;
+    if (SkySoftwareRollout_FindLast(&versions->rollout, service, now_ms,
+                                    &other_listed_ms) != NULL &&
+        other_listed_ms > 0) {
+        until_ms = other_listed_ms + versions->options.retention_ms;
     }
     const mixed_t *mixed =
         find_mixed((sky_stream_versions_t *)versions, service);
@@ -172,21 +117,44 @@
 SkyStreamVersions_IsMixed(const sky_stream_versions_t *versions,
                           const char *service, uint64_t now_ms)
 {
-    uint64_t until_ms = get_mixed_until_ms(versions, service);
+    uint64_t until_ms = get_mixed_until_ms(versions, service, now_ms);
     return until_ms > 0 && now_ms <= until_ms;
 }
 
+const char *
+SkyStreamVersions_FindOnlyVersion(const sky_stream_versions_t *versions,
+                                  const char *service, uint64_t now_ms)
+{
+    if (!versions->is_history_known ||
+        SkyStreamVersions_IsMixed(versions, service, now_ms)) {
+        return NULL;
+    }
+    return SkySoftwareRollout_FindOnly(&versions->rollout, service, now_ms);
+}
+
+/* Whether streams of the service are told to other hosts: a second version may
+ * begin some soon, or did so. */
+static bool
+is_told(const sky_stream_versions_t *versions, const char *service,
+        uint64_t now_ms)
+{
+    return SkySoftwareRollout_HasSeveralListed(&versions->rollout, service,
+                                               now_ms) ||
+           SkyStreamVersions_IsMixed(versions, service, now_ms);
+}
+
 bool
 SkyStreamVersions_GetHistory(const sky_stream_versions_t *versions,
                              const char *service, uint64_t now_ms,
                              sky_version_history_t *history)
 {
-    uint64_t other_seen_ms;
-    const seen_t *last = find_last_seen(versions, service, &other_seen_ms);
+    uint64_t other_listed_ms;
+    const sky_rollout_version_t *last = SkySoftwareRollout_FindLast(
+        &versions->rollout, service, now_ms, &other_listed_ms);
     if (last == NULL) {
         return false;
     }
-    uint64_t until_ms = get_mixed_until_ms(versions, service);
+    uint64_t until_ms = get_mixed_until_ms(versions, service, now_ms);
     history->mixed_age_ms =
         until_ms > 0 ? now_ms + versions->options.retention_ms - until_ms
                      : UINT64_MAX;
@@ -207,7 +175,7 @@
                 mixed = &versions->mixed[i];
             }
         }
-        if (versions->mixed_count < SEEN_MAX) {
+        if (versions->mixed_count < SKY_ROLLOUT_VERSIONS_MAX) {
             mixed = &versions->mixed[versions->mixed_count++];
         }
         *mixed = (mixed_t){.mixed_until_ms = 0};
@@ -225,14 +193,15 @@
                                uint64_t now_ms)
 {
     uint64_t retention_ms = versions->options.retention_ms;
-    uint64_t other_seen_ms;
-    const seen_t *last = find_last_seen(versions, service, &other_seen_ms);
+    uint64_t other_listed_ms;
+    const sky_rollout_version_t *last = SkySoftwareRollout_FindLast(
+        &versions->rollout, service, now_ms, &other_listed_ms);
     if (history->mixed_age_ms <= retention_ms) {
         record_mixed(versions, service,
                      now_ms + retention_ms - history->mixed_age_ms);
     }
     /* A host that has seen the kept version itself knows until when. */
-    if (last != NULL && other_seen_ms == 0 &&
+    if (last != NULL && other_listed_ms == 0 &&
         strcmp(last->software, history->software) != 0 &&
         find_mixed(versions, service) == NULL) {
         record_mixed(versions, service, now_ms + retention_ms);
@@ -304,13 +273,11 @@
     return is_mixed_later || is_other_in_use;
 }
 
-bool
-SkyStreamVersions_IsAnyMixed(const sky_stream_versions_t *versions,
-                             uint64_t now_ms)
+static bool
+is_any_told(const sky_stream_versions_t *versions, uint64_t now_ms)
 {
-    for (uint32_t i = 0; i < versions->seen_count; i++) {
-        if (SkyStreamVersions_IsMixed(versions, versions->seen[i].service,
-                                      now_ms)) {
+    for (uint32_t i = 0; i < versions->rollout.count; i++) {
+        if (is_told(versions, versions->rollout.versions[i].service, now_ms)) {
             return true;
         }
     }
@@ -350,6 +317,8 @@
                                uint64_t now_ms)
 {
     make_room(versions, now_ms);
+    SkySoftwareRollout_RecordStream(&versions->rollout, stream->service,
+                                    stream->software, now_ms);
     if (find_record(versions, stream->stream) != NULL) {
         return;
     }
@@ -380,15 +349,13 @@
 SkyStreamVersions_TakeUntold(sky_stream_versions_t *versions, uint64_t now_ms,
                              sky_stream_version_visitor_t visit, void *context)
 {
-    if (versions->untold_count == 0 ||
-        !SkyStreamVersions_IsAnyMixed(versions, now_ms)) {
+    if (versions->untold_count == 0 || !is_any_told(versions, now_ms)) {
         return;
     }
     for (record_t *record = versions->records; record != NULL;
          record = record->hh.next) {
         if (record->is_untold && !is_expired(versions, record, now_ms) &&
-            SkyStreamVersions_IsMixed(versions, record->stream.service,
-                                      now_ms)) {
+            is_told(versions, record->stream.service, now_ms)) {
             record->is_untold = false;
             versions->untold_count--;
             visit(&record->stream, context);
@@ -406,15 +373,26 @@
     if (software != NULL) {
         return (sky_resume_t){SKY_RESUME_AT_SOFTWARE, software};
     }
-    bool may_be_mixed = !versions->is_history_known ||
-                        SkyStreamVersions_IsMixed(versions, service, now_ms);
     if (!answers->have_answered) {
         return (sky_resume_t){.kind = SKY_RESUME_ASK_OTHERS};
     }
-    if (may_be_mixed || answers->know_mixed) {
+    if (answers->know_mixed ||
+        SkyStreamVersions_IsMixed(versions, service, now_ms)) {
         return (sky_resume_t){.kind = SKY_RESUME_REFUSED};
     }
+    const char *only =
+        SkyStreamVersions_FindOnlyVersion(versions, service, now_ms);
+    if (only == NULL) {
+        return answers->has_only_version
+                   ? (sky_resume_t){SKY_RESUME_AT_SOFTWARE,
+                                    answers->only_version}
+                   : (sky_resume_t){.kind = SKY_RESUME_REFUSED};
+    }
     bool is_in_step = answers->has_heard || answers->has_newer_list;
-    return (sky_resume_t){.kind = is_in_step ? SKY_RESUME_ANYWHERE
-                                             : SKY_RESUME_READ_LIST};
+    bool is_list_complete =
+        SkySoftwareRollout_IsListComplete(&versions->rollout, now_ms) ||
+        answers->has_newer_list || answers->is_store_unreachable;
+    return is_in_step && is_list_complete
+               ? (sky_resume_t){SKY_RESUME_AT_SOFTWARE, only}
+               : (sky_resume_t){.kind = SKY_RESUME_READ_LIST};
 }
--- a/lib/decide/stream_versions.h
+++ b/lib/decide/stream_versions.h
@@ -8,17 +8,20 @@
  * more than one version, records are also told to other hosts, so that a
  * stream can be taken up at any of them.
  *
- * Other hosts are asked for a stream without a record. If none has one, it may
- * go on anywhere as long as no host has seen several versions of the service
- * within the time that a stream can last; else it is refused. A host that no
- * other one answers may be out of step with them: it relies on what it has
- * seen only if it has read the list since.
+ * Other hosts are asked for a stream without a record. If none has one, it
+ * goes on at the only version that may have begun it
+ * (decide/software_rollout.h), by what this host or one that answered knows;
+ * if there are several, it is refused. The list that this rests on must be so
+ * young that no version can have begun streams since. A host that no other one
+ * answers may be out of step with them: it relies on what it has seen only if
+ * it has read the list since.
  *
  * All hosts may lose their records at once. What they saw of a service is
  * therefore kept in the store (sky_version_history_t); a host that does not
  * know it yet refuses streams without a record.
  *
- * The module does no I/O; times are milliseconds of the caller's clock.
+ * The module does no I/O; times are milliseconds of a clock that also counts
+ * the time for which the host is suspended.
  */
 #ifndef SKY_DECIDE_STREAM_VERSIONS_H
 #define SKY_DECIDE_STREAM_VERSIONS_H
@@ -27,6 +30,7 @@
 #include <stdint.h>
 
 #include "core/result.h"
+#include "decide/software_rollout.h"
 #include "decide/target_entry.h"
 
 #ifdef __cplusplus
@@ -38,7 +42,8 @@
 typedef struct {
     /** Time from a stream's first event within which it may be taken up. */
     uint64_t retention_ms;
-    uint32_t streams_max; /**< records kept; the oldest is displaced */
+    uint32_t streams_max;     /**< records kept; the oldest is displaced */
+    uint64_t introduction_ms; /**< see sky_software_rollout_options_t */
 } sky_stream_versions_options_t;
 
 /** @return SKY_OK or SKY_E_MEMORY. */
@@ -47,17 +52,18 @@
                          sky_stream_versions_t **versions);
 void SkyStreamVersions_Free(sky_stream_versions_t *versions);
 
-/** Records that a target of the service runs this software now. */
-void SkyStreamVersions_RecordTarget(sky_stream_versions_t *versions,
-                                    const char *service, const char *software,
-                                    uint64_t now_ms);
-/** @return whether targets of the service run several versions, or did so
+/** @return the software versions of services, to record the list in. */
+sky_software_rollout_t *
+SkyStreamVersions_GetRollout(sky_stream_versions_t *versions);
+/** @return whether streams of the service may have begun at several versions
  *          within the retention time. */
 bool SkyStreamVersions_IsMixed(const sky_stream_versions_t *versions,
                                const char *service, uint64_t now_ms);
-/** @return whether that holds for any service. */
-bool SkyStreamVersions_IsAnyMixed(const sky_stream_versions_t *versions,
-                                  uint64_t now_ms);
+/** @return the only version at which a stream of the service without a record
+ *          may have begun, by what this host knows; NULL: it does not know. */
+const char *
+SkyStreamVersions_FindOnlyVersion(const sky_stream_versions_t *versions,
+                                  const char *service, uint64_t now_ms);
 
 /** What is kept of a service's versions where all hosts find it again. */
 typedef struct {
@@ -119,19 +125,18 @@
 
 typedef void (*sky_stream_version_visitor_t)(
     const sky_stream_version_t *stream, void *context);
-/** Calls @p visit once for each own stream of a service with several versions;
- *  it is then known to others. */
+/** Calls @p visit once for each own stream of a service with several listed
+ *  versions; it is then known to others. */
 void SkyStreamVersions_TakeUntold(sky_stream_versions_t *versions,
                                   uint64_t now_ms,
                                   sky_stream_version_visitor_t visit,
                                   void *context);
 
 typedef enum {
-    SKY_RESUME_ANYWHERE,    /**< at a target of any version */
     SKY_RESUME_AT_SOFTWARE, /**< only at the version that began it */
     SKY_RESUME_ASK_OTHERS,  /**< other hosts may know the version */
-    /** No other host answers, and targets of another version may have come
-     *  since this host read the list: it is to be read first. */
+    /** Versions may have begun streams that are not in this host's list, or no
+     *  other host answers: the list is to be read first. */
     SKY_RESUME_READ_LIST,
     SKY_RESUME_REFUSED, /**< nobody knows, and a guess may be wrong */
 } sky_resume_kind_t;
@@ -144,10 +149,14 @@
 /** What other hosts answered. */
 typedef struct {
     bool have_answered; /**< all that were asked have answered or timed out */
-    bool know_mixed;    /**< one of them has seen several versions */
+    bool know_mixed;    /**< by one of them it may be of several versions */
     bool has_heard;     /**< one of them has answered */
     /** This host has read the list since the stream was taken up. */
     bool has_newer_list;
+    bool is_store_unreachable; /**< nobody can read a newer list */
+    /** One of them knows the only version that may have begun it. */
+    bool has_only_version;
+    char only_version[SKY_SOFTWARE_VERSION_BYTES];
 } sky_resume_answers_t;
 
 /** Decides where a stream that a caller takes up may go on.
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -212,6 +212,35 @@
                                  count);
 }
 
+/* Keeps a stream that is to begin from versions that are being introduced, if
+ * targets of others are left. */
+static void
+restrict_to_introduced(const sky_proxy_request_t *request,
+                       sky_fleet_query_t *query)
+{
+    const sky_directory_t *directory = request->proxy->options.directory;
+    const sky_software_rollout_t *rollout =
+        SkyStreamVersions_GetRollout(directory->streams);
+    uint64_t boot_ms = SkyClock_BootMs();
+    if (request->has_stream_software ||
+        request->route->retry_policy != SKY_RETRY_RESUME ||
+        !SkySoftwareRollout_IsIntroducing(rollout, query->service, boot_ms)) {
+        return;
+    }
+    const sky_fleet_target_t *target;
+    for (uint32_t i = 0;
+         (target = SkyFleet_GetUsable(directory->fleet, query->service, i)) !=
+         NULL;
+         i++) {
+        if (SkySoftwareRollout_MayBegin(rollout, query->service,
+                                        target->entry.software, boot_ms)) {
+            query->rollout = rollout;
+            query->rollout_ms = boot_ms;
+            return;
+        }
+    }
+}
+
 sky_fleet_query_t
 SkyProxyRequest_BuildQuery(const sky_proxy_request_t *request)
 {
@@ -224,6 +253,7 @@
             request->has_stream_software ? request->stream_software : NULL,
         .tie_breaker = SkyProxyRequest_IdHash(request),
     };
+    restrict_to_introduced(request, &query);
     SkyAttempts_RestrictQuery(&request->attempts, request->route->targets_max,
                               &query);
     return query;
@@ -519,7 +549,6 @@
 log_resume(const sky_proxy_request_t *request, const sky_resume_t *resume)
 {
     static const char *const DECISIONS[] = {
-        [SKY_RESUME_ANYWHERE] = "anywhere",
         [SKY_RESUME_AT_SOFTWARE] = "at_software",
         [SKY_RESUME_ASK_OTHERS] = "ask_others",
         [SKY_RESUME_READ_LIST] = "read_list",
@@ -527,7 +556,6 @@
     };
     const sky_directory_t *directory = request->proxy->options.directory;
     const sky_resume_answers_t *answers = &request->resume_answers;
-    uint64_t now = SkyClock_NowMs();
     SkyLog_Write(
         LOG_INFO, "stream_resume",
         "id=%s stream=%016llx decision=%s software=%s mixed=%d "
@@ -537,9 +565,9 @@
         DECISIONS[resume->kind],
         resume->kind == SKY_RESUME_AT_SOFTWARE ? resume->software : "-",
         SkyStreamVersions_IsMixed(directory->streams, request->service->name,
-                                  now),
+                                  SkyClock_BootMs()),
         answers->know_mixed, answers->has_heard,
-        (unsigned long long)(now - directory->targets_read_ms));
+        (unsigned long long)(SkyClock_NowMs() - directory->targets_read_ms));
 }
 
 /* Settles at which software version a stream that the caller takes up may go
@@ -572,8 +600,6 @@
     }
     log_resume(request, &resume);
     switch (resume.kind) {
-    case SKY_RESUME_ANYWHERE:
-        break;
     case SKY_RESUME_AT_SOFTWARE:
         snprintf(request->stream_software, sizeof request->stream_software,
                  "%s", resume.software);
@@ -584,6 +610,11 @@
             request->waits_for_records = true;
             return false;
         }
+        if (request->resume_answers.has_heard &&
+            !request->resume_answers.is_store_unreachable) {
+            request->resume_answers.is_store_unreachable = true;
+            return settle_resume(request);
+        }
         /* fall through */
     case SKY_RESUME_ASK_OTHERS:
     case SKY_RESUME_REFUSED:
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -171,6 +171,9 @@
         SkyHostCalls_SetRequestLimits(edge->host_calls, limits->head_bytes,
                                       limits->body_bytes);
     }
+    if (topic == SKY_FEED_TARGETS && edge->stream_sharing != NULL) {
+        SkyStreamSharing_HandleListChange(edge->stream_sharing);
+    }
     SkyPlacement_Reconcile(edge->placement);
     if (edge->feed_relay != NULL) {
         SkyFeedRelay_HandleFeedChange(edge->feed_relay);
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -459,7 +459,7 @@
              request->service->name);
     memcpy(stream.software, request->stream_software, sizeof stream.software);
     SkyStreamVersions_RecordStream(request->proxy->options.directory->streams,
-                                   &stream, true, SkyClock_NowMs());
+                                   &stream, true, SkyClock_BootMs());
 }
 
 void
--- a/lib/edge/stream_archive.c
+++ b/lib/edge/stream_archive.c
@@ -116,7 +116,7 @@
             continue;
         }
         SkyStreamVersions_RecordStream(directory->streams, &stream, false,
-                                       SkyClock_NowMs());
+                                       SkyClock_BootMs());
     }
 }
 
@@ -381,7 +381,7 @@
             stream.stream |= (uint64_t)ids[at + i] << (8 * i);
         }
         SkyStreamVersions_RecordStream(archive->options.directory->streams,
-                                       &stream, false, SkyClock_NowMs());
+                                       &stream, false, SkyClock_BootMs());
         archive->read_count++;
     }
     free(ids);
--- a/lib/edge/stream_sharing.c
+++ b/lib/edge/stream_sharing.c
@@ -1,5 +1,6 @@
 #include "edge/stream_sharing.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -18,6 +19,10 @@
 /** Longer than any stream and its callers' retries last. */
 #define RETENTION_MS 60000
 #define STREAMS_MAX 65536
+/** Twice the age up to which hosts act on a list of targets (edge/feed.c): all
+ *  hosts know a version by half of it, and the other half is left for taking
+ *  up streams that nobody was told of. */
+#define INTRODUCTION_MS 2800
 /** Between two comparisons with the store; a record that was appended has been
  *  read back by then. */
 #define STORE_CHECK_INTERVAL_MS 500
@@ -49,6 +54,8 @@
     bool append_pending;
     uint64_t next_store_check_ms;
     uint64_t started_ms;
+    uint64_t list_read_ms; /**< newest that was recorded, monotonic */
+    uint64_t suspended_ms; /**< of this host, at the last update */
     sky_stream_archive_t *archive;
 };
 
@@ -149,17 +156,31 @@
 }
 
 static void
-record_targets(const sky_stream_sharing_t *sharing, uint64_t now_ms)
+record_targets(sky_stream_sharing_t *sharing, uint64_t now_ms)
 {
+    const sky_directory_t *directory = sharing->options.directory;
+    sky_software_rollout_t *rollout =
+        SkyStreamVersions_GetRollout(directory->streams);
+    uint64_t wall_ms = SkyClock_WallMs();
     const sky_fleet_target_t *target =
-        SkyFleet_GetFirstTarget(sharing->options.directory->fleet);
+        SkyFleet_GetFirstTarget(directory->fleet);
     for (; target != NULL; target = target->next) {
         if (target->listed) {
-            SkyStreamVersions_RecordTarget(sharing->options.directory->streams,
-                                           target->entry.service,
-                                           target->entry.software, now_ms);
+            uint64_t started_ms = target->entry.started_unix_ms;
+            SkySoftwareRollout_RecordTarget(
+                rollout, target->entry.service, target->entry.software,
+                wall_ms > started_ms ? wall_ms - started_ms : 0, now_ms);
         }
     }
+    if (directory->targets_known &&
+        directory->targets_read_ms != sharing->list_read_ms) {
+        /* Counts no suspension since the last update, so that a list read
+         * before it is not taken for a newer one. */
+        sharing->list_read_ms = directory->targets_read_ms;
+        SkySoftwareRollout_RecordListEnd(rollout, sharing->list_read_ms +
+                                                      sharing->suspended_ms);
+    }
+    sharing->suspended_ms = SkyClock_SuspendedMs();
 }
 
 /* Returns whether the store has a record of the service's versions. */
@@ -177,7 +198,7 @@
 
 /* Takes over what the list of targets and the store say now. */
 static void
-update_versions(const sky_stream_sharing_t *sharing, uint64_t now_ms)
+update_versions(sky_stream_sharing_t *sharing, uint64_t now_ms)
 {
     const sky_directory_t *directory = sharing->options.directory;
     const sky_deployment_t *deployment = directory->deployment;
@@ -197,14 +218,38 @@
     SkyStreamVersions_SetHistoryKnown(directory->streams);
 }
 
+void
+SkyStreamSharing_HandleListChange(sky_stream_sharing_t *sharing)
+{
+    update_versions(sharing, SkyClock_BootMs());
+}
+
+/* Keeps what was decided for a stream without a record, so that it holds also
+ * after the introduction. */
+static void
+record_decision(const sky_stream_sharing_t *sharing, const char *service,
+                uint64_t id, const char *software, uint64_t now_ms)
+{
+    sky_stream_version_t stream = {.stream = id};
+    snprintf(stream.service, sizeof stream.service, "%s", service);
+    snprintf(stream.software, sizeof stream.software, "%s", software);
+    SkyStreamVersions_RecordStream(sharing->options.directory->streams,
+                                   &stream, true, now_ms);
+}
+
 sky_resume_t
 SkyStreamSharing_Decide(sky_stream_sharing_t *sharing, const char *service,
                         uint64_t stream, const sky_resume_answers_t *answers)
 {
-    uint64_t now_ms = SkyClock_NowMs();
+    const sky_stream_versions_t *streams = sharing->options.directory->streams;
+    uint64_t now_ms = SkyClock_BootMs();
     update_versions(sharing, now_ms);
-    return SkyStreamVersions_Decide(sharing->options.directory->streams,
-                                    service, stream, answers, now_ms);
+    sky_resume_t resume =
+        SkyStreamVersions_Decide(streams, service, stream, answers, now_ms);
+    if (resume.kind == SKY_RESUME_AT_SOFTWARE) {
+        record_decision(sharing, service, stream, resume.software, now_ms);
+    }
+    return resume;
 }
 
 static void
@@ -264,17 +309,24 @@
 }
 
 static json_t *
-answer_ask(const sky_stream_sharing_t *sharing, const json_t *body)
+answer_ask(sky_stream_sharing_t *sharing, const json_t *body)
 {
-    const sky_stream_versions_t *streams = sharing->options.directory->streams;
-    uint64_t now_ms = SkyClock_NowMs();
+    sky_stream_versions_t *streams = sharing->options.directory->streams;
+    uint64_t now_ms = SkyClock_BootMs();
     update_versions(sharing, now_ms);
+    bool is_list_complete = SkySoftwareRollout_IsListComplete(
+        SkyStreamVersions_GetRollout(streams), now_ms);
     uint64_t stream =
         (uint64_t)json_integer_value(json_object_get(body, "ask"));
     const char *service = json_string_value(json_object_get(body, "service"));
     const char *software =
         SkyStreamVersions_FindStream(streams, stream, now_ms);
-    return json_pack("{s:s*, s:b}", "software", software, "mixed",
+    const char *only =
+        service != NULL && is_list_complete
+            ? SkyStreamVersions_FindOnlyVersion(streams, service, now_ms)
+            : NULL;
+    return json_pack("{s:s*, s:s*, s:b}", "software", software, "only", only,
+                     "mixed",
                      service != NULL &&
                          SkyStreamVersions_IsMixed(streams, service, now_ms));
 }
@@ -283,7 +335,7 @@
 on_call(void *context, sky_server_request_t *server_request,
         const json_t *body)
 {
-    const sky_stream_sharing_t *sharing = context;
+    sky_stream_sharing_t *sharing = context;
     const json_t *streams = json_object_get(body, "streams");
     SkyStreamArchive_ApplyRows(sharing->options.directory, streams);
     if (json_is_true(json_object_get(body, "keep"))) {
@@ -300,11 +352,11 @@
     (void)loop;
     (void)events;
     sky_stream_sharing_t *sharing = watcher->data;
-    uint64_t now_ms = SkyClock_NowMs();
-    update_versions(sharing, now_ms);
-    tell_streams(sharing, now_ms);
-    update_store(sharing, now_ms);
-    SkyStreamArchive_Tick(sharing->archive, now_ms);
+    uint64_t boot_ms = SkyClock_BootMs();
+    update_versions(sharing, boot_ms);
+    tell_streams(sharing, boot_ms);
+    update_store(sharing, boot_ms);
+    SkyStreamArchive_Tick(sharing->archive, SkyClock_NowMs());
 }
 
 void
@@ -338,12 +390,27 @@
     const sky_stream_versions_t *streams =
         ask->sharing->options.directory->streams;
     if (ask->pending_count == 0 ||
-        SkyStreamVersions_FindStream(streams, ask->stream, SkyClock_NowMs()) !=
-            NULL) {
+        SkyStreamVersions_FindStream(streams, ask->stream,
+                                     SkyClock_BootMs()) != NULL) {
         end_ask(ask);
     }
 }
 
+/* Takes over the only version that a host names. If two name different ones,
+ * either may have begun the stream. */
+static void
+record_only_version(sky_resume_answers_t *answers, const char *software)
+{
+    if (software == NULL || strlen(software) >= sizeof answers->only_version) {
+        return;
+    }
+    answers->know_mixed =
+        answers->know_mixed || (answers->has_only_version &&
+                                strcmp(answers->only_version, software) != 0);
+    answers->has_only_version = true;
+    strcpy(answers->only_version, software);
+}
+
 static void
 on_ask_answer(void *context, const json_t *body)
 {
@@ -356,13 +423,15 @@
     ask->answers.has_heard = ask->answers.has_heard || body != NULL;
     ask->answers.know_mixed = ask->answers.know_mixed ||
                               json_is_true(json_object_get(body, "mixed"));
+    record_only_version(&ask->answers,
+                        json_string_value(json_object_get(body, "only")));
     sky_stream_version_t stream = {.stream = ask->stream};
     if (software != NULL && strlen(software) < sizeof stream.software) {
         strcpy(stream.service, ask->service);
         strcpy(stream.software, software);
         SkyStreamVersions_RecordStream(
             ask->sharing->options.directory->streams, &stream, false,
-            SkyClock_NowMs());
+            SkyClock_BootMs());
     }
     end_ask_if_settled(ask);
 }
@@ -440,6 +509,7 @@
     sky_stream_versions_options_t versions_options = {
         .retention_ms = RETENTION_MS,
         .streams_max = STREAMS_MAX,
+        .introduction_ms = INTRODUCTION_MS,
     };
     sky_stream_archive_options_t archive_options = {
         .settings = options->settings,
--- a/lib/edge/stream_sharing.h
+++ b/lib/edge/stream_sharing.h
@@ -46,6 +46,10 @@
                         sky_stream_sharing_t **sharing);
 void SkyStreamSharing_Free(sky_stream_sharing_t *sharing);
 
+/** Records the versions of targets in a list that was just applied, before any
+ *  request is sent by it. */
+void SkyStreamSharing_HandleListChange(sky_stream_sharing_t *sharing);
+
 /** @return the name of a stream among hosts.
  *  @param request_id of the request that began it */
 uint64_t SkyStreamSharing_HashId(const char *request_id);
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -37,7 +37,7 @@
         proc_leaving_targets proc_lost_peer proc_odd_entries proc_prompt_turns \
         proc_silent_targets proc_stop \
         proc_store_era proc_stream_out_of_step proc_stream_restart \
-        proc_stream_version \
+        proc_stream_new_version proc_stream_version \
         proc_target_words; do
         [ -f "tests/$name.sh" ] || continue
         case " ${PROC_TESTS:-1} " in
