--- a/lib/decide/software_rollout.c
+++ b/lib/decide/software_rollout.c
@@ -60,7 +60,7 @@
     return version->last_listed_ms + rollout->options.retention_ms >= now_ms;
 }
 
-void
+bool
 SkySoftwareRollout_RecordTarget(sky_software_rollout_t *rollout,
                                 const char *service, const char *software,
                                 uint64_t age_ms, uint64_t now_ms)
@@ -68,7 +68,8 @@
     bool is_first_list = rollout->list_read_ms == 0;
     uint64_t started_ms = now_ms > age_ms ? now_ms - age_ms : 0;
     sky_rollout_version_t *version = find_version(rollout, service, software);
-    if (version == NULL || !is_retained(rollout, version, now_ms)) {
+    bool is_new = version == NULL || !is_retained(rollout, version, now_ms);
+    if (is_new) {
         version = version != NULL ? version
                                   : add_version(rollout, service, software);
         version->first_listed_ms = is_first_list ? started_ms : now_ms;
@@ -83,6 +84,7 @@
     }
     version->last_listed_ms =
         now_ms > version->last_listed_ms ? now_ms : version->last_listed_ms;
+    return is_new;
 }
 
 static bool
--- a/lib/decide/software_rollout.h
+++ b/lib/decide/software_rollout.h
@@ -61,8 +61,10 @@
 
 /** Records that a target of the service is listed with this software.
  *  @param age_ms time since the target started. It bounds for how long the
- *         versions of the first list have been listed; later it is ignored. */
-void SkySoftwareRollout_RecordTarget(sky_software_rollout_t *rollout,
+ *         versions of the first list have been listed; later it is ignored.
+ *  @return whether the version was not known, or not within the retention time
+ */
+bool SkySoftwareRollout_RecordTarget(sky_software_rollout_t *rollout,
                                      const char *service, const char *software,
                                      uint64_t age_ms, uint64_t now_ms);
 /** Records that all targets of the list were recorded.
--- a/lib/edge/stream_sharing.c
+++ b/lib/edge/stream_sharing.c
@@ -167,9 +167,15 @@
     for (; target != NULL; target = target->next) {
         if (target->listed) {
             uint64_t started_ms = target->entry.started_unix_ms;
-            SkySoftwareRollout_RecordTarget(
-                rollout, target->entry.service, target->entry.software,
-                wall_ms > started_ms ? wall_ms - started_ms : 0, now_ms);
+            if (SkySoftwareRollout_RecordTarget(
+                    rollout, target->entry.service, target->entry.software,
+                    wall_ms > started_ms ? wall_ms - started_ms : 0, now_ms)) {
+                SkyLog_Write(LOG_NOTICE, "software_listed",
+                             "service=%s software=%s list_age_ms=%llu",
+                             target->entry.service, target->entry.software,
+                             (unsigned long long)(SkyClock_NowMs() -
+                                                  directory->targets_read_ms));
+            }
         }
     }
     if (directory->targets_known &&
