Close what else could join or refuse streams beside a newer version

Found by a review of the introduction; each shown by a unit test, or by reading where marked (r):

- Streams that cannot be resumed may begin at a new version at once, yet a record of one ended the introduction for all: they are no longer recorded.
- Streams whose callers name no first request shared one record, so that one was joined by that of another: they have none.
- A record of one service answered for another; a route that is split among services chose another one for a stream that was taken up (r).
The service is chosen by the stream, and a record of another one refuses.
- An own list that stands still, with the store out, went before what a host with a complete one says; a host that knows no list counted as an answer (r).
- Rows of a peer's update could be applied without the versions being recorded (r); a malformed update made the list count as newer than it is (r).
- A host that has just started trusted the clocks of targets: versions of the first list now count as listed for two seconds more, or less, whichever is on the safe side (r).
- A decision without a record was told to others, where it could come before the true record (r): it stays at the host.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -820,6 +820,23 @@
     return NULL;
 }
 
+bool
+SkyFleet_HasIntroducedTarget(const sky_fleet_t *fleet, const char *service,
+                             const sky_software_rollout_t *rollout,
+                             uint64_t rollout_ms)
+{
+    const sky_fleet_target_t *target;
+    DL_FOREACH(fleet->targets, target)
+    {
+        if (is_usable(target, service) &&
+            SkySoftwareRollout_MayBegin(rollout, service,
+                                        target->entry.software, rollout_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint32_t
 SkyFleet_CountUsable(const sky_fleet_t *fleet, const char *service)
 {
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -241,6 +241,12 @@
 
 /** @return number of listed targets of the service that take requests. */
 uint32_t SkyFleet_CountUsable(const sky_fleet_t *fleet, const char *service);
+/** @return whether one of them runs a version that may begin streams at
+ *          @p rollout_ms, on the clock of the rollout. */
+bool SkyFleet_HasIntroducedTarget(const sky_fleet_t *fleet,
+                                  const char *service,
+                                  const sky_software_rollout_t *rollout,
+                                  uint64_t rollout_ms);
 /** @return one of them, by its index; NULL: there are fewer. */
 const sky_fleet_target_t *SkyFleet_GetUsable(const sky_fleet_t *fleet,
                                              const char *service,
--- a/lib/decide/software_rollout.c
+++ b/lib/decide/software_rollout.c
@@ -3,6 +3,15 @@
 #include <stdio.h>
 #include <string.h>
 
+/** By which the clocks of hosts and targets may differ. */
+#define CLOCK_TOLERANCE_MS 2000
+
+static uint64_t
+subtract(uint64_t minuend, uint64_t subtrahend)
+{
+    return minuend > subtrahend ? minuend - subtrahend : 0;
+}
+
 void
 SkySoftwareRollout_Init(sky_software_rollout_t *rollout,
                         const sky_software_rollout_options_t *options)
@@ -60,27 +69,40 @@
     return version->last_listed_ms + rollout->options.retention_ms >= now_ms;
 }
 
+/* Sets since when a version of the first list may have been listed. */
+static void
+apply_age(sky_rollout_version_t *version, uint64_t age_ms, uint64_t now_ms)
+{
+    uint64_t earliest_ms = subtract(now_ms, age_ms + CLOCK_TOLERANCE_MS);
+    uint64_t latest_ms =
+        subtract(now_ms, subtract(age_ms, CLOCK_TOLERANCE_MS));
+    if (latest_ms < version->first_listed_ms) {
+        version->first_listed_ms = latest_ms;
+    }
+    if (earliest_ms < version->last_absent_ms) {
+        version->last_absent_ms = earliest_ms;
+    }
+}
+
 bool
 SkySoftwareRollout_RecordTarget(sky_software_rollout_t *rollout,
                                 const char *service, const char *software,
                                 uint64_t age_ms, uint64_t now_ms)
 {
     bool is_first_list = rollout->list_read_ms == 0;
-    uint64_t started_ms = now_ms > age_ms ? now_ms - age_ms : 0;
     sky_rollout_version_t *version = find_version(rollout, service, software);
     bool is_new = version == NULL || !is_retained(rollout, version, now_ms);
     if (is_new) {
         version = version != NULL ? version
                                   : add_version(rollout, service, software);
-        version->first_listed_ms = is_first_list ? started_ms : now_ms;
-        version->absent_ms =
-            is_first_list ? started_ms : rollout->list_read_ms;
+        version->first_listed_ms = now_ms;
+        version->last_absent_ms =
+            is_first_list ? now_ms : rollout->list_read_ms;
         version->was_alone = false;
         version->has_begun = false;
     }
-    else if (is_first_list && started_ms < version->first_listed_ms) {
-        version->first_listed_ms = started_ms;
-        version->absent_ms = started_ms;
+    if (is_first_list) {
+        apply_age(version, age_ms, now_ms);
     }
     version->last_listed_ms =
         now_ms > version->last_listed_ms ? now_ms : version->last_listed_ms;
@@ -183,7 +205,8 @@
                const sky_rollout_version_t *version, uint64_t now_ms)
 {
     return version->was_alone || version->has_begun ||
-           now_ms >= version->absent_ms + rollout->options.introduction_ms;
+           now_ms >=
+               version->last_absent_ms + rollout->options.introduction_ms;
 }
 
 static const sky_rollout_version_t *
--- a/lib/decide/software_rollout.h
+++ b/lib/decide/software_rollout.h
@@ -44,9 +44,11 @@
     char software[SKY_SOFTWARE_VERSION_BYTES];
     uint64_t first_listed_ms;
     uint64_t last_listed_ms;
-    uint64_t absent_ms; /**< read time of the last list without it */
-    bool was_alone;     /**< a list had no other version of the service */
-    bool has_begun;     /**< a stream is known that began at it */
+    uint64_t last_absent_ms; /**< read time of the last list without it */
+    /** No other version of the service was listed within the retention time.
+     */
+    bool was_alone;
+    bool has_begun; /**< a stream is known that began at it */
 } sky_rollout_version_t;
 
 typedef struct {
@@ -60,8 +62,9 @@
                              const sky_software_rollout_options_t *options);
 
 /** Records that a target of the service is listed with this software.
- *  @param age_ms time since the target started. It bounds for how long the
- *         versions of the first list have been listed; later it is ignored.
+ *  @param age_ms time since the target started, by clocks that may differ by
+ *         some seconds. It bounds for how long the versions of the first list
+ *         have been listed; later it is ignored.
  *  @return whether the version was not known, or not within the retention time
  */
 bool SkySoftwareRollout_RecordTarget(sky_software_rollout_t *rollout,
--- a/lib/decide/stream_versions.c
+++ b/lib/decide/stream_versions.c
@@ -319,7 +319,8 @@
     make_room(versions, now_ms);
     SkySoftwareRollout_RecordStream(&versions->rollout, stream->service,
                                     stream->software, now_ms);
-    if (find_record(versions, stream->stream) != NULL) {
+    if (stream->stream == SKY_STREAM_UNNAMED ||
+        find_record(versions, stream->stream) != NULL) {
         return;
     }
     record_t *record = calloc(1, sizeof *record);
@@ -368,10 +369,13 @@
                          const char *service, uint64_t stream,
                          const sky_resume_answers_t *answers, uint64_t now_ms)
 {
-    const char *software =
-        SkyStreamVersions_FindStream(versions, stream, now_ms);
-    if (software != NULL) {
-        return (sky_resume_t){SKY_RESUME_AT_SOFTWARE, software};
+    const record_t *record = find_record(versions, stream);
+    if (record != NULL && !is_expired(versions, record, now_ms)) {
+        /* A version of another service says nothing about this one. */
+        return strcmp(record->stream.service, service) == 0
+                   ? (sky_resume_t){SKY_RESUME_AT_SOFTWARE,
+                                    record->stream.software}
+                   : (sky_resume_t){.kind = SKY_RESUME_REFUSED};
     }
     if (!answers->have_answered) {
         return (sky_resume_t){.kind = SKY_RESUME_ASK_OTHERS};
@@ -391,7 +395,14 @@
     bool is_in_step = answers->has_heard || answers->has_newer_list;
     bool is_list_complete =
         SkySoftwareRollout_IsListComplete(&versions->rollout, now_ms) ||
-        answers->has_newer_list || answers->is_store_unreachable;
+        answers->has_newer_list;
+    if (answers->has_only_version &&
+        strcmp(answers->only_version, only) != 0) {
+        return is_list_complete ? (sky_resume_t){.kind = SKY_RESUME_REFUSED}
+                                : (sky_resume_t){SKY_RESUME_AT_SOFTWARE,
+                                                 answers->only_version};
+    }
+    is_list_complete = is_list_complete || answers->is_store_unreachable;
     return is_in_step && is_list_complete
                ? (sky_resume_t){SKY_RESUME_AT_SOFTWARE, only}
                : (sky_resume_t){.kind = SKY_RESUME_READ_LIST};
--- a/lib/decide/stream_versions.h
+++ b/lib/decide/stream_versions.h
@@ -107,6 +107,10 @@
 bool SkyVersionHistory_IsOutdated(const sky_version_history_t *stored,
                                   const sky_version_history_t *current);
 
+/** Stands for all streams whose callers do not say which request began them:
+ *  these have no records. */
+#define SKY_STREAM_UNNAMED 0
+
 /** The version of one stream. */
 typedef struct {
     uint64_t stream; /**< hash of the id of the request that began it */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -227,17 +227,10 @@
         !SkySoftwareRollout_IsIntroducing(rollout, query->service, boot_ms)) {
         return;
     }
-    const sky_fleet_target_t *target;
-    for (uint32_t i = 0;
-         (target = SkyFleet_GetUsable(directory->fleet, query->service, i)) !=
-         NULL;
-         i++) {
-        if (SkySoftwareRollout_MayBegin(rollout, query->service,
-                                        target->entry.software, boot_ms)) {
-            query->rollout = rollout;
-            query->rollout_ms = boot_ms;
-            return;
-        }
+    if (SkyFleet_HasIntroducedTarget(directory->fleet, query->service, rollout,
+                                     boot_ms)) {
+        query->rollout = rollout;
+        query->rollout_ms = boot_ms;
     }
 }
 
--- a/lib/edge/feed_update.c
+++ b/lib/edge/feed_update.c
@@ -122,7 +122,6 @@
     if ((uint64_t)update->age_ms >= responded_ms) {
         return; /* before this host's clock began */
     }
-    uint64_t before_ms = topic->freshness.read_ms;
     sky_peer_read_t read = {
         .read_ms = responded_ms - (uint64_t)update->age_ms,
         .tells_regained = update->regained_age_ms != REGAINED_NOT_TOLD,
@@ -133,7 +132,6 @@
             responded_ms - (uint64_t)update->regained_age_ms;
     }
     SkyFreshness_RecordPeerRead(&topic->freshness, &read, SkyClock_NowMs());
-    SkyFeedState_PublishRead(topic, before_ms, true);
 }
 
 sky_result_t
@@ -156,6 +154,7 @@
     if (update.is_whole) {
         SkyFeedState_ClearSnapshotMarks(state);
     }
+    uint64_t before_ms = state->freshness.read_ms;
     record_peer_read(state, &update, responded_ms);
     bool valid = true;
     size_t index;
@@ -165,21 +164,26 @@
         valid = apply_peer_record(state, row) && valid;
     }
     if (!valid) {
+        feed->options.on_change(feed->options.context, topic);
         return SKY_E_BAD_REQUEST;
     }
+    SkyFeedState_PublishRead(state, before_ms, true);
     if (is_new_era || update.is_whole) {
         SkyFeedState_DeleteMissingKeys(state, next_offset);
     }
     if (is_new_era || update.is_whole || !state->synced) {
         state->deletions_from_offset = next_offset;
     }
-    if (is_new_era || next_offset > state->next_offset) {
+    bool is_ahead = next_offset > state->next_offset;
+    if (is_new_era || is_ahead) {
         state->next_offset = next_offset;
         state->snapshot_pending = false;
         state->synced = true;
         if (topic == SKY_FEED_TARGETS) {
             feed->options.directory->targets_known = true;
         }
+    }
+    if (is_new_era || is_ahead || json_array_size(update.rows) > 0) {
         feed->options.on_change(feed->options.context, topic);
     }
     return SKY_OK;
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -84,6 +84,16 @@
                  request->facts.id, hop.from, hop.may_have_run_count);
 }
 
+/* Returns what a route that is split among services is split by: a stream that
+ * is taken up goes to the service that began it. */
+static uint64_t
+get_service_hash(const sky_proxy_request_t *request)
+{
+    return request->facts.resumes && request->facts.stream_id[0] != '\0'
+               ? SkyStreamSharing_HashId(request->facts.stream_id)
+               : SkyProxyRequest_IdHash(request);
+}
+
 void
 SkyProxyRequest_Route(sky_proxy_request_t *request)
 {
@@ -116,7 +126,7 @@
     request->service =
         request->route
             ? SkyDeployment_ChooseService(request->deployment, request->route,
-                                          SkyProxyRequest_IdHash(request))
+                                          get_service_hash(request))
             : NULL;
     if (request->service == NULL) {
         reject_unrouted(request, 404, 0, "no_route");
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -450,8 +450,9 @@
     request->has_stream_software = true;
     memcpy(request->stream_software, request->sent_software,
            sizeof request->stream_software);
-    if (request->facts.stream_id[0] == '\0') {
-        return; /* nobody can name it when it is taken up */
+    if (request->facts.stream_id[0] == '\0' ||
+        request->route->retry_policy != SKY_RETRY_RESUME) {
+        return; /* nobody can take it up */
     }
     sky_stream_version_t stream = {
         .stream = SkyStreamSharing_HashId(request->facts.stream_id)};
--- a/lib/edge/stream_sharing.c
+++ b/lib/edge/stream_sharing.c
@@ -19,9 +19,10 @@
 /** Longer than any stream and its callers' retries last. */
 #define RETENTION_MS 60000
 #define STREAMS_MAX 65536
-/** Twice the age up to which hosts act on a list of targets (edge/feed.c): all
- *  hosts know a version by half of it, and the other half is left for taking
- *  up streams that nobody was told of. */
+/** Twice the age up to which hosts act on a list of targets where drain times
+ *  are short (edge/feed.c): all hosts know a version by half of it, and the
+ *  other half is left for taking up streams that nobody was told of. Where
+ *  older lists are acted on, less is left. */
 #define INTRODUCTION_MS 2800
 /** Between two comparisons with the store; a record that was appended has been
  *  read back by then. */
@@ -54,15 +55,16 @@
     bool append_pending;
     uint64_t next_store_check_ms;
     uint64_t started_ms;
-    uint64_t list_read_ms; /**< newest that was recorded, monotonic */
-    uint64_t suspended_ms; /**< of this host, at the last update */
+    uint64_t list_read_monotonic_ms; /**< of the newest recorded list */
+    uint64_t suspended_ms;           /**< of this host, at the last update */
     sky_stream_archive_t *archive;
 };
 
 uint64_t
 SkyStreamSharing_HashId(const char *request_id)
 {
-    return XXH3_64bits(request_id, strlen(request_id));
+    return request_id[0] != '\0' ? XXH3_64bits(request_id, strlen(request_id))
+                                 : SKY_STREAM_UNNAMED;
 }
 
 typedef struct {
@@ -179,12 +181,12 @@
         }
     }
     if (directory->targets_known &&
-        directory->targets_read_ms != sharing->list_read_ms) {
+        directory->targets_read_ms != sharing->list_read_monotonic_ms) {
         /* Counts no suspension since the last update, so that a list read
          * before it is not taken for a newer one. */
-        sharing->list_read_ms = directory->targets_read_ms;
-        SkySoftwareRollout_RecordListEnd(rollout, sharing->list_read_ms +
-                                                      sharing->suspended_ms);
+        sharing->list_read_monotonic_ms = directory->targets_read_ms;
+        SkySoftwareRollout_RecordListEnd(
+            rollout, sharing->list_read_monotonic_ms + sharing->suspended_ms);
     }
     sharing->suspended_ms = SkyClock_SuspendedMs();
 }
@@ -231,7 +233,8 @@
 }
 
 /* Keeps what was decided for a stream without a record, so that it holds also
- * after the introduction. */
+ * after the introduction. Others are not told: a record of the host that began
+ * the stream goes before. */
 static void
 record_decision(const sky_stream_sharing_t *sharing, const char *service,
                 uint64_t id, const char *software, uint64_t now_ms)
@@ -240,7 +243,7 @@
     snprintf(stream.service, sizeof stream.service, "%s", service);
     snprintf(stream.software, sizeof stream.software, "%s", software);
     SkyStreamVersions_RecordStream(sharing->options.directory->streams,
-                                   &stream, true, now_ms);
+                                   &stream, false, now_ms);
 }
 
 sky_resume_t
@@ -252,7 +255,8 @@
     update_versions(sharing, now_ms);
     sky_resume_t resume =
         SkyStreamVersions_Decide(streams, service, stream, answers, now_ms);
-    if (resume.kind == SKY_RESUME_AT_SOFTWARE) {
+    if (resume.kind == SKY_RESUME_AT_SOFTWARE &&
+        stream != SKY_STREAM_UNNAMED) {
         record_decision(sharing, service, stream, resume.software, now_ms);
     }
     return resume;
@@ -331,8 +335,9 @@
         service != NULL && is_list_complete
             ? SkyStreamVersions_FindOnlyVersion(streams, service, now_ms)
             : NULL;
-    return json_pack("{s:s*, s:s*, s:b}", "software", software, "only", only,
-                     "mixed",
+    return json_pack("{s:s*, s:s*, s:b, s:b}", "software", software, "only",
+                     only, "knows_list",
+                     sharing->options.directory->targets_known, "mixed",
                      service != NULL &&
                          SkyStreamVersions_IsMixed(streams, service, now_ms));
 }
@@ -426,7 +431,10 @@
         json_string_value(json_object_get(body, "software"));
     call->call = NULL;
     ask->pending_count--;
-    ask->answers.has_heard = ask->answers.has_heard || body != NULL;
+    /* An earlier build does not say whether it knows the list. */
+    ask->answers.has_heard =
+        ask->answers.has_heard ||
+        (body != NULL && !json_is_false(json_object_get(body, "knows_list")));
     ask->answers.know_mixed = ask->answers.know_mixed ||
                               json_is_true(json_object_get(body, "mixed"));
     record_only_version(&ask->answers,
@@ -529,6 +537,7 @@
         .retention_ms = RETENTION_MS,
     };
     self->started_ms = SkyClock_NowMs();
+    self->suspended_ms = SkyClock_SuspendedMs();
     if (SkyResult_IsError(SkyStreamVersions_Create(
             &versions_options, &options->directory->streams)) ||
         SkyResult_IsError(
--- a/lib/edge/stream_sharing.h
+++ b/lib/edge/stream_sharing.h
@@ -50,7 +50,7 @@
  *  request is sent by it. */
 void SkyStreamSharing_HandleListChange(sky_stream_sharing_t *sharing);
 
-/** @return the name of a stream among hosts.
+/** @return the name of a stream among hosts; SKY_STREAM_UNNAMED for "".
  *  @param request_id of the request that began it */
 uint64_t SkyStreamSharing_HashId(const char *request_id);
 
--- a/tests/test_stream_versions.cc
+++ b/tests/test_stream_versions.cc
@@ -271,6 +271,46 @@
     EXPECT_STREQ("v1", Decide(7, MakeAnswers(false, true, false)).software);
 }
 
+// Guards against streams joined by a record of another one: callers that do
+// not name the request that began theirs all have the same name.
+TEST_F(StreamVersions, StreamsWithoutANameShareNoRecord)
+{
+    Begin(SKY_STREAM_UNNAMED, "v1");
+    See("v1");
+    See("v2");
+    EXPECT_EQ(
+        SKY_RESUME_REFUSED,
+        Decide(SKY_STREAM_UNNAMED, MakeAnswers(false, true, false)).kind);
+}
+
+// Guards against streams joined on a route that is split among services.
+TEST_F(StreamVersions, ARecordOfAnotherServiceDoesNotCount)
+{
+    Begin(7, "v1");
+    See("v1");
+    ReadList();
+    sky_resume_answers_t answers = MakeAnswers(false, true, false);
+    EXPECT_EQ(
+        SKY_RESUME_REFUSED,
+        SkyStreamVersions_Decide(versions, "app", 7, &answers, now_ms).kind);
+}
+
+// Guards against streams joined by a list that stands still while the store is
+// unreachable, though another host knows better.
+TEST_F(StreamVersions, AnOldListDoesNotGoBeforeTheWordOfAnotherHost)
+{
+    See("v1");
+    ReadList(10000);
+    sky_resume_answers_t answers = MakeAnswers(false, true, false);
+    answers.is_store_unreachable = true;
+    EXPECT_STREQ("v1", Decide(7, answers).software);
+    answers.has_only_version = true;
+    snprintf(answers.only_version, sizeof answers.only_version, "v2");
+    EXPECT_STREQ("v2", Decide(7, answers).software);
+    ReadList();
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, answers).kind);
+}
+
 // The store was unreachable while the version changed.
 TEST_F(StreamVersions, AVersionThatIsNotTheKeptOneCountsAsASecond)
 {
