Fake site: responses cut in their head or middle, answers to resumed streams

The fake's targets can now send a part of a response's head, half of a large response, or a part of a text and crash; an engine can respond to a request that resumes a stream with an error, a refusal, a redirect or a 200 that is no event stream, in each framing. Used by the tests that follow.

--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -48,6 +48,14 @@
  * - endless_report: so does an engine's report
  * - empty_crashes: an engine that crashes sends a response without a length
  *   and without a body first
+ * - cut_large: a target of the service sends half of its large response, and
+ *   crashes
+ * - cut_text: an engine responds with text that is no event stream, and
+ * crashes in the middle of it
+ * - cut_heads: an engine or a target of the service sends cut_head_bytes of
+ * its response's head, and crashes
+ * - resume_answers: an engine responds to a request that resumes a stream with
+ *   RESUME_ANSWERS[resume_answer]
  *
  * - second_software_from: engines that start, from this number on, run
  * software version v2, others v1; each event names the version; 0: all run v1,
@@ -55,6 +63,10 @@
  * - tell_leaving_N: the engine says in its responses that it leaves, though
  * its entry does not
  * - pause_s: the pause that a target asks for when it sheds a request; 0: none
+ * - large_kb: size of the service's responses, which consist of one letter for
+ *   each target; 0: they are small
+ * - large_chunked: large responses have no length
+ * - events_without_ids: no event of a stream has an id
  * - event_ms: time between the events of a stream, if not EVENT_INTERVAL_MS
  * - prompt_us_per_token: time that an engine takes to read a prompt; its
  *   streams make no events meanwhile; 0: none
@@ -109,6 +121,12 @@
 #define HEALTH_PATH "/h"
 #define ENTRY_TTL_MS 1200 /* age at which an engine's entry expires */
 #define CRASH_DOWN_MS 1200
+#define CRASH_DELAY_S 0.1
+#define SEALED "X-Skylarkspar-Server-Seal: s1\r\n"
+#define EVENTS "Content-Type: text/event-stream\r\n"
+#define SEALED_EVENTS SEALED EVENTS
+#define SEALED_TEXT SEALED "Content-Type: text/plain\r\n"
+#define EVENT_OF_ERROR "id: 4\ndata: error\n\n"
 /* A request that crashed CRASHES_ALLOWED engines, or one with a prompt part
  * that crashed PART_CRASHES_ALLOWED, is expected to reach no engine when
  * CRASHES_KNOWN_MS have passed since: stableMs in the tests' settings. */
@@ -857,10 +875,14 @@
         SkyServerRequest_Abort(request);
         return;
     }
-    int size = snprintf(text, sizeof text, "id: %llu\ndata: t%llu %s\n\n",
-                        (unsigned long long)stream->next_event,
-                        (unsigned long long)stream->next_event,
-                        stream->engine->software);
+    int size = 0;
+    if (get_fault("events_without_ids") == 0) {
+        size = snprintf(text, sizeof text, "id: %llu\n",
+                        (unsigned long long)stream->next_event);
+    }
+    size += snprintf(
+        text + size, sizeof text - (size_t)size, "data: t%llu %s\n\n",
+        (unsigned long long)stream->next_event, stream->engine->software);
     SkyServerRequest_WriteBody(request, text, (size_t)size);
     record_interval(stream, now_ms);
     if (++stream->next_event > EVENTS_PER_STREAM) {
@@ -1052,6 +1074,76 @@
                                    0);
 }
 
+/** Responses that do not go on with a stream. Each body looks like an event.
+ */
+static const struct {
+    uint16_t status;
+    const char *fields;
+    sky_body_framing_t framing;
+    const char *body;
+} RESUME_ANSWERS[] = {
+    {500, SEALED_EVENTS, SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
+    {500, SEALED_EVENTS, SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
+    {500, SEALED_EVENTS, SKY_FRAMING_UNTIL_CLOSE, EVENT_OF_ERROR},
+    {500, SEALED_EVENTS, SKY_FRAMING_LENGTH, ""},
+    {404, SEALED_TEXT, SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
+    {503, SEALED_EVENTS "X-Skylarkspar-Not-Executed: 1\r\n",
+     SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
+    {503, SEALED_EVENTS "X-Skylarkspar-Not-Executed: 1\r\n",
+     SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
+    {421, "", SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
+    {204, SEALED_EVENTS, SKY_FRAMING_LENGTH, ""},
+    {302, SEALED_EVENTS, SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
+    {200, EVENTS, SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
+    {200, SEALED_EVENTS "Content-Encoding: gzip\r\n", SKY_FRAMING_CHUNKED,
+     EVENT_OF_ERROR},
+    {200, SEALED_EVENTS, SKY_FRAMING_UNTIL_CLOSE, ""},
+    {200, SEALED_TEXT, SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
+    {200, SEALED_TEXT, SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
+    {200, SEALED_TEXT, SKY_FRAMING_UNTIL_CLOSE, EVENT_OF_ERROR},
+    {200, SEALED_TEXT, SKY_FRAMING_LENGTH, ""},
+    {200, SEALED_TEXT, SKY_FRAMING_CHUNKED, ""},
+};
+
+static void
+send_resume_answer(engine_t *engine, sky_server_request_t *request)
+{
+    char fields[256];
+    size_t count = sizeof RESUME_ANSWERS / sizeof RESUME_ANSWERS[0];
+    size_t i = (size_t)get_fault("resume_answer") % count;
+    write_response_fields(request, engine->limit_name, fields, sizeof fields,
+                          RESUME_ANSWERS[i].fields);
+    SkyServerRequest_BeginResponse(request, RESUME_ANSWERS[i].status, fields,
+                                   RESUME_ANSWERS[i].framing,
+                                   strlen(RESUME_ANSWERS[i].body));
+    SkyServerRequest_WriteBody(request, RESUME_ANSWERS[i].body,
+                               strlen(RESUME_ANSWERS[i].body));
+    SkyServerRequest_EndResponse(request);
+}
+
+/** The other side has received what was sent when the target crashes. */
+static void
+crash_soon(ev_timer *crash_timer)
+{
+    ev_timer_set(crash_timer, CRASH_DELAY_S, 0.0);
+    ev_timer_start(loop, crash_timer);
+}
+
+static void
+send_part_of_head(sky_server_request_t *request, const char *type)
+{
+    char head[512];
+    char fields[256];
+    size_t left = (size_t)get_fault("cut_head_bytes");
+    write_response_fields(request, "", fields, sizeof fields, type);
+    int size =
+        snprintf(head, sizeof head,
+                 "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n%s\r\n", fields);
+    /* No response was begun, so that the bytes are sent as they are. */
+    SkyServerRequest_WriteBody(request, head,
+                               left < (size_t)size ? left : (size_t)size - 1);
+}
+
 #define ENDLESS_INTERVAL_S 0.001
 #define ENDLESS_BURST_BYTES (256u * 1024u)
 
@@ -1223,6 +1315,26 @@
     else {
         runs_after_leave += engine->is_leaving ? 1 : 0;
         count_run(id);
+        if (consume_fault("cut_heads")) {
+            send_part_of_head(request, SEALED_EVENTS);
+            crash_soon(&engine->crash_timer);
+            return;
+        }
+        if (SkyHttpHead_FindField(head, "Last-Event-Id") != NULL &&
+            consume_fault("resume_answers")) {
+            send_resume_answer(engine, request);
+            return;
+        }
+        if (consume_fault("cut_text")) {
+            char fields[256];
+            write_response_fields(request, engine->limit_name, fields,
+                                  sizeof fields, SEALED_TEXT);
+            SkyServerRequest_BeginResponse(request, 200, fields,
+                                           SKY_FRAMING_CHUNKED, 0);
+            SkyServerRequest_WriteBody(request, "text", 4);
+            crash_soon(&engine->crash_timer);
+            return;
+        }
         if (consume_fault("endless_event")) {
             char fields[256];
             write_response_fields(request, engine->limit_name, fields,
@@ -1510,6 +1622,28 @@
     }
 }
 
+static void
+send_large_response(plain_target_t *target, sky_server_request_t *request,
+                    const char *fields)
+{
+    size_t size = (size_t)get_fault("large_kb") * 1024;
+    bool is_cut = consume_fault("cut_large");
+    char *bytes = malloc(size);
+    memset(bytes, 'a' + target->number, size);
+    SkyServerRequest_BeginResponse(
+        request, 200, fields,
+        get_fault("large_chunked") ? SKY_FRAMING_CHUNKED : SKY_FRAMING_LENGTH,
+        size);
+    SkyServerRequest_WriteBody(request, bytes, is_cut ? size / 2 : size);
+    free(bytes);
+    if (is_cut) {
+        crash_soon(&target->crash_timer);
+    }
+    else {
+        SkyServerRequest_EndResponse(request);
+    }
+}
+
 static void
 on_service_request(void *context, sky_server_request_t *request)
 {
@@ -1562,6 +1696,13 @@
     if (consume_fault("lose")) {
         SkyServerRequest_Abort(request);
     }
+    else if (consume_fault("cut_heads")) {
+        send_part_of_head(request, "X-Skylarkspar-Server-Seal: s2\r\n");
+        crash_soon(&target->crash_timer);
+    }
+    else if (get_fault("large_kb") > 0) {
+        send_large_response(target, request, fields);
+    }
     else if (consume_fault("endless_success")) {
         start_endless_response(request, 200, fields, "");
     }
