Do not append another target's response to one that has begun

Callers saw: a response that broke off after its head had been passed on was followed by the whole response of another target, and ended as complete. This met responses beyond 256 kB on routes with idempotent requests, a 200 that is no event stream on a route with streams that can resume, and streams whose events have no ids.

Cause: a retry after the response has begun is only right where the next target begins where the first one stopped. Dispatch says so with the last event's id; without one it sent the request again from its start, and what came was passed on behind what the caller already had.

Now the retry has an obstacle, 'response_begun', unless the response is an event stream with no whole event yet or with ids: the response ends with a reset, and the caller may repeat it.

--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -332,6 +332,17 @@
            request->route->retry_policy != SKY_RETRY_AT_MOST_ONCE;
 }
 
+/* Whether the response that the caller has a part of, if any, can go on with
+ * that of another target: only that to a stream begins where it is told to. */
+static bool
+can_continue_response(const sky_proxy_request_t *request)
+{
+    const sky_event_stream_t *stream = &request->event_stream;
+    return !request->response_started ||
+           (request->response.facts.events &&
+            (stream->event_count == 0 || stream->has_id));
+}
+
 const char *
 SkyProxyRequest_GetRetryObstacle(const sky_proxy_request_t *request)
 {
@@ -342,6 +353,9 @@
     if (!is_safe_to_retry(request)) {
         return "not_repeatable";
     }
+    if (!can_continue_response(request)) {
+        return "response_begun";
+    }
     if (request->send_count >= SENDS_PER_REQUEST_MAX) {
         return "sends";
     }
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -36,7 +36,8 @@
         proc_endless_response proc_forwarded proc_limits \
         proc_leaving_targets proc_lost_peer proc_odd_entries proc_prompt_turns \
         proc_silent_targets proc_stop \
-        proc_store_era proc_stream_out_of_step proc_stream_restart \
+        proc_store_era proc_stream_next_error proc_stream_out_of_step \
+        proc_stream_restart \
         proc_stream_version \
         proc_target_words; do
         [ -f "tests/$name.sh" ] || continue
