Resume a stream only with a response that is an event stream

Callers saw: their stream broke off, and the next target answered 200 with a seal, but with a text, such as an error's. Text that ends in a blank line was passed on as an event of their stream; after an empty one, with a length or in chunks, the stream ended as complete.

Cause: of the next response only status, seal and encoding were looked at. What was known of its kind was that of the first one, as the facts of a response were kept with the head that the caller has. For the same reason a 421 to a request that resumes a stream counted as 'the target is full'.

Now the facts are those of the current exchange, what the caller is being sent is kept by itself, and a response without the type of an event stream is treated as any other bad one: another target is tried, or the stream is reset.

--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -339,7 +339,7 @@
 {
     const sky_event_stream_t *stream = &request->event_stream;
     return !request->response_started ||
-           (request->response.facts.events &&
+           (request->response.is_event_stream &&
             (stream->event_count == 0 || stream->has_id));
 }
 
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -33,7 +33,8 @@
 
 typedef struct {
     uint16_t status;
-    sky_response_facts_t facts;
+    sky_response_facts_t facts; /**< of the current exchange */
+    bool is_event_stream;       /**< that is passed on to the caller */
     sky_buffer_t header_fields;
     sky_buffer_t body;
     bool has_content_length;
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -99,18 +99,17 @@
     if (!request->response_started) {
         SkyProxyResponse_Clear(response);
     }
+    response->facts = facts;
     response->is_framed = head->has_length;
     response->body_bytes = 0;
     if (request->response_started) {
         /* The caller already has the head of the stream that is resumed. */
-        bool continues_stream =
-            head->status == 200 && facts.sealed && !facts.encoded;
-        response->facts.not_run = facts.not_run;
+        bool continues_stream = head->status == 200 && facts.sealed &&
+                                facts.events && !facts.encoded;
         response->is_invalid = !continues_stream;
         return needs_body(response);
     }
     response->status = head->status;
-    response->facts = facts;
     response->has_content_length = head->has_length;
     response->content_length = head->content_bytes;
     response->is_invalid =
@@ -141,8 +140,8 @@
 begin_relay(sky_proxy_request_t *request)
 {
     sky_proxy_response_t *response = &request->response;
-    bool is_event_stream = response->facts.events;
-    sky_body_framing_t framing = is_event_stream ||
+    response->is_event_stream = response->facts.events;
+    sky_body_framing_t framing = response->is_event_stream ||
                                          !response->has_content_length ||
                                          !response->content_length
                                      ? SKY_FRAMING_CHUNKED
@@ -178,7 +177,7 @@
 static void
 relay_bytes(sky_proxy_request_t *request, const char *bytes, size_t size)
 {
-    if (!request->response.facts.events) {
+    if (!request->response.is_event_stream) {
         SkyServerRequest_WriteBody(request->caller_request, bytes, size);
         wait_for_slow_caller(request);
         return;
--- a/tests/proc_stream_next_error.sh
+++ b/tests/proc_stream_next_error.sh
@@ -25,8 +25,8 @@
 }
 # data ID: prints the data of the events in a response
 data() { sed -n 's/^data: \([^ ]*\).*/\1/p' "$DIR/body.$1" | tr '\n' ' '; }
-stream() { # ID: with a prompt of its own
-    send_request 0 /gen/1 "$1" -X POST -d "prompt $1" \
+stream() { # ID [HOST]: with a prompt of its own
+    send_request "${2:-0}" /gen/1 "$1" -X POST -d "prompt $1" \
         -H 'X-Skylarkspar-Model: m1'
 }
 look() { send_request 0 "/look/$1" "$1"; }
@@ -60,5 +60,36 @@
     "$(ended idless stream idless)" broken
 check "and none comes twice" "$(data idless)" "t1 t2 t3 "
 set_fault '{"events_without_ids": 0}'
+
+# play_answer NUMBER COUNT ID: a stream is cut after three events, and as many of
+# the requests that resume it as given get this answer; prints how the stream
+# ends, its status and events, and whether a request to resume it was sent
+play_answer() {
+    set_fault "{\"resume_answer\": $1, \"resume_answers\": $2,
+        \"cut_streams\": 1}"
+    # Each host has its own share of the retry budget.
+    ending=$(ended "$3" stream "$3" $(($1 % 3)))
+    set_fault '{"resume_answers": 0, "cut_streams": 0}'
+    [ "$(run_count "$3")" -ge 2 ] && resumed="resumed" || resumed="not resumed"
+    echo "$ending $(cat "$DIR/out.$3") $(data "$3")$resumed"
+}
+# The answers of the fake, see RESUME_ANSWERS.
+number=0
+for answer in "500 with a length" "500 in chunks" "500 until close" \
+    "500 without a body" "404" "503, not run, with a length" \
+    "503, not run, in chunks" "421" "204" "302" "200 without a seal" \
+    "200 with an encoding" "200, no byte until close" \
+    "200, text with a length" "200, text in chunks" "200, text until close" \
+    "200, empty text with a length" "200, empty text in chunks"; do
+    wanted="whole 200 t1 t2 t3 t4 t5 t6 t7 t8 resumed"
+    # Two targets seem to have crashed: the request is quarantined.
+    [ "$answer" = "200, no byte until close" ] &&
+        wanted="broken 200 t1 t2 t3 resumed"
+    check "the next target answers with $answer: the stream goes on, if it may" \
+        "$(play_answer $number 1 "one$number")" "$wanted"
+    check "all others do: the stream ends as broken" \
+        "$(play_answer $number 9 "all$number")" "broken 200 t1 t2 t3 resumed"
+    number=$((number + 1))
+done
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
