Guard: a response whose head is cut is no response

Reported elsewhere: a target stopped in the middle of its response's head and closed, and callers got a 200 with an empty body. It does not show here, and these tests keep it so.

The heads of resumed streams are cut in proc_stream_next_error.

Each can fail. test_client does when the end of a connection always ends a body that lasts until then.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -32,7 +32,7 @@
     for name in proc_answers proc_faults proc_edge \
         proc_brittle \
         proc_crashes proc_crash_waves \
-        proc_cut_hosts proc_cut_streams \
+        proc_cut_heads proc_cut_hosts proc_cut_streams \
         proc_endless_response proc_forwarded proc_limits \
         proc_leaving_targets proc_lost_peer proc_odd_entries proc_prompt_turns \
         proc_silent_targets proc_stop \
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1103,24 +1103,9 @@
     {200, SEALED_TEXT, SKY_FRAMING_UNTIL_CLOSE, EVENT_OF_ERROR},
     {200, SEALED_TEXT, SKY_FRAMING_LENGTH, ""},
     {200, SEALED_TEXT, SKY_FRAMING_CHUNKED, ""},
+    {0, SEALED_EVENTS, SKY_FRAMING_LENGTH, ""}, /* a part of a head */
 };
 
-static void
-send_resume_answer(engine_t *engine, sky_server_request_t *request)
-{
-    char fields[256];
-    size_t count = sizeof RESUME_ANSWERS / sizeof RESUME_ANSWERS[0];
-    size_t i = (size_t)get_fault("resume_answer") % count;
-    write_response_fields(request, engine->limit_name, fields, sizeof fields,
-                          RESUME_ANSWERS[i].fields);
-    SkyServerRequest_BeginResponse(request, RESUME_ANSWERS[i].status, fields,
-                                   RESUME_ANSWERS[i].framing,
-                                   strlen(RESUME_ANSWERS[i].body));
-    SkyServerRequest_WriteBody(request, RESUME_ANSWERS[i].body,
-                               strlen(RESUME_ANSWERS[i].body));
-    SkyServerRequest_EndResponse(request);
-}
-
 /** The other side has received what was sent when the target crashes. */
 static void
 crash_soon(ev_timer *crash_timer)
@@ -1144,6 +1129,27 @@
                                left < (size_t)size ? left : (size_t)size - 1);
 }
 
+static void
+send_resume_answer(engine_t *engine, sky_server_request_t *request)
+{
+    char fields[256];
+    size_t count = sizeof RESUME_ANSWERS / sizeof RESUME_ANSWERS[0];
+    size_t i = (size_t)get_fault("resume_answer") % count;
+    if (RESUME_ANSWERS[i].status == 0) {
+        send_part_of_head(request, RESUME_ANSWERS[i].fields);
+        crash_soon(&engine->crash_timer);
+        return;
+    }
+    write_response_fields(request, engine->limit_name, fields, sizeof fields,
+                          RESUME_ANSWERS[i].fields);
+    SkyServerRequest_BeginResponse(request, RESUME_ANSWERS[i].status, fields,
+                                   RESUME_ANSWERS[i].framing,
+                                   strlen(RESUME_ANSWERS[i].body));
+    SkyServerRequest_WriteBody(request, RESUME_ANSWERS[i].body,
+                               strlen(RESUME_ANSWERS[i].body));
+    SkyServerRequest_EndResponse(request);
+}
+
 #define ENDLESS_INTERVAL_S 0.001
 #define ENDLESS_BURST_BYTES (256u * 1024u)
 
--- a/tests/proc_stream_next_error.sh
+++ b/tests/proc_stream_next_error.sh
@@ -66,7 +66,7 @@
 # ends, its status and events, and whether a request to resume it was sent
 play_answer() {
     set_fault "{\"resume_answer\": $1, \"resume_answers\": $2,
-        \"cut_streams\": 1}"
+        \"cut_streams\": 1, \"cut_head_bytes\": 60}"
     # Each host has its own share of the retry budget.
     ending=$(ended "$3" stream "$3" $(($1 % 3)))
     set_fault '{"resume_answers": 0, "cut_streams": 0}'
@@ -80,11 +80,15 @@
     "503, not run, in chunks" "421" "204" "302" "200 without a seal" \
     "200 with an encoding" "200, no byte until close" \
     "200, text with a length" "200, text in chunks" "200, text until close" \
-    "200, empty text with a length" "200, empty text in chunks"; do
+    "200, empty text with a length" "200, empty text in chunks" \
+    "a part of a head"; do
     wanted="whole 200 t1 t2 t3 t4 t5 t6 t7 t8 resumed"
     # Two targets seem to have crashed: the request is quarantined.
-    [ "$answer" = "200, no byte until close" ] &&
+    case $answer in
+    "200, no byte until close" | "a part of a head")
         wanted="broken 200 t1 t2 t3 resumed"
+        ;;
+    esac
     check "the next target answers with $answer: the stream goes on, if it may" \
         "$(play_answer $number 1 "one$number")" "$wanted"
     check "all others do: the stream ends as broken" \
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -155,8 +155,9 @@
         options.context = this;
         EXPECT_NE(nullptr, SkyClient_Send(client, &options));
         SkyBuffer_Clear(&request);
-        for (int i = 0; i < 5000 && !ended; i++) {
-            RunLoop(1);
+        for (int i = 0; i < 50000 && !ended; i++) {
+            ev_run(loop, EVRUN_NOWAIT);
+            usleep(100);
         }
         EXPECT_TRUE(ended);
         return outcome;
@@ -231,6 +232,49 @@
               SendRequest("1", {{truncated, ScriptedResponse::CLOSE}}));
 }
 
+// A server stopped in the middle of a response's head: callers got a success
+// with an empty body. Cuts each response after each byte.
+TEST_F(ClientTest, ResponseThatIsCutAnywhereIsNeverComplete)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\nX-Id: 9\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nEmpty:\r\n";
+    const std::string unframed = head + "Content-Type: text/plain\r\n\r\n";
+    const std::string responses[] = {
+        Response("2", "whole"),
+        Response("2", ""),
+        unframed,
+        head + "Transfer-Encoding: chunked\r\n\r\n"
+               "10\r\n0123456789abcdef\r\n0\r\nTrailer: t\r\n\r\n",
+        interim + Response("2", "whole"),
+        interim + interim + unframed,
+        Response("1", "late") + unframed,
+    };
+    uint64_t reuses = 0;
+    for (const std::string &response : responses) {
+        for (size_t size = 0; size < response.size(); size++) {
+            for (auto action :
+                 {ScriptedResponse::CLOSE, ScriptedResponse::RESET}) {
+                for (bool is_reused : {false, true}) {
+                    SCOPED_TRACE(response.substr(0, size));
+                    if (is_reused) {
+                        reuses++;
+                        ASSERT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+                                  SendRequest("1",
+                                              {{Response("1", "first"),
+                                                ScriptedResponse::KEEP_OPEN}},
+                                              true));
+                    }
+                    EXPECT_EQ(SKY_CLIENT_OUTCOME_BROKEN,
+                              SendRequest("2",
+                                          {{response.substr(0, size), action}},
+                                          !is_reused));
+                }
+            }
+        }
+    }
+    EXPECT_EQ(reuses, SkyClient_Stats(client)->connection_reuses);
+}
+
 TEST_F(ClientTest, ReportsGarbledOnInvalidResponse)
 {
     EXPECT_EQ(
