Take late requests while stopping only if they end in time for sure

Callers saw: in a planned stop of one host, in calm, requests that came late in its time were passed on to targets and cut at the exit without a response, among them ones that may not be repeated; likewise streams that waited for room first.

Cause: a guess taken for a promise, and a decision that outlives what it rests on. A stopping host took a request if the recent responses of its route had been short, whatever a longer one would do to its caller, and decided that at the arrival only, though the request may then wait for room, a load, a turn or another host.

Evidence: proc_stop_late asks a stopping host for short and long requests of each kind at each tenth of its time, on routes that had short responses only. In test_stop_admission, the replay with guesses for all kinds cuts requests, and so does the one without the check before the send; with both, none of 100 seeds cuts what may not run again or a stream that comes late.

Why it works: the deadline is the only end that is certain. Requests that may not run again, and streams once the balancer sends none any more, are taken only if it is before the exit. Recent responses still count where a wrong guess does little harm. Requests that no target has got are checked again before each dispatch and every 20 ms, and go back as not run. What is still open at the exit and has no response yet is answered (502, 504, or 503 if not sent) in place of being cut, after responses that have arrived.

--- a/lib/decide/stop_admission.c
+++ b/lib/decide/stop_admission.c
@@ -139,14 +139,37 @@
                : times->longest_ms;
 }
 
+/* Whether recent responses of the route say enough of the request's end. */
+static bool
+is_guess_allowed(const sky_stop_times_t *times,
+                 const sky_stop_request_t *request, uint64_t now_ms)
+{
+    switch (request->kind) {
+    case SKY_STOP_KIND_REPEATABLE:
+        return true;
+    case SKY_STOP_KIND_RESUMABLE:
+        return now_ms < times->balanced_until_ms;
+    case SKY_STOP_KIND_ONCE:
+        break;
+    }
+    return false;
+}
+
 bool
 SkyStopAdmission_EndsInTime(const sky_stop_admission_t *admission,
-                            uint64_t route, uint64_t exits_at_ms,
-                            uint64_t limit_ms, uint64_t now_ms)
+                            const sky_stop_times_t *times,
+                            const sky_stop_request_t *request, uint64_t now_ms)
 {
-    uint64_t left_ms = exits_at_ms > now_ms ? exits_at_ms - now_ms : 0;
-    uint64_t longest_ms = get_longest_ms(admission, route, limit_ms, now_ms);
-    return limit_ms <= left_ms ||
-           (longest_ms > 0 &&
-            (double)longest_ms * GROWTH_MAX <= (double)left_ms);
+    if (request->ends_at_ms <= times->exits_at_ms) {
+        return true;
+    }
+    if (!is_guess_allowed(times, request, now_ms)) {
+        return false;
+    }
+    uint64_t left_ms =
+        times->exits_at_ms > now_ms ? times->exits_at_ms - now_ms : 0;
+    uint64_t longest_ms =
+        get_longest_ms(admission, request->route, request->limit_ms, now_ms);
+    return longest_ms > 0 &&
+           (double)longest_ms * GROWTH_MAX <= (double)left_ms;
 }
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -607,7 +607,7 @@
     if (request->waits_for_records) {
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
-    if (fail_crashing(request) ||
+    if (SkyProxyRequest_FailIfStopping(request) || fail_crashing(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
          SkyProxyRequest_TryPeer(request)) ||
         !settle_resume(request)) {
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -54,6 +54,7 @@
 /** The load balancer stops sending callers after two failed probes, which are
  *  a second apart. */
 #define DRAIN_MIN_MS 3200
+#define BALANCED_MAX_MS 3000 /**< it sends callers for no longer */
 #define DRAIN_IDLE_TIMEOUT_MS 2500
 #define DRAIN_MARGIN_MS 400 /**< from exit to the end of the grace period */
 #define PROBE_REQUEST_BYTES_MAX 4096 /**< of the head, and of the body */
@@ -214,8 +215,10 @@
                  SkyListener_ConnectionCount(edge->front_listener));
     SkyOwnership_LeaveGroup(edge->ownership);
     SkyListener_Drain(edge->front_listener, DRAIN_IDLE_TIMEOUT_MS);
-    SkyProxy_SetExitTime(edge->proxy,
-                         edge->term_received_ms + exit_timeout_ms(edge));
+    sky_stop_times_t times = {
+        .exits_at_ms = edge->term_received_ms + exit_timeout_ms(edge),
+        .balanced_until_ms = edge->term_received_ms + BALANCED_MAX_MS};
+    SkyProxy_SetStopTimes(edge->proxy, &times);
 }
 
 static void
@@ -319,6 +322,7 @@
         SkyLog_Write(LOG_NOTICE, "stopped", "open=%u connections=%u",
                      SkyProxy_OpenRequestCount(edge->proxy),
                      SkyListener_ConnectionCount(edge->front_listener));
+        SkyProxy_AnswerOpenRequests(edge->proxy);
         ev_break(loop, EVBREAK_ALL);
     }
 }
@@ -544,6 +548,8 @@
                   LOG_FLUSH_INTERVAL_S);
     ev_check_init(&edge->loop_check, on_loop_check);
     ev_set_priority(&edge->loop_check, EV_MAXPRI);
+    /* The exit comes after responses that have arrived by then. */
+    ev_set_priority(&edge->tick_timer, EV_MINPRI);
     edge->term_signal.data = edge;
     edge->hup_signal.data = edge;
     edge->tick_timer.data = edge;
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -9,7 +9,6 @@
 #include "core/logging.h"
 #include "edge/proxy_request.h"
 
-#define RETRY_AFTER_STOPPING_MS 20
 /** Longer than most responses, and long enough for some of each busy route. */
 #define STOP_ADMISSION_WINDOW_MS 30000
 #define STOP_ADMISSION_ROUTES_MAX 512
@@ -18,23 +17,32 @@
 #define RETRY_AFTER_STORE_UNREACHABLE_MS 1500
 #define CHECK_INTERVAL_S 0.02 /**< of SkyProxy_CheckOpenRequests() */
 
+/* Ends and frees a request that has run out of time. */
 static void
-on_deadline(struct ev_loop *loop, ev_timer *watcher, int events)
+end_request(sky_proxy_request_t *request, uint32_t retry_after_ms,
+            const char *reason)
 {
-    (void)loop;
-    (void)events;
-    sky_proxy_request_t *request = watcher->data;
     if (request->target_request != NULL) {
         request->may_have_run =
             request->may_have_run ||
             SkyClientRequest_HasSentBytes(request->target_request);
-        SkyProxyRequest_LogExchangeFailure(request, "deadline");
-        if (SkyClientRequest_HasSentBytes(request->target_request)) {
-            SkyProxyRequest_SuspectCrash(request);
-        }
+        SkyProxyRequest_LogExchangeFailure(request, reason);
     }
     SkyProxyRequest_CancelPending(request);
-    SkyProxyRequest_Fail(request, RETRY_AFTER_FULL_MS, "deadline");
+    SkyProxyRequest_Fail(request, retry_after_ms, reason);
+}
+
+static void
+on_deadline(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    sky_proxy_request_t *request = watcher->data;
+    if (request->target_request != NULL &&
+        SkyClientRequest_HasSentBytes(request->target_request)) {
+        SkyProxyRequest_SuspectCrash(request);
+    }
+    end_request(request, RETRY_AFTER_FULL_MS, "deadline");
 }
 
 static void
@@ -126,15 +134,11 @@
     uint32_t limit_ms = request->route->timeout_ms < request->facts.deadline_ms
                             ? request->route->timeout_ms
                             : request->facts.deadline_ms;
-    if (proxy->exits_at_ms > 0 &&
-        !SkyStopAdmission_EndsInTime(
-            proxy->stop_admission, SkyProxyRequest_RouteHash(request),
-            proxy->exits_at_ms, limit_ms, request->received_ms)) {
-        reject_unrouted(request, 503, RETRY_AFTER_STOPPING_MS, "stopping");
+    request->deadline_at_ms = request->received_ms + limit_ms;
+    if (SkyProxyRequest_FailIfStopping(request)) {
         return;
     }
     uint64_t waited_ms = SkyClock_NowMs() - request->received_ms;
-    request->deadline_at_ms = request->received_ms + limit_ms;
     ev_timer_set(&request->deadline_timer,
                  waited_ms < limit_ms ? (double)(limit_ms - waited_ms) / 1000.0
                                       : 0.0,
@@ -279,9 +283,23 @@
 }
 
 void
-SkyProxy_SetExitTime(sky_proxy_t *proxy, uint64_t exits_at_ms)
+SkyProxy_SetStopTimes(sky_proxy_t *proxy, const sky_stop_times_t *times)
+{
+    proxy->stop_times = *times;
+    proxy->is_stopping = true;
+}
+
+void
+SkyProxy_AnswerOpenRequests(sky_proxy_t *proxy)
 {
-    proxy->exits_at_ms = exits_at_ms;
+    sky_proxy_request_t *request;
+    sky_proxy_request_t *next;
+    DL_FOREACH_SAFE(proxy->requests, request, next)
+    {
+        if (!request->response_started) {
+            end_request(request, RETRY_AFTER_STOPPING_MS, "stopping");
+        }
+    }
 }
 
 uint32_t
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -17,6 +17,7 @@
 
 #include "core/metrics.h"
 #include "core/result.h"
+#include "decide/stop_admission.h"
 #include "edge/directory.h"
 #include "edge/feed.h"
 #include "edge/host_settings.h"
@@ -60,9 +61,14 @@
     uint64_t received_from_peers;
 } sky_proxy_stats_t;
 const sky_proxy_stats_t *SkyProxy_Stats(const sky_proxy_t *proxy);
-/** Announces that this host stops. Requests received from now on that are not
- *  expected to end before @p exits_at_ms (monotonic) are refused at once. */
-void SkyProxy_SetExitTime(sky_proxy_t *proxy, uint64_t exits_at_ms);
+/** Announces that this host stops. Requests that no target has got and that
+ * are not expected to end before it exits are refused as not run, now or as
+ * soon as that is known. */
+void SkyProxy_SetStopTimes(sky_proxy_t *proxy, const sky_stop_times_t *times);
+/** Ends the requests whose callers have got no byte of a response: their
+ *  callers learn whether a target may have run them. To be called before this
+ *  host exits. */
+void SkyProxy_AnswerOpenRequests(sky_proxy_t *proxy);
 /** @return requests without a final response. */
 uint32_t SkyProxy_OpenRequestCount(const sky_proxy_t *proxy);
 
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -273,6 +273,39 @@
     }
 }
 
+static sky_stop_kind_t
+get_stop_kind(const sky_route_t *route)
+{
+    if (route->retry_policy == SKY_RETRY_AT_MOST_ONCE) {
+        return SKY_STOP_KIND_ONCE;
+    }
+    return route->streaming ? SKY_STOP_KIND_RESUMABLE
+                            : SKY_STOP_KIND_REPEATABLE;
+}
+
+bool
+SkyProxyRequest_FailIfStopping(sky_proxy_request_t *request)
+{
+    const sky_proxy_t *proxy = request->proxy;
+    if (!proxy->is_stopping || request->target_request != NULL ||
+        request->may_have_run || request->response_started) {
+        return false;
+    }
+    sky_stop_request_t stopped = {
+        .route = SkyProxyRequest_RouteHash(request),
+        .kind = get_stop_kind(request->route),
+        .limit_ms = request->deadline_at_ms - request->received_ms,
+        .ends_at_ms = request->deadline_at_ms,
+    };
+    if (SkyStopAdmission_EndsInTime(proxy->stop_admission, &proxy->stop_times,
+                                    &stopped, SkyClock_NowMs())) {
+        return false;
+    }
+    SkyProxyRequest_CancelPending(request);
+    SkyProxyRequest_Fail(request, RETRY_AFTER_STOPPING_MS, "stopping");
+    return true;
+}
+
 void
 SkyProxyRequest_RecordResponse(const sky_proxy_request_t *request)
 {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -24,10 +24,11 @@
 #include "net/event_stream.h"
 #include "platform/wire.h"
 
-#define SENDS_PER_REQUEST_MAX 4  /**< includes sends that a target refused */
-#define RETRY_AFTER_START_MS 500 /**< about the time that a start takes */
-#define RETRY_AFTER_FULL_MS 200  /**< about the time until a slot is free */
-#define PEERS_PER_REQUEST_MAX 2  /**< hosts that a request is passed on to */
+#define SENDS_PER_REQUEST_MAX 4    /**< includes sends that a target refused */
+#define RETRY_AFTER_START_MS 500   /**< about the time that a start takes */
+#define RETRY_AFTER_FULL_MS 200    /**< about the time until a slot is free */
+#define RETRY_AFTER_STOPPING_MS 20 /**< another host serves it */
+#define PEERS_PER_REQUEST_MAX 2    /**< hosts that a request is passed on to */
 /** Max wait for a free batch slot: about as long as a few requests run. */
 #define CAPACITY_WAIT_MAX_MS 1500
 
@@ -134,8 +135,9 @@
     uint32_t open_count;
     sky_proxy_stats_t stats;
     ev_timer check_timer;
-    bool awaits_records;  /**< those known are too old to act on */
-    uint64_t exits_at_ms; /**< of this host; 0: it is not stopping */
+    bool awaits_records; /**< those known are too old to act on */
+    bool is_stopping;
+    sky_stop_times_t stop_times; /**< set if is_stopping */
     sky_stop_admission_t *stop_admission;
 };
 
@@ -277,6 +279,11 @@
                                       sky_buffer_t *fields,
                                       const sky_hop_response_t *hop);
 
+/** Ends and frees the request, as not run, if this host stops, no target has
+ * got it, and its response is not expected to end before the exit.
+ *  @return whether it did */
+bool SkyProxyRequest_FailIfStopping(sky_proxy_request_t *request);
+
 /** Sends the request to a target, or lets it wait for a placement, an owner's
  *  report or capacity; ends and frees it if no target can serve it. */
 void SkyProxyRequest_Dispatch(sky_proxy_request_t *request);
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -154,6 +154,21 @@
     }
 }
 
+/* Gives back what has not been sent and could no longer end before this host
+ * exits, whatever it waits for. */
+static void
+fail_stopping(sky_proxy_t *proxy)
+{
+    sky_proxy_request_t *request;
+    sky_proxy_request_t *next;
+    DL_FOREACH_SAFE(proxy->requests, request, next)
+    {
+        if (request->route != NULL) {
+            SkyProxyRequest_FailIfStopping(request);
+        }
+    }
+}
+
 void
 SkyProxy_CheckOpenRequests(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -167,6 +182,7 @@
         SkyLog_Write(LOG_NOTICE, "records_awaited", "waits=%d open=%u",
                      proxy->awaits_records, proxy->open_count);
     }
+    fail_stopping(proxy);
     if (!are_usable) {
         return; /* all that follows chooses targets */
     }
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -35,7 +35,7 @@
         proc_cut_hosts proc_cut_streams \
         proc_endless_response proc_forwarded proc_limits \
         proc_leaving_targets proc_lost_peer proc_odd_entries proc_prompt_turns \
-        proc_silent_targets proc_stop \
+        proc_silent_targets proc_stop proc_stop_late \
         proc_store_era proc_stream_out_of_step proc_stream_restart \
         proc_stream_version \
         proc_target_words; do
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -61,6 +61,8 @@
  * - measure_intervals: the longest interval between two events of a stream is
  *   kept, as longest_interval; 0: not
  * - app_run_ms: time that the service takes for a request
+ * - long_app_ms, long_event_ms: in place of app_run_ms and event_ms, of a
+ *   request with "/long" in its path
  * - app_room: requests that a target of the service has room for, beyond which
  *   it refuses; 0: any number
  * - brittle_app: the service says in its responses that a target which has to
@@ -297,6 +299,13 @@
     return left > 0;
 }
 
+static bool
+is_long_request(const sky_server_request_t *request)
+{
+    return strstr(SkyHttpHead_Url(SkyServerRequest_Head(request)), "/long") !=
+           NULL;
+}
+
 /** Finds a topic; creates it at its first use. */
 static topic_t *
 find_or_create_topic(const char *name)
@@ -1032,9 +1041,10 @@
         slot->stream_count++;
     }
     read_prompt(engine, SkyServerRequest_Head(request));
-    stream->interval_s = (get_fault("event_ms") > 0 ? get_fault("event_ms")
-                                                    : EVENT_INTERVAL_MS) /
-                         1000.0;
+    int64_t event_ms =
+        get_fault(is_long_request(request) ? "long_event_ms" : "event_ms");
+    stream->interval_s =
+        (double)(event_ms > 0 ? event_ms : EVENT_INTERVAL_MS) / 1000.0;
     ev_timer_init(&stream->timer, on_stream_timer, stream->interval_s,
                   stream->interval_s);
     stream->timer.data = stream;
@@ -1559,6 +1569,8 @@
     }
     write_response_fields(request, SERVICE_LIMIT_NAME, fields, sizeof fields,
                           "X-Skylarkspar-Server-Seal: s2\r\n");
+    int64_t run_ms =
+        get_fault(is_long_request(request) ? "long_app_ms" : "app_run_ms");
     if (consume_fault("lose")) {
         SkyServerRequest_Abort(request);
     }
@@ -1584,8 +1596,8 @@
         SkyServerRequest_WriteBody(request, "half", 4);
         SkyServerRequest_Abort(request);
     }
-    else if (get_fault("app_run_ms") > 0) {
-        start_plain_run(target, request, (uint64_t)get_fault("app_run_ms"));
+    else if (run_ms > 0) {
+        start_plain_run(target, request, (uint64_t)run_ms);
     }
     else {
         SkyServerRequest_Respond(request, 200, fields, "service", 7);
--- a/tests/test_stop_admission.cc
+++ b/tests/test_stop_admission.cc
@@ -35,10 +35,19 @@
         return admission;
     }
     bool
-    EndsInTime(uint64_t route, uint64_t left_ms, uint64_t limit_ms)
+    EndsInTime(uint64_t route, uint64_t left_ms, uint64_t limit_ms,
+               sky_stop_kind_t kind = SKY_STOP_KIND_REPEATABLE,
+               bool is_balanced = true)
     {
-        return SkyStopAdmission_EndsInTime(
-            admission_, route, now_ms_ + left_ms, limit_ms, now_ms_);
+        sky_stop_times_t times = {.exits_at_ms = now_ms_ + left_ms,
+                                  .balanced_until_ms =
+                                      now_ms_ + (is_balanced ? 1 : 0)};
+        sky_stop_request_t request = {.route = route,
+                                      .kind = kind,
+                                      .limit_ms = limit_ms,
+                                      .ends_at_ms = now_ms_ + limit_ms};
+        return SkyStopAdmission_EndsInTime(admission_, &times, &request,
+                                           now_ms_);
     }
     sky_stop_admission_t *admission_ = nullptr;
     uint64_t now_ms_ = 1000000;
@@ -100,6 +109,54 @@
     EXPECT_TRUE(EndsInTime(99, 1000, 15000));
 }
 
+// Guards against requests that are taken since those before were short, and
+// cut at the exit though they may not run again.
+TEST_F(StopAdmission, ARequestThatMayNotRunAgainCountsByItsDeadline)
+{
+    SkyStopAdmission_RecordResponse(admission_, 1, 40, now_ms_);
+    now_ms_ += 15000;
+    EXPECT_FALSE(EndsInTime(1, 7600, 15000, SKY_STOP_KIND_ONCE));
+    EXPECT_FALSE(EndsInTime(1, 1400, 1500, SKY_STOP_KIND_ONCE));
+    EXPECT_TRUE(EndsInTime(1, 1500, 1500, SKY_STOP_KIND_ONCE));
+}
+
+// Guards against streams that are taken late, when hardly any still come here,
+// and cut at the exit.
+TEST_F(StopAdmission, AStreamThatComesLateCountsByItsDeadline)
+{
+    SkyStopAdmission_RecordResponse(admission_, 1, 900, now_ms_);
+    now_ms_ += 15000;
+    EXPECT_TRUE(EndsInTime(1, 5000, 15000, SKY_STOP_KIND_RESUMABLE, true));
+    EXPECT_FALSE(EndsInTime(1, 5000, 15000, SKY_STOP_KIND_RESUMABLE, false));
+    EXPECT_TRUE(EndsInTime(1, 5000, 5000, SKY_STOP_KIND_RESUMABLE, false));
+    EXPECT_TRUE(EndsInTime(1, 5000, 15000, SKY_STOP_KIND_REPEATABLE, false));
+}
+
+// Guards against a wait before the send that the decision at the arrival did
+// not count on.
+TEST_F(StopAdmission, ARequestThatWaitsIsGivenBackBeforeItIsTooLate)
+{
+    sky_stop_times_t times = {.exits_at_ms = now_ms_ + 20000,
+                              .balanced_until_ms = now_ms_ + 18000};
+    SkyStopAdmission_RecordResponse(admission_, 1, 400, now_ms_);
+    now_ms_ += 15000;
+    sky_stop_request_t request = {.route = 1,
+                                  .kind = SKY_STOP_KIND_RESUMABLE,
+                                  .limit_ms = 15000,
+                                  .ends_at_ms = now_ms_ + 15000};
+    EXPECT_TRUE(
+        SkyStopAdmission_EndsInTime(admission_, &times, &request, now_ms_));
+    now_ms_ += 3000;
+    EXPECT_FALSE(
+        SkyStopAdmission_EndsInTime(admission_, &times, &request, now_ms_));
+    request.kind = SKY_STOP_KIND_REPEATABLE;
+    EXPECT_TRUE(
+        SkyStopAdmission_EndsInTime(admission_, &times, &request, now_ms_));
+    now_ms_ += 1501; // 499 ms are left
+    EXPECT_FALSE(
+        SkyStopAdmission_EndsInTime(admission_, &times, &request, now_ms_));
+}
+
 struct outcome_t {
     uint32_t cut = 0;
     uint32_t refused = 0;
@@ -107,16 +164,27 @@
     uint32_t served = 0;
 };
 
-using rule_t = bool (*)(const sky_stop_admission_t *admission, uint64_t route,
-                        uint64_t exits_at_ms, uint64_t limit_ms,
-                        uint64_t now_ms);
+using rule_t = bool (*)(const sky_stop_admission_t *admission,
+                        const sky_stop_times_t *times,
+                        const sky_stop_request_t *request, uint64_t now_ms);
 
 // One time for all routes.
 bool
-FixedTime(const sky_stop_admission_t *, uint64_t, uint64_t exits_at_ms,
-          uint64_t, uint64_t now_ms)
+FixedTime(const sky_stop_admission_t *, const sky_stop_times_t *times,
+          const sky_stop_request_t *, uint64_t now_ms)
 {
-    return now_ms + 4000 <= exits_at_ms;
+    return now_ms + 4000 <= times->exits_at_ms;
+}
+
+// Recent responses count for requests of all kinds, at all times.
+bool
+GuessAlways(const sky_stop_admission_t *admission,
+            const sky_stop_times_t *times, const sky_stop_request_t *request,
+            uint64_t now_ms)
+{
+    sky_stop_request_t guessed = *request;
+    guessed.kind = SKY_STOP_KIND_REPEATABLE;
+    return SkyStopAdmission_EndsInTime(admission, times, &guessed, now_ms);
 }
 
 // All hosts are stopped in turn beside a burst that makes responses longer,
@@ -128,10 +196,11 @@
 {
     struct {
         uint64_t shortest_ms, longest_ms, deadline_ms, every_ms;
-    } const ROUTES[] = {{200, 900, 5000, 40},
-                        {1500, 6500, 15000, 60},
-                        {3000, 10000, 25000, 300},
-                        {30, 60, 1500, 80}};
+        sky_stop_kind_t kind;
+    } const ROUTES[] = {{200, 900, 5000, 40, SKY_STOP_KIND_RESUMABLE},
+                        {1500, 6500, 15000, 60, SKY_STOP_KIND_RESUMABLE},
+                        {3000, 10000, 25000, 300, SKY_STOP_KIND_RESUMABLE},
+                        {30, 60, 1500, 80, SKY_STOP_KIND_REPEATABLE}};
     outcome_t outcome;
     std::mt19937 random(seed);
     uint64_t now_ms = 100000;
@@ -139,6 +208,7 @@
         sky_stop_admission_t *admission = create(64);
         uint64_t term_ms = now_ms + 20000;
         uint64_t exits_at_ms = term_ms + GRACE_MS;
+        sky_stop_times_t times = {exits_at_ms, term_ms + BALANCER_MS};
         struct run_t {
             uint64_t end_ms, begin_ms, route;
         };
@@ -162,8 +232,11 @@
                                         load),
                              kind.deadline_ms);
                 bool is_stopping = now_ms >= term_ms;
-                if (is_stopping && !rule(admission, route, exits_at_ms,
-                                         kind.deadline_ms, now_ms)) {
+                sky_stop_request_t request = {route, kind.kind,
+                                              kind.deadline_ms,
+                                              now_ms + kind.deadline_ms};
+                if (is_stopping &&
+                    !rule(admission, &times, &request, now_ms)) {
                     outcome.refused++;
                     outcome.refused_though_short +=
                         kind.deadline_ms <= exits_at_ms - now_ms;
@@ -207,4 +280,113 @@
     EXPECT_GT(ReplayRollingRestart(Create, FixedTime, 1).cut, 0u);
 }
 
+struct late_outcome_t {
+    uint32_t cut_once = 0;      // may not run again
+    uint32_t cut_late = 0;      // streams that came after the balancer's
+    uint32_t cut_early = 0;     // other streams
+    uint32_t answered_late = 0; // repeatable; the caller is told of the exit
+    uint32_t served = 0;
+    uint32_t refused = 0;
+    uint32_t served_short_repeatable = 0;
+    uint32_t short_repeatable = 0;
+};
+
+// One host is stopped in calm. Until then all responses are short; from then
+// on some take nearly as long as their deadlines allow, and some wait first.
+late_outcome_t
+ReplayLateRequests(sky_stop_admission_t *(*create)(uint32_t), rule_t rule,
+                   bool is_checked_before_send, uint32_t seed)
+{
+    late_outcome_t outcome;
+    std::mt19937 random(seed);
+    sky_stop_admission_t *admission = create(64);
+    const uint64_t BEGIN_MS = 100000;
+    const uint64_t DEADLINES_MS[] = {1500, 5000, 15000};
+    sky_stop_times_t times = {.exits_at_ms = BEGIN_MS + 30000 + GRACE_MS,
+                              .balanced_until_ms = BEGIN_MS + 33000};
+    uint64_t term_ms = times.exits_at_ms - GRACE_MS;
+    for (uint64_t now_ms = BEGIN_MS; now_ms < times.exits_at_ms;
+         now_ms += 10) {
+        uint64_t route = random() % 9; // each kind with each deadline
+        auto kind = (sky_stop_kind_t)(route % 3);
+        sky_stop_request_t request = {.route = route,
+                                      .kind = kind,
+                                      .limit_ms = DEADLINES_MS[route / 3],
+                                      .ends_at_ms =
+                                          now_ms + DEADLINES_MS[route / 3]};
+        uint64_t run_ms = 30 + random() % 30;
+        if (now_ms < term_ms) {
+            SkyStopAdmission_RecordResponse(admission, route, run_ms,
+                                            now_ms + run_ms);
+            continue;
+        }
+        bool is_long = random() % 4 == 0;
+        uint64_t wait_ms = random() % 4 == 0 ? random() % 1000 : 0;
+        if (is_long) {
+            run_ms = request.limit_ms * (50 + random() % 50) / 100;
+        }
+        bool is_short_repeatable = kind == SKY_STOP_KIND_REPEATABLE &&
+                                   !is_long && wait_ms == 0 &&
+                                   now_ms + 100 < times.exits_at_ms;
+        outcome.short_repeatable += is_short_repeatable;
+        uint64_t sent_ms = now_ms + wait_ms;
+        if (!rule(admission, &times, &request, now_ms) ||
+            (is_checked_before_send &&
+             !rule(admission, &times, &request, sent_ms))) {
+            outcome.refused++;
+            continue;
+        }
+        if (std::min(sent_ms + run_ms, request.ends_at_ms) <=
+            times.exits_at_ms) {
+            outcome.served++;
+            outcome.served_short_repeatable += is_short_repeatable;
+            continue;
+        }
+        switch (kind) {
+        case SKY_STOP_KIND_REPEATABLE:
+            outcome.answered_late++;
+            break;
+        case SKY_STOP_KIND_RESUMABLE:
+            (sent_ms < times.balanced_until_ms ? outcome.cut_early
+                                               : outcome.cut_late)++;
+            break;
+        case SKY_STOP_KIND_ONCE:
+            outcome.cut_once++;
+            break;
+        }
+    }
+    SkyStopAdmission_Free(admission);
+    return outcome;
+}
+
+// Guards against requests that come late in the grace period, last longer than
+// those before them, and are cut at the exit.
+TEST_F(StopAdmission, LongRequestsAfterShortOnesAreNotCut)
+{
+    for (uint32_t seed = 1; seed <= 100; seed++) {
+        late_outcome_t outcome = ReplayLateRequests(
+            Create, SkyStopAdmission_EndsInTime, true, seed);
+        EXPECT_EQ(outcome.cut_once, 0u) << "seed " << seed;
+        EXPECT_EQ(outcome.cut_late, 0u) << "seed " << seed;
+        EXPECT_EQ(outcome.served_short_repeatable, outcome.short_repeatable)
+            << "seed " << seed;
+        EXPECT_GT(outcome.served, outcome.refused) << "seed " << seed;
+    }
+}
+
+TEST_F(StopAdmission, TheReplayFindsWhatGuessesCut)
+{
+    late_outcome_t guessed = ReplayLateRequests(Create, GuessAlways, true, 1);
+    EXPECT_GT(guessed.cut_once, 0u);
+    EXPECT_GT(guessed.cut_late, 0u);
+    uint32_t cut_after_waiting = 0;
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        cut_after_waiting +=
+            ReplayLateRequests(Create, SkyStopAdmission_EndsInTime, false,
+                               seed)
+                .cut_late;
+    }
+    EXPECT_GT(cut_after_waiting, 0u);
+}
+
 } // namespace
