proc_stop_late: fill the engine also if a stream is passed on

One of two runs on the fixed host, the one beside proc_stop, failed with "a stream that waits for room too long goes back: got 'whole'". The log shows that the host had passed one of the 20 filling streams on to another host (its first events come after 560 ms, so that the engine seemed silent); by its own count 19 were in flight, the stream had room, was sent at once and ended 0.3 s before the exit, whole. The test's set-up was at fault.

24 streams fill the engine now, and each has to be whole or refused, 20 at least whole.

--- a/tests/proc_stop_late.sh
+++ b/tests/proc_stop_late.sh
@@ -146,7 +146,9 @@
 # Guards against a stream that is taken, waits for room, and is sent so late
 # that the exit cuts it.
 fill_pids=""
-for i in $(seq 1 20); do # all that the engine has room for, for 4.5 s
+# More than the engine has room for, for 4.5 s: the host may pass some on to
+# others, which it does not count, and refuses those that find no room.
+for i in $(seq 1 24); do
     ask 2 slow long "fill.$i" 12000 &
     fill_pids="$fill_pids $!"
     sleep 0.05
@@ -157,8 +159,12 @@
 check "a stream that waits for room too long goes back" "$(outcome waiting)" \
     refused
 wait $fill_pids
+list_fills() { for i in $(seq 1 24); do echo "$i: $(outcome "fill.$i")"; done; }
 check "streams under way are finished" \
-    "$(for i in $(seq 1 20); do outcome "fill.$i"; done | grep -c whole)" 20
+    "$(list_fills | grep -v -e ': whole' -e ': refused')" ""
+check "at least as many as the engine has room for" \
+    "$([ "$(list_fills | grep -c ': whole')" -ge 20 ] && echo yes || list_fills)" \
+    yes
 wait "$EDGE2"
 check "the second host exits with code" "$?" 0
 [ "$failures" -eq 0 ] || tail -n 60 "$DIR"/edge[12].log
