Charge no retry for the send after one that nothing received

Callers that took up a stream got 503 within 2 ms of their request, after one connection that was refused, while other targets of their version ran.

The budget of retries bounds arrivals beyond the first of each request. A refused connection is no arrival, yet the next send was charged as a retry, so that a wave of crashes used up each host's part within the second, and all requests whose first target was down were refused with "unreachable".

A send after one that was not received takes its place in the budget: a request is charged once less than it arrives, whatever is refused between.

--- a/lib/decide/attempts.c
+++ b/lib/decide/attempts.c
@@ -13,6 +13,7 @@
 void
 SkyAttempts_RecordSent(sky_attempts_t *attempts, uint64_t target)
 {
+    attempts->last_send_arrived = true;
     uint32_t index = find_target(attempts->may_have_run,
                                  attempts->may_have_run_count, target);
     if (index == SKY_ATTEMPTS_TARGETS_MAX) {
@@ -42,6 +43,12 @@
         attempts->send_counts[attempts->may_have_run_count];
 }
 
+void
+SkyAttempts_RecordUnsent(sky_attempts_t *attempts)
+{
+    attempts->last_send_arrived = false;
+}
+
 void
 SkyAttempts_RecordFailed(sky_attempts_t *attempts, uint64_t target)
 {
--- a/lib/decide/attempts.h
+++ b/lib/decide/attempts.h
@@ -11,6 +11,7 @@
 #ifndef SKY_DECIDE_ATTEMPTS_H
 #define SKY_DECIDE_ATTEMPTS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "decide/fleet.h"
@@ -31,12 +32,18 @@
     /** Targets that must not get the request again. */
     uint64_t failed[SKY_ATTEMPTS_TARGETS_MAX];
     uint32_t failed_count;
+    /** Whether the last send may have arrived, so that the next one is a retry
+     *  by the retry budget. */
+    bool last_send_arrived;
 } sky_attempts_t;
 
 /** Records that the request is sent to a target. */
 void SkyAttempts_RecordSent(sky_attempts_t *attempts, uint64_t target);
 /** Records that a target did not run the request, or never received it. */
 void SkyAttempts_RecordNotRun(sky_attempts_t *attempts, uint64_t target);
+/** Records that nothing received the last send: the next one takes its place
+ *  in the retry budget. */
+void SkyAttempts_RecordUnsent(sky_attempts_t *attempts);
 /** Records that a target must not get the request again. */
 void SkyAttempts_RecordFailed(sky_attempts_t *attempts, uint64_t target);
 
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -360,9 +360,11 @@
     if (now + RESPONSE_MIN_MS >= request->deadline_at_ms) {
         return "time";
     }
-    if (budget == NULL ||
-        !SkyRetryBudget_CanRetry(budget, &proxy->retry_options,
-                                 proxy->options.directory->host_count, now)) {
+    if (request->attempts.last_send_arrived &&
+        (budget == NULL ||
+         !SkyRetryBudget_CanRetry(budget, &proxy->retry_options,
+                                  proxy->options.directory->host_count,
+                                  now))) {
         return "budget";
     }
     return NULL;
@@ -381,9 +383,12 @@
                  request->send_count,
                  (long long)(request->deadline_at_ms - now));
     if (obstacle == NULL) {
-        SkyRetryBudget_AcquireRetry(
-            SkyProxy_GetRetryBudget(proxy, request->service->name),
-            &proxy->retry_options, proxy->options.directory->host_count, now);
+        if (request->attempts.last_send_arrived) {
+            SkyRetryBudget_AcquireRetry(
+                SkyProxy_GetRetryBudget(proxy, request->service->name),
+                &proxy->retry_options, proxy->options.directory->host_count,
+                now);
+        }
         SkyEventStream_DiscardPartial(&request->event_stream);
         if (!request->response_started) {
             SkyProxyResponse_Clear(&request->response);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -370,6 +370,7 @@
 handle_unsent(sky_proxy_request_t *request)
 {
     SkyProxyRequest_LogExchangeFailure(request, "unreachable");
+    SkyAttempts_RecordUnsent(&request->attempts);
     if (request->target != NULL) {
         SkyAttempts_RecordNotRun(&request->attempts, request->target->hash);
         SkyAttempts_RecordFailed(&request->attempts, request->target->hash);
--- a/tests/test_attempts.cc
+++ b/tests/test_attempts.cc
@@ -80,4 +80,21 @@
               RestrictedQuery(attempts, 2).excluded_count);
 }
 
+// Guards against requests that were refused for want of retries after a send
+// that no target had received.
+TEST(Attempts, ASendThatDidNotArriveNeedsNoRetry)
+{
+    sky_attempts_t attempts = {};
+    EXPECT_FALSE(attempts.last_send_arrived);
+    SkyAttempts_RecordSent(&attempts, 11);
+    SkyAttempts_RecordUnsent(&attempts);
+    SkyAttempts_RecordNotRun(&attempts, 11);
+    EXPECT_FALSE(attempts.last_send_arrived);
+    EXPECT_EQ(0u, RestrictedQuery(attempts, 1).allowed_count);
+    SkyAttempts_RecordSent(&attempts, 22);
+    EXPECT_TRUE(attempts.last_send_arrived);
+    SkyAttempts_RecordNotRun(&attempts, 22);
+    EXPECT_TRUE(attempts.last_send_arrived) << "a refusal counts as received";
+}
+
 } // namespace
