Keep a quarter of the retry budget for streams under way

Callers whose streams broke off were refused when they took them up, once a stale entry had led them to a restarted target (421) or to one that crashed: the host had no retry left.

Requests that had not begun had used up the whole budget in the same second. A stream that is half done has the same right to a retry as the many that have not begun, and loses more.

Requests whose callers have received nothing leave the last quarter to streams whose callers have. The whole stays within the bound on all hosts.

--- a/lib/decide/retry_budget.c
+++ b/lib/decide/retry_budget.c
@@ -7,6 +7,10 @@
  * part of it too. */
 #define SLACK_FRACTION 0.6
 
+/** Fraction for requests whose callers have received nothing. The rest is for
+ *  streams under way, which lose more by a refusal and are fewer. */
+#define NEW_REQUESTS_FRACTION 0.75
+
 static uint32_t *
 find_bucket(uint32_t *buckets, uint64_t bucket_number)
 {
@@ -64,15 +68,31 @@
     }
 }
 
+static double
+allowed_retries(sky_retry_budget_t *budget,
+                const sky_retry_budget_options_t *options, uint32_t hosts,
+                uint64_t now_ms)
+{
+    advance_window(budget, options, now_ms);
+    return options->ratio * RATIO_FRACTION * sum_buckets(budget->requests) +
+           options->slack * SLACK_FRACTION / (hosts > 0 ? hosts : 1);
+}
+
 bool
 SkyRetryBudget_CanRetry(sky_retry_budget_t *budget,
                         const sky_retry_budget_options_t *options,
                         uint32_t hosts, uint64_t now_ms)
 {
-    advance_window(budget, options, now_ms);
-    double allowed =
-        options->ratio * RATIO_FRACTION * sum_buckets(budget->requests) +
-        options->slack * SLACK_FRACTION / (hosts > 0 ? hosts : 1);
+    double allowed = allowed_retries(budget, options, hosts, now_ms);
+    return sum_buckets(budget->retries) + 1 <= allowed * NEW_REQUESTS_FRACTION;
+}
+
+bool
+SkyRetryBudget_CanContinue(sky_retry_budget_t *budget,
+                           const sky_retry_budget_options_t *options,
+                           uint32_t hosts, uint64_t now_ms)
+{
+    double allowed = allowed_retries(budget, options, hosts, now_ms);
     return sum_buckets(budget->retries) + 1 <= allowed;
 }
 
@@ -81,7 +101,7 @@
                             const sky_retry_budget_options_t *options,
                             uint32_t hosts, uint64_t now_ms)
 {
-    if (!SkyRetryBudget_CanRetry(budget, options, hosts, now_ms)) {
+    if (!SkyRetryBudget_CanContinue(budget, options, hosts, now_ms)) {
         return false;
     }
     (*find_bucket(budget->retries, budget->newest_bucket))++;
--- a/lib/decide/retry_budget.h
+++ b/lib/decide/retry_budget.h
@@ -40,11 +40,17 @@
 void SkyRetryBudget_RemoveRequest(sky_retry_budget_t *budget,
                                   const sky_retry_budget_options_t *options,
                                   uint64_t now_ms);
-/** @return whether one more retry may be sent now. */
+/** @return whether one more retry may be sent now, of a request whose caller
+ *  has received nothing. A part of the budget is kept from these. */
 bool SkyRetryBudget_CanRetry(sky_retry_budget_t *budget,
                              const sky_retry_budget_options_t *options,
                              uint32_t hosts, uint64_t now_ms);
-/** Takes one retry out of the budget.
+/** @return whether one more retry may be sent now, of a stream whose caller
+ *  has received events. */
+bool SkyRetryBudget_CanContinue(sky_retry_budget_t *budget,
+                                const sky_retry_budget_options_t *options,
+                                uint32_t hosts, uint64_t now_ms);
+/** Takes one retry out of the whole budget.
  *  @param hosts number of hosts that share the slack.
  *  @return false if the budget is used up. */
 bool SkyRetryBudget_AcquireRetry(sky_retry_budget_t *budget,
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -332,13 +332,28 @@
            request->route->retry_policy != SKY_RETRY_AT_MOST_ONCE;
 }
 
+static bool
+has_retry_left(const sky_proxy_request_t *request, uint64_t now)
+{
+    sky_proxy_t *proxy = request->proxy;
+    sky_retry_budget_t *budget =
+        SkyProxy_GetRetryBudget(proxy, request->service->name);
+    uint32_t hosts = proxy->options.directory->host_count;
+    if (budget == NULL) {
+        return false;
+    }
+    return SkyProxyRequest_IsUnderWay(request)
+               ? SkyRetryBudget_CanContinue(budget, &proxy->retry_options,
+                                            hosts, now)
+               : SkyRetryBudget_CanRetry(budget, &proxy->retry_options, hosts,
+                                         now);
+}
+
 const char *
 SkyProxyRequest_GetRetryObstacle(const sky_proxy_request_t *request)
 {
     sky_proxy_t *proxy = request->proxy;
     uint64_t now = SkyClock_NowMs();
-    sky_retry_budget_t *budget =
-        SkyProxy_GetRetryBudget(proxy, request->service->name);
     if (!is_safe_to_retry(request)) {
         return "not_repeatable";
     }
@@ -360,11 +375,7 @@
     if (now + RESPONSE_MIN_MS >= request->deadline_at_ms) {
         return "time";
     }
-    if (request->attempts.last_send_arrived &&
-        (budget == NULL ||
-         !SkyRetryBudget_CanRetry(budget, &proxy->retry_options,
-                                  proxy->options.directory->host_count,
-                                  now))) {
+    if (request->attempts.last_send_arrived && !has_retry_left(request, now)) {
         return "budget";
     }
     return NULL;
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -158,6 +158,16 @@
 sky_adapter_key_t
 SkyProxyRequest_AdapterKey(const sky_proxy_request_t *request);
 
+/** @return whether the caller has received a part of the stream, by this
+ *  request or by an earlier one that it takes up. Such streams come before
+ *  requests whose callers have received nothing. */
+static inline bool
+SkyProxyRequest_IsUnderWay(const sky_proxy_request_t *request)
+{
+    return request->route->streaming &&
+           (request->facts.resumes || request->event_stream.event_count > 0);
+}
+
 /** @return complete events that were received in the current exchange. */
 uint64_t SkyProxyRequest_EventCount(const sky_proxy_request_t *request);
 
--- a/tests/test_retry_budget.cc
+++ b/tests/test_retry_budget.cc
@@ -86,4 +86,30 @@
     EXPECT_FALSE(SkyRetryBudget_CanRetry(&budget, &options, 8, 3000));
 }
 
+// Guards against streams that broke off, or were refused when their callers
+// took them up, as requests that had not begun had used up all retries.
+TEST(RetryBudget, RequestsThatHaveNotBegunLeaveRetriesToStreamsUnderWay)
+{
+    sky_retry_budget_t budget = {};
+    for (uint32_t i = 0; i < 500; i++) {
+        SkyRetryBudget_RecordRequest(&budget, &kOptions, 1000 + i * 4);
+    }
+    uint32_t new_count = 0;
+    while (SkyRetryBudget_CanRetry(&budget, &kOptions, 8, 3000)) {
+        ASSERT_TRUE(
+            SkyRetryBudget_AcquireRetry(&budget, &kOptions, 8, 3000));
+        new_count++;
+    }
+    uint32_t under_way_count = 0;
+    while (SkyRetryBudget_CanContinue(&budget, &kOptions, 8, 3000)) {
+        ASSERT_TRUE(
+            SkyRetryBudget_AcquireRetry(&budget, &kOptions, 8, 3000));
+        under_way_count++;
+    }
+    EXPECT_GT(new_count, under_way_count);
+    EXPECT_GE(under_way_count, new_count / 4);
+    EXPECT_LE(new_count + under_way_count, 0.2 * 500 + 56 / 8);
+    EXPECT_FALSE(SkyRetryBudget_CanRetry(&budget, &kOptions, 8, 3000));
+}
+
 } // namespace
