Load adapters for streams under way before all that has not begun

Callers that took up a stream got 503 after 0.9 s (owner_refused, no_place_in_time, load_given_up), while targets of its version ran and loaded adapters for new requests.

A stream may go on only at targets of its version. After a wave of crashes few of these hold its adapter, and the load queues of the others are full of new requests, which every target may serve. The stream came last in the queue of two of them, was refused where it would not be loaded in time, and waited for a batch slot behind the rest.

The new placer test fails if the order is left as it was: with twelve loads queued the stream is refused.

An adapter that a stream under way waits for is loaded next, whatever the urgency of the others; only loads before it count for its admission. It may queue at all preferred targets. A stream is taken up only after a new request has begun it, and its queue has the same bound, so that the share of the loads is that of the streams that broke. Hosts of the build before do not read the optional field and keep their order.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -51,7 +51,8 @@
     uint64_t next_poll_ms;     /**< 0: no order on it is in progress */
     uint64_t in_use_until_ms;  /**< the target refused to unload it */
     active_host_t active_hosts[ACTIVE_HOSTS_MAX];
-    uint32_t urgency; /**< the most urgent of its load requests */
+    uint32_t urgency;  /**< the most urgent of its load requests */
+    bool is_under_way; /**< one of them is for a stream under way */
     uint64_t queued_ms;
     uint64_t due_ms; /**< the latest deadline of its load requests */
     struct adapter_record *prev;
@@ -167,6 +168,21 @@
     return count;
 }
 
+/* Counts the adapters that wait for a load before a new request of its kind
+ * does. */
+static uint32_t
+count_queued_before(const sky_placer_t *placer, bool is_under_way)
+{
+    uint32_t count = 0;
+    const adapter_record_t *record;
+    DL_FOREACH(placer->records, record)
+    {
+        count += record->state == SKY_ADAPTER_QUEUED && is_adapter(record) &&
+                 (record->is_under_way || !is_under_way);
+    }
+    return count;
+}
+
 /* A resident adapter whose newer version is being loaded takes a second
  * slot. */
 static uint32_t
@@ -386,9 +402,9 @@
 
 /* Estimated time until a load that is requested now has ended. */
 static double
-estimate_load_wait_ms(const sky_placer_t *placer)
+estimate_load_wait_ms(const sky_placer_t *placer, bool is_under_way)
 {
-    uint32_t loads_ahead = count_in_state(placer, SKY_ADAPTER_QUEUED) +
+    uint32_t loads_ahead = count_queued_before(placer, is_under_way) +
                            count_in_state(placer, SKY_ADAPTER_LOADING);
     return placer->load_ms *
            (1.0 + (double)loads_ahead / placer->options.loading_max);
@@ -397,16 +413,18 @@
 uint32_t
 SkyPlacer_RetryAfterMs(const sky_placer_t *placer)
 {
-    return (uint32_t)estimate_load_wait_ms(placer);
+    return (uint32_t)estimate_load_wait_ms(placer, false);
 }
 
 static bool
 can_load_in_time(const sky_placer_t *placer, const sky_load_request_t *request,
                  uint64_t now_ms)
 {
-    return count_in_state(placer, SKY_ADAPTER_QUEUED) <
+    bool is_under_way = request->is_under_way;
+    return count_queued_before(placer, is_under_way) <
                placer->options.queued_max &&
-           now_ms + (uint64_t)estimate_load_wait_ms(placer) < request->due_ms;
+           now_ms + (uint64_t)estimate_load_wait_ms(placer, is_under_way) <
+               request->due_ms;
 }
 
 static void
@@ -418,7 +436,9 @@
     }
     if (record->due_ms <= now_ms) {
         record->queued_ms = now_ms;
+        record->is_under_way = false;
     }
+    record->is_under_way = record->is_under_way || request->is_under_way;
     if (request->due_ms > record->due_ms) {
         record->due_ms = request->due_ms;
     }
@@ -481,7 +501,20 @@
     }
 }
 
-/* Chooses the most urgent load; of equally urgent ones the longest waiting. */
+static bool
+is_loaded_before(const adapter_record_t *one, const adapter_record_t *other)
+{
+    if (one->is_under_way != other->is_under_way) {
+        return one->is_under_way;
+    }
+    if (one->urgency != other->urgency) {
+        return one->urgency < other->urgency;
+    }
+    return one->queued_ms < other->queued_ms;
+}
+
+/* Chooses a load for a stream under way, else the most urgent one; of equal
+ * ones the longest waiting. */
 static adapter_record_t *
 choose_next_load(const sky_placer_t *placer, uint64_t now_ms)
 {
@@ -499,9 +532,7 @@
         if ((!is_waiting && !is_replacing) || !is_model_ready) {
             continue;
         }
-        if (best == NULL || record->urgency < best->urgency ||
-            (record->urgency == best->urgency &&
-             record->queued_ms < best->queued_ms)) {
+        if (best == NULL || is_loaded_before(record, best)) {
             best = record;
         }
     }
@@ -535,7 +566,8 @@
 }
 
 bool
-SkyPlacer_CanStartLoad(const sky_placer_t *placer, uint64_t now_ms)
+SkyPlacer_CanStartLoad(const sky_placer_t *placer, bool is_under_way,
+                       uint64_t now_ms)
 {
     uint32_t used = count_slots_used(placer);
     uint32_t free_slots = used < placer->options.adapter_slots_max
@@ -546,7 +578,7 @@
     {
         free_slots += can_evict(placer, record, now_ms) ? 1 : 0;
     }
-    uint32_t queued = count_in_state(placer, SKY_ADAPTER_QUEUED);
+    uint32_t queued = count_queued_before(placer, is_under_way);
     return placer->state_known &&
            count_in_state(placer, SKY_ADAPTER_UNLOADING) == 0 &&
            queued < free_slots &&
@@ -675,6 +707,7 @@
     record->state = SKY_ADAPTER_RESIDENT;
     record->next_poll_ms = 0;
     record->due_ms = 0;
+    record->is_under_way = false;
     record->version = version > 0 ? version : 1;
     record->requested_ms = now_ms;
     if (record->requested_version <= record->version) {
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -76,6 +76,9 @@
     uint32_t version; /**< minimum; 0: any */
     uint32_t urgency; /**< 0 is the most urgent */
     uint64_t due_ms;  /**< deadline: a load that ends later is of no use */
+    /** For a stream whose caller has received a part of it: comes before all
+     *  requests that have not begun, whatever their urgency. */
+    bool is_under_way;
 } sky_load_request_t;
 
 sky_result_t SkyPlacer_Create(const sky_placer_options_t *options,
@@ -97,8 +100,10 @@
                                           const sky_load_request_t *request,
                                           uint64_t now_ms);
 /** @return whether the load of another adapter could start now: a slot is free
- *  or can be freed, and no earlier request waits for it. */
-bool SkyPlacer_CanStartLoad(const sky_placer_t *placer, uint64_t now_ms);
+ *  or can be freed, and no request that comes first waits for it.
+ *  @param is_under_way as in sky_load_request_t */
+bool SkyPlacer_CanStartLoad(const sky_placer_t *placer, bool is_under_way,
+                            uint64_t now_ms);
 /** @return whether a report of the target was applied and still holds. */
 bool SkyPlacer_IsStateKnown(const sky_placer_t *placer);
 /** @return the state of an adapter in @p version or a newer one; 0: any. */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -173,6 +173,7 @@
             SkyProxyRequest_AdapterKey(request)),
         .urgency = request->route->urgency,
         .due_ms = due_ms,
+        .is_under_way = SkyProxyRequest_IsUnderWay(request),
     };
 }
 
@@ -206,6 +207,7 @@
     sky_placement_spec_t placement_spec = make_placement_spec(
         request, query, SkyClock_NowMs() + CAPACITY_WAIT_MAX_MS);
     placement_spec.query.without_adapter = true;
+    placement_spec.is_under_way = false; /* nobody waits for the replicas */
     placement_spec.query.allowed_count = 0;
     placement_spec.query.excluded_count = 0;
     SkyPlacement_RequestReplicas(proxy->options.placement, &placement_spec,
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -149,11 +149,12 @@
     uint32_t limit_ms =
         left_ms < OWNER_TIMEOUT_MS ? (uint32_t)left_ms : OWNER_TIMEOUT_MS;
     json_t *body = json_pack(
-        "{s:s, s:s, s:s, s:I, s:I, s:I, s:b}", "target",
+        "{s:s, s:s, s:s, s:I, s:I, s:I, s:b, s:b}", "target",
         request->current->target_id, "model", request->model, "adapter",
         request->adapter, "version", (json_int_t)request->min_version,
         "urgency", (json_int_t)request->urgency, "left_ms",
-        (json_int_t)limit_ms, "patient", request->current->can_queue);
+        (json_int_t)limit_ms, "patient", request->current->can_queue,
+        "under_way", request->is_under_way);
     request->owner_call = SkyHostCalls_SendCall(
         placement->options.host_calls, owner, "/place", body,
         limit_ms + RESPONSE_TRANSIT_MS, on_place_response, request);
@@ -182,7 +183,8 @@
         request->reason = "target_crowded";
         return false;
     }
-    if (!SkyPlacer_CanStartLoad(owned->placer, SkyClock_NowMs())) {
+    if (!SkyPlacer_CanStartLoad(owned->placer, request->is_under_way,
+                                SkyClock_NowMs())) {
         request->reason = "no_free_place";
         return false;
     }
@@ -198,7 +200,8 @@
                                        .adapter = request->adapter,
                                        .version = request->min_version,
                                        .urgency = request->urgency,
-                                       .due_ms = request->due_ms};
+                                       .due_ms = request->due_ms,
+                                       .is_under_way = request->is_under_way};
     if (!request->current->can_queue && !can_load_now(request, owned)) {
         return false;
     }
@@ -358,12 +361,17 @@
     }
     request->min_version = spec->version;
     request->urgency = spec->urgency;
+    request->is_under_way = spec->is_under_way;
     request->due_ms = spec->due_ms;
     request->is_extra_replica = spec->query.without_adapter;
     for (uint32_t i = 0; i < count && i < PREFERRED_TARGETS_MAX; i++) {
         add_candidate(request, preferred[i]->entry.id, false);
     }
-    uint32_t queue_count = spec->query.without_adapter ? 0 : QUEUE_TARGETS_MAX;
+    uint32_t queue_count =
+        spec->is_under_way ? PREFERRED_TARGETS_MAX : QUEUE_TARGETS_MAX;
+    if (spec->query.without_adapter) {
+        queue_count = 0;
+    }
     for (uint32_t i = 0; i < count && i < queue_count; i++) {
         add_candidate(request, preferred[i]->entry.id, true);
     }
@@ -452,6 +460,8 @@
     }
     request->min_version = (uint32_t)version;
     request->urgency = (uint32_t)urgency;
+    /* Hosts of an earlier build do not say it. */
+    request->is_under_way = json_is_true(json_object_get(body, "under_way"));
     request->due_ms = SkyClock_NowMs() + (uint64_t)left_ms;
     /* Only a target owned here is tried: a request that came from another
      * host is never forwarded to a third. */
--- a/lib/edge/placement.h
+++ b/lib/edge/placement.h
@@ -47,9 +47,10 @@
 
 typedef struct {
     sky_fleet_query_t query;
-    uint32_t version; /**< oldest acceptable; 0: any */
-    uint32_t urgency; /**< 0: most urgent */
-    uint64_t due_ms;  /**< the request fails at this time */
+    uint32_t version;  /**< oldest acceptable; 0: any */
+    uint32_t urgency;  /**< 0: most urgent */
+    uint64_t due_ms;   /**< the request fails at this time */
+    bool is_under_way; /**< as in sky_load_request_t */
 } sky_placement_spec_t;
 
 typedef struct {
--- a/lib/edge/placement_burst.c
+++ b/lib/edge/placement_burst.c
@@ -83,7 +83,7 @@
     uint64_t now = SkyClock_NowMs();
     request->resident_since_ms =
         request->resident_since_ms ? request->resident_since_ms : now;
-    if (!request->is_extra_replica &&
+    if (!request->is_extra_replica && !request->is_under_way &&
         !has_free_batch_slot(request->waiting_at) &&
         request->resident_since_ms + SLOT_WAIT_MAX_MS > now) {
         return false;
--- a/lib/edge/placement_internal.h
+++ b/lib/edge/placement_internal.h
@@ -20,7 +20,8 @@
  *  slot that could be freed. */
 #define PREFERRED_TARGETS_MAX 5
 /** Of these, targets that are then tried again, now with a place in the
- *  queue. */
+ *  queue. A stream under way tries all of them: only those of its version
+ *  serve it. */
 #define QUEUE_TARGETS_MAX 2
 #define ADAPTER_USES_MAX 256 /**< distinct uses between two reports */
 #define REPLICA_WINDOWS_MAX 64
@@ -66,9 +67,10 @@
     sky_adapter_key_t key;
     uint32_t min_version; /**< 0: any */
     uint32_t urgency;
+    bool is_under_way;
     uint64_t due_ms;
     sky_placement_candidate_t
-        candidates[PREFERRED_TARGETS_MAX + QUEUE_TARGETS_MAX];
+        candidates[PREFERRED_TARGETS_MAX + PREFERRED_TARGETS_MAX];
     uint32_t candidate_count;
     uint32_t next_candidate;
     const sky_placement_candidate_t *current; /**< NULL: none tried yet */
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -19,6 +19,10 @@
 is_dispatched_before(const sky_proxy_request_t *one,
                      const sky_proxy_request_t *other)
 {
+    bool is_under_way = SkyProxyRequest_IsUnderWay(one);
+    if (is_under_way != SkyProxyRequest_IsUnderWay(other)) {
+        return is_under_way;
+    }
     if (one->route->urgency != other->route->urgency) {
         return one->route->urgency < other->route->urgency;
     }
@@ -173,7 +177,7 @@
     route_waiting(proxy);
     withdraw_from_silent_targets(proxy);
     leave_unreached_placements(proxy);
-    /* The most urgent request first. */
+    /* Streams under way first, then the most urgent request. */
     sky_proxy_request_t *request = find_next_waiting(proxy, NULL);
     while (request != NULL) {
         sky_proxy_request_t *next = find_next_waiting(proxy, request);
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -310,7 +310,7 @@
 TEST_F(PlacerTest, CanStartALoadOnlyIfASlotIsFreeOrCanBeFreed)
 {
     for (uint32_t i = 0; i < kAdapterSlots; i++) {
-        EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, now_ms));
+        EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, false, now_ms));
         Request("a" + std::to_string(i));
         Advance(kLoadMs + 50);
     }
@@ -319,19 +319,19 @@
         SkyPlacer_RecordUse(placer, SkyFleet_MakeAdapterKey("m", name.c_str()),
                             7, 1, 1, now_ms);
     }
-    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, now_ms));
+    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, false, now_ms));
     now_ms += 1000;
-    EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, now_ms));
+    EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, false, now_ms));
     for (uint32_t i = 0; i < kMaxLoading; i++) {
-        EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, now_ms)) << i;
+        EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, false, now_ms)) << i;
         Request("b" + std::to_string(i));
     }
-    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, now_ms))
+    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, false, now_ms))
         << "earlier requests take the slots";
     Advance(kLoadMs + 100);
-    EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, now_ms));
+    EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, false, now_ms));
     SkyPlacer_InvalidateState(placer, now_ms);
-    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, now_ms))
+    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, false, now_ms))
         << "the target's state is unknown";
 }
 
@@ -503,4 +503,47 @@
     EXPECT_EQ(0u, conflicts);
 }
 
+// Guards against streams that half of their callers' events had come from, and
+// that found no place when they were taken up: requests that had not begun
+// filled the load queues of the few targets of their version.
+TEST_F(PlacerTest, LoadsForAStreamUnderWayBeforeAllThatHaveNotBegun)
+{
+    for (uint32_t i = 0; i < kMaxLoading + 8; i++) {
+        EXPECT_EQ(SKY_ADAPTER_QUEUED, Request("new" + std::to_string(i)));
+    }
+    EXPECT_FALSE(SkyPlacer_CanStartLoad(placer, false, now_ms));
+    EXPECT_TRUE(SkyPlacer_CanStartLoad(placer, true, now_ms));
+    uint64_t due_in_ms = 3 * kLoadMs;
+    EXPECT_EQ(SKY_ADAPTER_ABSENT, Request("new", due_in_ms));
+    sky_load_request_t request = {};
+    request.model = "m";
+    request.adapter = "begun";
+    request.urgency = 3;
+    request.due_ms = now_ms + due_in_ms;
+    request.is_under_way = true;
+    EXPECT_EQ(SKY_ADAPTER_QUEUED,
+              SkyPlacer_RequestLoad(placer, &request, now_ms));
+    Advance(due_in_ms);
+    EXPECT_EQ(SKY_ADAPTER_RESIDENT, State("begun"));
+}
+
+// Streams under way are bounded by their own count: their adapters do not
+// overfill the queue.
+TEST_F(PlacerTest, StreamsUnderWayDoNotOverfillTheQueue)
+{
+    sky_load_request_t request = {};
+    request.model = "m";
+    request.due_ms = now_ms + 60000;
+    request.is_under_way = true;
+    uint32_t queued = 0;
+    for (uint32_t i = 0; i < 200; i++) {
+        std::string name = "begun" + std::to_string(i);
+        request.adapter = name.c_str();
+        queued += SkyPlacer_RequestLoad(placer, &request, now_ms) ==
+                  SKY_ADAPTER_QUEUED;
+    }
+    EXPECT_LT(queued, 200u);
+    EXPECT_EQ(SKY_ADAPTER_ABSENT, Request("new", 60000));
+}
+
 } // namespace
--- a/tests/test_retry_budget.cc
+++ b/tests/test_retry_budget.cc
@@ -96,14 +96,12 @@
     }
     uint32_t new_count = 0;
     while (SkyRetryBudget_CanRetry(&budget, &kOptions, 8, 3000)) {
-        ASSERT_TRUE(
-            SkyRetryBudget_AcquireRetry(&budget, &kOptions, 8, 3000));
+        ASSERT_TRUE(SkyRetryBudget_AcquireRetry(&budget, &kOptions, 8, 3000));
         new_count++;
     }
     uint32_t under_way_count = 0;
     while (SkyRetryBudget_CanContinue(&budget, &kOptions, 8, 3000)) {
-        ASSERT_TRUE(
-            SkyRetryBudget_AcquireRetry(&budget, &kOptions, 8, 3000));
+        ASSERT_TRUE(SkyRetryBudget_AcquireRetry(&budget, &kOptions, 8, 3000));
         under_way_count++;
     }
     EXPECT_GT(new_count, under_way_count);
