Do not quarantine a request for a target that was lost among many

Callers that took up a sound stream got 503 (quarantined) after a second wave of crashes, while targets of its version ran.

Two targets that crash while they run a request quarantine it. A stream that ran on a target in the first wave, and went on at one that crashed in the second, is taken for the cause of both, though other targets were lost at the same moment that it had never been sent to.

Of the losses of a fingerprint one does not count if three other targets or more, to which it had not been sent, were lost within the same half second. At most one: the third target that it loses quarantines it whatever else was lost, so that a request that crashes targets still reaches three at most.

--- a/lib/decide/crash_watch.c
+++ b/lib/decide/crash_watch.c
@@ -20,6 +20,14 @@
 #define EXPIRY_INTERVAL_MS 10000
 #define SUSPICIONS_MAX 4096
 #define US_PER_MS 1000
+/** Losses within this time have one cause, as of a machine or a link. Those
+ *  that other hosts tell are known later, by SETTLE_MS at least. */
+#define JOINT_LOSS_MS (2 * SETTLE_MS)
+/** Other targets that are lost together with one: a single request or two
+ *  that crash targets lose fewer. */
+#define JOINT_LOSSES_MIN 3
+#define LOSSES_MAX 256        /**< remembered; more than a joint loss has */
+#define RUNS_OF_REQUEST_MAX 8 /**< more than are counted for a fingerprint */
 
 typedef struct {
     sky_rec_crash_t crash;
@@ -33,11 +41,20 @@
     bool is_run_known;
 } suspicion_t;
 
+/** The first broken exchange with a run of a target. */
+typedef struct {
+    uint32_t target;
+    uint64_t epoch;
+    uint64_t lost_ms; /**< 0: free entry */
+} loss_t;
+
 struct sky_crash_watch {
     sky_crash_watch_options_t options;
     sky_suspects_t *suspects;
     suspicion_t suspicions[SUSPICIONS_MAX];
     uint32_t suspicion_count;
+    loss_t losses[LOSSES_MAX];
+    uint32_t next_loss;  /**< entry to use next, the oldest one */
     uint64_t expired_ms; /**< time of the last expiry */
 };
 
@@ -76,6 +93,39 @@
            one->target == other->target && one->epoch == other->epoch;
 }
 
+static loss_t *
+find_loss(sky_crash_watch_t *watch, uint32_t target, uint64_t epoch)
+{
+    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
+        loss_t *loss = &watch->losses[i];
+        if (loss->lost_ms > 0 && loss->target == target &&
+            loss->epoch == epoch) {
+            return loss;
+        }
+    }
+    return NULL;
+}
+
+static void
+record_loss(sky_crash_watch_t *watch, const sky_rec_crash_t *crash,
+            uint64_t now_ms)
+{
+    if (find_loss(watch, crash->target, crash->epoch) == NULL) {
+        watch->losses[watch->next_loss] =
+            (loss_t){crash->target, crash->epoch, now_ms};
+        watch->next_loss = (watch->next_loss + 1) % LOSSES_MAX;
+    }
+}
+
+static void
+drop_loss(sky_crash_watch_t *watch, uint32_t target, uint64_t epoch)
+{
+    loss_t *loss = find_loss(watch, target, epoch);
+    if (loss != NULL) {
+        *loss = (loss_t){0};
+    }
+}
+
 static bool
 record_suspicion(sky_crash_watch_t *watch, const sky_rec_crash_t *crash,
                  bool is_shared, uint64_t now_ms)
@@ -91,6 +141,7 @@
     if (watch->suspicion_count == SUSPICIONS_MAX) {
         return false;
     }
+    record_loss(watch, crash, now_ms);
     SkySuspects_RecordUnconfirmedCrash(watch->suspects, crash,
                                        now_ms * US_PER_MS);
     watch->suspicions[watch->suspicion_count++] =
@@ -138,6 +189,7 @@
         }
     }
     watch->suspicion_count = kept;
+    drop_loss(watch, target, epoch);
     SkySuspects_DropRun(watch->suspects, target, epoch);
 }
 
@@ -199,6 +251,7 @@
     switch (judge_suspicion(suspicion, &target, now_ms)) {
     case VERDICT_CLEARED:
         SkySuspects_DropUnconfirmedCrash(watch->suspects, &suspicion->crash);
+        drop_loss(watch, suspicion->crash.target, suspicion->crash.epoch);
         options->on_event(options->context, SKY_CRASH_CLEARED,
                           &suspicion->crash);
         if (suspicion->is_shared && is_heard_here(suspicion, &target) &&
@@ -250,19 +303,84 @@
     }
 }
 
+/** The runs that broke exchanges with requests of one fingerprint. */
+typedef struct {
+    uint64_t fingerprint;
+    loss_t runs[RUNS_OF_REQUEST_MAX];
+    uint32_t count;
+} request_runs_t;
+
+static void
+add_run(const sky_rec_crash_t *crash, bool is_confirmed, void *context)
+{
+    request_runs_t *request = context;
+    (void)is_confirmed;
+    if (crash->fingerprint == request->fingerprint &&
+        request->count < RUNS_OF_REQUEST_MAX) {
+        request->runs[request->count++] =
+            (loss_t){crash->target, crash->epoch, 0};
+    }
+}
+
+static bool
+was_sent_there(const request_runs_t *request, const loss_t *loss)
+{
+    for (uint32_t i = 0; i < request->count; i++) {
+        if (request->runs[i].target == loss->target &&
+            request->runs[i].epoch == loss->epoch) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether targets were lost together with this one to which no request of the
+ * fingerprint had been sent. */
+static bool
+is_joint_loss(const sky_crash_watch_t *watch, const request_runs_t *request,
+              const loss_t *own)
+{
+    uint32_t others = 0;
+    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
+        const loss_t *other = &watch->losses[i];
+        others += other->lost_ms > 0 &&
+                  other->lost_ms < own->lost_ms + JOINT_LOSS_MS &&
+                  own->lost_ms < other->lost_ms + JOINT_LOSS_MS &&
+                  !was_sent_there(request, other);
+    }
+    return others >= JOINT_LOSSES_MIN;
+}
+
+/* Counts the suspicions and crashes that speak against a fingerprint. */
+static uint32_t
+count_against(const sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    uint32_t count = SkySuspects_SuspicionCount(watch->suspects, fingerprint);
+    request_runs_t request = {.fingerprint = fingerprint};
+    if (count != SKY_CRASH_LIMIT) {
+        return count; /* too few, or too many even without one */
+    }
+    SkySuspects_ForEach(watch->suspects, add_run, &request);
+    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
+        const loss_t *loss = &watch->losses[i];
+        if (loss->lost_ms > 0 && was_sent_there(&request, loss) &&
+            is_joint_loss(watch, &request, loss)) {
+            return count - 1;
+        }
+    }
+    return count;
+}
+
 uint64_t
 SkyCrashWatch_GetQuarantineMs(const sky_crash_watch_t *watch,
                               uint64_t fingerprint, uint64_t now_ms)
 {
+    if (count_against(watch, fingerprint) < SKY_CRASH_LIMIT) {
+        return 0;
+    }
     uint64_t end_ms =
         SkySuspects_QuarantineEnd(watch->suspects, fingerprint) / US_PER_MS;
-    if (end_ms > now_ms) {
-        return end_ms - now_ms;
-    }
-    return SkySuspects_SuspicionCount(watch->suspects, fingerprint) >=
-                   SKY_CRASH_LIMIT
-               ? SUSPICION_CLEARED_MS
-               : 0;
+    return end_ms > now_ms ? end_ms - now_ms : SUSPICION_CLEARED_MS;
 }
 
 bool
--- a/lib/decide/crash_watch.h
+++ b/lib/decide/crash_watch.h
@@ -6,7 +6,10 @@
  * ran the request. It is cleared as soon as the target is heard from, and
  * confirmed when the list of targets shows that this run of the target has
  * ended. A fingerprint with SKY_CRASH_LIMIT suspicions or crashes, each of
- * another run of a target, is quarantined.
+ * another run of a target, is quarantined. Of these, one does not count if
+ * several other targets were lost at about the same time to which no request
+ * of the fingerprint had been sent: they have another cause, and the request
+ * may have been sound. With one more it is quarantined all the same.
  *
  * Hosts share suspicions, and each one clears or confirms them by what it
  * observes itself, or is told. A host that the network cuts off from a target
--- a/tests/test_crash_watch.cc
+++ b/tests/test_crash_watch.cc
@@ -308,6 +308,51 @@
     EXPECT_FALSE(is_recorded);
 }
 
+// Guards against sound streams that were refused when their callers took them
+// up: each had run on two of the targets that crashed in waves.
+TEST_F(CrashWatch, ARequestThatLostATargetAmongManyOthersIsNotQuarantined)
+{
+    for (uint32_t target = 1; target <= 4; target++) {
+        Break(target, target == 1 ? REQUEST : 1000 + target);
+    }
+    Advance(500);
+    for (uint32_t target = 1; target <= 4; target++) {
+        Restart(target);
+    }
+    Advance(1100);
+    Break(5);
+    EXPECT_EQ(0u, QuarantineMs());
+    Restart(5);
+    Advance(1100);
+    EXPECT_EQ(0u, QuarantineMs());
+    Break(1);
+    EXPECT_GT(QuarantineMs(), 0u) << "with a third target, waves or not";
+    Restart(1);
+    Advance(1100);
+    EXPECT_GT(QuarantineMs(), 300000u);
+}
+
+// Targets that copies of the request itself crash are no other cause.
+TEST_F(CrashWatch, ARequestThatCrashesManyTargetsAtOnceIsQuarantined)
+{
+    for (uint32_t target = 1; target <= 5; target++) {
+        Break(target);
+    }
+    EXPECT_GT(QuarantineMs(), 0u);
+}
+
+// A request and another one that crash targets at the same moment are each
+// quarantined with two.
+TEST_F(CrashWatch, AFewTargetsLostTogetherAreNoOtherCause)
+{
+    Break(1);
+    Break(2, OTHER_REQUEST);
+    Break(3, OTHER_REQUEST);
+    Break(4);
+    EXPECT_GT(QuarantineMs(), 0u);
+    EXPECT_GT(QuarantineMs(OTHER_REQUEST), 0u);
+}
+
 TEST(CrashKey, IsReadBack)
 {
     char key[SKY_CRASH_KEY_BYTES];
