--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -376,13 +376,28 @@
             (stream->event_count == 0 || stream->has_id));
 }
 
+static bool
+has_retry_left(const sky_proxy_request_t *request, uint64_t now)
+{
+    sky_proxy_t *proxy = request->proxy;
+    sky_retry_budget_t *budget =
+        SkyProxy_GetRetryBudget(proxy, request->service->name);
+    uint32_t hosts = proxy->options.directory->host_count;
+    if (budget == NULL) {
+        return false;
+    }
+    return SkyProxyRequest_IsUnderWay(request)
+               ? SkyRetryBudget_CanContinue(budget, &proxy->retry_options,
+                                            hosts, now)
+               : SkyRetryBudget_CanRetry(budget, &proxy->retry_options, hosts,
+                                         now);
+}
+
 const char *
 SkyProxyRequest_GetRetryObstacle(const sky_proxy_request_t *request)
 {
     sky_proxy_t *proxy = request->proxy;
     uint64_t now = SkyClock_NowMs();
-    sky_retry_budget_t *budget =
-        SkyProxy_GetRetryBudget(proxy, request->service->name);
     if (!is_safe_to_retry(request)) {
         return "not_repeatable";
     }
@@ -407,9 +422,7 @@
     if (now + RESPONSE_MIN_MS >= request->deadline_at_ms) {
         return "time";
     }
-    if (budget == NULL ||
-        !SkyRetryBudget_CanRetry(budget, &proxy->retry_options,
-                                 proxy->options.directory->host_count, now)) {
+    if (request->attempts.last_send_arrived && !has_retry_left(request, now)) {
         return "budget";
     }
     return NULL;
@@ -428,9 +441,12 @@
                  request->send_count,
                  (long long)(request->deadline_at_ms - now));
     if (obstacle == NULL) {
-        SkyRetryBudget_AcquireRetry(
-            SkyProxy_GetRetryBudget(proxy, request->service->name),
-            &proxy->retry_options, proxy->options.directory->host_count, now);
+        if (request->attempts.last_send_arrived) {
+            SkyRetryBudget_AcquireRetry(
+                SkyProxy_GetRetryBudget(proxy, request->service->name),
+                &proxy->retry_options, proxy->options.directory->host_count,
+                now);
+        }
         SkyEventStream_DiscardPartial(&request->event_stream);
         if (!request->response_started) {
             SkyProxyResponse_Clear(&request->response);
