--- a/lib/decide/software_rollout.c
+++ b/lib/decide/software_rollout.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-/** By which the clocks of hosts and targets may differ. */
+/** By which a clock may be ahead of that of a target. */
 #define CLOCK_TOLERANCE_MS 2000
 
 static uint64_t
@@ -69,18 +69,19 @@
     return version->last_listed_ms + rollout->options.retention_ms >= now_ms;
 }
 
-/* Sets since when a version of the first list may have been listed. */
+/* Sets since when a version of the first list has been listed: at the earliest
+ * since its target started. Its streams begin late rather than early. */
 static void
 apply_age(sky_rollout_version_t *version, uint64_t age_ms, uint64_t now_ms)
 {
-    uint64_t earliest_ms = subtract(now_ms, age_ms + CLOCK_TOLERANCE_MS);
+    uint64_t started_ms = subtract(now_ms, age_ms);
     uint64_t latest_ms =
         subtract(now_ms, subtract(age_ms, CLOCK_TOLERANCE_MS));
     if (latest_ms < version->first_listed_ms) {
         version->first_listed_ms = latest_ms;
     }
-    if (earliest_ms < version->last_absent_ms) {
-        version->last_absent_ms = earliest_ms;
+    if (started_ms < version->last_absent_ms) {
+        version->last_absent_ms = started_ms;
     }
 }
 
--- a/lib/decide/software_rollout.h
+++ b/lib/decide/software_rollout.h
@@ -62,8 +62,8 @@
                              const sky_software_rollout_options_t *options);
 
 /** Records that a target of the service is listed with this software.
- *  @param age_ms time since the target started, by clocks that may differ by
- *         some seconds. It bounds for how long the versions of the first list
+ *  @param age_ms time since the target started, by clocks that differ
+ *         little. It bounds for how long the versions of the first list
  *         have been listed; later it is ignored.
  *  @return whether the version was not known, or not within the retention time
  */
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -517,6 +517,9 @@
         request->route->retry_policy != SKY_RETRY_RESUME) {
         return; /* nobody can take it up */
     }
+    if (request->peer[0] != '\0' && request->sent_software[0] == '\0') {
+        return; /* a peer of an earlier build does not say */
+    }
     sky_stream_version_t stream = {
         .stream = SkyStreamSharing_HashId(request->facts.stream_id)};
     snprintf(stream.service, sizeof stream.service, "%s",
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -241,7 +241,8 @@
 /** Records, once in an exchange, how long the first event took. */
 void SkyProxyRequest_RecordPromptTime(sky_proxy_request_t *request);
 
-/** Records the version that began the stream, with its first event. */
+/** Records the version that began the stream, with its first event, or before
+ *  the head of a response that names it. */
 void SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request);
 
 /** Records, once in an exchange, that the answer got past its start: no part
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -150,6 +150,10 @@
                                    SkyBuffer_Data(&response->header_fields),
                                    framing, response->content_length);
     request->response_started = true;
+    if (request->is_forwarded && response->is_event_stream) {
+        /* The head names the version to the host that passed it on. */
+        SkyProxyRequest_RecordFirstEvent(request);
+    }
     request->relay_started_ms = SkyClock_NowMs();
     SkyMetrics_Observe(request->proxy->options.metrics, request->service->name,
                        SKY_HIST_FIRST_TOKEN,
--- a/tests/test_stream_versions.cc
+++ b/tests/test_stream_versions.cc
@@ -377,6 +377,106 @@
     EXPECT_FALSE(SkyVersionHistory_ParseValue(too_long.c_str(), 1, &read));
 }
 
+// A newer version has just joined one that has been in use for long.
+class StreamVersionsIntroduction : public StreamVersions {
+  protected:
+    void
+    SetUp() override
+    {
+        StreamVersions::SetUp();
+        ReadAt(T0_MS - 300, {"v1"}, HOUR_MS);
+    }
+
+    void
+    ReadAt(uint64_t read_ms, std::initializer_list<const char *> listed,
+           uint64_t age_ms = 0)
+    {
+        now_ms = read_ms;
+        for (const char *software : listed) {
+            SkySoftwareRollout_RecordTarget(
+                SkyStreamVersions_GetRollout(versions), "llm", software,
+                age_ms, now_ms);
+        }
+        ReadList();
+    }
+
+    sky_resume_t
+    DecideAt(uint64_t at_ms, bool is_store_unreachable = false)
+    {
+        sky_resume_answers_t answers = MakeAnswers(false, true, false);
+        answers.is_store_unreachable = is_store_unreachable;
+        now_ms = at_ms;
+        return Decide(7, answers);
+    }
+
+    static constexpr uint64_t T0_MS = 10000000;
+};
+
+// Guards against streams joined by a host that has not heard of the version.
+TEST_F(StreamVersionsIntroduction, NoStreamBeginsAtTheNewVersion)
+{
+    const sky_software_rollout_t *rollout =
+        SkyStreamVersions_GetRollout(versions);
+    ReadAt(T0_MS, {"v1", "v2"});
+    EXPECT_TRUE(SkySoftwareRollout_MayBegin(rollout, "llm", "v1", T0_MS));
+    EXPECT_FALSE(SkySoftwareRollout_MayBegin(rollout, "llm", "v2",
+                                             T0_MS + INTRODUCTION_MS - 1));
+    EXPECT_TRUE(SkySoftwareRollout_MayBegin(rollout, "llm", "v2",
+                                            T0_MS + INTRODUCTION_MS));
+}
+
+// Guards against refusing what began before the version was listed.
+TEST_F(StreamVersionsIntroduction, AStreamWithoutARecordIsOfTheOlderVersion)
+{
+    ReadAt(T0_MS, {"v1", "v2"});
+    ReadAt(T0_MS + 2000, {"v1", "v2"});
+    sky_resume_t resume = DecideAt(T0_MS - 300 + INTRODUCTION_MS - 1);
+    ASSERT_EQ(SKY_RESUME_AT_SOFTWARE, resume.kind);
+    EXPECT_STREQ("v1", resume.software);
+    EXPECT_EQ(SKY_RESUME_REFUSED,
+              DecideAt(T0_MS - 300 + INTRODUCTION_MS).kind);
+}
+
+// Guards against streams joined by a host whose list stands still.
+TEST_F(StreamVersionsIntroduction, AListOlderThanTheIntroductionIsReadAnew)
+{
+    uint64_t old_ms = T0_MS - 300 + INTRODUCTION_MS;
+    EXPECT_EQ(SKY_RESUME_AT_SOFTWARE, DecideAt(old_ms - 1).kind);
+    EXPECT_EQ(SKY_RESUME_READ_LIST, DecideAt(old_ms).kind);
+    EXPECT_EQ(SKY_RESUME_AT_SOFTWARE, DecideAt(old_ms, true).kind);
+}
+
+// Guards against streams that are known to nobody once their host is lost.
+TEST_F(StreamVersionsIntroduction, OthersAreToldFromTheFirstListingOn)
+{
+    Begin(7, "v1");
+    EXPECT_TRUE(TakeUntold().empty());
+    ReadAt(T0_MS, {"v1", "v2"});
+    EXPECT_EQ(std::vector<uint64_t>{7}, TakeUntold());
+}
+
+// Guards against a stream of the newer version that is taken for an older one
+// because the introduction is not over.
+TEST_F(StreamVersionsIntroduction, AStreamThatBeganAllTheSameEndsIt)
+{
+    ReadAt(T0_MS, {"v1", "v2"});
+    Begin(8, "v2");
+    EXPECT_EQ(SKY_RESUME_REFUSED, DecideAt(T0_MS + 100).kind);
+}
+
+// Guards against refusing streams at a host that has just started.
+TEST_F(StreamVersionsIntroduction, AHostThatCannotTellTakesTheWordOfOneThatCan)
+{
+    Restart(0);
+    See("v1");
+    ReadList();
+    sky_resume_answers_t answers = MakeAnswers(false, true, false);
+    EXPECT_EQ(SKY_RESUME_REFUSED, Decide(7, answers).kind);
+    answers.has_only_version = true;
+    snprintf(answers.only_version, sizeof answers.only_version, "v1");
+    EXPECT_STREQ("v1", Decide(7, answers).software);
+}
+
 // Eight hosts under load: streams begin at targets of both versions, break,
 // and are taken up at other hosts. Each record is told to three hosts, a
 // moment later; three hosts are lost at once.
