--- a/lib/decide/stream_versions.c
+++ b/lib/decide/stream_versions.c
@@ -396,11 +396,13 @@
     bool is_list_complete =
         SkySoftwareRollout_IsListComplete(&versions->rollout, now_ms) ||
         answers->has_newer_list;
-    if (answers->has_only_version &&
-        strcmp(answers->only_version, only) != 0) {
-        return is_list_complete ? (sky_resume_t){.kind = SKY_RESUME_REFUSED}
-                                : (sky_resume_t){SKY_RESUME_AT_SOFTWARE,
-                                                 answers->only_version};
+    bool is_contradicted =
+        answers->has_only_version && strcmp(answers->only_version, only) != 0;
+    if (is_contradicted && is_list_complete) {
+        return (sky_resume_t){.kind = SKY_RESUME_REFUSED};
+    }
+    if (is_contradicted) {
+        return (sky_resume_t){SKY_RESUME_AT_SOFTWARE, answers->only_version};
     }
     is_list_complete = is_list_complete || answers->is_store_unreachable;
     return is_in_step && is_list_complete
