Explain the last version listed, and log a resume once it is decided

Read as a newcomer: what find_last() returns besides the version, why a list that cannot be read is no obstacle, and no log line for each check of a request that waits for the list.

--- a/lib/decide/software_rollout.c
+++ b/lib/decide/software_rollout.c
@@ -210,6 +210,8 @@
                version->last_absent_ms + rollout->options.introduction_ms;
 }
 
+/* Finds the version listed last; the latest time of all others is that of the
+ * second. */
 static const sky_rollout_version_t *
 find_last(const sky_software_rollout_t *rollout, const char *service,
           uint64_t now_ms, bool only_begun, uint64_t *other_listed_ms)
@@ -222,13 +224,13 @@
             (only_begun && !may_have_begun(rollout, version, now_ms))) {
             continue;
         }
-        const sky_rollout_version_t *other = version;
+        const sky_rollout_version_t *earlier = version;
         if (last == NULL || version->last_listed_ms > last->last_listed_ms) {
-            other = last;
+            earlier = last;
             last = version;
         }
-        if (other != NULL && other->last_listed_ms > *other_listed_ms) {
-            *other_listed_ms = other->last_listed_ms;
+        if (earlier != NULL && earlier->last_listed_ms > *other_listed_ms) {
+            *other_listed_ms = earlier->last_listed_ms;
         }
     }
     return last;
--- a/lib/decide/software_rollout.h
+++ b/lib/decide/software_rollout.h
@@ -90,7 +90,7 @@
 bool SkySoftwareRollout_HasSeveralListed(const sky_software_rollout_t *rollout,
                                          const char *service, uint64_t now_ms);
 /** Finds the version listed last among those that may have begun streams;
- * among all of them, if none may have.
+ * among all of them, if none may have: then any of them may begin some now.
  *  @param other_listed_ms when another one of these was listed last; 0: none
  *         was
  *  @return NULL: no version of the service is known */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -593,7 +593,9 @@
         resume = SkyStreamSharing_Decide(options->stream_sharing, service,
                                          stream, &request->resume_answers);
     }
-    log_resume(request, &resume);
+    if (resume.kind != SKY_RESUME_READ_LIST) {
+        log_resume(request, &resume); /* it is decided again after a read */
+    }
     switch (resume.kind) {
     case SKY_RESUME_AT_SOFTWARE:
         snprintf(request->stream_software, sizeof request->stream_software,
@@ -605,13 +607,14 @@
             request->waits_for_records = true;
             return false;
         }
+        /* Nobody can read a newer one: what another host says will do. */
         if (request->resume_answers.has_heard &&
             !request->resume_answers.is_store_unreachable) {
             request->resume_answers.is_store_unreachable = true;
             return settle_resume(request);
         }
         /* fall through */
-    case SKY_RESUME_ASK_OTHERS:
+    case SKY_RESUME_ASK_OTHERS: /* they have been asked */
     case SKY_RESUME_REFUSED:
         SkyProxyRequest_Fail(request, RETRY_AFTER_START_MS, "stream_unknown");
         return false;
