Log which orders are polls, and how many slots their owner believes used

An order for the same adapter, with the same count and another version, may be a poll or an order of its own, and the log did not tell them apart; nor did it say on which view of the adapter slots an order was chosen. Both tell the hypotheses of the incident apart: a poll that a target takes as an order (count one higher at the next report), and a wrong count of slots (slots_used against held).

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -493,7 +493,8 @@
     *action =
         (sky_placer_action_t){.step = step,
                               .expected_order_count = placer->accepted_orders,
-                              .is_poll = record->next_poll_ms > 0};
+                              .is_poll = record->next_poll_ms > 0,
+                              .slots_used = count_slots_used(placer)};
     snprintf(action->model, sizeof action->model, "%s", record->model);
     snprintf(action->adapter, sizeof action->adapter, "%s", record->adapter);
     if (step == SKY_PLACER_LOAD) {
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -58,6 +58,7 @@
     uint32_t version;              /**< 0: the newest */
     uint64_t expected_order_count; /**< order count to send with the order */
     bool is_poll; /**< repeats an order in progress to see if it is done */
+    uint32_t slots_used; /**< adapter slots believed to be used, for the log */
 } sky_placer_action_t;
 
 /** Result of an order that was sent to the target. */
--- a/lib/edge/owned_target.c
+++ b/lib/edge/owned_target.c
@@ -77,11 +77,11 @@
     const sky_placer_action_t *action = &owned->action;
     SkyLog_Write(
         LOG_INFO, "order",
-        "target=%s step=%s adapter=%s/%s version=%u expected=%llu "
-        "answer=%s status=%u body=\"%.*s\"",
+        "target=%s step=%s adapter=%s/%s version=%u expected=%llu poll=%d "
+        "slots_used=%u answer=%s status=%u body=\"%.*s\"",
         owned->id, STEPS[action->step], action->model, action->adapter,
         action->version, (unsigned long long)action->expected_order_count,
-        response, owned->response_status,
+        action->is_poll, action->slots_used, response, owned->response_status,
         (int)(owned->response_status == 200 || owned->response_status == 202
                   ? 0
                   : SkyBuffer_Size(&owned->response_body)),
