Let a poll name exactly the load that it asks about

Callers saw the requests of a target end at once: it was ordered to load one adapter more than it has slots for, and crashed (LIMIT).

Cause: the owner asks for the end of a load by sending its order again. The version was taken anew at that time, and a load without a version meant "the newest". Once a newer version existed and the load had ended, the poll was a new order under the right count, and nobody had looked for a slot.

A load now always names a version, which its record keeps for the polls; a newer version is an order of its own that passes the choice of a slot. An adapter is not loaded in an older version than the one evicted or announced, also where the request names none; one without an announcement is loaded in version 1.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -17,6 +17,8 @@
  *  loads use the link to a target at once, so that some take several times as
  *  long. */
 #define LOAD_MS_FACTOR_MAX 4.0
+/** Version of an adapter of which no newer one was announced. */
+#define INITIAL_VERSION 1
 /** An adapter whose unload was refused as in use is not chosen again for this
  *  long. */
 #define IN_USE_RETRY_MS 200
@@ -42,7 +44,8 @@
     char model[SKY_ADAPTER_NAME_BYTES];
     char adapter[SKY_ADAPTER_NAME_BYTES];
     uint32_t version; /**< resident version; 0 during the first load */
-    uint32_t requested_version; /**< to replace it by; 0: none */
+    uint32_t requested_version; /**< to load or replace it by; 0: none */
+    uint32_t ordered_version;   /**< of the load in progress */
     sky_adapter_state_t state;
     double popularity; /**< decaying use count, as of popularity_ms */
     uint64_t popularity_ms;
@@ -234,15 +237,30 @@
         record->state = SKY_ADAPTER_RESIDENT;
         record->version = resident->version;
         record->next_poll_ms = 0;
+        if (record->requested_version <= record->version) {
+            record->requested_version = 0;
+        }
         return;
     }
     if (record->state != SKY_ADAPTER_RESIDENT) {
         record->state = SKY_ADAPTER_LOADING;
     }
+    record->ordered_version = resident->version;
     record->load_accepted_ms = now_ms;
     record->next_poll_ms = now_ms + POLL_INTERVAL_MS;
 }
 
+/* Once an adapter is gone, it is not loaded in an older version than it had.
+ */
+static void
+clear_version(adapter_record_t *record)
+{
+    if (record->requested_version < record->version) {
+        record->requested_version = record->version;
+    }
+    record->version = 0;
+}
+
 void
 SkyPlacer_ApplyReport(sky_placer_t *placer, const sky_target_report_t *report,
                       uint64_t now_ms)
@@ -258,6 +276,7 @@
     {
         record->next_poll_ms = 0;
         if (record->state != SKY_ADAPTER_QUEUED) {
+            clear_version(record);
             record->state = record->due_ms > now_ms ? SKY_ADAPTER_QUEUED
                                                     : SKY_ADAPTER_ABSENT;
         }
@@ -486,6 +505,20 @@
     }
 }
 
+/* A load names a version always, and a poll the one that was ordered: "the
+ * newest" means another one once a newer version exists, so that a poll for it
+ * would be a new load. */
+static uint32_t
+choose_version(const adapter_record_t *record)
+{
+    if (record->next_poll_ms > 0) {
+        return record->ordered_version;
+    }
+    return is_adapter(record) && record->requested_version < INITIAL_VERSION
+               ? INITIAL_VERSION
+               : record->requested_version;
+}
+
 static void
 set_action(const sky_placer_t *placer, const adapter_record_t *record,
            sky_placer_step_t step, sky_placer_action_t *action)
@@ -498,7 +531,7 @@
     snprintf(action->model, sizeof action->model, "%s", record->model);
     snprintf(action->adapter, sizeof action->adapter, "%s", record->adapter);
     if (step == SKY_PLACER_LOAD) {
-        action->version = record->requested_version;
+        action->version = choose_version(record);
     }
 }
 
@@ -752,6 +785,7 @@
         if (record->state != SKY_ADAPTER_RESIDENT) {
             record->state = SKY_ADAPTER_LOADING;
         }
+        record->ordered_version = action->version;
         record->load_accepted_ms = now_ms;
         record->next_poll_ms =
             now_ms + (uint64_t)(placer->load_ms * FIRST_POLL_FRACTION);
@@ -786,7 +820,7 @@
         placer->accepted_orders += action->is_poll ? 0 : 1;
         record->state = SKY_ADAPTER_QUEUED;
         record->next_poll_ms = 0;
-        record->version = 0;
+        clear_version(record);
         remove_expired_requests(placer, now_ms);
     }
     else {
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -55,7 +55,9 @@
     uint64_t wake_ms; /**< with SKY_PLACER_WAIT; UINT64_MAX: on events only */
     char model[SKY_ADAPTER_NAME_BYTES];
     char adapter[SKY_ADAPTER_NAME_BYTES];
-    uint32_t version;              /**< 0: the newest */
+    /** That a load is for; 0: the newest, of a model without an announced
+     *  version. A poll names the version that was ordered. */
+    uint32_t version;
     uint64_t expected_order_count; /**< order count to send with the order */
     bool is_poll; /**< repeats an order in progress to see if it is done */
     uint32_t slots_used; /**< adapter slots believed to be used, for the log */
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -205,8 +205,13 @@
     if (!request->current->can_queue && !can_load_now(request, owned)) {
         return false;
     }
-    switch (SkyPlacer_RequestLoad(owned->placer, &load_request,
-                                  SkyClock_NowMs())) {
+    sky_adapter_state_t state =
+        SkyPlacer_RequestLoad(owned->placer, &load_request, SkyClock_NowMs());
+    SkyPlacer_ApplyAnnouncedVersion(
+        owned->placer, request->key,
+        SkyFleet_GetAnnouncedVersion(
+            request->placement->options.directory->fleet, request->key));
+    switch (state) {
     case SKY_ADAPTER_RESIDENT:
         complete_at_current(request, SkyPlacer_GetResidentVersion(
                                          owned->placer, request->key));
