Take a refusal while another order waits for what it is: no answer

Callers: an adapter still in transit counted as resident, so that it could be chosen for eviction and its slot given away (LIMIT); and at a full target each newer version of a resident adapter stopped all loads for 400 ms and more.

Cause: a target refuses other orders while one waits for requests to end. A refused poll beside an unload was taken for the end of its load. A replacement was not known to wait: the next order was refused, the whole state counted as unknown and was read anew until the target was no longer busy.

A refused poll now tells nothing: the load stays in progress, and its slot is kept. It is asked about again once the waiting order has ended; if that takes longer than 400 ms, the report is read. No new order is sent while a replacement waits, as with an unload.

The checks are the same, and AConflictWhileAnUnloadWaitsDoesNotEndALoad checks the target that refuses all.

That test failed before.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -12,7 +12,10 @@
  *  adapters take less than the average. */
 #define FIRST_POLL_FRACTION 0.4
 #define POLL_INTERVAL_MS 25 /**< between polls for the end of an order */
-#define LOAD_MS_GAIN 0.3    /**< weight of the newest load in the average */
+/** A target that refuses polls while an order waits is asked for a report
+ * after this long: loads may have ended there. */
+#define REFUSING_MAX_MS 400
+#define LOAD_MS_GAIN 0.3 /**< weight of the newest load in the average */
 /** Limits a measured load duration, relative to the initial estimate. Many
  *  loads use the link to a target at once, so that some take several times as
  *  long. */
@@ -67,7 +70,10 @@
     adapter_record_t *records;
     uint64_t accepted_orders; /**< count expected at the target */
     bool state_known;         /**< a report of the target was applied */
-    bool action_pending;      /**< pending_action has no result yet */
+    /** Since when the target refuses to tell of loads while another order
+     * waits there; 0: it does not. */
+    uint64_t refusing_since_ms;
+    bool action_pending; /**< pending_action has no result yet */
     sky_placer_action_t pending_action;
     /** The last order got no response: it may have been executed, or may be
      *  executed later. */
@@ -186,8 +192,20 @@
     return count;
 }
 
-/* A resident adapter whose newer version is being loaded takes a second
- * slot. */
+/* Whether a newer version of a resident adapter is being loaded. */
+static bool
+is_being_replaced(const adapter_record_t *record)
+{
+    return record->state == SKY_ADAPTER_RESIDENT && record->next_poll_ms > 0;
+}
+
+static bool
+is_waiting_order(const adapter_record_t *record)
+{
+    return record->state == SKY_ADAPTER_UNLOADING || is_being_replaced(record);
+}
+
+/* An adapter that is being replaced takes a second slot. */
 static uint32_t
 count_loading(const sky_placer_t *placer)
 {
@@ -195,14 +213,27 @@
     const adapter_record_t *record;
     DL_FOREACH(placer->records, record)
     {
-        bool is_replacing =
-            record->state == SKY_ADAPTER_RESIDENT && record->next_poll_ms > 0;
-        count += is_adapter(record) &&
-                 (record->state == SKY_ADAPTER_LOADING || is_replacing);
+        count += is_adapter(record) && (record->state == SKY_ADAPTER_LOADING ||
+                                        is_being_replaced(record));
     }
     return count;
 }
 
+/* Whether an order waits for requests to end, so that the target may refuse
+ * every other order: an unload, or the replacement of a resident version. */
+static bool
+has_waiting_order(const sky_placer_t *placer)
+{
+    const adapter_record_t *record;
+    DL_FOREACH(placer->records, record)
+    {
+        if (is_waiting_order(record)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint32_t
 count_slots_used(const sky_placer_t *placer)
 {
@@ -269,6 +300,7 @@
     adapter_record_t *next;
     placer->action_pending = false;
     placer->order_unconfirmed = false;
+    placer->refusing_since_ms = 0;
     placer->state_known = !report->busy;
     placer->next_report_ms = now_ms + MODEL_REPORT_INTERVAL_MS;
     placer->accepted_orders = report->order_count;
@@ -613,8 +645,7 @@
         free_slots += can_evict(placer, record, now_ms) ? 1 : 0;
     }
     uint32_t queued = count_queued_before(placer, is_under_way);
-    return placer->state_known &&
-           count_in_state(placer, SKY_ADAPTER_UNLOADING) == 0 &&
+    return placer->state_known && !has_waiting_order(placer) &&
            queued < free_slots &&
            count_loading(placer) + queued < placer->options.loading_max;
 }
@@ -626,7 +657,9 @@
     adapter_record_t *record;
     DL_FOREACH(placer->records, record)
     {
-        if (record->next_poll_ms > 0 &&
+        bool is_refused =
+            placer->refusing_since_ms > 0 && !is_waiting_order(record);
+        if (record->next_poll_ms > 0 && !is_refused &&
             (best == NULL || record->next_poll_ms < best->next_poll_ms)) {
             best = record;
         }
@@ -661,8 +694,7 @@
         return true;
     }
     const adapter_record_t *next_load = choose_next_load(placer, now_ms);
-    if (next_load == NULL ||
-        count_in_state(placer, SKY_ADAPTER_UNLOADING) > 0 ||
+    if (next_load == NULL || has_waiting_order(placer) ||
         (is_adapter(next_load) &&
          count_loading(placer) >= placer->options.loading_max)) {
         return false;
@@ -680,6 +712,18 @@
     return true;
 }
 
+static void
+update_refusing(sky_placer_t *placer, uint64_t now_ms)
+{
+    if (!has_waiting_order(placer)) {
+        placer->refusing_since_ms = 0;
+    }
+    else if (placer->refusing_since_ms > 0 &&
+             now_ms >= placer->refusing_since_ms + REFUSING_MAX_MS) {
+        SkyPlacer_InvalidateState(placer, now_ms);
+    }
+}
+
 void
 SkyPlacer_ChooseAction(sky_placer_t *placer, uint64_t now_ms,
                        sky_placer_action_t *action)
@@ -690,6 +734,7 @@
         return;
     }
     remove_expired_requests(placer, now_ms);
+    update_refusing(placer, now_ms);
     if (!placer->state_known) {
         uint64_t report_valid_ms =
             placer->last_result_ms + placer->options.report_lag_ms;
@@ -845,15 +890,16 @@
     }
 }
 
-/* Returns whether a conflict on a poll means that the load has ended: a target
- * that waits for requests to end before an unload rejects every order but
- * those in progress. */
+/* Returns whether a refused poll tells nothing of its load: the target may
+ * refuse every order while another one waits. */
 static bool
-is_load_done_despite_conflict(const sky_placer_t *placer,
-                              const sky_placer_action_t *action)
+is_refused_as_busy(const sky_placer_t *placer,
+                   const sky_placer_action_t *action)
 {
-    return action->is_poll && action->step == SKY_PLACER_LOAD &&
-           count_in_state(placer, SKY_ADAPTER_UNLOADING) > 0;
+    const adapter_record_t *record = find_record(
+        placer, SkyFleet_MakeAdapterKey(action->model, action->adapter));
+    return action->is_poll && record != NULL && !is_waiting_order(record) &&
+           has_waiting_order(placer);
 }
 
 void
@@ -878,8 +924,8 @@
         placer->order_unconfirmed = false;
         break;
     case SKY_PLACER_ORDER_CONFLICT:
-        if (is_load_done_despite_conflict(placer, &action)) {
-            apply_already_done(placer, &action, now_ms);
+        if (is_refused_as_busy(placer, &action)) {
+            placer->refusing_since_ms = now_ms;
             break;
         }
         /* The target's state differs from the one known here. */
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1418,13 +1418,18 @@
     if (!is_load && strcmp(engine->unloading_adapter, adapter) == 0) {
         return 202;
     }
-    if (engine->unloading_adapter[0] != '\0' ||
-        (uint64_t)json_integer_value(json_object_get(body, "expectedRev")) !=
-            engine->applied_orders) {
+    if ((uint64_t)json_integer_value(json_object_get(body, "expectedRev")) !=
+        engine->applied_orders) {
+        return 409;
+    }
+    if (is_load && slot != NULL) {
+        return 200;
+    }
+    if (engine->unloading_adapter[0] != '\0') {
         return 409;
     }
     if (is_load) {
-        return slot != NULL ? 200 : start_load(engine, adapter);
+        return start_load(engine, adapter);
     }
     if (slot == NULL) {
         return 200;
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -99,10 +99,9 @@
 
   private:
     bool
-    IsRefused(const sky_placer_action_t &action) const
+    IsBusy() const
     {
-        return !unloading.empty() || !replacing.empty() ||
-               action.expected_order_count != orders;
+        return !unloading.empty() || !replacing.empty();
     }
 
     int
@@ -116,12 +115,16 @@
         if (loads.count(name) > 0 && loads[name].version == version) {
             return 202;
         }
-        if (loads.count(name) > 0 || IsRefused(action)) {
+        if (loads.count(name) > 0 || !replacing.empty() ||
+            action.expected_order_count != orders) {
             return 409;
         }
         if (resident.count(name) > 0 && resident[name] >= version) {
             return 200;
         }
+        if (IsBusy()) {
+            return 409;
+        }
         orders++;
         if (replaces_in_place && resident.count(name) > 0) {
             replacing = name;
@@ -139,7 +142,7 @@
         if (unloading == name) {
             return 202;
         }
-        if (IsRefused(action)) {
+        if (IsBusy() || action.expected_order_count != orders) {
             return 409;
         }
         if (resident.count(name) == 0) {
@@ -518,8 +521,8 @@
 }
 
 // A host may use an adapter before it has reported that, so that an unload
-// waits for its request to end. Meanwhile the target is busy and responds
-// with a conflict to the poll of a load that has ended, which counts as done.
+// waits for its request to end. Meanwhile the target takes no other order, but
+// a load that has ended counts as done.
 TEST_F(PlacerTest, FinishesALoadWhileAnUnloadWaitsForRequests)
 {
     for (uint32_t i = 0; i < kAdapterSlots; i++) {
@@ -715,7 +718,7 @@
 
 // Guards against an adapter in transit that counts as resident: while an
 // unload waits, a target may refuse every other order.
-TEST_F(PlacerTest, DISABLED_AConflictWhileAnUnloadWaitsDoesNotEndALoad)
+TEST_F(PlacerTest, AConflictWhileAnUnloadWaitsDoesNotEndALoad)
 {
     for (uint32_t i = 0; i < kAdapterSlots; i++) {
         Request("a" + std::to_string(i));
@@ -742,6 +745,16 @@
     EXPECT_EQ(SKY_ADAPTER_RESIDENT, State("b1"));
 }
 
+// Guards against orders to a target that replaces an adapter and takes no
+// other order until its requests have ended: each was refused, and the target
+// got no order for 400 ms.
+TEST_F(PlacerTest, AReplacementThatWaitsDoesNotMakeTheStateUnknown)
+{
+    target.replaces_in_place = true;
+    EXPECT_EQ(0u, CountOverfilled(20, 3));
+    EXPECT_EQ(0u, reports_read);
+}
+
 // 95% of the cold adapters of an opening are resident within the objective.
 TEST_F(PlacerTest, LoadsColdAdaptersOfAnOpeningInTime)
 {
