Take no response for an outcome that is not the owned target's

Callers: the requests of a target ended at once: it had been ordered to load more adapters than it has slots for (LIMIT). Beside it, a target that had started again got hundreds of orders a second, each answered 421.

Cause: every response without a known status counted as "will not be executed". To a poll, that gave the slot of an adapter in transit away. A 421 says that another run answers at the address; it was taken for a refusal of one adapter, and the next queued one was ordered. Reports were applied whatever run they were of.

A response to a poll that is no answer, or one to a repeated order, makes the state unknown: the report is read before the next order. Only a 400 to a first order is a refusal. After a 421, and as long as reports name another start than the list, nothing known of the target is kept, it gets no order, and requests move on to other targets (target_replaced).

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -97,18 +97,31 @@
     return SKY_OK;
 }
 
-void
-SkyPlacer_Free(sky_placer_t *placer)
+static void
+remove_record(sky_placer_t *placer, adapter_record_t *record)
+{
+    DL_DELETE(placer->records, record);
+    free(record);
+}
+
+static void
+remove_all_records(sky_placer_t *placer)
 {
-    if (placer == NULL) {
-        return;
-    }
     adapter_record_t *record;
     adapter_record_t *next;
     DL_FOREACH_SAFE(placer->records, record, next)
     {
-        free(record);
+        remove_record(placer, record);
     }
+}
+
+void
+SkyPlacer_Free(sky_placer_t *placer)
+{
+    if (placer == NULL) {
+        return;
+    }
+    remove_all_records(placer);
     free(placer);
 }
 
@@ -138,13 +151,6 @@
     return record;
 }
 
-static void
-remove_record(sky_placer_t *placer, adapter_record_t *record)
-{
-    DL_DELETE(placer->records, record);
-    free(record);
-}
-
 static double
 decayed_popularity(const adapter_record_t *record, uint64_t now_ms)
 {
@@ -888,6 +894,22 @@
     else if (record->state != SKY_ADAPTER_RESIDENT) {
         remove_record(placer, record);
     }
+    else {
+        record->requested_version = 0;
+    }
+}
+
+/* The response does not tell what the target holds. Requests do not wait for
+ * the load that it is about. */
+static void
+apply_unknown(sky_placer_t *placer, const sky_placer_action_t *action,
+              uint64_t now_ms)
+{
+    if (!action->is_poll) {
+        apply_refused(placer, action, now_ms);
+    }
+    placer->order_unconfirmed = false;
+    SkyPlacer_InvalidateState(placer, now_ms + CONFLICT_RETRY_MS);
 }
 
 /* Returns whether a refused poll tells nothing of its load: the target may
@@ -933,9 +955,21 @@
         SkyPlacer_InvalidateState(placer, now_ms + CONFLICT_RETRY_MS);
         break;
     case SKY_PLACER_ORDER_REFUSED:
-        placer->order_unconfirmed = false;
+        if (action.is_poll || placer->order_unconfirmed) {
+            /* An earlier copy of the order may have been executed. */
+            apply_unknown(placer, &action, now_ms);
+            break;
+        }
         apply_refused(placer, &action, now_ms);
         break;
+    case SKY_PLACER_ORDER_UNKNOWN:
+        apply_unknown(placer, &action, now_ms);
+        break;
+    case SKY_PLACER_ORDER_WRONG_TARGET:
+        remove_all_records(placer);
+        placer->order_unconfirmed = false;
+        SkyPlacer_InvalidateState(placer, now_ms + CONFLICT_RETRY_MS);
+        break;
     case SKY_PLACER_ORDER_NO_RESPONSE:
         placer->order_unconfirmed =
             placer->order_unconfirmed || !action.is_poll;
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -70,7 +70,10 @@
                                       already */
     SKY_PLACER_ORDER_CONFLICT, /**< the order count differs, or it is busy */
     SKY_PLACER_ORDER_REFUSED,  /**< will not be executed */
-    SKY_PLACER_ORDER_NO_RESPONSE, /**< may be executed, now or later */
+    SKY_PLACER_ORDER_UNKNOWN,  /**< a response that may not be the target's */
+    SKY_PLACER_ORDER_WRONG_TARGET, /**< another target has the address, or it
+                                      started again */
+    SKY_PLACER_ORDER_NO_RESPONSE,  /**< may be executed, now or later */
 } sky_placer_order_result_t;
 
 typedef struct {
--- a/lib/edge/owned_target.c
+++ b/lib/edge/owned_target.c
@@ -64,10 +64,14 @@
                                        owned->shard);
         return SKY_PLACER_ORDER_REFUSED;
     case SKY_ORDER_STATUS_WRONG_TARGET:
+        owned->is_replaced = true;
+        return SKY_PLACER_ORDER_WRONG_TARGET;
     case SKY_ORDER_STATUS_REFUSED:
+        return SKY_PLACER_ORDER_REFUSED;
+    case SKY_ORDER_STATUS_UNKNOWN:
         break;
     }
-    return SKY_PLACER_ORDER_REFUSED;
+    return SKY_PLACER_ORDER_UNKNOWN;
 }
 
 static void
@@ -88,6 +92,16 @@
         SkyBuffer_Data(&owned->response_body));
 }
 
+/* Whether the address now belongs to another run than the one that is owned.
+ */
+static bool
+is_of_other_run(const sky_owned_target_t *owned,
+                const sky_target_report_t *report)
+{
+    return report->started_unix_ms > 0 && owned->started_unix_ms > 0 &&
+           report->started_unix_ms != owned->started_unix_ms;
+}
+
 static void
 apply_report(sky_owned_target_t *owned)
 {
@@ -106,7 +120,18 @@
                  owned->id, (unsigned long long)report.order_count,
                  report.resident_count, report.loading_count, report.busy,
                  report.running, report.queued);
-    SkyPlacer_ApplyReport(owned->placer, &report, now);
+    owned->is_replaced = is_of_other_run(owned, &report);
+    if (owned->is_replaced) {
+        SkyLog_Write(LOG_NOTICE, "target_replaced",
+                     "target=%s born=%llu reported_born=%llu", owned->id,
+                     (unsigned long long)owned->started_unix_ms,
+                     (unsigned long long)report.started_unix_ms);
+        SkyPlacer_HandleReportFailure(owned->placer, now);
+        SkyPlacement_AdvanceWaitingRequests(owned, "target_replaced");
+    }
+    else {
+        SkyPlacer_ApplyReport(owned->placer, &report, now);
+    }
     SkyTargetReport_Clear(&report);
 }
 
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -202,6 +202,10 @@
                                        .urgency = request->urgency,
                                        .due_ms = request->due_ms,
                                        .is_under_way = request->is_under_way};
+    if (owned->is_replaced) {
+        request->reason = "target_replaced";
+        return false;
+    }
     if (!request->current->can_queue && !can_load_now(request, owned)) {
         return false;
     }
--- a/lib/edge/placement_internal.h
+++ b/lib/edge/placement_internal.h
@@ -42,6 +42,9 @@
     sky_placer_action_t action;           /**< last one chosen by the placer */
     uint16_t response_status;             /**< 0: none received */
     sky_buffer_t response_body;
+    /** Another target, or another run of it, responds at the address; requests
+     *  do not wait for its adapters until the list names it. */
+    bool is_replaced;
     ev_timer timer; /**< timeout of client_request, else the next action */
     sky_reported_loads_t reported_loads; /**< of other hosts */
     /** Placement requests completed since the window began. Their load is not
