Look at the room of a target before each load, also of a model

Callers: a target may be ordered to load more than its memory holds (LIMIT), and then ends with all its requests.

Cause: only adapters were compared with what is free. A model, and a newer version of one beside the version that is resident, were ordered without a look at the memory. The slots were counted once, when a target became owned, so that a configuration with lower figures did not hold for it.

One function tells whether a load has room, in slots and in memory; an invariant checks it at each order (load_has_room). The capacity follows the configuration. A model that evictions of adapters cannot make room for is refused at once. The platform has no order that replaces the version of a resident model, so that a newer version of it is neither ordered nor required of a target.

--- a/lib/core/invariant.h
+++ b/lib/core/invariant.h
@@ -26,6 +26,7 @@
     X(SKY_INV_REVISION_INCREASES, "revision_never_reverts")                   \
     X(SKY_INV_NO_ORDER_WITHOUT_LEASE, "no_order_without_lease")               \
     X(SKY_INV_LOADS_WITHIN_LIMIT, "transit_within_allowance")                 \
+    X(SKY_INV_LOAD_HAS_ROOM, "load_has_room")                                 \
     X(SKY_INV_ONE_EXCHANGE, "one_exchange_per_request")
 
 typedef enum {
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -683,14 +683,16 @@
     sky_adapter_key_t key =
         query->engine ? SkyFleet_MakeAdapterKey(query->model, query->adapter)
                       : 0;
-    const announcement_t *announcement = find_announcement(fleet, key);
+    bool needs_adapter = query->engine && query->adapter[0] != '\0';
+    /* A resident model is not loaded again for a newer version. */
+    const announcement_t *announcement =
+        needs_adapter ? find_announcement(fleet, key) : NULL;
     bool is_version_required =
         announcement != NULL &&
         now_ms > announcement->announced_ms + fleet->options.version_ms / 2;
     double best_score = 0;
     uint32_t best_version = 0;
     uint32_t replica_count = 0;
-    bool needs_adapter = query->engine && query->adapter[0] != '\0';
     bool service_is_brittle = is_service_brittle(fleet, query);
     *choice = (sky_fleet_choice_t){0};
     sky_fleet_target_t *target;
--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -4,8 +4,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 #include <utlist.h>
 
+#include "core/invariant.h"
+
 /** Popularity shifts within seconds. */
 #define POPULARITY_HALF_LIFE_MS 4000.0
 /** First poll after this fraction of the expected load duration: loads of warm
@@ -65,8 +68,18 @@
     struct adapter_record *next;
 } adapter_record_t;
 
+/** Memory that a model and each of its adapters take. */
+typedef struct {
+    sky_adapter_key_t model; /**< key of the model alone */
+    uint32_t weights_mb;
+    uint32_t adapter_mb;
+    UT_hash_handle hh;
+} model_size_t;
+
 struct sky_placer {
     sky_placer_options_t options;
+    uint32_t weights_mb;       /**< memory for models and adapters; 0: any */
+    model_size_t *model_sizes; /**< a hash of them by model */
     adapter_record_t *records;
     uint64_t accepted_orders; /**< count expected at the target */
     bool state_known;         /**< a report of the target was applied */
@@ -97,6 +110,42 @@
     return SKY_OK;
 }
 
+static model_size_t *
+find_model_size(const sky_placer_t *placer, const char *model)
+{
+    sky_adapter_key_t key = SkyFleet_MakeAdapterKey(model, "");
+    model_size_t *size;
+    HASH_FIND(hh, placer->model_sizes, &key, sizeof key, size);
+    return size;
+}
+
+static void
+record_model_size(sky_placer_t *placer, const sky_model_size_t *model)
+{
+    model_size_t *size = find_model_size(placer, model->name);
+    if (size == NULL) {
+        size = calloc(1, sizeof *size);
+        if (size == NULL) {
+            return;
+        }
+        size->model = SkyFleet_MakeAdapterKey(model->name, "");
+        HASH_ADD(hh, placer->model_sizes, model, sizeof size->model, size);
+    }
+    size->weights_mb = model->weights_mb;
+    size->adapter_mb = model->adapter_mb;
+}
+
+void
+SkyPlacer_SetCapacity(sky_placer_t *placer,
+                      const sky_placer_capacity_t *capacity)
+{
+    placer->options.adapter_slots_max = capacity->adapter_slots;
+    placer->weights_mb = capacity->weights_mb;
+    for (uint32_t i = 0; i < capacity->model_count; i++) {
+        record_model_size(placer, &capacity->models[i]);
+    }
+}
+
 static void
 remove_record(sky_placer_t *placer, adapter_record_t *record)
 {
@@ -122,6 +171,13 @@
         return;
     }
     remove_all_records(placer);
+    model_size_t *size;
+    model_size_t *next;
+    HASH_ITER(hh, placer->model_sizes, size, next)
+    {
+        HASH_DEL(placer->model_sizes, size);
+        free(size);
+    }
     free(placer);
 }
 
@@ -248,6 +304,62 @@
            count_loading(placer);
 }
 
+/* Returns the memory that an adapter or a model takes; UINT32_MAX if that is
+ * not known. */
+static uint32_t
+find_size_mb(const sky_placer_t *placer, const adapter_record_t *record)
+{
+    const model_size_t *size = find_model_size(placer, record->model);
+    if (size == NULL) {
+        return UINT32_MAX;
+    }
+    return is_adapter(record) ? size->adapter_mb : size->weights_mb;
+}
+
+static uint64_t
+count_memory_used_mb(const sky_placer_t *placer, bool with_adapters)
+{
+    uint64_t used_mb = 0;
+    const adapter_record_t *record;
+    DL_FOREACH(placer->records, record)
+    {
+        if (record->state != SKY_ADAPTER_QUEUED &&
+            (with_adapters || !is_adapter(record))) {
+            uint64_t size_mb = find_size_mb(placer, record);
+            used_mb += is_being_replaced(record) ? 2 * size_mb : size_mb;
+        }
+    }
+    return used_mb;
+}
+
+static bool
+has_memory(const sky_placer_t *placer, const adapter_record_t *record,
+           bool with_adapters)
+{
+    return placer->weights_mb == 0 ||
+           count_memory_used_mb(placer, with_adapters) +
+                   find_size_mb(placer, record) <=
+               placer->weights_mb;
+}
+
+/* Whether evictions of adapters can make room for a load. No model is
+ * unloaded. */
+static bool
+can_have_room(const sky_placer_t *placer, const adapter_record_t *record)
+{
+    return has_memory(placer, record, false);
+}
+
+/* Whether the target has room for a load now, as far as is known of it. No
+ * load is ordered without this. */
+static bool
+has_room(const sky_placer_t *placer, const adapter_record_t *record)
+{
+    return (!is_adapter(record) ||
+            count_slots_used(placer) < placer->options.adapter_slots_max) &&
+           has_memory(placer, record, true);
+}
+
 static bool
 is_model_resident(const sky_placer_t *placer, const char *model)
 {
@@ -363,7 +475,8 @@
     if (record == NULL) {
         return SKY_ADAPTER_ABSENT;
     }
-    if (record->state == SKY_ADAPTER_RESIDENT && record->version < version) {
+    if (record->state == SKY_ADAPTER_RESIDENT && is_adapter(record) &&
+        record->version < version) {
         return record->next_poll_ms > 0 ? SKY_ADAPTER_LOADING
                                         : SKY_ADAPTER_QUEUED;
     }
@@ -521,6 +634,10 @@
             return SKY_ADAPTER_ABSENT;
         }
         record->state = SKY_ADAPTER_QUEUED;
+        if (!can_have_room(placer, record)) {
+            remove_record(placer, record);
+            return SKY_ADAPTER_ABSENT;
+        }
     }
     add_popularity(record, 1.0, now_ms);
     record->requested_ms = now_ms;
@@ -552,9 +669,12 @@
     if (record->next_poll_ms > 0) {
         return record->ordered_version;
     }
-    return is_adapter(record) && record->requested_version < INITIAL_VERSION
-               ? INITIAL_VERSION
-               : record->requested_version;
+    if (!is_adapter(record)) {
+        return 0;
+    }
+    return record->requested_version > INITIAL_VERSION
+               ? record->requested_version
+               : INITIAL_VERSION;
 }
 
 static void
@@ -569,6 +689,8 @@
     snprintf(action->model, sizeof action->model, "%s", record->model);
     snprintf(action->adapter, sizeof action->adapter, "%s", record->adapter);
     if (step == SKY_PLACER_LOAD) {
+        SKY_INVARIANT(SKY_INV_LOAD_HAS_ROOM,
+                      action->is_poll || has_room(placer, record));
         action->version = choose_version(record);
     }
 }
@@ -595,13 +717,15 @@
     DL_FOREACH(placer->records, record)
     {
         bool is_replacing = record->state == SKY_ADAPTER_RESIDENT &&
+                            is_adapter(record) &&
                             record->requested_version > record->version &&
                             record->next_poll_ms == 0;
         bool is_waiting = record->state == SKY_ADAPTER_QUEUED &&
                           record->due_ms > now_ms + (uint64_t)placer->load_ms;
         bool is_model_ready =
             !is_adapter(record) || is_model_resident(placer, record->model);
-        if ((!is_waiting && !is_replacing) || !is_model_ready) {
+        if ((!is_waiting && !is_replacing) || !is_model_ready ||
+            !can_have_room(placer, record)) {
             continue;
         }
         if (best == NULL || is_loaded_before(record, best)) {
@@ -642,9 +766,8 @@
                        uint64_t now_ms)
 {
     uint32_t used = count_slots_used(placer);
-    uint32_t free_slots = used < placer->options.adapter_slots_max
-                              ? placer->options.adapter_slots_max - used
-                              : 0;
+    uint32_t slots = placer->options.adapter_slots_max;
+    uint32_t free_slots = used < slots ? slots - used : 0;
     const adapter_record_t *record;
     DL_FOREACH(placer->records, record)
     {
@@ -705,8 +828,7 @@
          count_loading(placer) >= placer->options.loading_max)) {
         return false;
     }
-    if (!is_adapter(next_load) ||
-        count_slots_used(placer) < placer->options.adapter_slots_max) {
+    if (has_room(placer, next_load)) {
         set_action(placer, next_load, SKY_PLACER_LOAD, action);
         return true;
     }
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -24,6 +24,23 @@
 
 typedef struct sky_placer sky_placer_t;
 
+/** Memory that a model and each of its adapters take. */
+typedef struct {
+    const char *name;
+    uint32_t weights_mb;
+    uint32_t adapter_mb;
+} sky_model_size_t;
+
+/** What a target has room for. */
+typedef struct {
+    uint32_t adapter_slots; /**< adapters resident or in transit */
+    uint32_t weights_mb;    /**< memory for models and adapters; 0: any */
+    /** With weights_mb: sizes of the models. Others are not loaded, unless an
+     *  earlier capacity named them. */
+    const sky_model_size_t *models;
+    uint32_t model_count;
+} sky_placer_capacity_t;
+
 typedef struct {
     uint32_t adapter_slots_max; /**< adapter slots of the target */
     uint32_t loading_max;       /**< loads in progress at once */
@@ -91,6 +108,12 @@
                               sky_placer_t **placer);
 void SkyPlacer_Free(sky_placer_t *placer);
 
+/** Replaces the target's capacity, which is copied; at first, memory is not
+ *  bounded. With less than is used, no load is ordered until enough has been
+ *  unloaded. */
+void SkyPlacer_SetCapacity(sky_placer_t *placer,
+                           const sky_placer_capacity_t *capacity);
+
 /** Replaces the known state of the target by its own report. The caller must
  *  leave out reports from before the result of the last order. */
 void SkyPlacer_ApplyReport(sky_placer_t *placer,
@@ -112,7 +135,8 @@
                             uint64_t now_ms);
 /** @return whether a report of the target was applied and still holds. */
 bool SkyPlacer_IsStateKnown(const sky_placer_t *placer);
-/** @return the state of an adapter in @p version or a newer one; 0: any. */
+/** @return the state of an adapter in @p version or a newer one; 0: any. A
+ *  model is loaded in its newest version, and not again for a newer one. */
 sky_adapter_state_t SkyPlacer_GetState(const sky_placer_t *placer,
                                        sky_adapter_key_t adapter,
                                        uint32_t version);
--- a/lib/edge/owned_target.c
+++ b/lib/edge/owned_target.c
@@ -329,6 +329,29 @@
     return slots;
 }
 
+static void
+update_capacity(sky_owned_target_t *owned, const sky_engine_t *engine)
+{
+    sky_model_size_t *models = calloc(
+        engine->model_count > 0 ? engine->model_count : 1, sizeof *models);
+    if (models == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < engine->model_count; i++) {
+        models[i] =
+            (sky_model_size_t){.name = engine->models[i].name,
+                               .weights_mb = engine->models[i].weights_mb,
+                               .adapter_mb = engine->models[i].adapter_mb};
+    }
+    sky_placer_capacity_t capacity = {.adapter_slots =
+                                          adapter_slot_count(engine),
+                                      .weights_mb = engine->weights_mb,
+                                      .models = models,
+                                      .model_count = engine->model_count};
+    SkyPlacer_SetCapacity(owned->placer, &capacity);
+    free(models);
+}
+
 static void
 on_announced_version(void *context, sky_adapter_key_t adapter,
                      uint32_t version)
@@ -493,6 +516,7 @@
             owned = create_owned_target(placement, target, &service->engine);
         }
         if (owned != NULL) {
+            update_capacity(owned, &service->engine);
             request_model(owned, &service->engine, service->name);
             SkyFleet_ForEachAnnounced(options->directory->fleet,
                                       on_announced_version, owned);
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -758,6 +758,64 @@
     EXPECT_EQ(SKY_ADAPTER_RESIDENT, State("b1"));
 }
 
+// Guards against a load beyond the memory of a target: a newer version of its
+// model was ordered beside the resident one.
+TEST_F(PlacerTest, ANewerVersionOfAResidentModelIsNotOrdered)
+{
+    sky_adapter_key_t model = SkyFleet_MakeAdapterKey("m", "");
+    SkyPlacer_ApplyAnnouncedVersion(placer, model, 2);
+    EXPECT_EQ(SKY_ADAPTER_RESIDENT, Request("", 5000, 0, 2));
+    sky_placer_action_t action;
+    SkyPlacer_ChooseAction(placer, now_ms, &action);
+    EXPECT_EQ(SKY_PLACER_WAIT, action.step);
+}
+
+// Guards against the same with a second model, which waited for its deadline.
+TEST_F(PlacerTest, AModelWithoutRoomIsRefusedAtOnce)
+{
+    sky_model_size_t models[] = {
+        {"m", 600, 1}, {"large", 401, 1}, {"small", 400, 1}};
+    sky_placer_capacity_t capacity = {kAdapterSlots, 1000, models, 3};
+    SkyPlacer_SetCapacity(placer, &capacity);
+    Request("a0");
+    Advance(500);
+    sky_load_request_t request = {};
+    request.adapter = "";
+    request.due_ms = now_ms + 60000;
+    for (const char *model : {"large", "unknown"}) {
+        request.model = model;
+        EXPECT_EQ(SKY_ADAPTER_ABSENT,
+                  SkyPlacer_RequestLoad(placer, &request, now_ms));
+    }
+    request.model = "small";
+    EXPECT_EQ(SKY_ADAPTER_QUEUED,
+              SkyPlacer_RequestLoad(placer, &request, now_ms));
+    now_ms += 1000;
+    sky_placer_action_t action;
+    SkyPlacer_ChooseAction(placer, now_ms, &action);
+    EXPECT_EQ(SKY_PLACER_UNLOAD, action.step) << "a0 leaves 399 MB";
+    SkyPlacer_HandleOrderResult(placer, SKY_PLACER_ORDER_ALREADY_DONE, now_ms);
+    SkyPlacer_ChooseAction(placer, now_ms, &action);
+    ASSERT_EQ(SKY_PLACER_LOAD, action.step);
+    EXPECT_STREQ("small", action.model);
+}
+
+// Guards against loads by the capacity that was configured earlier.
+TEST_F(PlacerTest, LoadsWithinACapacityThatWasLowered)
+{
+    for (uint32_t i = 0; i < kAdapterSlots; i++) {
+        Request("a" + std::to_string(i));
+        Advance(100);
+    }
+    Advance(1000);
+    sky_placer_capacity_t capacity = {4, 0, nullptr, 0};
+    SkyPlacer_SetCapacity(placer, &capacity);
+    Request("b");
+    Advance(1000);
+    EXPECT_EQ(SKY_ADAPTER_RESIDENT, State("b"));
+    EXPECT_EQ(4u, target.resident.size());
+}
+
 // Guards against orders by the hundred to a target that has started again:
 // each queued adapter was ordered in turn.
 TEST_F(PlacerTest, AnotherTargetAtTheAddressGetsNoFurtherOrder)
