Require each version of an adapter by its own announcement

Cause: one time was kept for each adapter and set anew with each version. While versions followed each other in less than half of the limit, none was required, and the old ones stayed in use.

decide/announcements keeps every version with its own time; of those older than half of the limit, the newest is required of a target.

EachVersionIsRequiredFromItsOwnAnnouncement failed before.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -52,13 +52,6 @@
 #define BLOCK_DOUBLINGS_MAX 3 /**< a crashed target is back in seconds */
 #define FULL_MS 150 /**< about the time until a batch slot is free again */
 
-typedef struct {
-    sky_adapter_key_t adapter;
-    uint32_t version;
-    uint64_t announced_ms;
-    UT_hash_handle hh;
-} announcement_t;
-
 /** A run of a target that said it leaves, and is no longer listed. */
 typedef struct {
     uint64_t key; /**< of the target's id and the time of its start */
@@ -72,7 +65,7 @@
     uint32_t host_rank;
     uint32_t host_count;
     sky_fleet_target_t *targets;
-    announcement_t *announcements;
+    sky_announcements_t announcements;
     departure_t *departures; /**< oldest first */
 };
 
@@ -132,13 +125,7 @@
         free_target(fleet, target);
     }
     forget_departures(fleet, UINT64_MAX);
-    announcement_t *announcement;
-    announcement_t *after;
-    HASH_ITER(hh, fleet->announcements, announcement, after)
-    {
-        HASH_DEL(fleet->announcements, announcement);
-        free(announcement);
-    }
+    SkyAnnouncements_Clear(&fleet->announcements);
     free(fleet);
 }
 
@@ -349,44 +336,29 @@
     }
 }
 
-void
-SkyFleet_ApplyAnnouncement(sky_fleet_t *fleet, const sky_resident_t *announced,
-                           uint64_t now_ms)
+/* Versions announced before then are required of the targets. */
+static uint64_t
+version_required_ms(const sky_fleet_t *fleet, uint64_t now_ms)
 {
-    sky_adapter_key_t key =
-        SkyFleet_MakeAdapterKey(announced->model, announced->adapter);
-    announcement_t *announcement;
-    HASH_FIND(hh, fleet->announcements, &key, sizeof key, announcement);
-    if (announcement == NULL) {
-        announcement = calloc(1, sizeof *announcement);
-        if (announcement == NULL) {
-            return;
-        }
-        announcement->adapter = key;
-        HASH_ADD(hh, fleet->announcements, adapter,
-                 sizeof announcement->adapter, announcement);
-    }
-    if (announced->version > announcement->version) {
-        announcement->version = announced->version;
-        announcement->announced_ms = now_ms;
-    }
+    uint32_t grace_ms = fleet->options.version_ms / 2;
+    return now_ms > grace_ms ? now_ms - grace_ms : 0;
 }
 
-static const announcement_t *
-find_announcement(const sky_fleet_t *fleet, sky_adapter_key_t adapter)
+void
+SkyFleet_ApplyAnnouncement(sky_fleet_t *fleet, const sky_resident_t *announced,
+                           uint64_t now_ms)
 {
-    announcement_t *announcement;
-    HASH_FIND(hh, fleet->announcements, &adapter, sizeof adapter,
-              announcement);
-    return announcement;
+    SkyAnnouncements_Record(
+        &fleet->announcements,
+        SkyFleet_MakeAdapterKey(announced->model, announced->adapter),
+        announced->version, version_required_ms(fleet, now_ms), now_ms);
 }
 
 uint32_t
 SkyFleet_GetAnnouncedVersion(const sky_fleet_t *fleet,
                              sky_adapter_key_t adapter)
 {
-    const announcement_t *announcement = find_announcement(fleet, adapter);
-    return announcement ? announcement->version : 0;
+    return SkyAnnouncements_GetNewest(&fleet->announcements, adapter);
 }
 
 void
@@ -395,11 +367,7 @@
                                              uint32_t),
                           void *context)
 {
-    const announcement_t *announcement;
-    for (announcement = fleet->announcements; announcement != NULL;
-         announcement = announcement->hh.next) {
-        on_version(context, announcement->adapter, announcement->version);
-    }
+    SkyAnnouncements_ForEach(&fleet->announcements, on_version, context);
 }
 
 void
@@ -685,11 +653,13 @@
                       : 0;
     bool needs_adapter = query->engine && query->adapter[0] != '\0';
     /* A resident model is not loaded again for a newer version. */
-    const announcement_t *announcement =
-        needs_adapter ? find_announcement(fleet, key) : NULL;
-    bool is_version_required =
-        announcement != NULL &&
-        now_ms > announcement->announced_ms + fleet->options.version_ms / 2;
+    uint32_t newest_version =
+        needs_adapter ? SkyFleet_GetAnnouncedVersion(fleet, key) : 0;
+    uint32_t required_version = newest_version > 0
+                                    ? SkyAnnouncements_GetNewestBefore(
+                                          &fleet->announcements, key,
+                                          version_required_ms(fleet, now_ms))
+                                    : 0;
     double best_score = 0;
     uint32_t best_version = 0;
     uint32_t replica_count = 0;
@@ -704,9 +674,8 @@
         choice->has_usable_target = true;
         uint32_t version =
             query->engine ? find_version(target, key, now_ms) : 1;
-        bool is_current =
-            announcement == NULL || version >= announcement->version;
-        if (version == 0 || (is_version_required && !is_current)) {
+        bool is_current = version >= newest_version;
+        if (version == 0 || version < required_version) {
             continue;
         }
         bool is_blocked = target->blocked_until_ms > now_ms;
@@ -746,11 +715,10 @@
             ? count_replicas_wanted(choice->target, key,
                                     choice->batch_utilization, replica_count)
             : 0;
-    if (announcement != NULL && choice->target != NULL) {
-        choice->version =
-            is_version_required || best_version >= announcement->version
-                ? best_version
-                : 0;
+    if (newest_version > 0 && choice->target != NULL) {
+        bool is_checked =
+            required_version > 0 || best_version >= newest_version;
+        choice->version = is_checked ? best_version : 0;
     }
 }
 
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "core/result.h"
+#include "decide/announcements.h"
 #include "decide/brittle_target.h"
 #include "decide/request_facts.h"
 #include "decide/software_rollout.h"
@@ -26,9 +27,6 @@
 
 typedef struct sky_fleet sky_fleet_t;
 
-/** Identifies an adapter of a model; the adapter "" is the model alone. */
-typedef uint64_t sky_adapter_key_t;
-
 sky_adapter_key_t SkyFleet_MakeAdapterKey(const char *model,
                                           const char *adapter);
 
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -476,6 +476,31 @@
     EXPECT_EQ(2u, choice.version);
 }
 
+// Guards against an old version that stays in use while newer ones follow each
+// other in less than half of the time limit: the time began anew with each.
+TEST_F(FleetTest, EachVersionIsRequiredFromItsOwnAnnouncement)
+{
+    Add("t1", {"a1"});
+    uint64_t first_ms = now_ms;
+    for (uint32_t version = 2; version <= 12; version++) {
+        Announce("a1", version);
+        now_ms += 1200;
+        sky_fleet_choice_t choice = Choose("a1");
+        if (now_ms > first_ms + 2500) {
+            EXPECT_EQ(nullptr, choice.target) << "version " << version;
+        }
+    }
+    sky_residency_t residency = {};
+    residency.adapter = SkyFleet_MakeAdapterKey("m", "a1");
+    residency.present = true;
+    residency.version = 10;
+    SkyFleet_RecordResidency(fleet, SkyFleet_FindTarget(fleet, "t1"),
+                             &residency, now_ms);
+    EXPECT_EQ("t1", TargetId(Choose("a1"))) << "11 is 2.4 s old";
+    now_ms += 200;
+    EXPECT_EQ(nullptr, Choose("a1").target) << "11 is 2.6 s old";
+}
+
 TEST_F(FleetTest, IgnoresAnOlderAnnouncement)
 {
     Announce("a1", 3);
