Bound the memory of received bytes over all connections of a host

Callers of other requests: a host that runs out of memory ends with all of them (LOST). Request bodies, responses that are buffered before they are passed on, events without an end, and what slow callers have not read yet each have bounds of 256 KiB to 4 MB, and a host has 4100 connections.

A share of the memory limit (decide/memory_share) is now counted over all of them. Beyond it, a message of more than 16 KiB takes no more: a request is refused (503, nothing has run), a response is broken off as one without end is, and a target is not read while its caller is slow. Smaller messages are kept.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -62,6 +62,7 @@
 typedef struct {
     sky_host_settings_t settings;
     struct ev_loop *loop;
+    sky_memory_share_t memory_share; /**< of callers and their requests */
     sky_directory_t directory;
     sky_metrics_t *metrics;
     sky_client_t *client;
@@ -466,6 +467,7 @@
         result =
             SkyStreamSharing_Create(&stream_options, &edge->stream_sharing);
     }
+    edge->memory_share = SkyMemoryShare_Make(settings->memory_limit_mb);
     sky_proxy_options_t proxy_options = {.loop = edge->loop,
                                          .settings = settings,
                                          .directory = &edge->directory,
@@ -476,7 +478,8 @@
                                          .stream_sharing =
                                              edge->stream_sharing,
                                          .reach_sharing = edge->reach_sharing,
-                                         .metrics = edge->metrics};
+                                         .metrics = edge->metrics,
+                                         .memory_share = &edge->memory_share};
     if (!SkyResult_IsError(result)) {
         result = SkyProxy_Create(&proxy_options, &edge->proxy);
     }
@@ -492,6 +495,7 @@
                    INITIAL_HEAD_TIMEOUT_MS, INITIAL_IDLE_TIMEOUT_MS},
         .events = SkyProxy_ListenerEvents(),
         .context = edge->proxy,
+        .memory_share = &edge->memory_share,
     };
     if (!SkyResult_IsError(result)) {
         result = SkyListener_Create(&front_options, &edge->front_listener);
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -17,6 +17,7 @@
 
 #include "core/metrics.h"
 #include "core/result.h"
+#include "decide/memory_share.h"
 #include "decide/stop_admission.h"
 #include "edge/directory.h"
 #include "edge/feed.h"
@@ -45,6 +46,7 @@
     sky_stream_sharing_t *stream_sharing;
     sky_reach_sharing_t *reach_sharing;
     sky_metrics_t *metrics;
+    sky_memory_share_t *memory_share; /**< of responses that are buffered */
 } sky_proxy_options_t;
 
 sky_result_t SkyProxy_Create(const sky_proxy_options_t *options,
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -79,6 +79,15 @@
     *response = (sky_proxy_response_t){0};
 }
 
+void
+SkyProxyRequest_UpdateMemoryShare(sky_proxy_request_t *request)
+{
+    SkyMemoryShare_Update(
+        request->proxy->options.memory_share, &request->held_bytes,
+        SkyBuffer_Size(&request->response.body) +
+            SkyBuffer_Size(&request->event_stream.partial_event));
+}
+
 void
 SkyProxyRequest_CheckNoExchange(const sky_proxy_request_t *request)
 {
@@ -199,6 +208,7 @@
     proxy->open_count--;
     SkyProxyResponse_Clear(&request->response);
     SkyEventStream_Clear(&request->event_stream);
+    SkyProxyRequest_UpdateMemoryShare(request);
     SkyDeployment_Release(request->deployment);
     free(request);
 }
@@ -451,6 +461,7 @@
         if (!request->response_started) {
             SkyProxyResponse_Clear(&request->response);
         }
+        SkyProxyRequest_UpdateMemoryShare(request);
         SkyProxyRequest_Dispatch(request);
     }
     else if (!request->response_started && request->response.status >= 500 &&
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -51,6 +51,7 @@
 typedef struct sky_proxy_request {
     sky_proxy_t *proxy;
     sky_server_request_t *caller_request;
+    uint64_t held_bytes; /**< of the memory share, for what is buffered */
     sky_deployment_t *deployment;
     const sky_route_t *route;
     const sky_service_t *service;
@@ -176,6 +177,8 @@
 
 /** Frees the buffers and resets all fields. */
 void SkyProxyResponse_Clear(sky_proxy_response_t *response);
+/** To be called after the buffered part of the response has changed. */
+void SkyProxyRequest_UpdateMemoryShare(sky_proxy_request_t *request);
 
 /** Checks the invariant that no exchange of the request is under way, before
  *  one begins. */
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -271,6 +271,16 @@
     SkyBuffer_Clear(body);
 }
 
+/* Whether too much is buffered of this response, for what is buffered of all
+ * of them. */
+static bool
+is_memory_short(sky_proxy_request_t *request)
+{
+    SkyProxyRequest_UpdateMemoryShare(request);
+    return SkyMemoryShare_IsExceeded(request->proxy->options.memory_share,
+                                     request->held_bytes);
+}
+
 static void
 on_response_body(void *context, const char *bytes, size_t size)
 {
@@ -297,6 +307,9 @@
              EVENT_MAX_BYTES) {
         break_off(request, "endless_event");
     }
+    else if (is_memory_short(request)) {
+        break_off(request, "memory_share");
+    }
 }
 
 static void
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -40,6 +40,7 @@
     sky_buffer_t input; /**< received bytes that are not parsed yet */
     sky_buffer_t body;  /**< of the current request */
     sky_buffer_t output;
+    uint64_t held_bytes; /**< of the memory share, for body and output */
     connection_state_t state;
     sky_body_framing_t framing;
     uint16_t rejection_status; /**< status of a request that is rejected before
@@ -80,6 +81,15 @@
     connection->last_activity_ms = SkyClock_NowMs();
 }
 
+static void
+update_memory_share(sky_server_request_t *connection)
+{
+    SkyMemoryShare_Update(connection->listener->options.memory_share,
+                          &connection->held_bytes,
+                          SkyBuffer_Size(&connection->body) +
+                              SkyBuffer_Size(&connection->output));
+}
+
 static void
 free_connection(sky_server_request_t *connection)
 {
@@ -91,6 +101,7 @@
     SkyBuffer_Clear(&connection->input);
     SkyBuffer_Clear(&connection->body);
     SkyBuffer_Clear(&connection->output);
+    update_memory_share(connection);
     free(connection);
 }
 
@@ -172,6 +183,7 @@
             return false;
         }
         SkyBuffer_Consume(&connection->output, (size_t)sent);
+        update_memory_share(connection);
     }
     ev_io_stop(loop, &connection->write_watcher);
     return true;
@@ -283,7 +295,10 @@
     }
     if (stays_open) {
         end_exchange(connection);
+        SkyBuffer_Consume(&connection->body,
+                          SkyBuffer_Size(&connection->body));
         free_large_buffer(&connection->body);
+        update_memory_share(connection);
         if (SkyBuffer_Size(&connection->input) > 0) {
             ev_feed_event(connection->listener->options.loop,
                           &connection->read_watcher, EV_READ);
@@ -336,6 +351,7 @@
                       EV_READ);
         SkyBuffer_Consume(&request->output, SkyBuffer_Size(&request->output));
     }
+    update_memory_share(request);
     request->caller_was_slow =
         request->caller_was_slow || SkyServerRequest_IsCallerSlow(request);
 }
@@ -359,7 +375,10 @@
 bool
 SkyServerRequest_IsCallerSlow(const sky_server_request_t *request)
 {
-    return SkyBuffer_Size(&request->output) > SLOW_CALLER_UNSENT_BYTES;
+    size_t unsent_bytes = SkyBuffer_Size(&request->output);
+    return unsent_bytes > SLOW_CALLER_UNSENT_BYTES ||
+           SkyMemoryShare_IsExceeded(request->listener->options.memory_share,
+                                     unsent_bytes);
 }
 
 const sky_http_head_t *
@@ -430,6 +449,17 @@
         connection->rejection_status = 503;
         return false;
     }
+    update_memory_share(connection);
+    if (SkyMemoryShare_IsExceeded(connection->listener->options.memory_share,
+                                  connection->held_bytes)) {
+        SkyLog_Write(LOG_WARNING, "memory_share_exceeded",
+                     "body_bytes=%zu action=reject",
+                     SkyBuffer_Size(&connection->body));
+        connection->rejection_status = 503;
+        SkyBuffer_Clear(&connection->body);
+        update_memory_share(connection);
+        return false;
+    }
     return true;
 }
 
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "core/result.h"
+#include "decide/memory_share.h"
 #include "net/http_reader.h"
 
 #ifdef __cplusplus
@@ -49,6 +50,8 @@
     sky_listener_limits_t limits;
     sky_listener_events_t events;
     void *context;
+    /** Of request bodies and unsent responses; NULL: they are not counted. */
+    sky_memory_share_t *memory_share;
 } sky_listener_options_t;
 
 /** @return SKY_OK, SKY_E_MEMORY, SKY_E_SETTINGS for an invalid address, or
@@ -104,7 +107,7 @@
  *  response, and ends the request. */
 void SkyServerRequest_Abort(sky_server_request_t *request);
 /** @return whether much of the response is unsent because the caller reads
- *          slowly. */
+ *          slowly; less is enough while memory is short. */
 bool SkyServerRequest_IsCallerSlow(const sky_server_request_t *request);
 
 #ifdef __cplusplus
--- a/tests/edge_site.sh
+++ b/tests/edge_site.sh
@@ -48,7 +48,7 @@
     eval "EDGE$1=$!"
     PIDS="$PIDS $!"
 }
-# publish_config VERSION EXTRA_ROUTES
+# publish_config VERSION EXTRA_ROUTES [MAX_BODY_BYTES]
 publish_config() {
     curl -fsS -m 5 -d "{\"version\":$1,\"routes\":[
       {\"name\":\"gen\",\"host\":\"a.example\",\"pathPrefix\":\"/gen/\",
@@ -68,7 +68,7 @@
        \"adapterSlots\":4,\"loadsPerS\":3,\"models\":[{\"name\":\"m1\",
        \"weightsMb\":65000,\"loadS\":1,\"adapters\":100,\"adapterMb\":12}]}},
        {\"name\":\"app\",\"healthPath\":\"/h\",\"maxConns\":100}],
-      \"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,
+      \"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":${3:-100000},
        \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}" \
         "$control_url/op?key=config" >/dev/null
 }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -46,6 +46,7 @@
  *   service's response, without a length, goes on until the caller closes
  * - endless_event: so does the first event of an engine's stream
  * - endless_report: so does an engine's report
+ * - stalled_event: the first event of an engine's stream has 900 KiB, and no end
  * - empty_crashes: an engine that crashes sends a response without a length
  *   and without a body first
  * - cut_large: a target of the service sends half of its large response, and
@@ -1162,11 +1163,13 @@
 
 #define ENDLESS_INTERVAL_S 0.001
 #define ENDLESS_BURST_BYTES (256u * 1024u)
+#define STALLED_EVENT_BYTES (900u * 1024u)
 
 /** A response body that goes on until the caller closes. */
 typedef struct endless {
     sky_server_request_t *request;
     ev_timer timer;
+    size_t bytes_left; /* sent before it stalls */
     struct endless *prev;
     struct endless *next;
 } endless_t;
@@ -1181,16 +1184,22 @@
     (void)events;
     endless_t *endless = timer->data;
     if (!SkyServerRequest_IsCallerSlow(endless->request)) {
+        size_t size = endless->bytes_left < sizeof bytes ? endless->bytes_left
+                                                         : sizeof bytes;
         memset(bytes, 'x', sizeof bytes);
-        SkyServerRequest_WriteBody(endless->request, bytes, sizeof bytes);
+        SkyServerRequest_WriteBody(endless->request, bytes, size);
+        endless->bytes_left -= size;
     }
 }
 
+/* Sends @p bytes more after the first ones, and never ends. */
 static void
-start_endless_response(sky_server_request_t *request, uint16_t status,
-                       const char *fields, const char *first_bytes)
+start_stalled_response(sky_server_request_t *request, uint16_t status,
+                       const char *fields, const char *first_bytes,
+                       size_t bytes)
 {
     endless_t *endless = calloc(1, sizeof *endless);
+    endless->bytes_left = bytes;
     endless->request = request;
     endless_open++;
     DL_APPEND(endless_responses, endless);
@@ -1203,6 +1212,13 @@
     ev_timer_start(loop, &endless->timer);
 }
 
+static void
+start_endless_response(sky_server_request_t *request, uint16_t status,
+                       const char *fields, const char *first_bytes)
+{
+    start_stalled_response(request, status, fields, first_bytes, SIZE_MAX);
+}
+
 static void
 finish_endless_response(const sky_server_request_t *request)
 {
@@ -1351,13 +1367,16 @@
             crash_soon(&engine->crash_timer);
             return;
         }
-        if (consume_fault("endless_event")) {
+        bool is_stalled = consume_fault("stalled_event");
+        if (is_stalled || consume_fault("endless_event")) {
             char fields[256];
             write_response_fields(request, engine->limit_name, fields,
                                   sizeof fields,
                                   "X-Skylarkspar-Server-Seal: s1\r\n"
                                   "Content-Type: text/event-stream\r\n");
-            start_endless_response(request, 200, fields, "id: 1\ndata: ");
+            start_stalled_response(request, 200, fields, "id: 1\ndata: ",
+                                   is_stalled ? STALLED_EVENT_BYTES
+                                              : SIZE_MAX);
             return;
         }
         start_stream(engine, request, id, adapter);
--- a/tests/proc_endless_response.sh
+++ b/tests/proc_endless_response.sh
@@ -83,6 +83,32 @@
 set_fault '{"endless_report": 0}'
 check "reports without end take no memory" "$(memory_within)" within
 check "and are closed" "$(until_status closed 10 closed)" closed
+# Each response and each request body is within its own bound; together they
+# are more than the host may keep.
+set_fault '{"stalled_event": 300}'
+for i in $(seq 300); do generate "g$i" >/dev/null & CALLERS="${CALLERS:-} $!"; done
+sleep 3
+check "memory with many responses that stall" "$(memory_within)" within
+set_fault '{"stalled_event": 0}'
+# shellcheck disable=SC2086  # a list
+kill $CALLERS 2>/dev/null
+check "their connections are closed" "$(until_status closed 20 closed)" closed
+publish_config 9 "" 4000000
+sleep 1
+CALLERS=
+for i in $(seq 60); do
+    {
+        printf 'POST /look/1 HTTP/1.1\r\nHost: a.example\r\n'
+        printf 'X-Skylarkspar-Attempt-Id: h%s\r\nContent-Length: 3999999\r\n\r\n' "$i"
+        head -c 3900000 /dev/zero
+        sleep 6
+    } | curl -s -m 8 "telnet://$(front_address 0)" >/dev/null 2>&1 &
+    CALLERS="$CALLERS $!"
+done
+sleep 5
+check "memory with many request bodies that stall" "$(memory_within)" within
+# shellcheck disable=SC2086  # a list
+kill $CALLERS 2>/dev/null
 check "all is served at the end" "$(look f1) $(book f2) $(generate f3)" \
     "200 200 200"
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
