Test a full target among processes, with newer versions and odd responses

The fake site knows versions of adapters: a newer one takes a slot of its own until the requests of the older one have ended, is in transit until then, and an order that names another version than the one in transit is refused. odd_polls answers orders for adapters in transit with a 503.

proc_overfilled_target: 30 adapters in 12 slots of three targets, newer versions every 40 ms, then odd responses to polls, then lost and late orders.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -33,7 +33,8 @@
         proc_crashes proc_crash_waves \
         proc_cut_heads proc_cut_hosts proc_cut_streams \
         proc_endless_response proc_forwarded proc_leaving_targets \
-        proc_limits proc_lost_peer proc_odd_entries proc_prompt_turns \
+        proc_limits proc_lost_peer proc_odd_entries \
+        proc_overfilled_target proc_prompt_turns \
         proc_silent_targets proc_stop proc_stop_late proc_store_era \
         proc_stream_new_version proc_stream_next_error \
         proc_stream_out_of_step proc_stream_restart proc_stream_version \
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -36,6 +36,7 @@
  *
  * The other faults hold the number of requests that they apply to:
  * - lose_orders: the order is applied, but the connection is closed
+ * - odd_polls: an order for an adapter in transit gets a 503
  * - late_orders: the connection is closed, and the order is applied later
  * - cut_streams, hang_streams: a stream is cut or falls silent after 3 events
  * - shed: the request is refused with 503, without being run
@@ -46,7 +47,8 @@
  *   service's response, without a length, goes on until the caller closes
  * - endless_event: so does the first event of an engine's stream
  * - endless_report: so does an engine's report
- * - stalled_event: the first event of an engine's stream has 900 KiB, and no end
+ * - stalled_event: the first event of an engine's stream has 900 KiB, and no
+ * end
  * - empty_crashes: an engine that crashes sends a response without a length
  *   and without a body first
  * - cut_large: a target of the service sends half of its large response, and
@@ -173,6 +175,7 @@
 
 typedef struct {
     char name[32];
+    uint32_t version;
     uint64_t loaded_ms; /* end of the load; 0: the slot is free */
     uint32_t stream_count;
 } adapter_slot_t;
@@ -248,6 +251,7 @@
     engine_t *engine;
     char id[64];
     char adapter[32];
+    uint32_t version; /* of the adapter */
     uint64_t next_event;
     uint64_t cut_after_event;
     uint64_t hang_after_event;
@@ -769,18 +773,72 @@
     }
 }
 
+/** @return the slot of an adapter in another version than @p other; NULL:
+ *  none. */
 static adapter_slot_t *
-find_adapter_slot(engine_t *engine, const char *adapter)
+find_other_slot(engine_t *engine, const char *adapter,
+                const adapter_slot_t *other)
 {
     for (int i = 0; i < ADAPTER_SLOTS_MAX; i++) {
-        if (engine->adapter_slots[i].loaded_ms > 0 &&
-            strcmp(engine->adapter_slots[i].name, adapter) == 0) {
-            return &engine->adapter_slots[i];
+        adapter_slot_t *slot = &engine->adapter_slots[i];
+        if (slot != other && slot->loaded_ms > 0 &&
+            strcmp(slot->name, adapter) == 0) {
+            return slot;
         }
     }
     return NULL;
 }
 
+/** @return the slot of an adapter: while a newer version is in transit, that
+ * of the older one; NULL: none. */
+static adapter_slot_t *
+find_adapter_slot(engine_t *engine, const char *adapter)
+{
+    adapter_slot_t *slot = find_other_slot(engine, adapter, NULL);
+    adapter_slot_t *other =
+        slot != NULL ? find_other_slot(engine, adapter, slot) : NULL;
+    return other != NULL && other->version < slot->version ? other : slot;
+}
+
+/** @return the slot of the version in transit; NULL: none. A newer version is
+ *  in transit until the requests of the older one have ended. */
+static adapter_slot_t *
+find_loading_slot(engine_t *engine, const char *adapter)
+{
+    adapter_slot_t *slot = find_adapter_slot(engine, adapter);
+    adapter_slot_t *newer =
+        slot != NULL ? find_other_slot(engine, adapter, slot) : NULL;
+    if (newer != NULL) {
+        return newer;
+    }
+    return slot != NULL && slot->loaded_ms > SkyClock_NowMs() ? slot : NULL;
+}
+
+/** Frees the slots of older versions without requests whose newer version has
+ *  been loaded. */
+static void
+finish_replacements(engine_t *engine)
+{
+    for (int i = 0; i < ADAPTER_SLOTS_MAX; i++) {
+        adapter_slot_t *slot = &engine->adapter_slots[i];
+        const adapter_slot_t *newer =
+            slot->loaded_ms > 0 ? find_other_slot(engine, slot->name, slot)
+                                : NULL;
+        if (newer != NULL && newer->version > slot->version &&
+            newer->loaded_ms <= SkyClock_NowMs() && slot->stream_count == 0) {
+            *slot = (adapter_slot_t){0};
+        }
+    }
+}
+
+/** @return whether a newer version waits only for the requests of this one. */
+static bool
+is_about_to_be_replaced(engine_t *engine, const adapter_slot_t *slot)
+{
+    const adapter_slot_t *newer = find_other_slot(engine, slot->name, slot);
+    return newer != NULL && newer->loaded_ms <= SkyClock_NowMs();
+}
+
 static void
 publish_engine_entry(engine_t *engine)
 {
@@ -789,8 +847,10 @@
     json_t *adapters = json_array();
     for (int i = 0; i < ADAPTER_SLOTS_MAX; i++) {
         const adapter_slot_t *slot = &engine->adapter_slots[i];
-        if (slot->loaded_ms > 0 && slot->loaded_ms <= SkyClock_NowMs()) {
-            json_array_append_new(adapters, json_sprintf("%s@1", slot->name));
+        if (slot->loaded_ms > 0 &&
+            find_loading_slot(engine, slot->name) != slot) {
+            json_array_append_new(
+                adapters, json_sprintf("%s@%u", slot->name, slot->version));
         }
     }
     json_t *entry = json_pack(
@@ -834,9 +894,12 @@
 static void
 finish_stream(stream_t *stream)
 {
-    adapter_slot_t *slot = find_adapter_slot(stream->engine, stream->adapter);
-    if (slot != NULL && slot->stream_count > 0) {
-        slot->stream_count--;
+    for (int i = 0; i < ADAPTER_SLOTS_MAX; i++) {
+        adapter_slot_t *slot = &stream->engine->adapter_slots[i];
+        if (slot->stream_count > 0 && slot->version == stream->version &&
+            strcmp(slot->name, stream->adapter) == 0) {
+            slot->stream_count--;
+        }
     }
     ev_timer_stop(loop, &stream->timer);
     DL_DELETE2(open_streams, stream, prev, next_stream);
@@ -1062,6 +1125,7 @@
     adapter_slot_t *slot = find_adapter_slot(engine, adapter);
     if (slot != NULL) {
         slot->stream_count++;
+        stream->version = slot->version;
     }
     read_prompt(engine, SkyServerRequest_Head(request));
     int64_t event_ms =
@@ -1318,6 +1382,7 @@
     const char *model = SkyHttpHead_FindField(head, "X-Skylarkspar-Model");
     const char *slash = model ? strchr(model, '/') : NULL;
     const char *adapter = slash ? slash + 1 : "";
+    finish_replacements(engine);
     const adapter_slot_t *slot = find_adapter_slot(engine, adapter);
     crashing_request_t *crashing = find_crashing_request(head);
     count_limited_arrival(engine->limit_name);
@@ -1329,7 +1394,8 @@
         engine->told_leaving_ms = SkyClock_NowMs();
     }
     bool is_resident = adapter[0] == '\0' ||
-                       (slot != NULL && slot->loaded_ms <= SkyClock_NowMs());
+                       (slot != NULL && slot->loaded_ms <= SkyClock_NowMs() &&
+                        !is_about_to_be_replaced(engine, slot));
     if (expected_instance != NULL &&
         strcmp(expected_instance, engine->id) != 0) {
         refuse_request(request, engine->limit_name, 421);
@@ -1374,9 +1440,9 @@
                                   sizeof fields,
                                   "X-Skylarkspar-Server-Seal: s1\r\n"
                                   "Content-Type: text/event-stream\r\n");
-            start_stalled_response(request, 200, fields, "id: 1\ndata: ",
-                                   is_stalled ? STALLED_EVENT_BYTES
-                                              : SIZE_MAX);
+            start_stalled_response(
+                request, 200, fields,
+                "id: 1\ndata: ", is_stalled ? STALLED_EVENT_BYTES : SIZE_MAX);
             return;
         }
         start_stream(engine, request, id, adapter);
@@ -1400,7 +1466,7 @@
 
 /** Counts a load that exceeds the adapter slots, but performs it. */
 static uint16_t
-start_load(engine_t *engine, const char *adapter)
+start_load(engine_t *engine, const char *adapter, uint32_t version)
 {
     uint32_t used_slots = 0;
     adapter_slot_t *free_slot = NULL;
@@ -1414,6 +1480,7 @@
     engine->applied_orders++;
     engine->load_count++;
     snprintf(free_slot->name, sizeof free_slot->name, "%s", adapter);
+    free_slot->version = version;
     free_slot->loaded_ms = SkyClock_NowMs() + ADAPTER_LOAD_MS;
     return 202;
 }
@@ -1427,12 +1494,16 @@
     const char *adapter = json_string_value(json_object_get(body, "adapter"));
     bool is_load = op != NULL && strcmp(op, "model_load") == 0;
     finish_pending_unload(engine);
+    finish_replacements(engine);
     if (adapter == NULL || json_object_get(body, "fence") == NULL) {
         return 400;
     }
+    json_int_t named = json_integer_value(json_object_get(body, "version"));
+    uint32_t version = named > 0 ? (uint32_t)named : 1;
     adapter_slot_t *slot = find_adapter_slot(engine, adapter);
-    if (is_load && slot != NULL && slot->loaded_ms > SkyClock_NowMs()) {
-        return 202;
+    const adapter_slot_t *loading = find_loading_slot(engine, adapter);
+    if (is_load && loading != NULL) {
+        return loading->version == version ? 202 : 409;
     }
     if (!is_load && strcmp(engine->unloading_adapter, adapter) == 0) {
         return 202;
@@ -1441,14 +1512,14 @@
         engine->applied_orders) {
         return 409;
     }
-    if (is_load && slot != NULL) {
+    if (is_load && slot != NULL && slot->version >= version) {
         return 200;
     }
     if (engine->unloading_adapter[0] != '\0') {
         return 409;
     }
     if (is_load) {
-        return start_load(engine, adapter);
+        return start_load(engine, adapter, version);
     }
     if (slot == NULL) {
         return 200;
@@ -1488,6 +1559,7 @@
     const char *expected_instance = SkyHttpHead_FindField(
         SkyServerRequest_Head(request), "X-Skylarkspar-Expect-Instance");
     json_t *body = json_loadb(bytes, size, 0, NULL);
+    const char *adapter = json_string_value(json_object_get(body, "adapter"));
     if (expected_instance != NULL &&
         strcmp(expected_instance, engine->id) != 0) {
         send_json(request, 421, NULL);
@@ -1496,6 +1568,10 @@
         apply_order(engine, body);
         SkyServerRequest_Abort(request);
     }
+    else if (adapter != NULL && find_loading_slot(engine, adapter) != NULL &&
+             consume_fault("odd_polls")) {
+        send_json(request, 503, NULL);
+    }
     else if (consume_fault("late_orders")) {
         delayed_order_t *delayed = calloc(1, sizeof *delayed);
         delayed->engine = engine;
@@ -1516,6 +1592,7 @@
 send_report(engine_t *engine, sky_server_request_t *request)
 {
     finish_pending_unload(engine);
+    finish_replacements(engine);
     if (consume_fault("endless_report")) {
         start_endless_response(request, 200,
                                "Content-Type: application/json\r\n", "{");
@@ -1525,12 +1602,15 @@
     json_t *loading = json_array();
     for (int i = 0; i < ADAPTER_SLOTS_MAX; i++) {
         const adapter_slot_t *slot = &engine->adapter_slots[i];
-        if (slot->loaded_ms > SkyClock_NowMs()) {
+        if (slot->loaded_ms > 0 &&
+            find_loading_slot(engine, slot->name) == slot) {
             json_array_append_new(
-                loading, json_sprintf(MODEL_NAME "/%s@1", slot->name));
+                loading,
+                json_sprintf(MODEL_NAME "/%s@%u", slot->name, slot->version));
         }
         else if (slot->loaded_ms > 0) {
-            json_array_append_new(resident, json_sprintf("%s@1", slot->name));
+            json_array_append_new(
+                resident, json_sprintf("%s@%u", slot->name, slot->version));
         }
     }
     send_json(request, 200,
