Require a new version of an adapter sooner of a full target

Half of the limit is kept for the wait in a target's queue. At a target whose batch is full that was not enough: there a quarter of the limit is the grace, and three quarters are for the wait.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -336,14 +336,28 @@
     }
 }
 
-/* Versions announced before then are required of the targets. */
+/* Versions announced before then are required of a target. The rest of the
+ * time limit is for the wait in the target's queue, which is longer at a full
+ * one. */
 static uint64_t
-version_required_ms(const sky_fleet_t *fleet, uint64_t now_ms)
+version_required_ms(const sky_fleet_t *fleet, bool is_full, uint64_t now_ms)
 {
-    uint32_t grace_ms = fleet->options.version_ms / 2;
+    uint32_t grace_ms = fleet->options.version_ms / (is_full ? 4 : 2);
     return now_ms > grace_ms ? now_ms - grace_ms : 0;
 }
 
+static uint32_t
+find_required_version(const sky_fleet_t *fleet,
+                      const sky_fleet_target_t *target,
+                      sky_adapter_key_t adapter, uint64_t now_ms)
+{
+    bool is_full =
+        SkyFleet_GetUtilization(target, now_ms) > OVERFULL_UTILIZATION;
+    return SkyAnnouncements_GetNewestBefore(
+        &fleet->announcements, adapter,
+        version_required_ms(fleet, is_full, now_ms));
+}
+
 void
 SkyFleet_ApplyAnnouncement(sky_fleet_t *fleet, const sky_resident_t *announced,
                            uint64_t now_ms)
@@ -351,7 +365,7 @@
     SkyAnnouncements_Record(
         &fleet->announcements,
         SkyFleet_MakeAdapterKey(announced->model, announced->adapter),
-        announced->version, version_required_ms(fleet, now_ms), now_ms);
+        announced->version, version_required_ms(fleet, false, now_ms), now_ms);
 }
 
 uint32_t
@@ -655,11 +669,7 @@
     /* A resident model is not loaded again for a newer version. */
     uint32_t newest_version =
         needs_adapter ? SkyFleet_GetAnnouncedVersion(fleet, key) : 0;
-    uint32_t required_version = newest_version > 0
-                                    ? SkyAnnouncements_GetNewestBefore(
-                                          &fleet->announcements, key,
-                                          version_required_ms(fleet, now_ms))
-                                    : 0;
+    bool is_version_required = false;
     double best_score = 0;
     uint32_t best_version = 0;
     uint32_t replica_count = 0;
@@ -675,6 +685,10 @@
         uint32_t version =
             query->engine ? find_version(target, key, now_ms) : 1;
         bool is_current = version >= newest_version;
+        uint32_t required_version =
+            newest_version > 0
+                ? find_required_version(fleet, target, key, now_ms)
+                : 0;
         if (version == 0 || version < required_version) {
             continue;
         }
@@ -705,6 +719,7 @@
             choice->target = target;
             best_score = score;
             best_version = version;
+            is_version_required = required_version > 0;
         }
     }
     choice->is_adapter_missing = query->engine && replica_count == 0;
@@ -717,7 +732,7 @@
             : 0;
     if (newest_version > 0 && choice->target != NULL) {
         bool is_checked =
-            required_version > 0 || best_version >= newest_version;
+            is_version_required || best_version >= newest_version;
         choice->version = is_checked ? best_version : 0;
     }
 }
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -501,6 +501,22 @@
     EXPECT_EQ(nullptr, Choose("a1").target) << "11 is 2.6 s old";
 }
 
+// Guards against requests that begin on an old version after its time limit:
+// they waited in the queue of a full target.
+TEST_F(FleetTest, AFullTargetNeedsANewVersionSooner)
+{
+    sky_fleet_target_t *target = Add("t1", {"a1"});
+    for (int i = 0; i < 17; i++) {
+        SkyFleet_BeginRequest(target);
+    }
+    Announce("a1", 2);
+    EXPECT_EQ("t1", TargetId(Choose("a1")));
+    now_ms += 1251;
+    EXPECT_EQ(nullptr, Choose("a1").target);
+    SkyFleet_EndRequest(fleet, target, SKY_EXCHANGE_OK, now_ms);
+    EXPECT_EQ("t1", TargetId(Choose("a1"))) << "it is not full any more";
+}
+
 TEST_F(FleetTest, IgnoresAnOlderAnnouncement)
 {
     Announce("a1", 3);
