Keep slots free for loads that an earlier run of a target did not answer

Callers: a target may be ordered to load more than it has slots for (LIMIT) after it has started again under its id.

Cause: an order that got no response may be carried out seconds later, if the target's order count is the expected one by then. A restart clears the count, so that it becomes right again, and the order takes a slot that its owner believes to be free: the count is right and the view of the slots is not.

Before a load, as many slots stay free as such loads could take from the next count on. The host that owned the earlier run keeps them for the next one. A new owner on another host does not know them.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -91,6 +91,10 @@
     /** The last order got no response: it may have been executed, or may be
      *  executed later. */
     bool order_unconfirmed;
+    sky_stray_loads_t strays;         /**< of this run */
+    sky_stray_loads_t earlier_strays; /**< of earlier runs */
+    /** Slots kept free for earlier strays that may follow the next order. */
+    uint32_t reserved_slots;
     uint64_t next_report_ms; /**< earliest time to read a report */
     uint64_t next_order_ms;  /**< earliest time to send an order */
     uint64_t last_result_ms;
@@ -171,6 +175,8 @@
         return;
     }
     remove_all_records(placer);
+    SkyStrayLoads_Clear(&placer->strays);
+    SkyStrayLoads_Clear(&placer->earlier_strays);
     model_size_t *size;
     model_size_t *next;
     HASH_ITER(hh, placer->model_sizes, size, next)
@@ -296,6 +302,24 @@
     return false;
 }
 
+void
+SkyPlacer_TakeStrayLoads(sky_placer_t *placer, sky_stray_loads_t *strays,
+                         uint64_t now_ms)
+{
+    const sky_placer_action_t *pending = &placer->pending_action;
+    if (placer->action_pending && pending->step == SKY_PLACER_LOAD) {
+        SkyStrayLoads_Record(strays, pending->expected_order_count, now_ms);
+    }
+    SkyStrayLoads_Merge(strays, &placer->strays);
+    SkyStrayLoads_Merge(strays, &placer->earlier_strays);
+}
+
+void
+SkyPlacer_AddEarlierStrayLoads(sky_placer_t *placer, sky_stray_loads_t *strays)
+{
+    SkyStrayLoads_Merge(&placer->earlier_strays, strays);
+}
+
 static uint32_t
 count_slots_used(const sky_placer_t *placer)
 {
@@ -350,13 +374,20 @@
     return has_memory(placer, record, false);
 }
 
+static uint32_t
+count_usable_slots(const sky_placer_t *placer)
+{
+    uint32_t slots = placer->options.adapter_slots_max;
+    return slots > placer->reserved_slots ? slots - placer->reserved_slots : 0;
+}
+
 /* Whether the target has room for a load now, as far as is known of it. No
  * load is ordered without this. */
 static bool
 has_room(const sky_placer_t *placer, const adapter_record_t *record)
 {
     return (!is_adapter(record) ||
-            count_slots_used(placer) < placer->options.adapter_slots_max) &&
+            count_slots_used(placer) < count_usable_slots(placer)) &&
            has_memory(placer, record, true);
 }
 
@@ -421,6 +452,10 @@
     placer->refusing_since_ms = 0;
     placer->state_known = !report->busy;
     placer->next_report_ms = now_ms + MODEL_REPORT_INTERVAL_MS;
+    if (report->order_count < placer->accepted_orders) {
+        /* The target started again under its id. */
+        SkyStrayLoads_Merge(&placer->earlier_strays, &placer->strays);
+    }
     placer->accepted_orders = report->order_count;
     DL_FOREACH_SAFE(placer->records, record, next)
     {
@@ -766,7 +801,7 @@
                        uint64_t now_ms)
 {
     uint32_t used = count_slots_used(placer);
-    uint32_t slots = placer->options.adapter_slots_max;
+    uint32_t slots = count_usable_slots(placer);
     uint32_t free_slots = used < slots ? slots - used : 0;
     const adapter_record_t *record;
     DL_FOREACH(placer->records, record)
@@ -840,6 +875,24 @@
     return true;
 }
 
+/* Returns the slots that have to be free after the next load: as many as
+ * earlier strays can take then, or after any number of unloads that follow. */
+static uint32_t
+count_slots_to_reserve(const sky_placer_t *placer, uint64_t now_ms)
+{
+    uint32_t reserved = 0;
+    for (uint32_t unloads = 0; unloads < placer->options.adapter_slots_max;
+         unloads++) {
+        uint32_t strays = SkyStrayLoads_CountFrom(
+            &placer->earlier_strays, placer->accepted_orders + 1 + unloads,
+            now_ms);
+        if (strays > unloads + reserved) {
+            reserved = strays - unloads;
+        }
+    }
+    return reserved;
+}
+
 static void
 update_refusing(sky_placer_t *placer, uint64_t now_ms)
 {
@@ -863,6 +916,7 @@
     }
     remove_expired_requests(placer, now_ms);
     update_refusing(placer, now_ms);
+    placer->reserved_slots = count_slots_to_reserve(placer, now_ms);
     if (!placer->state_known) {
         uint64_t report_valid_ms =
             placer->last_result_ms + placer->options.report_lag_ms;
@@ -1095,6 +1149,10 @@
     case SKY_PLACER_ORDER_NO_RESPONSE:
         placer->order_unconfirmed =
             placer->order_unconfirmed || !action.is_poll;
+        if (action.step == SKY_PLACER_LOAD) {
+            SkyStrayLoads_Record(&placer->strays, action.expected_order_count,
+                                 now_ms);
+        }
         placer->next_order_ms = now_ms + CONFLICT_RETRY_MS;
         break;
     }
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -17,6 +17,7 @@
 
 #include "core/result.h"
 #include "decide/fleet.h"
+#include "decide/stray_loads.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -114,6 +115,16 @@
 void SkyPlacer_SetCapacity(sky_placer_t *placer,
                            const sky_placer_capacity_t *capacity);
 
+/** Moves the orders to the target that were not answered, in all runs that
+ * this placer knew of, to @p strays. The placer is only to be freed after
+ * this. */
+void SkyPlacer_TakeStrayLoads(sky_placer_t *placer, sky_stray_loads_t *strays,
+                              uint64_t now_ms);
+/** Moves the orders to earlier runs of the target to the placer, which keeps
+ *  slots free for those that this run may still carry out. */
+void SkyPlacer_AddEarlierStrayLoads(sky_placer_t *placer,
+                                    sky_stray_loads_t *strays);
+
 /** Replaces the known state of the target by its own report. The caller must
  *  leave out reports from before the result of the last order. */
 void SkyPlacer_ApplyReport(sky_placer_t *placer,
--- a/lib/edge/owned_target.c
+++ b/lib/edge/owned_target.c
@@ -273,10 +273,54 @@
     send_action(owned, fence);
 }
 
+/* Keeps what was not answered for the next run of the target. */
+static void
+record_released_target(sky_owned_target_t *owned)
+{
+    sky_released_target_t *released = calloc(1, sizeof *released);
+    uint64_t now = SkyClock_NowMs();
+    if (released == NULL) {
+        return;
+    }
+    released->id_hash = owned->id_hash;
+    SkyPlacer_TakeStrayLoads(owned->placer, &released->strays, now);
+    DL_APPEND(owned->placement->released_targets, released);
+    SkyPlacement_ForgetReleasedTargets(owned->placement, now);
+}
+
+void
+SkyPlacement_ForgetReleasedTargets(sky_placement_t *placement, uint64_t now_ms)
+{
+    sky_released_target_t *released;
+    sky_released_target_t *next;
+    DL_FOREACH_SAFE(placement->released_targets, released, next)
+    {
+        if (!SkyStrayLoads_RemoveExpired(&released->strays, now_ms)) {
+            DL_DELETE(placement->released_targets, released);
+            free(released);
+        }
+    }
+}
+
+static void
+apply_released_target(sky_owned_target_t *owned)
+{
+    sky_placement_t *placement = owned->placement;
+    sky_released_target_t *released;
+    DL_FOREACH(placement->released_targets, released)
+    {
+        if (released->id_hash == owned->id_hash) {
+            SkyPlacer_AddEarlierStrayLoads(owned->placer, &released->strays);
+        }
+    }
+    SkyPlacement_ForgetReleasedTargets(placement, SkyClock_NowMs());
+}
+
 void
 SkyOwnedTarget_Free(sky_owned_target_t *owned)
 {
     sky_placement_t *placement = owned->placement;
+    record_released_target(owned);
     if (owned->client_request != NULL) {
         SkyClientRequest_Cancel(owned->client_request);
     }
@@ -461,6 +505,7 @@
     ev_init(&owned->timer, on_timer);
     owned->timer.data = owned;
     DL_APPEND(placement->owned_targets, owned);
+    apply_released_target(owned);
     SkyLog_Write(LOG_NOTICE, "target_owned", "target=%s places=%u", owned->id,
                  options.adapter_slots_max);
     return owned;
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -657,6 +657,7 @@
     while (placement->owned_targets != NULL) {
         SkyOwnedTarget_Free(placement->owned_targets);
     }
+    SkyPlacement_ForgetReleasedTargets(placement, UINT64_MAX);
     ev_timer_stop(placement->options.loop, &placement->reconcile_timer);
     ev_timer_stop(placement->options.loop, &placement->report_timer);
     ev_timer_stop(placement->options.loop, &placement->early_report_timer);
--- a/lib/edge/placement_internal.h
+++ b/lib/edge/placement_internal.h
@@ -111,9 +111,18 @@
     uint32_t replica_count;
 } sky_replica_window_t;
 
+/** Loads that an earlier run of a target did not answer. */
+typedef struct sky_released_target {
+    uint64_t id_hash;
+    sky_stray_loads_t strays;
+    struct sky_released_target *prev;
+    struct sky_released_target *next;
+} sky_released_target_t;
+
 struct sky_placement {
     sky_placement_options_t options;
     sky_owned_target_t *owned_targets;
+    sky_released_target_t *released_targets; /**< with stray loads */
     sky_placement_request_t *requests;
     ev_timer reconcile_timer;
     ev_timer report_timer;
@@ -134,6 +143,9 @@
 /** Frees the target; the requests that wait for it advance to their next
  *  candidate. */
 void SkyOwnedTarget_Free(sky_owned_target_t *owned);
+/** Forgets the released targets that carry out no stray load any more. */
+void SkyPlacement_ForgetReleasedTargets(sky_placement_t *placement,
+                                        uint64_t now_ms);
 /** @return the fleet's target of the same id, NULL if there is none. */
 sky_fleet_target_t *
 SkyOwnedTarget_FindFleetTarget(const sky_owned_target_t *owned);
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -373,6 +373,41 @@
         }
     }
 
+    // Another host becomes the owner; the last order of the old one may still
+    // be carried out.
+    void
+    ChangeOwner(bool is_same_host = false)
+    {
+        sky_placer_action_t action;
+        SkyPlacer_ChooseAction(placer, now_ms, &action);
+        if (action.step == SKY_PLACER_LOAD ||
+            action.step == SKY_PLACER_UNLOAD) {
+            delayed_orders.push_back({now_ms + random() % 9000, action});
+        }
+        sky_stray_loads_t strays = {};
+        SkyPlacer_TakeStrayLoads(placer, &strays, now_ms);
+        SkyPlacer_Free(placer);
+        SetUp();
+        if (is_same_host) {
+            SkyPlacer_AddEarlierStrayLoads(placer, &strays);
+        }
+        SkyStrayLoads_Clear(&strays);
+    }
+
+    // The target starts again under its id, empty. Its owner hears of that
+    // when the list names the new run.
+    void
+    RestartTarget()
+    {
+        SimulatedTarget restarted;
+        restarted.newest = target.newest;
+        restarted.replaces_in_place = target.replaces_in_place;
+        target = restarted;
+        past_states.clear();
+        Advance(300);
+        ChangeOwner(true);
+    }
+
     // Replays 40 s of requests at a full target, with versions_per_s newer
     // versions, and returns whether the target was ever ordered to exceed its
     // slots.
@@ -393,6 +428,14 @@
             if (random() % 1000 < versions_per_s * 30) {
                 Declare("v" + std::to_string(random() % 8));
             }
+            if (restart_interval_ms > 0 &&
+                random() % restart_interval_ms < 30) {
+                RestartTarget();
+            }
+            if (owner_change_interval_ms > 0 &&
+                random() % owner_change_interval_ms < 30) {
+                ChangeOwner();
+            }
             RequestSome();
             Advance(30);
             if (target.overfilled) {
@@ -427,6 +470,8 @@
         announcements;
     std::map<std::string, uint32_t> announced;
     uint32_t announcement_lag_ms = 0;
+    uint32_t restart_interval_ms = 0;      // on average; 0: none
+    uint32_t owner_change_interval_ms = 0; // on average; 0: none
     uint32_t report_age_ms = 0;
     uint32_t lost_percent = 0;
     uint32_t odd_percent = 0;
@@ -729,6 +774,29 @@
     }
 }
 
+// Guards against orders of an earlier owner that are carried out late.
+TEST_F(PlacerTest, ChangesOfOwnerDoNotOverfillATarget)
+{
+    owner_change_interval_ms = 3000;
+    lost_percent = 20;
+    odd_percent = 2;
+    report_age_ms = 200;
+    announcement_lag_ms = 800;
+    EXPECT_EQ(0u, CountOverfilled(100, 3));
+    target.replaces_in_place = true;
+    EXPECT_EQ(0u, CountOverfilled(100, 3));
+}
+
+// Guards against orders to an earlier run of a target that are carried out
+// late, once the count of the new run is the one that they expect.
+TEST_F(PlacerTest, RestartsDoNotOverfillATarget)
+{
+    restart_interval_ms = 6000;
+    lost_percent = 20;
+    report_age_ms = 200;
+    EXPECT_EQ(0u, CountOverfilled(100, 3));
+}
+
 // Guards against an adapter in transit that counts as resident: while an
 // unload waits, a target may refuse every other order.
 TEST_F(PlacerTest, AConflictWhileAnUnloadWaitsDoesNotEndALoad)
