Explain polls and versions in the placer's header

What a poll can and cannot do is the point of the module now; the comment on the version of an order spoke of announced versions of models, which are not ordered any more.

--- a/lib/decide/placer.c
+++ b/lib/decide/placer.c
@@ -51,7 +51,7 @@
     char adapter[SKY_ADAPTER_NAME_BYTES];
     uint32_t version; /**< resident version; 0 during the first load */
     uint32_t requested_version; /**< to load or replace it by; 0: none */
-    uint32_t ordered_version;   /**< of the load in progress */
+    uint32_t ordered_version;   /**< of the load in progress, for its polls */
     sky_adapter_state_t state;
     double popularity; /**< decaying use count, as of popularity_ms */
     uint64_t popularity_ms;
--- a/lib/decide/placer.h
+++ b/lib/decide/placer.h
@@ -8,6 +8,10 @@
  * Each order carries the number of orders that the owner expects the target
  * to have accepted, so that the target rejects an order that arrives late. A
  * slot is always freed before another adapter is loaded into it.
+ *
+ * The end of a load is learned by a poll, which repeats its order and names
+ * the same version, so that it cannot start another load. What a response does
+ * not tell is unknown until the next report.
  */
 #ifndef SKY_DECIDE_PLACER_H
 #define SKY_DECIDE_PLACER_H
@@ -73,7 +77,7 @@
     uint64_t wake_ms; /**< with SKY_PLACER_WAIT; UINT64_MAX: on events only */
     char model[SKY_ADAPTER_NAME_BYTES];
     char adapter[SKY_ADAPTER_NAME_BYTES];
-    /** That a load is for; 0: the newest, of a model without an announced
+    /** Of an adapter to load; 0 for a model, which is loaded in its newest
      *  version. A poll names the version that was ordered. */
     uint32_t version;
     uint64_t expected_order_count; /**< order count to send with the order */
