--- a/tests/proc_overfilled_target.sh
+++ b/tests/proc_overfilled_target.sh
@@ -4,7 +4,7 @@
 # announced one after the other and orders are lost, late or answered by
 # something else. No target may be ordered to load more than it has slots for.
 set -u
-BASE=${BASE:-24300}
+BASE=${BASE:-30400}
 DIR=$(mktemp -d)
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
 trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
