Run process tests and known-red commands side by side

They have ports of their own, so half of the cores now run one each; known-red commands that share a script's ports take turns. Tests named tests/alone_*.sh run one at a time after all others.

Each line has its seconds, and the order of the lines does not depend on which test ends first. No check, bound or time has changed.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 # Test builds stop at the first broken invariant.
 TEST_LIB_O := $(patsubst $(BUILD)/%,$(BUILD)/abort/%,$(LIB_O))
 
-.PHONY: all test demo bench slopes clean deps tests-only lint format
+.PHONY: all test demo bench slopes clean deps test-programs tests-only lint format
 all: skylarkspar
 
 skylarkspar: $(BUILD)/skylarkspar
@@ -72,7 +72,9 @@
 test: deps
 	$(MAKE) -j8 tests-only
 
-tests-only: $(TESTS) $(BUILD)/skyfake $(BUILD)/skylarkspar-check
+test-programs: $(TESTS) $(BUILD)/skyfake $(BUILD)/skylarkspar-check
+
+tests-only: test-programs
 	scripts/run-tests.sh $(BUILD) $(sort $(TESTS))
 
 demo: deps
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,72 +1,106 @@
 #!/bin/sh
-# Runs the test programs given and tests/proc_*.sh; the last line has the counts.
-# The commands in KNOWN-RED.txt are run and printed, but not counted.
-# PROC_TESTS: 1 (default): all of tests/proc_*.sh; 0: none; else names to run.
-# PROC_JOBS: how many of them run at once (default 1); each has ports of its own.
+# Runs the test programs given, tests/proc_*.sh and tests/alone_*.sh; the last
+# line has the counts. The commands in KNOWN-RED.txt are run and printed, but
+# not counted. Lines come in a fixed order, each with its seconds.
+# TEST_JOBS: how many run at once (default: half of the cores). The tests with
+#   processes have ports of their own. tests/alone_*.sh run one at a time, after
+#   all others.
+# PROC_TESTS: 1 (default): all tests with processes; 0: none; else names to run.
 # usage: run-tests.sh BUILD PROGRAM...
 set -u
 build=$1
 shift
+jobs=${TEST_JOBS:-$(($(nproc) / 2))}
+[ "$jobs" -ge 1 ] || jobs=1
 passed=0
 failed=0
-record_result() { # name exit-code
-    if [ "$2" -eq 0 ]; then
-        passed=$((passed + 1))
-        echo "ok   $1"
-    else
-        failed=$((failed + 1))
-        echo "FAIL $1"
-    fi
-}
 logs=$(mktemp -d)
 trap 'rm -rf "$logs"' EXIT
-for program in "$@"; do
-    name=$(basename "$program")
-    "$program" --gtest_brief=1 >"$logs/$name" 2>&1
-    code=$?
-    [ $code -eq 0 ] || tail -n 40 "$logs/$name"
-    record_result "$name" $code
-done
-if [ "${PROC_TESTS:-1}" != 0 ]; then
-    scripts=""
-    for name in proc_answers proc_faults proc_edge proc_brittle \
-        proc_crashes proc_crash_waves \
-        proc_cut_heads proc_cut_hosts proc_cut_streams \
-        proc_endless_response proc_forwarded proc_leaving_targets \
-        proc_limits proc_lost_peer proc_odd_entries \
-        proc_overfilled_target proc_prompt_turns \
-        proc_silent_targets proc_stop proc_stop_late proc_store_era \
-        proc_stream_new_version proc_stream_next_error \
-        proc_stream_out_of_step proc_stream_restart proc_stream_version \
-        proc_target_words; do
-        [ -f "tests/$name.sh" ] || continue
-        case " ${PROC_TESTS:-1} " in
-        " 1 " | *" $name "*) scripts="$scripts $name" ;;
-        esac
-    done
-    export build logs
+export build logs
+
+# Runs one command line per line of standard input, $1 at a time. A line is
+# NAME, a tab, and the command; writes $logs/NAME, NAME.code and NAME.seconds.
+run_side_by_side() {
     # shellcheck disable=SC2016  # the inner shell expands these
-    printf '%s\n' $scripts | xargs -P "${PROC_JOBS:-1}" -I NAME sh -c \
-        'BIN=$build/skylarkspar-check FAKE=$build/skyfake timeout 240 sh tests/NAME.sh >"$logs/NAME" 2>&1
-         echo $? >"$logs/NAME.code"'
-    for name in $scripts; do
+    tr '\n' '\0' | xargs -0 -r -P "$1" -n 1 sh -c '
+        name=$(printf "%s" "$1" | cut -f 1)
+        started=$(date +%s)
+        sh -c "$(printf "%s" "$1" | cut -f 2-)" >"$logs/$name" 2>&1
+        echo $? >"$logs/$name.code"
+        echo $(($(date +%s) - started)) >"$logs/$name.seconds"' run
+}
+report() { # names of finished tests
+    for name in "$@"; do
         code=$(cat "$logs/$name.code")
-        [ "$code" -eq 0 ] || {
+        if [ "$code" -eq 0 ]; then
+            passed=$((passed + 1))
+            echo "ok   $name ($(cat "$logs/$name.seconds") s)"
+        else
+            failed=$((failed + 1))
             grep '^FAILED' "$logs/$name"
             tail -n 60 "$logs/$name"
-        }
-        record_result "$name" "$code"
+            echo "FAIL $name ($(cat "$logs/$name.seconds") s)"
+        fi
     done
+}
+# Names of the tests/$1_*.sh to run, but for those of KNOWN-RED.txt alone.
+list_scripts() {
+    for script in tests/"$1"_*.sh; do
+        [ -f "$script" ] || continue
+        name=$(basename "$script" .sh)
+        # Steps of other tests, or run by KNOWN-RED.txt.
+        case $name in
+        proc_check | proc_cut_hand_over | proc_cut_quiet_host | \
+            proc_crashing_part) continue ;;
+        esac
+        case " ${PROC_TESTS:-1} " in
+        " 1 " | *" $name "*) echo "$name" ;;
+        esac
+    done
+}
+script_commands() { # names
+    for name in "$@"; do
+        printf '%s\tBIN=%s/skylarkspar-check FAKE=%s/skyfake timeout 240 sh tests/%s.sh\n' \
+            "$name" "$build" "$build" "$name"
+    done
+}
+
+for program in "$@"; do
+    printf '%s\t%s --gtest_brief=1\n' "$(basename "$program")" "$program"
+done | run_side_by_side "$jobs"
+names=$(for program in "$@"; do basename "$program"; done)
+# shellcheck disable=SC2086
+report $names
+if [ "${PROC_TESTS:-1}" != 0 ]; then
+    scripts=$(list_scripts proc)
+    # shellcheck disable=SC2086
+    script_commands $scripts | run_side_by_side "$jobs"
+    # shellcheck disable=SC2086
+    report $scripts
 fi
 if [ -f KNOWN-RED.txt ]; then
-    sed -n "s|^command: ||p" KNOWN-RED.txt | sed "s|TESTS|$build/tests|; s|BUILD/|$build/|g" |
-        while read -r command; do
-            if sh -c "$command" >/dev/null 2>&1; then
-                echo "KNOWN RED, now green: $command"
-            else
-                echo "KNOWN RED: $command"
-            fi
-        done
+    sed -n "s|^command: ||p" KNOWN-RED.txt |
+        sed "s|TESTS|$build/tests|; s|BUILD/|$build/|g" |
+        awk '{printf "red-%03d\t%s\n", NR, $0}' >"$logs/red"
+    # Two entries of one script share its ports: they run one after the other.
+    awk -F '\t' -v logs="$logs" '{
+        script = match($2, /tests\/[a-z_]*\.sh/) ? substr($2, RSTART + 6, RLENGTH - 6) : $1
+        gsub(/'"'"'/, "'"'\\''"'", $2)
+        printf "%s\tflock %s/%s.lock sh -c '"'%s'"'\n", $1, logs, script, $2
+    }' "$logs/red" >"$logs/red-locked"
+    run_side_by_side "$jobs" <"$logs/red-locked"
+    while IFS="$(printf '\t')" read -r name command; do
+        state="KNOWN RED"
+        [ "$(cat "$logs/$name.code")" -ne 0 ] || state="KNOWN RED, now green"
+        echo "$state: $command ($(cat "$logs/$name.seconds") s)"
+    done <"$logs/red"
+fi
+if [ "${PROC_TESTS:-1}" != 0 ]; then
+    scripts=$(list_scripts alone)
+    # shellcheck disable=SC2086
+    script_commands $scripts | run_side_by_side 1
+    # shellcheck disable=SC2086
+    report $scripts
 fi
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
