Open workspaces by keys, and serve removed keys no longer

A key now selects a workspace by its digest, and its name is set in the request in place of the key. A workspace's priority comes before the route's, also at the engine.

Where removed keys bind all hosts, a request is sent only while the host can prove that its configuration was the newest within the bound. The proof's age counts from before the store was asked, passes through relays, and runs on while the machine is suspended.

--- a/lib/decide/deployment.c
+++ b/lib/decide/deployment.c
@@ -82,6 +82,9 @@
     for (uint32_t i = 0; i < deployment->service_count; i++) {
         free_service(&deployment->services[i]);
     }
+    SkyWorkspaces_Free(deployment->workspaces);
+    free(deployment->route_levels);
+    free(deployment->workspace_levels);
     free(deployment->routes);
     free(deployment->services);
     free(deployment);
@@ -126,6 +129,91 @@
     return best;
 }
 
+static int
+compare_levels(const void *one, const void *other)
+{
+    uint32_t a = *(const uint32_t *)one;
+    uint32_t b = *(const uint32_t *)other;
+    return a < b ? -1 : a > b;
+}
+
+/* Sorts levels and drops repeated ones; returns how many are left. */
+static uint32_t
+sort_levels(uint32_t *levels, uint32_t count)
+{
+    uint32_t kept = 0;
+    if (count > 0) {
+        qsort(levels, count, sizeof *levels, compare_levels);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (kept == 0 || levels[kept - 1] != levels[i]) {
+            levels[kept++] = levels[i];
+        }
+    }
+    return kept;
+}
+
+/* Returns the index of a level in the sorted list. */
+static uint32_t
+find_level(const uint32_t *levels, uint32_t count, uint32_t level)
+{
+    const uint32_t *found =
+        bsearch(&level, levels, count, sizeof *levels, compare_levels);
+    return found != NULL ? (uint32_t)(found - levels) : count;
+}
+
+sky_result_t
+SkyDeployment_RankUrgencies(sky_deployment_t *deployment)
+{
+    const sky_workspaces_t *workspaces = deployment->workspaces;
+    uint32_t count = workspaces != NULL ? SkyWorkspaces_Count(workspaces) : 0;
+    free(deployment->route_levels);
+    free(deployment->workspace_levels);
+    deployment->route_levels =
+        calloc(deployment->route_count + 1, sizeof *deployment->route_levels);
+    deployment->workspace_levels =
+        calloc(count + 1, sizeof *deployment->workspace_levels);
+    if (deployment->route_levels == NULL ||
+        deployment->workspace_levels == NULL) {
+        return SKY_E_MEMORY;
+    }
+    for (uint32_t i = 0; i < deployment->route_count; i++) {
+        deployment->route_levels[i] = deployment->routes[i].urgency;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        deployment->workspace_levels[i] =
+            SkyWorkspaces_Get(workspaces, i)->priority;
+    }
+    deployment->route_level_count =
+        sort_levels(deployment->route_levels, deployment->route_count);
+    deployment->workspace_level_count =
+        sort_levels(deployment->workspace_levels, count);
+    return SKY_OK;
+}
+
+sky_urgency_t
+SkyDeployment_GetUrgency(const sky_deployment_t *deployment,
+                         const sky_route_t *route,
+                         const sky_workspace_t *workspace)
+{
+    if (deployment->workspaces == NULL ||
+        deployment->workspace_levels == NULL) {
+        return (sky_urgency_t){.rank = route->urgency};
+    }
+    uint32_t workspace_level =
+        workspace != NULL ? find_level(deployment->workspace_levels,
+                                       deployment->workspace_level_count,
+                                       workspace->priority)
+                          : deployment->workspace_level_count;
+    uint32_t route_level =
+        find_level(deployment->route_levels, deployment->route_level_count,
+                   route->urgency);
+    return (sky_urgency_t){
+        .rank = workspace_level * deployment->route_level_count + route_level,
+        .level_count = (deployment->workspace_level_count + 1) *
+                       deployment->route_level_count};
+}
+
 const sky_service_t *
 SkyDeployment_ChooseService(const sky_deployment_t *deployment,
                             const sky_route_t *route, uint64_t hash)
--- a/lib/decide/deployment.h
+++ b/lib/decide/deployment.h
@@ -11,6 +11,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "decide/workspaces.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -34,6 +36,7 @@
     char *prefix; /**< path prefix; begins and ends with a slash */
     sky_retry_policy_t retry_policy;
     bool streaming;
+    bool is_public; /**< needs no key, if there are workspaces */
     bool is_sticky; /**< cached prompt parts stay at their target */
     uint32_t timeout_ms;
     uint32_t latency_objective_ms;  /**< to the first event */
@@ -88,6 +91,13 @@
     sky_service_t *services;
     uint32_t service_count;
     sky_limits_t limits;
+    /** NULL: the configuration has none, and requests carry no keys. */
+    sky_workspaces_t *workspaces;
+    /** Urgencies of routes, and priorities of workspaces, in order. */
+    uint32_t *route_levels;
+    uint32_t route_level_count;
+    uint32_t *workspace_levels;
+    uint32_t workspace_level_count;
 } sky_deployment_t;
 
 /** @return an empty deployment with one reference, or NULL if memory ran
@@ -111,6 +121,23 @@
  *  @return the host's route with the longest matching prefix, or NULL. */
 const sky_route_t *SkyDeployment_FindRoute(const sky_deployment_t *deployment,
                                            const char *host, const char *path);
+/** Rank of a request among all that the configuration knows. */
+typedef struct {
+    uint32_t rank;        /**< 0 is the most urgent */
+    uint32_t level_count; /**< ranks that there are; 0: not known */
+} sky_urgency_t;
+
+/** Computes the order of urgencies; to be called once routes and workspaces
+ *  are complete. @return SKY_OK or SKY_E_MEMORY */
+sky_result_t SkyDeployment_RankUrgencies(sky_deployment_t *deployment);
+
+/** A workspace's priority comes before the route's. Without workspaces the
+ *  rank is the route's urgency.
+ *  @param workspace NULL: none, on a public route; ranks last */
+sky_urgency_t SkyDeployment_GetUrgency(const sky_deployment_t *deployment,
+                                       const sky_route_t *route,
+                                       const sky_workspace_t *workspace);
+
 /** Chooses a service of a route's split by weight. Equal hashes get the same
  *  service. @return NULL if all weights are 0. */
 const sky_service_t *
--- a/lib/decide/freshness.c
+++ b/lib/decide/freshness.c
@@ -125,3 +125,19 @@
                ? grace_end_ms
                : now_ms;
 }
+
+void
+SkyFreshness_RecordProof(sky_freshness_t *freshness, uint64_t boot_ms)
+{
+    if (freshness->proven_boot_ms < boot_ms) {
+        freshness->proven_boot_ms = boot_ms;
+    }
+}
+
+bool
+SkyFreshness_IsProven(const sky_freshness_t *freshness, uint32_t max_age_ms,
+                      uint64_t boot_now_ms)
+{
+    return freshness->proven_boot_ms > 0 &&
+           boot_now_ms < freshness->proven_boot_ms + max_age_ms;
+}
--- a/lib/decide/freshness.h
+++ b/lib/decide/freshness.h
@@ -32,6 +32,9 @@
     uint64_t checked_ms; /**< last SkyFreshness_CheckStore() */
     /** Time that the store owes a response, as far as this host ran. */
     uint32_t unanswered_ms;
+    /** The records are proved to have been the newest at this time of the
+     *  clock that also runs while the machine is suspended; 0: never. */
+    uint64_t proven_boot_ms;
 } sky_freshness_t;
 
 /** What a peer says of its records. */
@@ -61,6 +64,16 @@
  *  can be told from it. */
 void SkyFreshness_CheckStore(sky_freshness_t *freshness, uint64_t now_ms);
 
+/** Records that all records were known that the store had at @p boot_ms, or
+ *  at some time after it.
+ *  @param boot_ms of the clock that also runs while the machine is suspended,
+ *         from before the store was asked */
+void SkyFreshness_RecordProof(sky_freshness_t *freshness, uint64_t boot_ms);
+/** Fault: a host is suspended, or neither reaches the store nor other hosts.
+ *  @return whether the records were the newest less than @p max_age_ms ago. */
+bool SkyFreshness_IsProven(const sky_freshness_t *freshness,
+                           uint32_t max_age_ms, uint64_t boot_now_ms);
+
 /** @return whether the store does not respond to this host. */
 bool SkyFreshness_IsStoreUnreachable(const sky_freshness_t *freshness);
 /** @return whether relayed records are too old to rely on. */
--- a/lib/decide/request_facts.h
+++ b/lib/decide/request_facts.h
@@ -29,6 +29,7 @@
     uint32_t deadline_ms; /**< time the caller waits; UINT32_MAX: no limit */
     char model[SKY_ADAPTER_NAME_BYTES];   /**< "" for plain services */
     char adapter[SKY_ADAPTER_NAME_BYTES]; /**< "" for the base model */
+    bool states_tokens; /**< it says how many tokens it has */
     uint32_t prompt_tokens;
     uint32_t output_tokens_max;
     uint32_t output_tokens_hint; /**< the caller's estimate, 0: none */
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -28,6 +28,16 @@
 #define URGENCY_MAX 9  /**< least urgent value that the wire carries */
 #define NO_URGENCY 255 /**< of requests to services without an engine */
 
+/* Returns the urgency as a target's engine takes it. */
+static uint32_t
+scale_urgency(sky_urgency_t urgency)
+{
+    if (urgency.level_count > URGENCY_MAX + 1) {
+        return urgency.rank * (URGENCY_MAX + 1) / urgency.level_count;
+    }
+    return urgency.rank < URGENCY_MAX ? urgency.rank : URGENCY_MAX;
+}
+
 static void
 write_request(sky_proxy_request_t *request, sky_buffer_t *out)
 {
@@ -39,10 +49,10 @@
         .target_id = request->target->entry.id,
         .version = request->adapter_version,
         .urgency = request->service->engine.present
-                       ? (request->route->urgency < URGENCY_MAX
-                              ? request->route->urgency
-                              : URGENCY_MAX)
+                       ? scale_urgency(request->urgency)
                        : NO_URGENCY,
+        .has_workspaces = request->deployment->workspaces != NULL,
+        .workspace = request->workspace ? request->workspace->name : NULL,
         .resumes = request->event_stream.has_id,
         .resume_after = request->event_stream.last_id,
     };
@@ -171,7 +181,7 @@
         .version = SkyFleet_GetAnnouncedVersion(
             request->proxy->options.directory->fleet,
             SkyProxyRequest_AdapterKey(request)),
-        .urgency = request->route->urgency,
+        .urgency = request->urgency.rank,
         .due_ms = due_ms,
         .is_under_way = SkyProxyRequest_IsUnderWay(request),
     };
@@ -637,6 +647,7 @@
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
     if (SkyProxyRequest_FailIfStopping(request) || fail_crashing(request) ||
+        !SkyProxyRequest_HasAccess(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
          SkyProxyRequest_TryPeer(request)) ||
         !settle_resume(request)) {
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -25,14 +25,18 @@
 /** Time from a decision by the records until a target gets the request:
  *  connect, and the links. */
 #define ACT_MAX_MS 600
+/** A proof of the configuration counts for so much less than the bound: the
+ *  clocks of hosts run a little apart. */
+#define PROOF_MARGIN_MS 300
 /** Records may always be this old: a host that reads the store only when those
  *  of its peers are stale has them in time. */
 #define MAX_AGE_MIN_MS 1400
 
 /* Records that the store responded with all that the topic had when it was
- * asked. */
+ * asked.
+ * @param proof_boot_ms from before it was asked */
 static void
-record_read(sky_feed_state_t *topic)
+record_read(sky_feed_state_t *topic, uint64_t proof_boot_ms)
 {
     uint64_t before_ms = topic->freshness.read_ms;
     uint64_t now_ms = SkyClock_NowMs();
@@ -40,6 +44,7 @@
                             topic->call_due_ms <= now_ms ? topic->call_due_ms
                                                          : topic->call_sent_ms,
                             now_ms);
+    SkyFreshness_RecordProof(&topic->freshness, proof_boot_ms);
     SkyFeedState_PublishRead(topic, before_ms, false);
 }
 
@@ -203,6 +208,7 @@
     if (topic->cursor == NULL) {
         topic->snapshot_end_offset = response->end_offset;
         topic->snapshot_began_ms = topic->call_sent_ms;
+        topic->snapshot_began_boot_ms = topic->call_sent_boot_ms;
     }
     /* A page that ends where the one before did would be read forever. */
     bool has_more = response->has_more && response->cursor != NULL &&
@@ -213,7 +219,7 @@
     }
     else {
         topic->call_due_ms = topic->snapshot_began_ms;
-        record_read(topic);
+        record_read(topic, topic->snapshot_began_boot_ms);
     }
     for (size_t i = 0; i < response->record_count; i++) {
         SkyFeedState_ApplyRecord(topic, &response->records[i]);
@@ -271,7 +277,7 @@
         SkyFreshness_RecordResponse(&topic->freshness);
     }
     else {
-        record_read(topic);
+        record_read(topic, topic->call_sent_boot_ms);
     }
     for (size_t i = 0; i < response->record_count; i++) {
         SkyFeedState_ApplyRecord(topic, &response->records[i]);
@@ -297,6 +303,7 @@
     topic->is_call_open = true;
     topic->is_read_wanted = false;
     topic->call_sent_ms = SkyClock_NowMs();
+    topic->call_sent_boot_ms = SkyClock_BootMs();
     topic->call_due_ms = topic->call_sent_ms + wait_ms;
     SkyFreshness_RecordCall(&topic->freshness, topic->call_due_ms);
     if (topic->snapshot_pending) {
@@ -452,6 +459,18 @@
                                  max_age_ms(bounds->target_drain_ms), now_ms);
 }
 
+bool
+SkyFeed_IsConfigProven(const sky_feed_t *feed)
+{
+    uint32_t limit_ms = feed->options.settings->bounds.revocation_ms;
+    uint32_t max_age_ms =
+        limit_ms > PROOF_MARGIN_MS ? limit_ms - PROOF_MARGIN_MS : 0;
+    return limit_ms == 0 ||
+           (!feed->is_config_unreadable &&
+            SkyFreshness_IsProven(&feed->topics[SKY_FEED_OPERATOR].freshness,
+                                  max_age_ms, SkyClock_BootMs()));
+}
+
 bool
 SkyFeed_IsStoreFailing(const sky_feed_t *feed)
 {
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -86,6 +86,10 @@
  *  targets: they are young enough for the time limits of updates, or the store
  *  is unreachable. */
 bool SkyFeed_AreRecordsUsable(const sky_feed_t *feed);
+/** @return whether this host can prove that the configuration in force was the
+ *  newest within the bound for removed keys. True if there is no such bound.
+ */
+bool SkyFeed_IsConfigProven(const sky_feed_t *feed);
 /** @return the records that a peer at @p from lacks as JSON, with the time
  *  since the topic was read from the store; the records are empty if the peer
  *  knows more. All records, marked as such, if this host does not know all
@@ -98,10 +102,12 @@
 /** Applies the output of a peer's SkyFeed_EncodeRecords(); that of an earlier
  *  era is ignored.
  *  @param responded_ms when the peer made it, or before
+ *  @param responded_boot_ms the same of SkyClock_BootMs(); 0: not known
  *  @return SKY_E_BAD_REQUEST if it is malformed; valid records in it are
  *  applied all the same. */
 sky_result_t SkyFeed_ApplyRecords(sky_feed_t *feed, sky_feed_topic_t topic,
-                                  const json_t *json, uint64_t responded_ms);
+                                  const json_t *json, uint64_t responded_ms,
+                                  uint64_t responded_boot_ms);
 /** @return whether the last read of the operator's topic or of the list of
  *  targets failed. */
 bool SkyFeed_IsStoreFailing(const sky_feed_t *feed);
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -45,9 +45,11 @@
      *  for: a response without records shows the store of that time. */
     uint64_t call_due_ms;
     uint64_t call_sent_ms;
+    uint64_t call_sent_boot_ms; /**< see SkyFreshness_RecordProof() */
     bool is_call_open;
     bool is_read_wanted; /**< also if peers relay the topic */
     uint64_t snapshot_began_ms;
+    uint64_t snapshot_began_boot_ms;
     sky_freshness_t freshness;
     ev_timer read_timer;
     sky_feed_record_t *records;
@@ -57,6 +59,9 @@
     sky_feed_options_t options;
     sky_feed_state_t topics[SKY_FEED_TOPIC_COUNT];
     bool is_store_reader;
+    /** The newest configuration could not be read: the one in force is not the
+     *  newest. */
+    bool is_config_unreadable;
     ev_timer check_timer;
 };
 
--- a/lib/edge/feed_records.c
+++ b/lib/edge/feed_records.c
@@ -48,6 +48,7 @@
         SkyLog_Write(LOG_ERR, "config_ignored", "offset=%llu reason=%s",
                      (unsigned long long)record->offset,
                      SkyResult_Symbol(result));
+        feed->is_config_unreadable = true;
         return;
     }
     sky_deployment_t *previous = directory->deployment;
@@ -56,6 +57,7 @@
         return;
     }
     directory->deployment = decoded;
+    feed->is_config_unreadable = false;
     SkyLog_Write(LOG_NOTICE, "config_in_force",
                  "version=%llu before=%llu routes=%u services=%u offset=%llu",
                  (unsigned long long)decoded->version,
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -38,6 +38,7 @@
     ev_timer tick;
     sky_host_call_t *call; /**< this host's own poll; NULL: none is open */
     uint64_t poll_sent_ms; /**< of the newest poll */
+    uint64_t poll_sent_boot_ms;          /**< see SkyFreshness_RecordProof() */
     char polled[SKY_HOST_ADDRESS_BYTES]; /**< whom it went to */
     uint64_t next_poll_at_ms;
     sky_poll_sources_t sources;
@@ -221,7 +222,8 @@
             continue;
         }
         sky_result_t result = SkyFeed_ApplyRecords(
-            relay->options.feed, (sky_feed_topic_t)i, records, responded_ms);
+            relay->options.feed, (sky_feed_topic_t)i, records, responded_ms,
+            relay->poll_sent_boot_ms);
         if (SkyResult_IsError(result)) {
             SkyLog_Write(LOG_WARNING, "peer_records_refused",
                          "topic=%s result=%s", TOPIC_KEYS[i],
@@ -275,6 +277,7 @@
                                       (json_int_t)position.next_offset));
     }
     relay->poll_sent_ms = SkyClock_NowMs();
+    relay->poll_sent_boot_ms = SkyClock_BootMs();
     snprintf(relay->polled, sizeof relay->polled, "%s", address);
     relay->call =
         SkyHostCalls_SendCall(relay->options.host_calls, address, "/feed",
--- a/lib/edge/feed_update.c
+++ b/lib/edge/feed_update.c
@@ -6,6 +6,8 @@
 
 /* Values of "regained_age_ms" in the updates of peers. */
 #define REGAINED_NEVER ((json_int_t)-1) /**< the store was never lost */
+/** Age of the proof that the records were the newest. */
+static const char PROOF_AGE_KEY[] = "proof_age_ms";
 #define REGAINED_NOT_TOLD ((json_int_t)-2)
 
 /* Encodes a record for a peer. The text is kept for other peers. */
@@ -57,11 +59,18 @@
     json_int_t regained_age_ms =
         regained_ms > 0 ? (json_int_t)(SkyClock_NowMs() - regained_ms)
                         : REGAINED_NEVER;
-    return json_pack(
+    json_t *update = json_pack(
         "{s:I, s:I, s:I, s:I, s:b, s:o}", "era", (json_int_t)state->era,
         "next", (json_int_t)state->next_offset, "age_ms",
         (json_int_t)SkyFeedState_GetAgeMs(state), "regained_age_ms",
         regained_age_ms, "whole", is_whole, "records", rows);
+    uint64_t proven_ms = state->freshness.proven_boot_ms;
+    if (proven_ms > 0) {
+        json_object_set_new(
+            update, PROOF_AGE_KEY,
+            json_integer((json_int_t)(SkyClock_BootMs() - proven_ms)));
+    }
+    return update;
 }
 
 static bool
@@ -134,9 +143,24 @@
     SkyFreshness_RecordPeerRead(&topic->freshness, &read, SkyClock_NowMs());
 }
 
+/* Takes over the peer's proof, now that its records are applied. */
+static void
+record_peer_proof(sky_feed_state_t *topic, const json_t *json,
+                  uint64_t responded_boot_ms)
+{
+    const json_t *age = json_object_get(json, PROOF_AGE_KEY);
+    json_int_t age_ms = json_integer_value(age);
+    if (json_is_integer(age) && age_ms >= 0 &&
+        (uint64_t)age_ms < responded_boot_ms) {
+        SkyFreshness_RecordProof(&topic->freshness,
+                                 responded_boot_ms - (uint64_t)age_ms);
+    }
+}
+
 sky_result_t
 SkyFeed_ApplyRecords(sky_feed_t *feed, sky_feed_topic_t topic,
-                     const json_t *json, uint64_t responded_ms)
+                     const json_t *json, uint64_t responded_ms,
+                     uint64_t responded_boot_ms)
 {
     sky_feed_state_t *state = &feed->topics[topic];
     peer_update_t update;
@@ -167,6 +191,7 @@
         feed->options.on_change(feed->options.context, topic);
         return SKY_E_BAD_REQUEST;
     }
+    record_peer_proof(state, json, responded_boot_ms);
     SkyFeedState_PublishRead(state, before_ms, true);
     if (is_new_era || update.is_whole) {
         SkyFeedState_DeleteMissingKeys(state, next_offset);
--- a/lib/edge/host_settings.h
+++ b/lib/edge/host_settings.h
@@ -44,6 +44,15 @@
     uint32_t load_window_ms;
     /** Allowed loads in that window, as a multiple of the configured rate. */
     double load_rate_factor;
+    /** Time within which a removed key stops opening its workspace on all
+     *  hosts, whether they reach others or not; 0: as config_apply_ms. */
+    uint32_t revocation_ms;
+    /** Window over which the use of a quota is counted. */
+    uint32_t quota_window_ms;
+    /** Use of a quota that is allowed beyond it, as a fraction of it. */
+    double quota_overshoot;
+    /** Additional units allowed in a window. */
+    uint64_t quota_slack;
     /** Targets refuse orders with a fence below the highest they have seen. */
     bool targets_check_fence;
 } sky_deployment_bounds_t;
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -95,6 +95,8 @@
                            ? (uint32_t)(left_ms - HOP_TRANSIT_MS)
                            : 1,
         .urgency = NO_URGENCY,
+        .has_workspaces = request->deployment->workspaces != NULL,
+        .keeps_credential = true,
         .resumes = request->event_stream.has_id,
         .resume_after = request->event_stream.last_id,
         .hop_fields = SkyBuffer_Data(&hop_fields),
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -145,7 +145,8 @@
                             ? request->route->timeout_ms
                             : request->facts.deadline_ms;
     request->deadline_at_ms = request->received_ms + limit_ms;
-    if (SkyProxyRequest_FailIfStopping(request)) {
+    if (!SkyProxyRequest_FindWorkspace(request) ||
+        SkyProxyRequest_FailIfStopping(request)) {
         return;
     }
     uint64_t waited_ms = SkyClock_NowMs() - request->received_ms;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -179,7 +179,7 @@
         "outcome=%s "
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
         "config=%llu fingerprint=%016llx software=%s sent_software=%s "
-        "resumes=%d list_age_ms=%llu",
+        "resumes=%d list_age_ms=%llu workspace=%s urgency=%u",
         request->facts.id, request->route ? request->route->name : "-",
         request->service ? request->service->name : "-",
         request->facts.model[0] ? request->facts.model : "-",
@@ -195,7 +195,20 @@
         (unsigned long long)request->fingerprint,
         request->has_stream_software ? request->stream_software : "-",
         request->sent_software[0] ? request->sent_software : "-",
-        request->facts.resumes, (unsigned long long)request->list_age_ms);
+        request->facts.resumes, (unsigned long long)request->list_age_ms,
+        request->workspace ? request->workspace->name : "-",
+        request->urgency.rank);
+}
+
+static void
+count_response(const sky_proxy_request_t *request, const char *code)
+{
+    sky_metrics_t *metrics = request->proxy->options.metrics;
+    SkyMetrics_CountResponse(
+        metrics, request->service ? request->service->name : "-", code);
+    if (request->workspace != NULL) {
+        SkyMetrics_CountResponse(metrics, request->workspace->name, code);
+    }
 }
 
 void
@@ -252,9 +265,7 @@
     SkyWire_WriteLocalResponseFields(&header_fields, request->facts.id,
                                      retry_after_ms);
     SkyProxyRequest_LogEnd(request, LOG_NOTICE, status, "refused", reason);
-    SkyMetrics_CountResponse(request->proxy->options.metrics,
-                             request->service ? request->service->name : "-",
-                             reason);
+    count_response(request, reason);
     SkyServerRequest_Respond(request->caller_request, status,
                              SkyBuffer_Data(&header_fields), "", 0);
     SkyBuffer_Clear(&header_fields);
@@ -322,12 +333,15 @@
     sky_metrics_t *metrics = request->proxy->options.metrics;
     uint16_t status = request->response.status;
     SkyProxyRequest_LogEnd(request, LOG_INFO, status, "answered", "-");
-    SkyMetrics_CountResponse(metrics, request->service->name,
-                             status < 400 ? "ok" : "target_failure");
+    count_response(request, status < 400 ? "ok" : "target_failure");
     uint64_t now_ms = SkyClock_NowMs();
     uint64_t duration_ms = now_ms - request->received_ms;
     SkyMetrics_Observe(metrics, request->service->name, SKY_HIST_TOTAL,
                        duration_ms);
+    if (request->workspace != NULL) {
+        SkyMetrics_Observe(metrics, request->workspace->name, SKY_HIST_TOTAL,
+                           duration_ms);
+    }
     SkyStopAdmission_RecordResponse(request->proxy->stop_admission,
                                     SkyProxyRequest_RouteHash(request),
                                     duration_ms, now_ms);
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -56,6 +56,9 @@
     const sky_route_t *route;
     const sky_service_t *service;
     sky_request_facts_t facts;
+    const sky_workspace_t *workspace; /**< of the deployment; NULL: none */
+    sky_key_digest_t key;             /**< that opens it */
+    sky_urgency_t urgency;
     /** Hash of the method, host, path without query, and body. The same in all
      *  requests by which a caller repeats one. */
     uint64_t fingerprint;
@@ -311,6 +314,16 @@
  *  loaded the adapter. */
 bool SkyProxyRequest_HasEligibleTarget(const sky_proxy_request_t *request);
 
+/** Finds the workspace that the caller's key opens, and the request's urgency.
+ *  @return false if the request was refused and freed: its key is not known,
+ * or this host cannot prove that it knows all removed keys */
+bool SkyProxyRequest_FindWorkspace(sky_proxy_request_t *request);
+
+/** Checks the access of a request that has waited and is about to be sent for
+ *  the first time. Later sends belong to a request that had access.
+ *  @return false if it was refused and freed */
+bool SkyProxyRequest_HasAccess(sky_proxy_request_t *request);
+
 /** Matches the request to a route and dispatches it, or ends and frees it. */
 void SkyProxyRequest_Route(sky_proxy_request_t *request);
 
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -23,8 +23,8 @@
     if (is_under_way != SkyProxyRequest_IsUnderWay(other)) {
         return is_under_way;
     }
-    if (one->route->urgency != other->route->urgency) {
-        return one->route->urgency < other->route->urgency;
+    if (one->urgency.rank != other->urgency.rank) {
+        return one->urgency.rank < other->urgency.rank;
     }
     if (one->received_ms != other->received_ms) {
         return one->received_ms < other->received_ms;
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -55,7 +55,7 @@
         json_t *records = json_pack("{s:I, s:I, s:I, s:[]}", "era", era,
                                     "next", next, "age_ms", age_ms, "records");
         EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, records,
-                                               SkyClock_NowMs()));
+                                               SkyClock_NowMs(), 0));
         json_decref(records);
     }
 
@@ -80,7 +80,7 @@
                       next, "age_ms", json_int_t{10}, "records", "i-1", value,
                       state == nullptr, next - 1);
         EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(feed, SKY_FEED_TARGETS, update,
-                                               SkyClock_NowMs()));
+                                               SkyClock_NowMs(), 0));
         json_decref(update);
     }
 
@@ -119,7 +119,7 @@
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(0u, json_array_size(json_object_get(update, "records")));
     EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
-                                           SkyClock_NowMs()));
+                                           SkyClock_NowMs(), 0));
     EXPECT_EQ(12u,
               SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
     json_decref(update);
@@ -154,7 +154,7 @@
         json_pack("{s:I, s:I, s:I, s:[]}", "era", json_int_t{2}, "next",
                   json_int_t{0}, "age_ms", json_int_t{10}, "records");
     EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
-                                           SkyClock_NowMs()));
+                                           SkyClock_NowMs(), 0));
     json_decref(update);
     EXPECT_EQ(nullptr, Target());
 }
@@ -202,7 +202,7 @@
         SkyFeed_EncodeRecords(reader, SKY_FEED_TARGETS, &position, true);
     ASSERT_NE(nullptr, update);
     EXPECT_EQ(SKY_OK, SkyFeed_ApplyRecords(follower, SKY_FEED_TARGETS, update,
-                                           SkyClock_NowMs()));
+                                           SkyClock_NowMs(), 0));
     EXPECT_EQ(nullptr, Target());
     EXPECT_EQ(30u,
               SkyFeed_GetPosition(follower, SKY_FEED_TARGETS).next_offset);
