Check access by the newest configuration, and test removed keys

A key that moved to another workspace was refused, and a request that arrived before the first configuration with workspaces passed its key on. Access is now looked up again whenever a new configuration is in force. - The proof counted before the records of the same response were applied. - A host that could not read the newest configuration refused its own callers, but told others that the one before was the newest. It went on refusing when the operator wrote the one in force again. - A configuration with the version of one that the store had lost was ignored. - A host whose relay is of the build before got no proof, and never read the store itself.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -51,7 +51,7 @@
         .urgency = request->service->engine.present
                        ? scale_urgency(request->urgency)
                        : NO_URGENCY,
-        .has_workspaces = request->deployment->workspaces != NULL,
+        .has_workspaces = SkyProxyRequest_HidesCredential(request),
         .workspace = request->workspace ? request->workspace->name : NULL,
         .resumes = request->event_stream.has_id,
         .resume_after = request->event_stream.last_id,
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -33,10 +33,9 @@
 #define MAX_AGE_MIN_MS 1400
 
 /* Records that the store responded with all that the topic had when it was
- * asked.
- * @param proof_boot_ms from before it was asked */
+ * asked. The proof is recorded later, when the records are applied. */
 static void
-record_read(sky_feed_state_t *topic, uint64_t proof_boot_ms)
+record_read(sky_feed_state_t *topic)
 {
     uint64_t before_ms = topic->freshness.read_ms;
     uint64_t now_ms = SkyClock_NowMs();
@@ -44,7 +43,6 @@
                             topic->call_due_ms <= now_ms ? topic->call_due_ms
                                                          : topic->call_sent_ms,
                             now_ms);
-    SkyFreshness_RecordProof(&topic->freshness, proof_boot_ms);
     SkyFeedState_PublishRead(topic, before_ms, false);
 }
 
@@ -219,7 +217,7 @@
     }
     else {
         topic->call_due_ms = topic->snapshot_began_ms;
-        record_read(topic, topic->snapshot_began_boot_ms);
+        record_read(topic);
     }
     for (size_t i = 0; i < response->record_count; i++) {
         SkyFeedState_ApplyRecord(topic, &response->records[i]);
@@ -232,6 +230,7 @@
         return;
     }
     finish_snapshot(topic);
+    SkyFreshness_RecordProof(&topic->freshness, topic->snapshot_began_boot_ms);
     topic->feed->options.on_change(topic->feed->options.context, topic->id);
     schedule_read(topic, read_interval_ms(topic));
 }
@@ -277,11 +276,14 @@
         SkyFreshness_RecordResponse(&topic->freshness);
     }
     else {
-        record_read(topic, topic->call_sent_boot_ms);
+        record_read(topic);
     }
     for (size_t i = 0; i < response->record_count; i++) {
         SkyFeedState_ApplyRecord(topic, &response->records[i]);
     }
+    if (!response->has_more) {
+        SkyFreshness_RecordProof(&topic->freshness, topic->call_sent_boot_ms);
+    }
     if (response->record_count > 0) {
         topic->feed->options.on_change(topic->feed->options.context,
                                        topic->id);
@@ -316,6 +318,24 @@
                          on_records, topic);
 }
 
+static uint32_t
+proof_max_age_ms(const sky_feed_t *feed)
+{
+    uint32_t limit_ms = feed->options.settings->bounds.revocation_ms;
+    return limit_ms > PROOF_MARGIN_MS ? limit_ms - PROOF_MARGIN_MS : 0;
+}
+
+/* Whether the peers' proofs come in time. Those of an earlier build send none,
+ * and this host has to read the store itself. */
+static bool
+is_proof_relayed(const sky_feed_t *feed)
+{
+    return feed->options.settings->bounds.revocation_ms == 0 ||
+           SkyFreshness_IsProven(&feed->topics[SKY_FEED_OPERATOR].freshness,
+                                 proof_max_age_ms(feed) / 2,
+                                 SkyClock_BootMs());
+}
+
 /* Whether the peers pass on what they read. For the crashes, whose reads are
  * long polls, the reads of the operator's topic show it. */
 static bool
@@ -324,7 +344,8 @@
     const sky_feed_state_t *checked =
         topic->id == SKY_FEED_CRASHES ? &topic->feed->topics[SKY_FEED_OPERATOR]
                                       : topic;
-    return !SkyFreshness_IsStale(&checked->freshness, SkyClock_NowMs());
+    return !SkyFreshness_IsStale(&checked->freshness, SkyClock_NowMs()) &&
+           (topic->id != SKY_FEED_OPERATOR || is_proof_relayed(topic->feed));
 }
 
 static void
@@ -462,13 +483,10 @@
 bool
 SkyFeed_IsConfigProven(const sky_feed_t *feed)
 {
-    uint32_t limit_ms = feed->options.settings->bounds.revocation_ms;
-    uint32_t max_age_ms =
-        limit_ms > PROOF_MARGIN_MS ? limit_ms - PROOF_MARGIN_MS : 0;
-    return limit_ms == 0 ||
+    return feed->options.settings->bounds.revocation_ms == 0 ||
            (!feed->is_config_unreadable &&
             SkyFreshness_IsProven(&feed->topics[SKY_FEED_OPERATOR].freshness,
-                                  max_age_ms, SkyClock_BootMs()));
+                                  proof_max_age_ms(feed), SkyClock_BootMs()));
 }
 
 bool
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -62,6 +62,7 @@
     /** The newest configuration could not be read: the one in force is not the
      *  newest. */
     bool is_config_unreadable;
+    uint64_t config_text_hash; /**< of the configuration in force */
     ev_timer check_timer;
 };
 
--- a/lib/edge/feed_records.c
+++ b/lib/edge/feed_records.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -51,13 +52,18 @@
         feed->is_config_unreadable = true;
         return;
     }
+    feed->is_config_unreadable = false;
     sky_deployment_t *previous = directory->deployment;
-    if (previous != NULL && decoded->version <= previous->version) {
+    uint64_t text_hash = XXH3_64bits(record->value, record->value_bytes);
+    /* A store that went back can get another text under the same version. */
+    if (previous != NULL && (decoded->version < previous->version ||
+                             (decoded->version == previous->version &&
+                              text_hash == feed->config_text_hash))) {
         SkyDeployment_Release(decoded);
         return;
     }
     directory->deployment = decoded;
-    feed->is_config_unreadable = false;
+    feed->config_text_hash = text_hash;
     SkyLog_Write(LOG_NOTICE, "config_in_force",
                  "version=%llu before=%llu routes=%u services=%u offset=%llu",
                  (unsigned long long)decoded->version,
@@ -183,6 +189,17 @@
            record->offset < topic->snapshot_end_offset;
 }
 
+/* The configuration may have been among the lost records. */
+static void
+lose_record(sky_feed_state_t *topic)
+{
+    SkyLog_Write(LOG_ERR, "record_lost", "topic=%s reason=memory",
+                 topic->name);
+    if (topic->id == SKY_FEED_OPERATOR) {
+        topic->feed->is_config_unreadable = true;
+    }
+}
+
 /* @return the stored copy, NULL if a newer record of the key is stored, it is
  * not to be applied or memory ran out. */
 static sky_feed_record_t *
@@ -200,6 +217,7 @@
     }
     char *value = malloc(record->value_bytes + 1);
     if (value == NULL) {
+        lose_record(topic);
         return NULL;
     }
     memcpy(value, record->value, record->value_bytes);
@@ -208,6 +226,7 @@
         stored = calloc(1, sizeof *stored);
         if (stored == NULL) {
             free(value);
+            lose_record(topic);
             return NULL;
         }
         stored->key = strdup(record->key);
--- a/lib/edge/feed_update.c
+++ b/lib/edge/feed_update.c
@@ -6,9 +6,9 @@
 
 /* Values of "regained_age_ms" in the updates of peers. */
 #define REGAINED_NEVER ((json_int_t)-1) /**< the store was never lost */
+#define REGAINED_NOT_TOLD ((json_int_t)-2)
 /** Age of the proof that the records were the newest. */
 static const char PROOF_AGE_KEY[] = "proof_age_ms";
-#define REGAINED_NOT_TOLD ((json_int_t)-2)
 
 /* Encodes a record for a peer. The text is kept for other peers. */
 static json_t *
@@ -65,7 +65,10 @@
         (json_int_t)SkyFeedState_GetAgeMs(state), "regained_age_ms",
         regained_age_ms, "whole", is_whole, "records", rows);
     uint64_t proven_ms = state->freshness.proven_boot_ms;
-    if (proven_ms > 0) {
+    /* What this host could not apply may not have been relayed either. */
+    bool is_applied =
+        topic != SKY_FEED_OPERATOR || !feed->is_config_unreadable;
+    if (proven_ms > 0 && is_applied) {
         json_object_set_new(
             update, PROOF_AGE_KEY,
             json_integer((json_int_t)(SkyClock_BootMs() - proven_ms)));
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -95,7 +95,7 @@
                            ? (uint32_t)(left_ms - HOP_TRANSIT_MS)
                            : 1,
         .urgency = NO_URGENCY,
-        .has_workspaces = request->deployment->workspaces != NULL,
+        .has_workspaces = SkyProxyRequest_HidesCredential(request),
         .keeps_credential = true,
         .resumes = request->event_stream.has_id,
         .resume_after = request->event_stream.last_id,
@@ -198,8 +198,11 @@
                                &path);
     switch (path.kind) {
     case SKY_PATH_PEER:
-        SkyProxyRequest_CancelPending(request);
-        send_to_peer(request, path.peer);
+        /* Time has passed since the last check if the path was waited for. */
+        if (SkyProxyRequest_HasAccess(request)) {
+            SkyProxyRequest_CancelPending(request);
+            send_to_peer(request, path.peer);
+        }
         return true;
     case SKY_PATH_WAIT:
         /* SkyProxy_CheckOpenRequests() dispatches it again. */
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -145,7 +145,7 @@
                             ? request->route->timeout_ms
                             : request->facts.deadline_ms;
     request->deadline_at_ms = request->received_ms + limit_ms;
-    if (!SkyProxyRequest_FindWorkspace(request) ||
+    if (!SkyProxyRequest_HasAccess(request) ||
         SkyProxyRequest_FailIfStopping(request)) {
         return;
     }
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "core/clock.h"
 #include "core/logging.h"
 #include "edge/proxy_request.h"
@@ -18,68 +16,94 @@
 }
 
 static void
-refuse_unknown_key(sky_proxy_request_t *request, const char *reason)
+refuse_key(sky_proxy_request_t *request, const char *reason)
 {
-    /* Not run: it was never sent, see SkyProxyRequest_HasAccess(). */
+    if (request->response_started || request->may_have_run) {
+        SkyProxyRequest_Fail(request, 0, reason); /* 401 would say "not run" */
+        return;
+    }
     SkyProxyRequest_RespondError(request, 401, 0, reason);
 }
 
-bool
-SkyProxyRequest_FindWorkspace(sky_proxy_request_t *request)
+static const sky_workspace_t *
+find_workspace(const sky_proxy_request_t *request,
+               const sky_workspaces_t *workspaces)
 {
-    const sky_deployment_t *deployment = request->deployment;
-    if (deployment->workspaces != NULL && !request->route->is_public) {
-        if (!SkyFeed_IsConfigProven(request->proxy->options.feed)) {
-            refuse_unproven(request);
-            return false;
-        }
-        const char *key = SkyWire_FindCredential(
-            SkyServerRequest_Head(request->caller_request));
-        request->key = SkyWorkspaces_HashKey(key != NULL ? key : "");
-        request->workspace =
-            key != NULL ? SkyWorkspaces_FindByKey(deployment->workspaces,
-                                                  &request->key)
-                        : NULL;
-        if (request->workspace == NULL) {
-            refuse_unknown_key(request, "key_unknown");
-            return false;
-        }
+    const char *key =
+        SkyWire_FindCredential(SkyServerRequest_Head(request->caller_request));
+    if (key == NULL) {
+        return NULL;
     }
-    request->urgency = SkyDeployment_GetUrgency(deployment, request->route,
-                                                request->workspace);
-    return true;
+    sky_key_digest_t digest = SkyWorkspaces_HashKey(key);
+    return SkyWorkspaces_FindByKey(workspaces, &digest);
 }
 
-/* Whether the key still opens the workspace, by the newest configuration. */
-static bool
-is_key_in_force(const sky_proxy_request_t *request)
+/* Returns the request's route by the newest configuration; NULL: none. */
+static const sky_route_t *
+find_newest_route(const sky_proxy_request_t *request,
+                  const sky_deployment_t *newest)
 {
-    const sky_deployment_t *newest =
-        request->proxy->options.directory->deployment;
     if (newest == request->deployment) {
-        return true;
+        return request->route;
+    }
+    const sky_http_head_t *head =
+        SkyServerRequest_Head(request->caller_request);
+    const char *host = SkyHttpHead_FindField(head, "Host");
+    return SkyDeployment_FindRoute(newest, host ? host : "",
+                                   SkyHttpHead_Url(head));
+}
+
+/* Looks the key up in a configuration that has come into force. */
+static void
+update_access(sky_proxy_request_t *request, sky_deployment_t *newest)
+{
+    SkyDeployment_Release(request->access);
+    request->access = SkyDeployment_Acquire(newest);
+    request->needs_key = false;
+    request->workspace = NULL;
+    if (newest->workspaces == NULL) {
+        request->urgency = SkyDeployment_GetUrgency(request->deployment,
+                                                    request->route, NULL);
+        return;
+    }
+    /* A route that is gone keeps its urgency: the configuration that ranks it
+     * is another one. */
+    const sky_route_t *route = find_newest_route(request, newest);
+    request->needs_key = !(route ? route : request->route)->is_public;
+    if (request->needs_key) {
+        request->workspace = find_workspace(request, newest->workspaces);
+    }
+    if (route != NULL) {
+        request->urgency =
+            SkyDeployment_GetUrgency(newest, route, request->workspace);
     }
-    const sky_workspace_t *workspace =
-        newest->workspaces != NULL
-            ? SkyWorkspaces_FindByKey(newest->workspaces, &request->key)
-            : NULL;
-    return workspace != NULL &&
-           strcmp(workspace->name, request->workspace->name) == 0;
 }
 
 bool
 SkyProxyRequest_HasAccess(sky_proxy_request_t *request)
 {
-    if (request->workspace == NULL || request->send_count > 0) {
+    sky_deployment_t *newest = request->proxy->options.directory->deployment;
+    bool is_new = request->access == NULL;
+    if (request->access != newest) {
+        update_access(request, newest);
+    }
+    if (!request->needs_key) {
         return true;
     }
     if (!SkyFeed_IsConfigProven(request->proxy->options.feed)) {
         refuse_unproven(request);
         return false;
     }
-    if (!is_key_in_force(request)) {
-        refuse_unknown_key(request, "key_removed");
+    if (request->workspace == NULL) {
+        refuse_key(request, is_new ? "key_unknown" : "key_removed");
         return false;
     }
     return true;
 }
+
+bool
+SkyProxyRequest_HidesCredential(const sky_proxy_request_t *request)
+{
+    return request->deployment->workspaces != NULL ||
+           request->access->workspaces != NULL;
+}
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -222,6 +222,7 @@
     SkyProxyResponse_Clear(&request->response);
     SkyEventStream_Clear(&request->event_stream);
     SkyProxyRequest_UpdateMemoryShare(request);
+    SkyDeployment_Release(request->access);
     SkyDeployment_Release(request->deployment);
     free(request);
 }
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -56,8 +56,10 @@
     const sky_route_t *route;
     const sky_service_t *service;
     sky_request_facts_t facts;
-    const sky_workspace_t *workspace; /**< of the deployment; NULL: none */
-    sky_key_digest_t key;             /**< that opens it */
+    /** Newest configuration by which the access was checked. */
+    sky_deployment_t *access;
+    bool needs_key;                   /**< by `access` */
+    const sky_workspace_t *workspace; /**< of `access`; NULL: none */
     sky_urgency_t urgency;
     /** Hash of the method, host, path without query, and body. The same in all
      *  requests by which a caller repeats one. */
@@ -314,15 +316,15 @@
  *  loaded the adapter. */
 bool SkyProxyRequest_HasEligibleTarget(const sky_proxy_request_t *request);
 
-/** Finds the workspace that the caller's key opens, and the request's urgency.
- *  @return false if the request was refused and freed: its key is not known,
- * or this host cannot prove that it knows all removed keys */
-bool SkyProxyRequest_FindWorkspace(sky_proxy_request_t *request);
-
-/** Checks the access of a request that has waited and is about to be sent for
- *  the first time. Later sends belong to a request that had access.
- *  @return false if it was refused and freed */
+/** Checks that the caller's key opens a workspace, by the newest
+ * configuration, and updates the workspace and the urgency. To be called when
+ * the request arrives and each time it is about to be sent.
+ *  @return false if the request was ended and freed: its key is not known, or
+ *  this host cannot prove that it knows all removed keys */
 bool SkyProxyRequest_HasAccess(sky_proxy_request_t *request);
+/** @return whether the key is no business of targets. It stays hidden if the
+ *  configuration that first had workspaces came after the request. */
+bool SkyProxyRequest_HidesCredential(const sky_proxy_request_t *request);
 
 /** Matches the request to a route and dispatches it, or ends and frees it. */
 void SkyProxyRequest_Route(sky_proxy_request_t *request);
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -294,6 +294,8 @@
 static uint32_t endless_open; /* endless responses that are being sent */
 static uint32_t store_era = 1;
 static uint32_t store_reads;
+static uint32_t keys_at_targets;
+static json_t *tenants_of; /* by attempt id */
 static json_t *faults;
 static json_t *run_counts;           /* attempt id -> number of runs */
 static json_t *plain_runs_at;        /* attempt id -> bits of plain targets */
@@ -884,6 +886,16 @@
     publish_engine_entry(engine);
 }
 
+/* Counts keys that reach a target, and keeps the workspace that it is told. */
+static void
+record_access_fields(const sky_http_head_t *head, const char *id)
+{
+    const char *tenant = SkyHttpHead_FindField(head, "X-Skylarkspar-Tenant");
+    keys_at_targets +=
+        SkyHttpHead_FindField(head, "X-Skylarkspar-Credential") != NULL;
+    json_object_set_new(tenants_of, id, json_string(tenant ? tenant : "-"));
+}
+
 static void
 count_run(const char *id)
 {
@@ -1380,6 +1392,7 @@
     const char *expected_instance =
         SkyHttpHead_FindField(head, "X-Skylarkspar-Expect-Instance");
     const char *model = SkyHttpHead_FindField(head, "X-Skylarkspar-Model");
+    record_access_fields(head, id ? id : "-");
     const char *slash = model ? strchr(model, '/') : NULL;
     const char *adapter = slash ? slash + 1 : "";
     finish_replacements(engine);
@@ -1771,6 +1784,7 @@
     char fields[192];
     const char *id = SkyHttpHead_FindField(SkyServerRequest_Head(request),
                                            "X-Skylarkspar-Attempt-Id");
+    record_access_fields(SkyServerRequest_Head(request), id ? id : "-");
     SkyServerRequest_SetUserData(request, NULL);
     if (get_fault("silent_app_ms") > 0) {
         silent_until_ms =
@@ -2055,6 +2069,9 @@
         store_reads, "generation", (json_int_t)group_generation, "crashing",
         encode_crashing_requests(), "limits", encode_limited_targets());
     json_object_set_new(state, "falls", json_integer(falls));
+    json_object_set_new(state, "keys_at_targets",
+                        json_integer(keys_at_targets));
+    json_object_set(state, "tenants_of", tenants_of);
     json_object_set_new(state, "late_sends", json_integer(late_sends));
     json_object_set_new(state, "longest_interval",
                         json_integer((json_int_t)longest_interval_ms));
@@ -2157,6 +2174,7 @@
     loop = ev_default_loop(0);
     faults = json_object();
     run_counts = json_object();
+    tenants_of = json_object();
     plain_runs_at = json_object();
     for (int i = 0; i < store_port_count; i++) {
         start_listener((uint16_t)(base_port + i),
--- a/tests/test_deployment.cc
+++ b/tests/test_deployment.cc
@@ -142,6 +142,27 @@
     EXPECT_EQ(100, hits["app"]);
 }
 
+// A route that is not marked needs a key.
+TEST(Documents, RoutesArePublicOnlyIfTheySaySo)
+{
+    const char *marks[] = {"", ",\"public\":false", ",\"public\":true"};
+    for (const char *mark : marks) {
+        std::string text =
+            std::string("{\"version\":1,\"services\":[{\"name\":"
+                        "\"app\",\"healthPath\":\"/\"}],"
+                        "\"routes\":[{\"name\":\"r\",\"host\":"
+                        "\"h\",\"pathPrefix\":\"/\",\"service\":"
+                        "\"app\",\"routeKind\":\"idempotent\"") +
+            mark + "}]}";
+        sky_deployment_t *deployment = nullptr;
+        ASSERT_EQ(SKY_OK, SkyPlatformDocument_ParseDeployment(
+                              text.data(), text.size(), &deployment));
+        ASSERT_EQ(1u, deployment->route_count);
+        EXPECT_EQ(mark == marks[2], deployment->routes[0].is_public) << mark;
+        SkyDeployment_Release(deployment);
+    }
+}
+
 TEST(Documents, RejectsAnInvalidConfiguration)
 {
     const char *texts[] = {"",
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -7,6 +7,7 @@
 #include <sodium.h>
 
 #include <cstring>
+#include <string>
 
 #include "core/clock.h"
 #include "edge/feed.h"
@@ -40,6 +41,7 @@
         sky_feed_options_t options = {};
         options.loop = loop;
         options.directory = &directory;
+        options.settings = &settings;
         options.on_change = [](void *, sky_feed_topic_t) {};
         sky_feed_t *feed = nullptr;
         EXPECT_EQ(SKY_OK, SkyFeed_Create(&options, &feed));
@@ -93,6 +95,7 @@
 
     struct ev_loop *loop = nullptr;
     sky_directory_t directory = {};
+    sky_host_settings_t settings = {};
     sky_feed_t *reader = nullptr;
     sky_feed_t *follower = nullptr;
 };
@@ -209,4 +212,128 @@
     json_decref(update);
 }
 
+// Applies a configuration as a peer relays it, with a proof of this age.
+void
+ApplyConfig(sky_feed_t *feed, json_int_t era, json_int_t next,
+            const std::string &text, json_int_t proof_age_ms)
+{
+    std::string value(text.size() * 2 + 10, '\0');
+    sodium_bin2base64(&value[0], value.size(),
+                      reinterpret_cast<const unsigned char *>(text.data()),
+                      text.size(), sodium_base64_VARIANT_ORIGINAL);
+    json_t *update =
+        json_pack("{s:I, s:I, s:I, s:I, s:[[s,s,b,I]]}", "era", era, "next",
+                  next, "age_ms", json_int_t{10}, "proof_age_ms", proof_age_ms,
+                  "records", "config", value.c_str(), 0, next - 1);
+    SkyFeed_ApplyRecords(feed, SKY_FEED_OPERATOR, update, SkyClock_NowMs(),
+                         SkyClock_BootMs());
+    json_decref(update);
+}
+
+class ProofTest : public FeedTest {
+  protected:
+    void
+    SetUp() override
+    {
+        settings.bounds.revocation_ms = 5000;
+        FeedTest::SetUp();
+    }
+
+    void
+    TearDown() override
+    {
+        FeedTest::TearDown();
+        SkyDeployment_Release(directory.deployment);
+    }
+
+    // What the reader sends to a peer that knows nothing.
+    json_t *
+    Encode()
+    {
+        sky_feed_position_t start = {};
+        return SkyFeed_EncodeRecords(reader, SKY_FEED_OPERATOR, &start, true);
+    }
+
+    static std::string
+    Config(int version, const char *key)
+    {
+        return "{\"version\":" + std::to_string(version) +
+               ",\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"" + key +
+               "\"]}]}";
+    }
+
+    bool
+    Opens(const char *key)
+    {
+        sky_key_digest_t digest = SkyWorkspaces_HashKey(key);
+        return SkyWorkspaces_FindByKey(directory.deployment->workspaces,
+                                       &digest) != nullptr;
+    }
+};
+
+TEST_F(ProofTest, ARelayedProofIsAsOldAsThatOfTheReader)
+{
+    EXPECT_FALSE(SkyFeed_IsConfigProven(reader));
+    ApplyConfig(reader, 1, 5, Config(1, "k"), 4600);
+    EXPECT_TRUE(SkyFeed_IsConfigProven(reader));
+    json_t *update = Encode();
+    EXPECT_GE(json_integer_value(json_object_get(update, "proof_age_ms")),
+              4600);
+    EXPECT_EQ(SKY_OK,
+              SkyFeed_ApplyRecords(follower, SKY_FEED_OPERATOR, update,
+                                   SkyClock_NowMs(), SkyClock_BootMs() - 200));
+    EXPECT_FALSE(SkyFeed_IsConfigProven(follower));
+    json_decref(update);
+    ApplyConfig(follower, 1, 5, Config(1, "k"), 4700);
+    EXPECT_FALSE(SkyFeed_IsConfigProven(follower));
+    ApplyConfig(follower, 1, 5, Config(1, "k"), -1);
+    EXPECT_FALSE(SkyFeed_IsConfigProven(follower));
+}
+
+// An update of an earlier era, or one that could not be applied, proves
+// nothing of the records in force.
+TEST_F(ProofTest, RecordsThatWereNotAppliedProveNothing)
+{
+    ApplyConfig(reader, 2, 5, Config(1, "k"), 4900);
+    ApplyConfig(reader, 1, 9, Config(2, "k"), 0);
+    EXPECT_FALSE(SkyFeed_IsConfigProven(reader));
+    json_t *update =
+        json_pack("{s:I, s:I, s:I, s:I, s:[[s,i]]}", "era", json_int_t{2},
+                  "next", json_int_t{9}, "age_ms", json_int_t{1},
+                  "proof_age_ms", json_int_t{0}, "records", "config", 7);
+    EXPECT_EQ(SKY_E_BAD_REQUEST,
+              SkyFeed_ApplyRecords(reader, SKY_FEED_OPERATOR, update,
+                                   SkyClock_NowMs(), SkyClock_BootMs()));
+    EXPECT_FALSE(SkyFeed_IsConfigProven(reader));
+    json_decref(update);
+}
+
+// The host went on by the configuration before, and told others that it was
+// the newest one.
+TEST_F(ProofTest, AnUnreadableConfigurationEndsTheProof)
+{
+    ApplyConfig(reader, 1, 5, Config(1, "k"), 0);
+    ApplyConfig(reader, 1, 6, "{", 0);
+    EXPECT_FALSE(SkyFeed_IsConfigProven(reader));
+    json_t *update = Encode();
+    EXPECT_EQ(nullptr, json_object_get(update, "proof_age_ms"));
+    json_decref(update);
+    // The operator writes again what was in force.
+    ApplyConfig(reader, 1, 7, Config(1, "k"), 0);
+    EXPECT_TRUE(SkyFeed_IsConfigProven(reader));
+}
+
+// The store lost a configuration that this host knew, and its operator then
+// wrote another one with the same version.
+TEST_F(ProofTest, AnotherTextOfTheSameVersionIsApplied)
+{
+    ApplyConfig(reader, 1, 5, Config(3, "removed"), 0);
+    EXPECT_TRUE(Opens("removed"));
+    ApplyConfig(reader, 2, 4, Config(3, "kept"), 0);
+    EXPECT_FALSE(Opens("removed"));
+    EXPECT_TRUE(Opens("kept"));
+    ApplyConfig(reader, 2, 5, Config(2, "removed"), 0);
+    EXPECT_FALSE(Opens("removed"));
+}
+
 } // namespace
--- a/tests/test_freshness.cc
+++ b/tests/test_freshness.cc
@@ -148,4 +148,45 @@
     EXPECT_TRUE(SkyFreshness_IsUsable(&freshness, 1400, 90000));
 }
 
+// A host that never read the store, or not within the bound, could serve
+// removed keys.
+TEST(Freshness, AProofEndsWithTheBound)
+{
+    sky_freshness_t freshness = {};
+    EXPECT_FALSE(SkyFreshness_IsProven(&freshness, 4700, 100));
+    SkyFreshness_RecordProof(&freshness, 1000);
+    EXPECT_TRUE(SkyFreshness_IsProven(&freshness, 4700, 1000));
+    EXPECT_TRUE(SkyFreshness_IsProven(&freshness, 4700, 5699));
+    EXPECT_FALSE(SkyFreshness_IsProven(&freshness, 4700, 5700));
+    EXPECT_FALSE(SkyFreshness_IsProven(&freshness, 0, 1000));
+}
+
+// A relayed proof that arrives late must not take the place of a newer one,
+// and none counts that is not known to be one.
+TEST(Freshness, TheNewestProofCounts)
+{
+    sky_freshness_t freshness = {};
+    SkyFreshness_RecordProof(&freshness, 3000);
+    SkyFreshness_RecordProof(&freshness, 1000);
+    SkyFreshness_RecordProof(&freshness, 0);
+    EXPECT_EQ(3000u, freshness.proven_boot_ms);
+    sky_freshness_t unread = {};
+    SkyFreshness_RecordRead(&unread, 3000, 3100);
+    SkyFreshness_RecordLoss(&unread, 3200);
+    EXPECT_FALSE(SkyFreshness_IsProven(&unread, 4700, 3200));
+}
+
+// Neither an unreachable store nor unusable records extend it.
+TEST(Freshness, AnOutageExtendsNoProof)
+{
+    sky_freshness_t freshness = ReadAt(1000);
+    SkyFreshness_RecordProof(&freshness, 1000);
+    SkyFreshness_RecordCall(&freshness, 1300);
+    for (uint64_t now = 1300; now <= 6000; now += 50) {
+        SkyFreshness_CheckStore(&freshness, now);
+    }
+    EXPECT_TRUE(SkyFreshness_IsUsable(&freshness, 1400, 6000));
+    EXPECT_FALSE(SkyFreshness_IsProven(&freshness, 4700, 6000));
+}
+
 } // namespace
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -184,6 +184,56 @@
               Written().find("X-Skylarkspar-Request-Priority: 2\r\n"));
 }
 
+// Keys reached targets, and a caller could name the workspace of another one.
+TEST_F(WireTest, HidesKeysFromTargetsAndNamesTheWorkspace)
+{
+    const sky_http_head_t *head =
+        ParseHead("GET /a/ HTTP/1.1\r\nx-skylarkspar-credential: secret\r\n"
+                  "X-Skylarkspar-Credential: other-secret\r\n"
+                  "x-skylarkspar-tenant: not-mine\r\nX-Custom: kept\r\n\r\n",
+                  SKY_HTTP_REQUEST);
+    EXPECT_STREQ("secret", SkyWire_FindCredential(head));
+    sky_forward_options_t forward = {};
+    forward.urgency = 255;
+    forward.has_workspaces = true;
+    forward.workspace = "mine";
+    SkyWire_WriteRequest(&out, head, "", 0, &forward);
+    EXPECT_EQ(std::string::npos, Written().find("secret")) << Written();
+    EXPECT_EQ(std::string::npos, Written().find("not-mine"));
+    EXPECT_NE(std::string::npos,
+              Written().find("X-Skylarkspar-Tenant: mine\r\n"));
+    EXPECT_NE(std::string::npos, Written().find("X-Custom: kept\r\n"));
+
+    // On public routes.
+    SkyBuffer_Clear(&out);
+    forward.workspace = nullptr;
+    SkyWire_WriteRequest(&out, head, "", 0, &forward);
+    EXPECT_EQ(std::string::npos, Written().find("secret"));
+    EXPECT_EQ(std::string::npos, Written().find("enant"));
+
+    // Another host finds the workspace itself.
+    SkyBuffer_Clear(&out);
+    forward.keeps_credential = true;
+    SkyWire_WriteRequest(&out, head, "", 0, &forward);
+    EXPECT_NE(std::string::npos,
+              Written().find("x-skylarkspar-credential: secret\r\n"));
+    EXPECT_EQ(std::string::npos, Written().find("enant"));
+}
+
+TEST_F(WireTest, WithoutWorkspacesTheFieldsAreLikeAnyOther)
+{
+    const sky_http_head_t *head =
+        ParseHead("GET /a/ HTTP/1.1\r\nX-Skylarkspar-Credential: c\r\n"
+                  "X-Skylarkspar-Tenant: t\r\n\r\n",
+                  SKY_HTTP_REQUEST);
+    sky_forward_options_t forward = {};
+    forward.urgency = 255;
+    SkyWire_WriteRequest(&out, head, "", 0, &forward);
+    EXPECT_NE(std::string::npos,
+              Written().find("X-Skylarkspar-Credential: c\r\n"
+                             "X-Skylarkspar-Tenant: t\r\n"));
+}
+
 TEST_F(WireTest, ParsesTheLimitThatATargetNames)
 {
     const std::pair<const char *, double> CASES[] = {
