Grant credit for requests of workspaces with a quota

Cause: a quota binds all hosts together, and no host knows what the others use. The proxy acquires credit before the first dispatch, answers 429 beyond the quota, and returns the credit of requests that did not run.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -73,6 +73,7 @@
     sky_proxy_t *proxy;
     sky_feed_t *feed;
     sky_rate_permits_t *rate_permits;
+    sky_quota_sharing_t *quota_sharing;
     sky_feed_relay_t *feed_relay;
     sky_crash_sharing_t *crash_sharing;
     sky_stream_sharing_t *stream_sharing;
@@ -106,6 +107,8 @@
     char *text = SkyMetrics_FormatPrometheus(edge->metrics);
     const sky_client_stats_t *stats = SkyClient_Stats(edge->client);
     const sky_proxy_stats_t *proxied = SkyProxy_Stats(edge->proxy);
+    const sky_quota_stats_t *quotas =
+        SkyQuotaSharing_Stats(edge->quota_sharing);
     sky_buffer_t body = {0};
     SkyBuffer_AppendText(&body, text ? text : "");
     SkyBuffer_AppendFormat(&body,
@@ -122,14 +125,20 @@
                            "# TYPE sky_forwarded_sent_total counter\n"
                            "sky_forwarded_sent_total %llu\n"
                            "# TYPE sky_forwarded_received_total counter\n"
-                           "sky_forwarded_received_total %llu\n",
+                           "sky_forwarded_received_total %llu\n"
+                           "# TYPE sky_quota_refused_total counter\n"
+                           "sky_quota_refused_total %llu\n"
+                           "# TYPE sky_quota_calls_total counter\n"
+                           "sky_quota_calls_total %llu\n",
                            (unsigned long long)SkyLog_DroppedLineCount(),
                            (unsigned long long)stats->connection_attempts,
                            (unsigned long long)stats->connection_reuses,
                            (unsigned long long)edge->loop_late_max_ms,
                            SkyProxy_OpenRequestCount(edge->proxy),
                            (unsigned long long)proxied->sent_to_peers,
-                           (unsigned long long)proxied->received_from_peers);
+                           (unsigned long long)proxied->received_from_peers,
+                           (unsigned long long)quotas->refused,
+                           (unsigned long long)quotas->calls);
     SkyServerRequest_Respond(request, 200, "Content-Type: text/plain\r\n",
                              SkyBuffer_Data(&body), SkyBuffer_Size(&body));
     SkyBuffer_Clear(&body);
@@ -173,6 +182,9 @@
         SkyHostCalls_SetRequestLimits(edge->host_calls, limits->head_bytes,
                                       limits->body_bytes);
     }
+    if (topic == SKY_FEED_OPERATOR) {
+        SkyQuotaSharing_HandleConfigChange(edge->quota_sharing);
+    }
     if (topic == SKY_FEED_TARGETS && edge->stream_sharing != NULL) {
         SkyStreamSharing_HandleListChange(edge->stream_sharing);
     }
@@ -446,6 +458,15 @@
     if (!SkyResult_IsError(result)) {
         result = SkyRatePermits_Create(&permits_options, &edge->rate_permits);
     }
+    sky_quota_sharing_options_t quota_options = {.loop = edge->loop,
+                                                 .settings = settings,
+                                                 .directory = &edge->directory,
+                                                 .ownership = edge->ownership,
+                                                 .host_calls =
+                                                     edge->host_calls};
+    if (!SkyResult_IsError(result)) {
+        result = SkyQuotaSharing_Create(&quota_options, &edge->quota_sharing);
+    }
     sky_feed_options_t feed_options = {.loop = edge->loop,
                                        .settings = settings,
                                        .directory = &edge->directory,
@@ -475,6 +496,7 @@
                                          .client = edge->client,
                                          .placement = edge->placement,
                                          .rate_permits = edge->rate_permits,
+                                         .quota_sharing = edge->quota_sharing,
                                          .stream_sharing =
                                              edge->stream_sharing,
                                          .reach_sharing = edge->reach_sharing,
@@ -576,6 +598,7 @@
     SkyListener_Free(edge->probe_listener);
     SkyListener_Free(edge->metrics_listener);
     SkyProxy_Free(edge->proxy);
+    SkyQuotaSharing_Free(edge->quota_sharing);
     SkyRatePermits_Free(edge->rate_permits);
     SkyPlacement_Free(edge->placement);
     SkyFeedRelay_Free(edge->feed_relay);
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -158,8 +158,10 @@
     if (request->is_forwarded) {
         apply_hop_request(request);
     }
-    SkyProxyRequest_Count(request);
-    SkyProxyRequest_Dispatch(request);
+    if (SkyProxyRequest_AcquireQuota(request)) {
+        SkyProxyRequest_Count(request);
+        SkyProxyRequest_Dispatch(request);
+    }
 }
 
 static void
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -22,6 +22,7 @@
 #include "edge/directory.h"
 #include "edge/feed.h"
 #include "edge/host_settings.h"
+#include "edge/quota_sharing.h"
 #include "edge/rate_permits.h"
 #include "edge/placement.h"
 #include "edge/reach_sharing.h"
@@ -43,6 +44,7 @@
     sky_client_t *client;
     sky_placement_t *placement;
     sky_rate_permits_t *rate_permits;
+    sky_quota_sharing_t *quota_sharing;
     sky_stream_sharing_t *stream_sharing;
     sky_reach_sharing_t *reach_sharing;
     sky_metrics_t *metrics;
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -83,3 +83,52 @@
     }
     return true;
 }
+
+static void
+on_quota(void *context, sky_quota_result_t result, uint32_t wait_ms)
+{
+    sky_proxy_request_t *request = context;
+    request->quota_request = NULL;
+    if (result == SKY_QUOTA_GRANTED) {
+        SkyProxyRequest_Count(request);
+        SkyProxyRequest_Dispatch(request);
+        return;
+    }
+    request->quota_cost = 0;
+    SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+}
+
+bool
+SkyProxyRequest_AcquireQuota(sky_proxy_request_t *request)
+{
+    const sky_workspace_t *workspace = request->workspace;
+    if (workspace == NULL || !workspace->quota.is_limited ||
+        request->is_forwarded) {
+        return true;
+    }
+    uint32_t wait_ms;
+    sky_quota_need_t need = {
+        .workspace = workspace->name,
+        .cost = SkyQuota_GetCost(
+            &workspace->quota, request->facts.states_tokens,
+            request->facts.prompt_tokens, request->facts.output_tokens_max),
+        .urgency = request->urgency.rank};
+    sky_quota_result_t result = SkyQuotaSharing_Acquire(
+        request->proxy->options.quota_sharing, &need, on_quota, request,
+        &wait_ms, &request->quota_request);
+    request->quota_cost = result != SKY_QUOTA_DENIED ? need.cost : 0;
+    if (result == SKY_QUOTA_DENIED) {
+        SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+    }
+    return result == SKY_QUOTA_GRANTED;
+}
+
+void
+SkyProxyRequest_RefundQuota(sky_proxy_request_t *request)
+{
+    if (request->quota_cost > 0) {
+        SkyQuotaSharing_Refund(request->proxy->options.quota_sharing,
+                               request->workspace->name, request->quota_cost);
+        request->quota_cost = 0;
+    }
+}
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -151,6 +151,11 @@
         SkyRatePermits_Cancel(request->permit_request);
         request->permit_request = NULL;
     }
+    if (request->quota_request != NULL) {
+        SkyQuotaSharing_Cancel(request->quota_request);
+        request->quota_request = NULL;
+        request->quota_cost = 0; /* not charged yet */
+    }
     if (request->stream_ask != NULL) {
         SkyStreamSharing_CancelAsk(request->stream_ask);
         request->stream_ask = NULL;
@@ -216,6 +221,9 @@
 {
     sky_proxy_t *proxy = request->proxy;
     SkyProxyRequest_CancelPending(request);
+    if (request->send_count == 0 && request->tried_peer_count == 0) {
+        SkyProxyRequest_RefundQuota(request);
+    }
     ev_timer_stop(proxy->options.loop, &request->deadline_timer);
     DL_DELETE(proxy->requests, request);
     proxy->open_count--;
@@ -257,6 +265,9 @@
     if (request->is_forwarded && hop.outcome != SKY_HOP_UNKNOWN) {
         SkyProxyRequest_Uncount(request);
     }
+    if (hop.outcome != SKY_HOP_UNKNOWN) {
+        SkyProxyRequest_RefundQuota(request);
+    }
     SkyProxyRequest_WriteHopResponse(request, &header_fields, &hop);
     if (retry_after_ms > 0) {
         retry_after_ms += (uint32_t)(SkyProxyRequest_IdHash(request) %
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -70,6 +70,8 @@
     /** Pending placement, or pending report of an owner; or NULL. */
     sky_placement_request_t *placement_request;
     sky_rate_permit_request_t *permit_request; /**< pending, or NULL */
+    sky_quota_request_t *quota_request;        /**< pending, or NULL */
+    uint64_t quota_cost;       /**< charged to the workspace's quota */
     uint64_t permitted_target; /**< hash of a limited target to send to; 0:
                                     no permit is held */
     uint64_t turn_target; /**< hash of a target at which the prompt has a turn;
@@ -324,6 +326,14 @@
  *  @return false if it was refused and freed */
 bool SkyProxyRequest_HasAccess(sky_proxy_request_t *request);
 
+/** Charges a request of a workspace with a quota; the host that passed a
+ *  request on has done so.
+ *  @return false if the request waits for credit, after which it is
+ *  dispatched, or was refused and freed */
+bool SkyProxyRequest_AcquireQuota(sky_proxy_request_t *request);
+/** Returns the charge of a request that no target has run. */
+void SkyProxyRequest_RefundQuota(sky_proxy_request_t *request);
+
 /** Matches the request to a route and dispatches it, or ends and frees it. */
 void SkyProxyRequest_Route(sky_proxy_request_t *request);
 
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -44,6 +44,7 @@
              request->waits_for_turn || request->waits_for_records) &&
             request->placement_request == NULL &&
             request->permit_request == NULL &&
+            request->quota_request == NULL &&
             (after == NULL || is_dispatched_before(after, request)) &&
             (best == NULL || is_dispatched_before(request, best))) {
             best = request;
