--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -92,8 +92,6 @@
     sky_quota_stats_t stats;
 };
 
-static void ask(sky_quota_sharing_t *sharing, bool is_tick);
-
 static workspace_t *
 find_workspace(sky_quota_sharing_t *sharing, const char *name)
 {
@@ -682,7 +680,9 @@
     workspace_t *workspace = find_workspace(sharing, configured->name);
     if (workspace != NULL) {
         workspace->is_current = true;
-        if (memcmp(&workspace->credit.terms, &terms, sizeof terms) != 0) {
+        const sky_quota_terms_t *before = &workspace->credit.terms;
+        if (before->rate_per_s != terms.rate_per_s ||
+            before->burst != terms.burst || before->room != terms.room) {
             SkyQuotaCredit_SetTerms(&workspace->credit, &terms);
             if (workspace->account != NULL) {
                 SkyQuotaOwner_SetTerms(workspace->account, &terms, now_ms);
