Give turns at plain services that are short of capacity

Hosts learned only from rejections that a target is full, and a request that two targets rejected was refused although a slot became free soon after. While a service is short, its owner now names a target and a time for each request, or refuses it at once.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -25,7 +26,10 @@
  *  without a turn. */
 #define SHORT_PROMPTS_PER_INTERVAL 16
 #define PROMPT_WAIT_MAX_MS 10000 /**< also on routes with long objectives */
-#define URGENCY_MAX 9  /**< least urgent value that the wire carries */
+#define URGENCY_MAX 9 /**< least urgent value that the wire carries */
+/** Turns at a plain service that one request asks for: the first one, and one
+ *  after each time that it was not run. */
+#define SERVICE_TURNS_MAX 5
 #define NO_URGENCY 255 /**< of requests to services without an engine */
 
 /* Returns the urgency as a target's engine takes it. */
@@ -104,6 +108,7 @@
     request->sent_ms = request->last_activity_ms;
     request->prompt_time_recorded = false;
     request->turn_target = 0;
+    request->service_turn_target = 0;
     request->first_sent_ms = request->first_sent_ms
                                  ? request->first_sent_ms
                                  : request->last_activity_ms;
@@ -398,8 +403,81 @@
     return choice->target != NULL;
 }
 
-/* Chooses the target that a permit is held for, or at which the prompt has a
- * turn, if it can still run the request, else any. */
+bool
+SkyProxyRequest_TakesTurns(const sky_proxy_request_t *request)
+{
+    return !request->service->engine.present &&
+           SkyServiceTurns_AreNeeded(request->proxy->options.service_turns,
+                                     request->service->name);
+}
+
+static uint32_t
+ms_until(uint64_t at_ms, uint64_t now_ms)
+{
+    return at_ms > now_ms ? (uint32_t)(at_ms - now_ms) : 0;
+}
+
+/* Applies a turn that has come. @return whether the request goes on; else it
+ * was refused and freed */
+static bool
+apply_service_turn(sky_proxy_request_t *request, const sky_turn_t *turn)
+{
+    if (turn->kind == SKY_TURN_REFUSED) {
+        SkyProxyRequest_Fail(request, turn->retry_after_ms, "no_turn");
+        return false;
+    }
+    if (turn->kind == SKY_TURN_GIVEN) {
+        request->service_turn_target = turn->target;
+    }
+    else {
+        request->service_turn_count = SERVICE_TURNS_MAX; /* goes on without */
+    }
+    return true;
+}
+
+static void
+on_service_turn(void *context, const sky_turn_t *turn)
+{
+    sky_proxy_request_t *request = context;
+    request->service_turn = NULL;
+    if (apply_service_turn(request, turn)) {
+        SkyProxyRequest_Dispatch(request);
+    }
+}
+
+/* Takes a turn at a plain service that is short of capacity. @return whether
+ * the request goes on now; else it waits for the turn, or was freed */
+static bool
+take_service_turn(sky_proxy_request_t *request)
+{
+    uint64_t now = SkyClock_NowMs();
+    sky_turn_t turn;
+    if (request->service_turn_target != 0 ||
+        request->service_turn_count >= SERVICE_TURNS_MAX ||
+        !SkyProxyRequest_TakesTurns(request)) {
+        return true;
+    }
+    request->service_turn_count++;
+    request->capacity_wait_since_ms = 0;
+    const char *group = request->workspace != NULL ? request->workspace->name
+                                                   : request->route->name;
+    sky_turn_request_t spec = {
+        .urgency = request->urgency.rank,
+        .group = XXH3_64bits(group, strlen(group)),
+        .objective_ms = ms_until(
+            request->received_ms + request->route->latency_objective_ms, now),
+        .deadline_ms = ms_until(request->deadline_at_ms, now),
+        .excluded = request->attempts.failed,
+        .excluded_count = request->attempts.failed_count,
+    };
+    request->service_turn = SkyServiceTurns_Take(
+        request->proxy->options.service_turns, request->service->name, &spec,
+        on_service_turn, request, &turn);
+    return request->service_turn == NULL && apply_service_turn(request, &turn);
+}
+
+/* Chooses the target that a permit is held for, or at which the request or its
+ * prompt has a turn, if it can still run the request, else any. */
 static void
 choose_target(sky_proxy_request_t *request, sky_fleet_query_t *query,
               sky_fleet_choice_t *choice)
@@ -417,6 +495,13 @@
         }
         request->turn_target = 0;
     }
+    if (request->service_turn_target != 0) {
+        if (choose_only(request, &request->service_turn_target, query,
+                        choice)) {
+            return;
+        }
+        request->service_turn_target = 0;
+    }
     *query = SkyProxyRequest_BuildQuery(request);
     SkyFleet_ChooseTarget(request->proxy->options.directory->fleet, query,
                           SkyClock_NowMs(), choice);
@@ -650,7 +735,7 @@
         !SkyProxyRequest_HasAccess(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
          SkyProxyRequest_TryPeer(request)) ||
-        !settle_resume(request)) {
+        !settle_resume(request) || !take_service_turn(request)) {
         return;
     }
     choose_target(request, &query, &choice);
@@ -659,7 +744,8 @@
         return;
     }
     bool has_no_room =
-        choice.batch_utilization >= BATCH_UTILIZATION_MAX ||
+        (choice.batch_utilization >= BATCH_UTILIZATION_MAX &&
+         request->service_turn_target == 0) ||
         (choice.target == NULL && choice.has_full_brittle_target);
     if (wait_for_turn(request, choice.target, has_waited)) {
         return;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -73,6 +73,7 @@
     sky_proxy_t *proxy;
     sky_feed_t *feed;
     sky_rate_permits_t *rate_permits;
+    sky_service_turns_t *service_turns;
     sky_feed_relay_t *feed_relay;
     sky_crash_sharing_t *crash_sharing;
     sky_stream_sharing_t *stream_sharing;
@@ -130,6 +131,7 @@
                            SkyProxy_OpenRequestCount(edge->proxy),
                            (unsigned long long)proxied->sent_to_peers,
                            (unsigned long long)proxied->received_from_peers);
+    SkyServiceTurns_WriteMetrics(edge->service_turns, &body);
     SkyServerRequest_Respond(request, 200, "Content-Type: text/plain\r\n",
                              SkyBuffer_Data(&body), SkyBuffer_Size(&body));
     SkyBuffer_Clear(&body);
@@ -446,6 +448,15 @@
     if (!SkyResult_IsError(result)) {
         result = SkyRatePermits_Create(&permits_options, &edge->rate_permits);
     }
+    sky_service_turns_options_t turns_options = {.loop = edge->loop,
+                                                 .settings = settings,
+                                                 .directory = &edge->directory,
+                                                 .ownership = edge->ownership,
+                                                 .host_calls =
+                                                     edge->host_calls};
+    if (!SkyResult_IsError(result)) {
+        result = SkyServiceTurns_Create(&turns_options, &edge->service_turns);
+    }
     sky_feed_options_t feed_options = {.loop = edge->loop,
                                        .settings = settings,
                                        .directory = &edge->directory,
@@ -475,6 +486,7 @@
                                          .client = edge->client,
                                          .placement = edge->placement,
                                          .rate_permits = edge->rate_permits,
+                                         .service_turns = edge->service_turns,
                                          .stream_sharing =
                                              edge->stream_sharing,
                                          .reach_sharing = edge->reach_sharing,
@@ -577,6 +589,7 @@
     SkyListener_Free(edge->metrics_listener);
     SkyProxy_Free(edge->proxy);
     SkyRatePermits_Free(edge->rate_permits);
+    SkyServiceTurns_Free(edge->service_turns);
     SkyPlacement_Free(edge->placement);
     SkyFeedRelay_Free(edge->feed_relay);
     SkyCrashSharing_Free(edge->crash_sharing);
--- a/lib/edge/proxy.h
+++ b/lib/edge/proxy.h
@@ -25,6 +25,7 @@
 #include "edge/rate_permits.h"
 #include "edge/placement.h"
 #include "edge/reach_sharing.h"
+#include "edge/service_turns.h"
 #include "edge/stream_sharing.h"
 #include "net/client.h"
 #include "net/listener.h"
@@ -43,6 +44,7 @@
     sky_client_t *client;
     sky_placement_t *placement;
     sky_rate_permits_t *rate_permits;
+    sky_service_turns_t *service_turns;
     sky_stream_sharing_t *stream_sharing;
     sky_reach_sharing_t *reach_sharing;
     sky_metrics_t *metrics;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -113,6 +113,11 @@
                                           request->target,
                                           SkyProxyRequest_AdapterKey(request));
         }
+        else {
+            SkyServiceTurns_RecordEnd(
+                proxy->options.service_turns, request->target, result,
+                (uint32_t)(SkyClock_NowMs() - request->sent_ms));
+        }
         SkyReachability_RecordEnd(proxy->options.directory->reachability,
                                   request->service->name, SkyClock_NowMs());
         SkyFleet_EndRequest(proxy->options.directory->fleet, request->target,
@@ -151,6 +156,10 @@
         SkyRatePermits_Cancel(request->permit_request);
         request->permit_request = NULL;
     }
+    if (request->service_turn != NULL) {
+        SkyServiceTurns_Cancel(request->service_turn);
+        request->service_turn = NULL;
+    }
     if (request->stream_ask != NULL) {
         SkyStreamSharing_CancelAsk(request->stream_ask);
         request->stream_ask = NULL;
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -76,6 +76,10 @@
                                0: it has none */
     uint64_t turn_ms;     /**< when the prompt may be sent there */
     bool waits_for_turn;
+    sky_service_turn_request_t *service_turn; /**< pending, or NULL */
+    uint64_t service_turn_target; /**< hash of the target at which the request
+                                       has a turn; 0: it has none */
+    uint32_t service_turn_count;  /**< turns asked for */
     /** The records are too old to route the request, or to choose a target. */
     bool waits_for_records;
     sky_client_request_t *target_request; /**< in progress, or NULL */
@@ -306,6 +310,10 @@
  *  report or capacity; ends and frees it if no target can serve it. */
 void SkyProxyRequest_Dispatch(sky_proxy_request_t *request);
 
+/** @return whether requests to the service take turns now: it has no engine
+ *          and is short of capacity. */
+bool SkyProxyRequest_TakesTurns(const sky_proxy_request_t *request);
+
 /** @return time until a target takes requests again, if all that could serve
  *          this one wait for a limit or a pause; else 0. */
 uint32_t SkyProxyRequest_GetTargetWaitMs(const sky_proxy_request_t *request);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -219,15 +219,17 @@
         SkyFleet_RecordResidency(proxy->options.directory->fleet,
                                  request->target, &absent, SkyClock_NowMs());
     }
-    if (!lacks_adapter || request->placement_count > 0 ||
-        request->facts.adapter[0] == '\0') {
-        /* The target is full, or its owner is mistaken: the target lacks an
-         * adapter that was placed there. */
-        SkyAttempts_RecordFailed(&request->attempts, target_hash);
-    }
     SkyProxyRequest_EndExchange(request, is_wrong_target
                                              ? SKY_EXCHANGE_INCONCLUSIVE
                                              : SKY_EXCHANGE_TARGET_FULL);
+    if ((!lacks_adapter || request->placement_count > 0 ||
+         request->facts.adapter[0] == '\0') &&
+        (is_wrong_target || !SkyProxyRequest_TakesTurns(request))) {
+        /* The target is full, or its owner is mistaken: the target lacks an
+         * adapter that was placed there. A target that gives turns may have a
+         * free slot by the next turn. */
+        SkyAttempts_RecordFailed(&request->attempts, target_hash);
+    }
     uint32_t wait_ms = SkyProxyRequest_GetTargetWaitMs(request);
     SkyProxyRequest_RetryOrFail(
         request, wait_ms > RETRY_AFTER_FULL_MS ? wait_ms : RETRY_AFTER_FULL_MS,
