--- a/lib/decide/turn_schedule.c
+++ b/lib/decide/turn_schedule.c
@@ -6,11 +6,16 @@
 #define RUN_MS_UNKNOWN 30.0 /**< of a target without reports */
 #define RUN_MS_MIN 1.0
 #define RUN_MS_MAX 10000.0
-#define RESPONSES_AVERAGED 16.0
+#define FIRST_AVERAGED 16.0
+#define RESPONSES_AVERAGED 300.0 /**< fewer at first */
 /** Responses that take longer, in run times, say that requests wait at the
  *  target for longer than they are meant to. */
-#define SLOW_RESPONSE 2.5
-#define SLOW_GAIN 1.05
+#define SLOW_RESPONSE 3.0
+/** Longest deviation, in run times, that one report corrects. */
+#define EXCESS_MAX 4.0
+/** Part of the deviation that all responses of a ms correct: reports are about
+ *  200 ms old. */
+#define BACKLOG_GAIN 0.004
 #define REJECTION_GAIN 1.02
 /** Increases by one report: a full target rejects many requests at once. */
 #define REJECTIONS_COUNTED_MAX 4
@@ -18,13 +23,16 @@
 #define REJECTED_BACKLOG 2.0
 /** Run times that a request may wait at the target, so that no slot stays
  *  empty while the next request is on its way. */
-#define TARGET_WAIT 0.5
+#define TARGET_WAIT 1.25
 /** Mean response time, in run times, of a target that always has a request
  *  waiting. Without it the estimate would grow with the waits. */
-#define BUSY_RESPONSE 1.25
+#define BUSY_RESPONSE 2.3
 /** Turns are given only to requests that end by their objective also if they
  *  run for somewhat longer than usual. */
-#define RUN_MARGIN 1.5
+#define RUN_MARGIN 2.0
+/** Part of the time left that turns are given ahead. A longer backlog serves
+ * no more requests, and the errors of its estimate make more of them late. */
+#define USED_LIMIT 0.4
 #define SHORT_MS 1000 /**< since a request had to wait or was rejected */
 
 #define CLASSES_MAX 16
@@ -50,6 +58,7 @@
 typedef struct {
     sky_turn_target_t target;
     double run_ms; /**< 0: unknown */
+    double response_count;
     double end_ms; /**< when all turns given are done, in virtual time */
 } target_t;
 
@@ -149,24 +158,43 @@
     return target->end_ms > (double)now_ms + run_ms;
 }
 
+/* Two corrections: the estimate of the run time follows the measured times
+ * slowly, and the backlog by the deviation from what was expected. Without the
+ * second one, the rate would be corrected only once the wait at the target has
+ * built up, and would overshoot each time. */
 static void
 apply_responses(target_t *target, const sky_turn_report_t *report,
-                uint64_t now_ms)
+                bool was_short, uint64_t now_ms)
 {
     if (target->run_ms == 0.0) {
         target->run_ms = report->mean_ms;
         return;
     }
-    if (report->mean_ms > SLOW_RESPONSE * target->run_ms) {
-        target->run_ms *= SLOW_GAIN;
-        return;
+    bool is_saturated = is_busy(target, target->run_ms, now_ms) ||
+                        report->mean_ms > SLOW_RESPONSE * target->run_ms;
+    /* Responses of a moment ago may have waited at the target, or not. */
+    double expected_ms = target->run_ms;
+    if (is_saturated) {
+        expected_ms *= BUSY_RESPONSE;
+    }
+    else if (was_short) {
+        expected_ms = fmin(fmax(report->mean_ms, target->run_ms),
+                           BUSY_RESPONSE * target->run_ms);
     }
-    double measured_ms = report->mean_ms;
-    if (is_busy(target, target->run_ms, now_ms)) {
-        measured_ms /= BUSY_RESPONSE;
+    double excess_ms =
+        fmin(report->mean_ms - expected_ms, EXCESS_MAX * target->run_ms);
+    if (is_saturated) {
+        target->end_ms =
+            fmax(target->end_ms, (double)now_ms) +
+            excess_ms * fmin(1.0, BACKLOG_GAIN * report->count *
+                                      target->run_ms / target->target.slots);
     }
-    double gain = 1.0 - pow(1.0 - 1.0 / RESPONSES_AVERAGED, report->count);
-    target->run_ms += gain * (measured_ms - target->run_ms);
+    /* The first reports come from targets that are full. */
+    double averaged =
+        fmin(RESPONSES_AVERAGED, FIRST_AVERAGED + target->response_count);
+    double gain = 1.0 - pow(1.0 - 1.0 / averaged, report->count);
+    target->response_count += report->count;
+    target->run_ms += gain * excess_ms / (is_saturated ? BUSY_RESPONSE : 1.0);
 }
 
 void
@@ -178,7 +206,8 @@
         return;
     }
     if (report->count > 0) {
-        apply_responses(target, report, now_ms);
+        apply_responses(target, report,
+                        SkyTurnSchedule_IsShort(schedule, now_ms), now_ms);
     }
     if (report->rejected > 0) {
         uint32_t counted = report->rejected < REJECTIONS_COUNTED_MAX
@@ -216,35 +245,6 @@
     return false;
 }
 
-/* Returns the target that is free first; of several that are free now, the one
- * that is the least used. */
-static target_t *
-find_first_free(sky_turn_schedule_t *schedule,
-                const sky_turn_request_t *request, uint64_t now_ms)
-{
-    target_t *best = NULL;
-    double best_ms = 0.0;
-    double best_end_ms = 0.0;
-    for (uint32_t i = 0; i < schedule->target_count; i++) {
-        target_t *target = &schedule->targets[i];
-        if (target->target.slots == 0 ||
-            is_excluded(request, target->target.hash)) {
-            continue;
-        }
-        double run_ms = get_run_ms(schedule, target);
-        double ahead_ms = get_ahead_ms(target, run_ms, now_ms);
-        double end_ms = fmax(target->end_ms, (double)now_ms) +
-                        run_ms / target->target.slots;
-        if (best == NULL || ahead_ms < best_ms ||
-            (ahead_ms == best_ms && end_ms < best_end_ms)) {
-            best = target;
-            best_ms = ahead_ms;
-            best_end_ms = end_ms;
-        }
-    }
-    return best;
-}
-
 /* Returns the number of more urgent classes that are waiting. */
 static uint32_t
 record_class(sky_turn_schedule_t *schedule, uint32_t urgency, uint64_t now_ms)
@@ -343,7 +343,7 @@
 get_limit_part(const sky_turn_schedule_t *schedule, uint32_t more_urgent_count,
                bool is_above, uint64_t now_ms)
 {
-    double part = is_above ? ABOVE_SHARE_LIMIT : 1.0;
+    double part = is_above ? ABOVE_SHARE_LIMIT * USED_LIMIT : USED_LIMIT;
     bool is_owed = schedule->owed_turns >= 1.0;
     if (more_urgent_count > 0) {
         return is_owed ? part
@@ -363,17 +363,70 @@
     schedule->objective_ms += gain * (objective_ms - schedule->objective_ms);
 }
 
+/* Returns how far ahead the request may be given a turn at the target. */
+static double
+get_limit_ms(const sky_turn_schedule_t *schedule,
+             const sky_turn_request_t *request, double part, double run_ms)
+{
+    double usual_ms =
+        fmax(schedule->objective_ms - RUN_MARGIN * run_ms, run_ms);
+    return fmax(part * (request->objective_ms - RUN_MARGIN * run_ms),
+                LATE_LIMIT * part * usual_ms);
+}
+
+/* What is known of the targets for one request. */
+typedef struct {
+    target_t *target;   /**< to give a turn at; NULL: none is free in time */
+    double ahead_ms;    /**< time until it can begin there */
+    bool is_any_known;  /**< some target is not excluded */
+    double drained_ms;  /**< until the first target has no backlog left */
+    bool is_backlogged; /**< the request has to wait at all targets */
+} choice_t;
+
+/* Chooses the target that is free first, of those where the request would
+ * begin in time; of several that are free now, the one that is least used. */
+static choice_t
+choose_target(sky_turn_schedule_t *schedule, const sky_turn_request_t *request,
+              double part, uint64_t now_ms)
+{
+    choice_t choice = {.is_backlogged = true};
+    double best_end_ms = 0.0;
+    for (uint32_t i = 0; i < schedule->target_count; i++) {
+        target_t *target = &schedule->targets[i];
+        if (target->target.slots == 0 ||
+            is_excluded(request, target->target.hash)) {
+            continue;
+        }
+        double run_ms = get_run_ms(schedule, target);
+        double ahead_ms = get_ahead_ms(target, run_ms, now_ms);
+        double drained_ms = ahead_ms + run_ms;
+        double end_ms = fmax(target->end_ms, (double)now_ms) +
+                        run_ms / target->target.slots;
+        choice.drained_ms = choice.is_any_known
+                                ? fmin(choice.drained_ms, drained_ms)
+                                : drained_ms;
+        choice.is_any_known = true;
+        choice.is_backlogged =
+            choice.is_backlogged && ahead_ms > TARGET_WAIT * run_ms;
+        if (ahead_ms > get_limit_ms(schedule, request, part, run_ms) ||
+            drained_ms > request->deadline_ms) {
+            continue;
+        }
+        if (choice.target == NULL || ahead_ms < choice.ahead_ms ||
+            (ahead_ms == choice.ahead_ms && end_ms < best_end_ms)) {
+            choice.target = target;
+            choice.ahead_ms = ahead_ms;
+            best_end_ms = end_ms;
+        }
+    }
+    return choice;
+}
+
 sky_turn_t
 SkyTurnSchedule_Take(sky_turn_schedule_t *schedule,
                      const sky_turn_request_t *request, uint64_t now_ms)
 {
     sky_turn_t turn = {.kind = SKY_TURN_NO_TARGET};
-    target_t *target = find_first_free(schedule, request, now_ms);
-    if (target == NULL) {
-        return turn;
-    }
-    double run_ms = get_run_ms(schedule, target);
-    double ahead_ms = get_ahead_ms(target, run_ms, now_ms);
     uint32_t more_urgent_count =
         record_class(schedule, request->urgency, now_ms);
     group_t *group = find_or_add_group(schedule, request->group, now_ms);
@@ -382,22 +435,23 @@
     double part =
         get_limit_part(schedule, more_urgent_count,
                        is_above_share(schedule, group, now_ms), now_ms);
-    double usual_ms =
-        fmax(schedule->objective_ms - RUN_MARGIN * run_ms, run_ms);
-    double limit_ms =
-        fmax(part * (request->objective_ms - RUN_MARGIN * run_ms),
-             LATE_LIMIT * part * usual_ms);
-    if (ahead_ms > TARGET_WAIT * run_ms) {
+    choice_t choice = choose_target(schedule, request, part, now_ms);
+    if (!choice.is_any_known) {
+        return turn;
+    }
+    if (choice.is_backlogged) {
         schedule->short_until_ms = now_ms + SHORT_MS;
     }
-    if (ahead_ms > limit_ms || ahead_ms + run_ms > request->deadline_ms) {
+    target_t *target = choice.target;
+    if (target == NULL) {
         turn.kind = SKY_TURN_REFUSED;
-        turn.retry_after_ms = (uint32_t)ceil(ahead_ms + run_ms);
+        turn.retry_after_ms = (uint32_t)ceil(choice.drained_ms);
         if (more_urgent_count > 0) {
             schedule->less_urgent_refused_ms = now_ms;
         }
         return turn;
     }
+    double run_ms = get_run_ms(schedule, target);
     if (more_urgent_count > 0) {
         schedule->owed_turns = fmax(0.0, schedule->owed_turns - 1.0);
     }
@@ -407,7 +461,7 @@
         fmax(target->end_ms, (double)now_ms) + run_ms / target->target.slots;
     turn.kind = SKY_TURN_GIVEN;
     turn.target = target->target.hash;
-    turn.wait_ms = (uint32_t)fmax(0.0, ahead_ms - TARGET_WAIT * run_ms);
+    turn.wait_ms = (uint32_t)fmax(0.0, choice.ahead_ms - TARGET_WAIT * run_ms);
     return turn;
 }
 
--- a/lib/edge/service_turns.c
+++ b/lib/edge/service_turns.c
@@ -26,9 +26,12 @@
          */
 #define REPORTED_TARGETS_MAX 64
 /** Older responses say little: a host that makes no calls forgets them. */
-#define REPORT_TTL_MS 1000
+#define REPORT_TTL_MS 300
 #define EXCLUDED_MAX 16
 #define REFUSAL_LOG_INTERVAL_MS 1000
+#define NOTICE_PATH "/turn-short"
+/** Between two notices of one service to all hosts. */
+#define NOTICE_INTERVAL_MS 1000
 
 typedef struct {
     char address[SKY_HOST_ADDRESS_BYTES];
@@ -52,6 +55,8 @@
     seen_target_t seen[REPORTED_TARGETS_MAX];
     uint32_t seen_count;
     sky_turn_schedule_t *schedule; /**< NULL: never asked as its owner */
+    bool was_short_as_owner;
+    uint64_t noticed_ms; /**< last notice to all hosts; 0: none */
     uint64_t refusal_logged_ms;
     uint32_t refusals_unlogged;
     UT_hash_handle hh;
@@ -78,6 +83,7 @@
     uint64_t given_count;   /**< as an owner */
     uint64_t refused_count; /**< as an owner */
     uint64_t failed_call_count;
+    uint64_t failed_notice_count;
 };
 
 static service_t *
@@ -170,6 +176,43 @@
     service->refusals_unlogged = 0;
 }
 
+static void
+on_notice_end(void *context, const json_t *body)
+{
+    sky_service_turns_t *turns = context;
+    turns->failed_notice_count += body == NULL;
+}
+
+/* Tells all hosts when a shortage begins. Each of many hosts would otherwise
+ * have to be rejected once to learn of it: in the replay with 330 hosts, in
+ * 30 of 100 arrivals of the first second. */
+static void
+notify_hosts(sky_service_turns_t *turns, service_t *service, uint64_t now_ms)
+{
+    sky_fanout_host_t members[SKY_GROUP_MEMBERS_MAX];
+    bool was_short = service->was_short_as_owner;
+    service->was_short_as_owner =
+        SkyTurnSchedule_IsShort(service->schedule, now_ms);
+    if (!service->was_short_as_owner || was_short ||
+        (service->noticed_ms > 0 &&
+         now_ms < service->noticed_ms + NOTICE_INTERVAL_MS)) {
+        return;
+    }
+    service->noticed_ms = now_ms;
+    uint32_t count = SkyOwnership_ListMembers(turns->options.ownership,
+                                              members, SKY_GROUP_MEMBERS_MAX);
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(members[i].address, turns->options.settings->control) !=
+                0 &&
+            SkyHostCalls_SendCall(
+                turns->options.host_calls, members[i].address, NOTICE_PATH,
+                json_pack("{s:s}", "service", service->name), OWNER_TIMEOUT_MS,
+                on_notice_end, turns) == NULL) {
+            turns->failed_notice_count++;
+        }
+    }
+}
+
 /* Decides as the service's owner. */
 static sky_turn_t
 decide(sky_service_turns_t *turns, service_t *service,
@@ -190,6 +233,7 @@
         SkyTurnSchedule_ApplyReport(service->schedule, &reports[i], now_ms);
     }
     turn = SkyTurnSchedule_Take(service->schedule, request, now_ms);
+    notify_hosts(turns, service, now_ms);
     turns->given_count += turn.kind == SKY_TURN_GIVEN;
     if (turn.kind == SKY_TURN_REFUSED) {
         turns->refused_count++;
@@ -325,6 +369,30 @@
     }
 }
 
+/* The owner of the service reports the begin of a shortage. */
+static void
+on_notice(void *context, sky_server_request_t *server_request,
+          const json_t *body)
+{
+    sky_service_turns_t *turns = context;
+    const char *name = json_string_value(json_object_get(body, "service"));
+    if (name == NULL || strlen(name) >= SKY_SERVICE_NAME_BYTES) {
+        SkyLog_Write(LOG_WARNING, "peer_call_refused", "path=" NOTICE_PATH);
+        SkyServerRequest_Respond(server_request, 400, "", "", 0);
+        return;
+    }
+    service_t *service =
+        SkyFleet_CountUsable(turns->options.directory->fleet, name) > 0
+            ? find_or_add_service(turns, name)
+            : NULL;
+    if (service != NULL) {
+        uint64_t now_ms = SkyClock_NowMs();
+        SkyShortage_RecordOwnerReport(&service->shortage, now_ms);
+        update_shortage(service, "owner", now_ms);
+    }
+    SkyHostCalls_Respond(server_request, json_object());
+}
+
 bool
 SkyServiceTurns_AreNeeded(const sky_service_turns_t *turns,
                           const char *service_name)
@@ -741,12 +809,15 @@
                            "sky_turns_refused_total %llu\n"
                            "# TYPE sky_turn_calls_failed_total counter\n"
                            "sky_turn_calls_failed_total %llu\n"
+                           "# TYPE sky_turn_notices_failed_total counter\n"
+                           "sky_turn_notices_failed_total %llu\n"
                            "# TYPE sky_turns_awaited gauge\n"
                            "sky_turns_awaited %u\n"
                            "# TYPE sky_turn_backlog_ms gauge\n",
                            (unsigned long long)turns->given_count,
                            (unsigned long long)turns->refused_count,
                            (unsigned long long)turns->failed_call_count,
+                           (unsigned long long)turns->failed_notice_count,
                            waiting_count);
     const service_t *service;
     for (service = turns->services; service != NULL;
@@ -770,6 +841,8 @@
     self->options = *options;
     SkyHostCalls_RegisterHandler(options->host_calls, CALL_PATH, on_call, NULL,
                                  self);
+    SkyHostCalls_RegisterHandler(options->host_calls, NOTICE_PATH, on_notice,
+                                 NULL, self);
     *turns = self;
     return SKY_OK;
 }
--- a/tests/turn_replay.h
+++ b/tests/turn_replay.h
@@ -24,6 +24,10 @@
 constexpr double OBJECTIVE_MS = 150.0;
 constexpr double DEADLINE_MS = 1500.0;
 constexpr uint32_t SENDS_MAX = 4;
+#ifndef TTL
+#define TTL 300
+#endif
+constexpr double REPORT_TTL_MS = TTL;
 
 struct ReplayOptions {
     bool with_turns = true;
@@ -71,6 +75,7 @@
             host.full_until.resize(targets_.size());
             host.lost_until.resize(targets_.size());
             host.reports.resize(targets_.size());
+            host.seen_ms.resize(targets_.size());
         }
         SkyTurnSchedule_Create(&schedule_);
         SetTargets();
@@ -136,6 +141,7 @@
         std::vector<double> full_until;
         std::vector<double> lost_until;
         std::vector<sky_turn_report_t> reports;
+        std::vector<double> seen_ms;
         sky_shortage_t shortage = {};
         double fallback_until = 0;
     };
@@ -231,7 +237,8 @@
         std::vector<sky_turn_report_t> reports;
         for (uint32_t i = 0; i < targets_.size(); i++) {
             host.reports[i].target = i + 1;
-            if (host.reports[i].count + host.reports[i].rejected > 0) {
+            if (host.reports[i].count + host.reports[i].rejected > 0 &&
+                now_ <= host.seen_ms[i] + REPORT_TTL_MS) {
                 reports.push_back(host.reports[i]);
             }
             host.reports[i] = {};
@@ -260,6 +267,10 @@
             spec.excluded_count = static_cast<uint32_t>(request.failed.size());
             sky_turn_t turn = SkyTurnSchedule_Take(schedule_, &spec, Now());
             bool is_short = SkyTurnSchedule_IsShort(schedule_, Now());
+            if (is_short && !was_short_) {
+                TellAll();
+            }
+            was_short_ = is_short;
             At(now_ + DELAY_MS, [this, request, turn, is_short] {
                 Host &asker = hosts_[request.host];
                 if (is_short) {
@@ -282,6 +293,16 @@
             });
         });
     }
+    // The owner tells all hosts of the begin of a shortage.
+    void TellAll()
+    {
+        result_.calls += options_.hosts;
+        At(now_ + DELAY_MS, [this] {
+            for (auto &host : hosts_) {
+                SkyShortage_RecordOwnerReport(&host.shortage, Now());
+            }
+        });
+    }
     // Before this work: the target with the fewest requests of this host; one
     // that refused ranks last for a while.
     void SendByOwnCounts(const Request &request)
@@ -351,11 +372,19 @@
             }
         });
     }
+    void ForgetOld(Host &host, uint32_t at)
+    {
+        if (now_ > host.seen_ms[at] + REPORT_TTL_MS) {
+            host.reports[at] = {};
+        }
+        host.seen_ms[at] = now_;
+    }
     void Reject(Request request, uint32_t at)
     {
         Host &host = hosts_[request.host];
         host.in_flight[at]--;
         host.full_until[at] = now_ + 100;
+        ForgetOld(host, at);
         host.reports[at].rejected++;
         request.rejections++;
         SkyShortage_RecordRejection(&host.shortage, Now());
@@ -393,6 +422,7 @@
                 double duration = now_ - sent;
                 host.in_flight[at]--;
                 sky_turn_report_t &report = host.reports[at];
+                ForgetOld(host, at);
                 report.count++;
                 report.mean_ms += (duration - report.mean_ms) / report.count;
                 SkyShortage_RecordResponse(
@@ -457,6 +487,7 @@
     sky_turn_schedule_t *schedule_ = nullptr;
     std::map<int, std::pair<uint32_t, uint32_t>> seconds_;
     uint32_t waiting_for_turn_ = 0;
+    bool was_short_ = false;
     uint64_t sampled_ = 0;
     uint64_t full_ = 0;
     ReplayResult result_;
