--- a/lib/decide/turn_schedule.c
+++ b/lib/decide/turn_schedule.c
@@ -20,7 +20,7 @@
 /** Increases by one report: a full target rejects many requests at once. */
 #define REJECTIONS_COUNTED_MAX 4
 /** A target rejects requests when several run times of work wait there. */
-#define REJECTED_BACKLOG 2.0
+#define REJECTED_BACKLOG 3.0
 /** Run times that a request may wait at the target, so that no slot stays
  *  empty while the next request is on its way. */
 #define TARGET_WAIT 1.25
--- a/lib/edge/service_turns.c
+++ b/lib/edge/service_turns.c
@@ -49,6 +49,10 @@
     sky_shortage_t shortage;
     bool was_short; /**< logged */
     uint64_t fallback_until_ms;
+    /** No owner has responded since the last call that failed: one request at
+     *  a time finds out whether one does. */
+    bool awaits_response;
+    uint32_t call_count;        /**< pending calls */
     owner_t owners[OWNERS_MAX]; /**< by preference */
     uint32_t owner_count;
     uint64_t owners_listed_ms;
@@ -401,7 +405,8 @@
     uint64_t now_ms = SkyClock_NowMs();
     return service != NULL &&
            SkyShortage_IsShort(&service->shortage, now_ms) &&
-           now_ms >= service->fallback_until_ms;
+           now_ms >= service->fallback_until_ms &&
+           !(service->awaits_response && service->call_count > 0);
 }
 
 static seen_target_t *
@@ -651,11 +656,14 @@
     int is_short = 0;
     sky_turn_t turn;
     request->call = NULL;
+    service->call_count--;
     if (!parse_turn(turns, body, &turn, &is_short)) {
+        service->awaits_response = true;
         begin_fallback(turns, service, request->owner, "no_response");
         finish_request(request);
         return;
     }
+    service->awaits_response = false;
     if (turn.kind == SKY_TURN_NO_TARGET) {
         handle_no_target(turns, service, request->excludes_targets);
         finish_request(request);
@@ -782,6 +790,7 @@
         free_request(request);
         return NULL;
     }
+    service->call_count++;
     return request;
 }
 
@@ -789,6 +798,7 @@
 SkyServiceTurns_Cancel(sky_service_turn_request_t *request)
 {
     if (request->call != NULL) {
+        request->service->call_count--;
         SkyHostCalls_CancelCall(request->call);
     }
     free_request(request);
