Rule out a target that rejects a request sent without a turn

proc_edge failed: a request that its only target refused while the service was not short was sent there again instead of being refused.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -108,6 +108,8 @@
     request->sent_ms = request->last_activity_ms;
     request->prompt_time_recorded = false;
     request->turn_target = 0;
+    request->is_sent_by_turn =
+        request->service_turn_target == choice->target->hash;
     request->service_turn_target = 0;
     request->first_sent_ms = request->first_sent_ms
                                  ? request->first_sent_ms
@@ -751,8 +753,8 @@
         return;
     }
     sky_prompt_turn_t turn;
-    bool needs_turn =
-        !has_no_room && needs_prompt_turn(request, choice.target, &turn);
+    bool needs_turn = !has_no_room && choice.target != NULL &&
+                      needs_prompt_turn(request, choice.target, &turn);
     if ((needs_turn || needs_owner_report(request, &choice)) &&
         request_owner_report(request, choice.target,
                              needs_turn ? &turn : NULL)) {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -80,6 +80,7 @@
     uint64_t service_turn_target; /**< hash of the target at which the request
                                        has a turn; 0: it has none */
     uint32_t service_turn_count;  /**< turns asked for */
+    bool is_sent_by_turn;         /**< the current exchange */
     /** The records are too old to route the request, or to choose a target. */
     bool waits_for_records;
     sky_client_request_t *target_request; /**< in progress, or NULL */
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -224,10 +224,11 @@
                                              : SKY_EXCHANGE_TARGET_FULL);
     if ((!lacks_adapter || request->placement_count > 0 ||
          request->facts.adapter[0] == '\0') &&
-        (is_wrong_target || !SkyProxyRequest_TakesTurns(request))) {
+        (is_wrong_target || !request->is_sent_by_turn ||
+         !SkyProxyRequest_TakesTurns(request))) {
         /* The target is full, or its owner is mistaken: the target lacks an
-         * adapter that was placed there. A target that gives turns may have a
-         * free slot by the next turn. */
+         * adapter that was placed there. A target that refused a request with
+         * a turn may have a free slot by the next turn. */
         SkyAttempts_RecordFailed(&request->attempts, target_hash);
     }
     uint32_t wait_ms = SkyProxyRequest_GetTargetWaitMs(request);
--- a/tests/proc_turns.sh
+++ b/tests/proc_turns.sh
@@ -71,7 +71,7 @@
 for n in 0 1 2; do
     check "host $n becomes ready" "$(until_status 200 50 readyz_status $n)" 200
 done
-set_fault '{"app_run_ms": 60, "app_room": 16}'
+set_fault '{"app_run_ms": 60, "app_room": 9}'
 
 crowd calm 2 0 1 2
 check "without a shortage all are served" "$(count_status calm 200)" 6
--- a/tests/turn_replay.h
+++ b/tests/turn_replay.h
@@ -137,6 +137,7 @@
         uint32_t sends = 0, rejections = 0;
         std::vector<uint64_t> failed;
         bool is_repeat = false;
+        bool by_turn = false;
     };
     struct Target {
         double speed = 1;
@@ -329,7 +330,8 @@
                     waiting_for_turn_++;
                     At(now_ + turn.wait_ms, [this, request, turn] {
                         waiting_for_turn_--;
-                        Send(request, static_cast<uint32_t>(turn.target - 1));
+                        Send(request, static_cast<uint32_t>(turn.target - 1),
+                             true);
                     });
                 }
             });
@@ -373,12 +375,13 @@
             Refuse(request, 200);
         }
         else {
-            Send(request, static_cast<uint32_t>(chosen));
+            Send(request, static_cast<uint32_t>(chosen), false);
         }
     }
     void
-    Send(Request request, uint32_t at)
+    Send(Request request, uint32_t at, bool by_turn)
     {
+        request.by_turn = by_turn;
         request.sends++;
         hosts_[request.host].in_flight[at]++;
         double sent = now_;
@@ -435,7 +438,7 @@
         request.rejections++;
         SkyShortage_RecordRejection(&host.shortage, Now());
         bool takes_turns = TakesTurns(host);
-        if (!takes_turns) {
+        if (!takes_turns || !request.by_turn) {
             request.failed.push_back(at + 1);
         }
         if (request.sends >= SENDS_MAX ||
