Let few hosts read the store when many start at once

At 300 hosts that started at once none served within 30 s: each host read all pages of three topics, and the owners again for each host that joined, and each join made all others join again after 30 ms.

The response to a join now elects the readers: the owners of three shards, and of three more every 400 ms. They tell the other members whom to poll, in a tree. Small groups, hosts that start alone and seeds read the store themselves. Joins are further apart while many hosts come.

The 30 s were not reproduced.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -64,6 +65,7 @@
     struct ev_loop *loop;
     sky_memory_share_t memory_share; /**< of callers and their requests */
     sky_directory_t directory;
+    sky_start_reads_t start;
     sky_metrics_t *metrics;
     sky_client_t *client;
     sky_store_t *store;
@@ -361,10 +363,25 @@
     edge->suspended_total_ms = suspended_ms;
 }
 
+static void
+init_start(edge_t *edge)
+{
+    const sky_host_settings_t *settings = &edge->settings;
+    sky_start_options_t options = {
+        .now_ms = SkyClock_NowMs(),
+        .host_hash = XXH3_64bits(settings->name, strlen(settings->name))};
+    for (uint32_t i = 0; i < settings->seed_count; i++) {
+        options.is_seed = options.is_seed ||
+                          strcmp(settings->seeds[i], settings->control) == 0;
+    }
+    edge->start = SkyStartReads_Make(&options);
+}
+
 static sky_result_t
 create_core_modules(edge_t *edge)
 {
     sky_host_settings_t *settings = &edge->settings;
+    init_start(edge);
     sky_client_options_t client_options = {
         .loop = edge->loop,
         .default_keep_alive_ms = TARGET_IDLE_TIMEOUT_MS,
@@ -395,6 +412,7 @@
     sky_ownership_options_t ownership_options = {.loop = edge->loop,
                                                  .settings = settings,
                                                  .store = edge->store,
+                                                 .start = &edge->start,
                                                  .on_change = on_owners_change,
                                                  .context = edge};
     if (!SkyResult_IsError(result)) {
@@ -450,6 +468,7 @@
                                        .settings = settings,
                                        .directory = &edge->directory,
                                        .store = edge->store,
+                                       .start = &edge->start,
                                        .on_change = on_feed_change,
                                        .context = edge};
     if (!SkyResult_IsError(result)) {
@@ -523,6 +542,7 @@
     sky_feed_relay_options_t relay_options = {.loop = edge->loop,
                                               .settings = settings,
                                               .feed = edge->feed,
+                                              .start = &edge->start,
                                               .ownership = edge->ownership,
                                               .host_calls = edge->host_calls};
     if (!SkyResult_IsError(result)) {
--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -20,6 +20,8 @@
 /** Interval at which a host that does not read the store checks whether the
  *  records from its peers are still fresh. */
 #define FOLLOWER_CHECK_INTERVAL_MS 100
+/** Interval at which a host that is not to read yet checks whether it may. */
+#define START_CHECK_INTERVAL_MS 20
 #define CHECK_INTERVAL_S 0.05 /**< of SkyFreshness_CheckStore() */
 
 /** Time from a decision by the records until a target gets the request:
@@ -354,6 +356,10 @@
     (void)loop;
     (void)events;
     sky_feed_state_t *topic = watcher->data;
+    if (SkyFeed_WaitsForPeers(topic->feed) && !topic->is_read_wanted) {
+        schedule_read(topic, START_CHECK_INTERVAL_MS);
+        return;
+    }
     if (topic->synced && !topic->feed->is_store_reader &&
         !topic->is_read_wanted && is_relayed(topic)) {
         schedule_read(topic, FOLLOWER_CHECK_INTERVAL_MS);
@@ -374,6 +380,27 @@
     }
 }
 
+bool
+SkyFeed_WaitsForPeers(const sky_feed_t *feed)
+{
+    return !SkyStartReads_MayRead(feed->options.start, SkyClock_NowMs());
+}
+
+void
+SkyFeed_HandleStart(sky_feed_t *feed)
+{
+    if (SkyFeed_WaitsForPeers(feed)) {
+        return;
+    }
+    for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
+        sky_feed_state_t *topic = &feed->topics[i];
+        if (!topic->synced && !topic->is_call_open &&
+            topic->failed_reads == 0) {
+            schedule_read(topic, 0);
+        }
+    }
+}
+
 bool
 SkyFeed_IsSynced(const sky_feed_t *feed, sky_feed_topic_t topic)
 {
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "core/result.h"
+#include "decide/start_reads.h"
 #include "edge/directory.h"
 #include "edge/host_settings.h"
 #include "platform/store.h"
@@ -40,6 +41,7 @@
     const sky_host_settings_t *settings;
     sky_directory_t *directory;
     sky_store_t *store;
+    const sky_start_reads_t *start;
     /** New records of a topic, or a new deployment, were applied. */
     void (*on_change)(void *context, sky_feed_topic_t topic);
     void *context;
@@ -49,6 +51,13 @@
                             sky_feed_t **feed);
 void SkyFeed_Free(sky_feed_t *feed);
 
+/** Reads the store at once if this host has come to be one that does so at
+ *  its start. */
+void SkyFeed_HandleStart(sky_feed_t *feed);
+/** @return whether this host is to get its records from others, as many hosts
+ *  start at once. */
+bool SkyFeed_WaitsForPeers(const sky_feed_t *feed);
+
 /** @return whether all records of a topic are known, up to the last read. */
 bool SkyFeed_IsSynced(const sky_feed_t *feed, sky_feed_topic_t topic);
 /** @return value of a key, NULL if there is none. */
--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -16,6 +17,13 @@
 #define POLL_TRANSIT_MARGIN_MS 250 /**< to send a poll and its response */
 #define POLL_TIMEOUT_MS (POLL_HOLD_MS + POLL_TRANSIT_MARGIN_MS)
 #define TICK_INTERVAL_S 0.05
+/** Time for which a host holds the poll of one that has no records yet. */
+#define START_HOLD_MS 200
+/** Until the next poll of a host that was named: it holds polls itself. */
+#define START_RETRY_MS 50
+#define SOURCES_TIMEOUT_MS 1000 /**< of a call that names sources */
+/** Smaller groups read the store themselves. */
+#define TOLD_GROUP_MIN 17
 /** A poll that ends later than this after its time limit says nothing of the
  *  source: this host did not run meanwhile. */
 #define POLL_LATE_MS 150
@@ -45,20 +53,48 @@
     /** Polls that failed or left this host with stale records. Selects the
      *  peer to poll while no source is known. */
     uint32_t unhelpful_polls;
+    /** Members that were told whom to poll for their first records. */
+    uint64_t told[SKY_GROUP_MEMBERS_MAX];
+    uint32_t told_count;
+    bool has_members_to_tell;
 };
 
 static const char *const TOPIC_KEYS[] = {"operator", "targets", "crashes"};
 static const char OWNERS_KEY[] = "owners";
+/** Names hosts to poll; those of an earlier build do not know the path. */
+static const char SOURCES_PATH[] = "/start-sources";
+static const char SOURCES_KEY[] = "sources";
 /** Whether the poller reads compressed values. */
 static const char DEFLATED_KEY[] = "deflated";
 /** Time for which the peer held the poll. */
 static const char HELD_KEY[] = "held_ms";
 
+static bool
+has_first_records(const sky_feed_t *feed)
+{
+    return SkyFeed_IsSynced(feed, SKY_FEED_OPERATOR) &&
+           SkyFeed_IsSynced(feed, SKY_FEED_TARGETS);
+}
+
+/* Whether this host can send the records now: many that start at once need all
+ * of them. */
+static bool
+can_send_records(sky_feed_relay_t *relay, const long_poll_t *poll)
+{
+    const sky_feed_position_t *position = &poll->positions[SKY_FEED_TARGETS];
+    return position->era > 0 || position->next_offset > 0 ||
+           !has_first_records(relay->options.feed) ||
+           SkyStartReads_TakeWholeResponse(relay->options.start,
+                                           relay->options.settings->link_mbps,
+                                           SkyClock_NowMs());
+}
+
 static void
 respond(sky_feed_relay_t *relay, long_poll_t *poll)
 {
     json_t *body = json_object();
-    for (int i = 0; i < SKY_FEED_TOPIC_COUNT; i++) {
+    bool can_send = can_send_records(relay, poll);
+    for (int i = 0; can_send && i < SKY_FEED_TOPIC_COUNT; i++) {
         json_t *records =
             SkyFeed_EncodeRecords(relay->options.feed, (sky_feed_topic_t)i,
                                   &poll->positions[i], poll->reads_deflated);
@@ -168,6 +204,11 @@
 choose_poll_address(sky_feed_relay_t *relay)
 {
     uint64_t now_ms = SkyClock_NowMs();
+    const char *source = SkyStartReads_ChooseSource(relay->options.start,
+                                                    relay->unhelpful_polls);
+    if (source != NULL && !has_first_records(relay->options.feed)) {
+        return source;
+    }
     const char *address = SkyPollSources_Choose(&relay->sources, now_ms);
     if (address == NULL) {
         address = SkyOwnership_ChoosePeerAddress(relay->options.ownership,
@@ -192,8 +233,14 @@
         return;
     }
     relay->unhelpful_polls++;
-    relay->next_poll_at_ms += SkyPollSources_RecordFailure(
-        &relay->sources, !SkyFeed_IsStoreFailing(relay->options.feed), now_ms);
+    uint32_t delay_ms = SkyPollSources_RecordFailure(
+        &relay->sources,
+        !SkyFeed_IsStoreFailing(relay->options.feed) &&
+            !SkyFeed_WaitsForPeers(relay->options.feed),
+        now_ms);
+    bool polls_named = relay->options.start->source_count > 0 &&
+                       !has_first_records(relay->options.feed);
+    relay->next_poll_at_ms += polls_named ? START_RETRY_MS : delay_ms;
 }
 
 /* Returns a time at which the peer had not made the response yet: what the
@@ -264,7 +311,9 @@
         return;
     }
     /* Peers are not to hold a poll for records that this host lacks. */
-    json_int_t hold_ms = SkyFeed_IsStale(feed) ? 0 : POLL_HOLD_MS;
+    json_int_t hold_ms = !SkyFeed_IsStale(feed)        ? POLL_HOLD_MS
+                         : SkyFeed_WaitsForPeers(feed) ? START_HOLD_MS
+                                                       : 0;
     json_t *body = json_pack(
         "{s:I, s:I, s:b}", OWNERS_KEY,
         (json_int_t)SkyOwnership_OwnersGeneration(relay->options.ownership),
@@ -292,18 +341,155 @@
     sky_feed_relay_t *relay = watcher->data;
     const sky_feed_t *feed = relay->options.feed;
     respond_to_due_polls(relay);
-    bool needs_peers =
-        !SkyFeed_IsStoreReader(feed) || SkyFeed_IsStoreFailing(feed);
+    bool needs_peers = !SkyFeed_IsStoreReader(feed) ||
+                       SkyFeed_IsStoreFailing(feed) ||
+                       SkyFeed_WaitsForPeers(feed);
     if (needs_peers && relay->call == NULL &&
         SkyClock_NowMs() >= relay->next_poll_at_ms) {
         send_poll(relay);
     }
 }
 
+static void
+on_sources_response(void *context, const json_t *response)
+{
+    (void)context; /* a host that was not reached reads the store itself */
+    (void)response;
+}
+
+/* Another host names those that this one polls for its first records. */
+static void
+on_sources(void *context, sky_server_request_t *server_request,
+           const json_t *body)
+{
+    sky_feed_relay_t *relay = context;
+    const json_t *list = json_object_get(body, SOURCES_KEY);
+    const char *sources[SKY_START_SOURCES_MAX];
+    uint32_t count = 0;
+    for (size_t i = 0;
+         i < json_array_size(list) && count < SKY_START_SOURCES_MAX; i++) {
+        const char *source = json_string_value(json_array_get(list, i));
+        if (source != NULL && !is_own_address(relay, source)) {
+            sources[count++] = source;
+        }
+    }
+    if (!has_first_records(relay->options.feed) &&
+        SkyStartReads_SetSources(relay->options.start, sources, count,
+                                 relay->unhelpful_polls)) {
+        SkyLog_Write(LOG_NOTICE, "start_sources", "first=%s count=%u",
+                     sources[0], count);
+        relay->unhelpful_polls = 0;
+        if (relay->call != NULL) {
+            SkyHostCalls_CancelCall(relay->call);
+            relay->call = NULL;
+        }
+        relay->next_poll_at_ms = SkyClock_NowMs();
+    }
+    SkyHostCalls_Respond(server_request, json_object());
+}
+
+static bool
+was_told(const sky_feed_relay_t *relay, uint64_t member)
+{
+    for (uint32_t i = 0; i < relay->told_count; i++) {
+        if (relay->told[i] == member) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Identifies a member. One that has started again is listed twice, until the
+ * time of the former is over. */
+static uint64_t
+hash_member(const sky_fanout_host_t *members, uint32_t index)
+{
+    const char *address = members[index].address;
+    uint64_t same = 0;
+    for (uint32_t i = 0; i < index; i++) {
+        same += strcmp(members[i].address, address) == 0;
+    }
+    return XXH3_64bits_withSeed(address, strlen(address), same);
+}
+
+static bool
+is_listed(const sky_fanout_host_t *members, uint32_t count,
+          const char *address)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(members[i].address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+send_sources(sky_feed_relay_t *relay, const sky_fanout_host_t *members,
+             uint32_t index)
+{
+    const char *sources[SKY_START_SOURCES_MAX];
+    uint32_t count = SkyStartReads_ListSources(members, index, sources);
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < count; i++) {
+        json_array_append_new(list, json_string(sources[i]));
+    }
+    SkyHostCalls_SendCall(relay->options.host_calls, members[index].address,
+                          SOURCES_PATH, json_pack("{s:o}", SOURCES_KEY, list),
+                          SOURCES_TIMEOUT_MS, on_sources_response, relay);
+}
+
+/* Tells members that were not told before whom to poll, if this host is one of
+ * those that read the store and has the records. */
+static void
+tell_members(sky_feed_relay_t *relay)
+{
+    uint64_t now_ms = SkyClock_NowMs();
+    if (!has_first_records(relay->options.feed)) {
+        return;
+    }
+    SkyStartReads_RecordServed(relay->options.start, now_ms);
+    if (!relay->has_members_to_tell ||
+        !SkyStartReads_TellsOthers(relay->options.start, now_ms)) {
+        return;
+    }
+    relay->has_members_to_tell = false;
+    sky_fanout_host_t members[SKY_GROUP_MEMBERS_MAX];
+    uint64_t known[SKY_GROUP_MEMBERS_MAX];
+    uint32_t count = SkyOwnership_ListMembers(relay->options.ownership,
+                                              members, SKY_GROUP_MEMBERS_MAX);
+    const char *own = relay->options.settings->control;
+    /* Those that were there when this host came to tell others have their
+     * records, unless all start at once. */
+    bool is_late = relay->told_count == 0 &&
+                   SkyStartReads_IsOver(relay->options.start, now_ms);
+    uint32_t told = 0;
+    if (!is_listed(members, count, own) && count < SKY_GROUP_MEMBERS_MAX) {
+        members[count++] = (sky_fanout_host_t){.address = own, .domain = ""};
+    }
+    SkyStartReads_OrderMembers(members, count, own);
+    for (uint32_t i = 0; i < count; i++) {
+        known[i] = hash_member(members, i);
+        if (i > 0 && count >= TOLD_GROUP_MIN && !is_late &&
+            !was_told(relay, known[i]) &&
+            !is_own_address(relay, members[i].address)) {
+            send_sources(relay, members, i);
+            told++;
+        }
+    }
+    memcpy(relay->told, known, count * sizeof known[0]);
+    relay->told_count = count;
+    if (told > 0) {
+        SkyLog_Write(LOG_NOTICE, "start_members_told", "members=%u told=%u",
+                     count, told);
+    }
+}
+
 void
 SkyFeedRelay_HandleFeedChange(sky_feed_relay_t *relay)
 {
     respond_to_due_polls(relay);
+    tell_members(relay);
 }
 
 /* The relay of a failure domain polls the store readers. The other hosts of
@@ -349,10 +535,16 @@
             reads_store || is_own_address(relay, members[readers[i]].address);
     }
     choose_sources(relay, members, member_count, readers, reader_count);
+    if (member_count > 0) {
+        SkyStartReads_RecordRole(relay->options.start, reads_store);
+    }
     SkyFeed_SetStoreReader(relay->options.feed,
                            reads_store || reader_count == 0);
     SkyOwnership_SetStoreReader(relay->options.ownership,
                                 reads_store || reader_count == 0);
+    SkyFeed_HandleStart(relay->options.feed);
+    relay->has_members_to_tell = true;
+    tell_members(relay);
 }
 
 sky_result_t
@@ -369,6 +561,8 @@
     ev_timer_start(options->loop, &self->tick);
     SkyHostCalls_RegisterHandler(options->host_calls, "/feed", on_poll,
                                  on_poll_disconnect, self);
+    SkyHostCalls_RegisterHandler(options->host_calls, SOURCES_PATH, on_sources,
+                                 NULL, self);
     *relay = self;
     return SKY_OK;
 }
--- a/lib/edge/feed_relay.h
+++ b/lib/edge/feed_relay.h
@@ -29,6 +29,7 @@
     struct ev_loop *loop;
     const sky_host_settings_t *settings;
     sky_feed_t *feed;
+    sky_start_reads_t *start;
     sky_ownership_t *ownership;
     sky_host_calls_t *host_calls;
 } sky_feed_relay_options_t;
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -20,6 +20,10 @@
 /** About as long as the other members take to notice the new generation. */
 #define OWNERS_READ_DELAY_MS 60
 #define OWNERS_READ_RETRY_MS 400
+/** Interval at which a host that is not to read yet checks whether it may. */
+#define START_CHECK_INTERVAL_MS 100
+/** Time to the next try of a host that was never a member. */
+#define FIRST_JOIN_RETRY_MS 150
 /** A host that reads the store has usually sent the owners by then. */
 #define FOLLOWER_OWNERS_READ_DELAY_MS 700
 /** A shard whose previous owner has left the group gets its first order after
@@ -72,6 +76,7 @@
     bool is_store_reader;
     bool all_shards_owned;           /**< as of the last read of the owners */
     uint32_t failed_joins;           /**< in a row */
+    uint32_t joins;                  /**< that succeeded */
     uint64_t confirmed_join_sent_ms; /**< of the last successful join */
     uint64_t join_sent_ms;           /**< of the last join */
     uint64_t started_ms;
@@ -127,6 +132,26 @@
                : bounds->lease_ms;
 }
 
+static void
+record_start_join(sky_ownership_t *ownership,
+                  const sky_store_response_t *response, uint64_t passed)
+{
+    sky_start_join_t join = {.rank = UINT32_MAX,
+                             .shard_count = ownership->shard_count,
+                             .number = ++ownership->joins,
+                             .passed = passed};
+    for (size_t i = 0; i < response->partition_count; i++) {
+        uint32_t index = find_shard_index(ownership, &response->partitions[i]);
+        if (index != UINT32_MAX) {
+            uint32_t rank =
+                SkyStartReads_GetShardRank(index, ownership->shard_count);
+            join.owned_count++;
+            join.rank = rank < join.rank ? rank : join.rank;
+        }
+    }
+    SkyStartReads_RecordJoin(ownership->options.start, &join);
+}
+
 /* Applies the shards that the store assigned to this host. */
 static void
 apply_assigned_shards(sky_ownership_t *ownership,
@@ -197,6 +222,11 @@
     }
     start_timer(ownership, &ownership->join_timer, interval_ms);
     if (response->outcome != SKY_STORE_DONE) {
+        if (ownership->joins == 0) {
+            start_timer(ownership, &ownership->join_timer,
+                        FIRST_JOIN_RETRY_MS +
+                            ownership->options.start->spread_ms / 4);
+        }
         if (ownership->failed_joins++ == 0) {
             SkyLog_Write(LOG_WARNING, "group_lost",
                          "reason=%s generation=%llu",
@@ -217,12 +247,20 @@
     }
     ownership->confirmed_join_sent_ms = ownership->join_sent_ms;
     bool generation_changed = response->generation != ownership->generation;
+    uint64_t passed = response->generation > ownership->generation
+                          ? response->generation - ownership->generation
+                          : 0;
     ownership->generation = response->generation;
+    record_start_join(ownership, response, passed);
     apply_assigned_shards(ownership, response);
     if (generation_changed) {
         /* Joining again soon releases shards that moved to other members. */
         start_timer(ownership, &ownership->join_timer,
-                    OWNERS_READ_DELAY_MS / 2);
+                    SkyStartReads_GetJoinDelayMs(
+                        SkyStartReads_TellsOthers(ownership->options.start,
+                                                  SkyClock_NowMs()),
+                        ownership->joins > 1 ? passed : 0,
+                        OWNERS_READ_DELAY_MS / 2, interval_ms));
     }
     if (ownership->owners_generation != ownership->generation &&
         !ownership->owners_read_pending &&
@@ -427,6 +465,11 @@
     sky_ownership_t *ownership = watcher->data;
     bool up_to_date = ownership->owners_generation >= ownership->generation &&
                       ownership->all_shards_owned;
+    if (!SkyStartReads_MayRead(ownership->options.start, SkyClock_NowMs())) {
+        start_timer(ownership, &ownership->owners_timer,
+                    START_CHECK_INTERVAL_MS);
+        return;
+    }
     if (!ownership->owners_read_pending && !ownership->has_left &&
         !up_to_date) {
         ownership->owners_read_pending = true;
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -18,6 +18,7 @@
 
 #include "core/result.h"
 #include "decide/fanout.h"
+#include "decide/start_reads.h"
 #include "edge/host_settings.h"
 #include "platform/store.h"
 
@@ -31,6 +32,7 @@
     struct ev_loop *loop;
     const sky_host_settings_t *settings;
     sky_store_t *store;
+    sky_start_reads_t *start;
     /** The shards of this host, the owners or the members changed. */
     void (*on_change)(void *context);
     void *context;
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -42,6 +42,7 @@
         options.loop = loop;
         options.directory = &directory;
         options.settings = &settings;
+        options.start = &start;
         options.on_change = [](void *, sky_feed_topic_t) {};
         sky_feed_t *feed = nullptr;
         EXPECT_EQ(SKY_OK, SkyFeed_Create(&options, &feed));
@@ -96,6 +97,7 @@
     struct ev_loop *loop = nullptr;
     sky_directory_t directory = {};
     sky_host_settings_t settings = {};
+    sky_start_reads_t start = {};
     sky_feed_t *reader = nullptr;
     sky_feed_t *follower = nullptr;
 };
