--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -69,7 +69,8 @@
     /* A route that is gone keeps its urgency: the configuration that ranks it
      * is another one. */
     const sky_route_t *route = find_newest_route(request, newest);
-    request->needs_key = !(route ? route : request->route)->is_public;
+    request->needs_key =
+        route != NULL ? !route->is_public : !request->route->is_public;
     if (request->needs_key) {
         request->workspace = find_workspace(request, newest->workspaces);
     }
