Test hosts against crowds of slow and hostile clients

Cause: a host is open to clients that nobody controls, and no test sent it many of them at once. The product is unchanged.

--- /dev/null
+++ b/tests/alone_connections.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Checks a host on the users' platform, as a process, against its fake: crowds open
+# connections that send nothing, a byte at a time, or half of a body before a
+# reset, at all addresses. The host must keep its descriptors for itself.
+set -u
+BASE=${BASE:-31600}
+DIR=$(mktemp -d)
+: "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
+trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
+. tests/proc_check.sh
+. tests/edge_site.sh
+. tests/crowd_site.sh
+
+start_crowd_site 1
+for address in front ready metrics hosts; do
+    crowd $address idle 1400 2000
+done
+crowd front slow_head 1400 1500 /look/1
+crowd front slow_body 1000 2000 /no/route 4000
+crowd hosts slow_body 1000 2000 /share 4000
+crowd front reset 400 1000 /look/1
+crowd hosts reset 400 1000 /share
+report_crowds
--- /dev/null
+++ b/tests/alone_slow_readers.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# Checks a host on the users' platform, as a process, against its fake: crowds read
+# large and streamed responses slowly or not at all. The host must keep its
+# memory, and hold no target for a caller that has gone.
+set -u
+BASE=${BASE:-31600}
+DIR=$(mktemp -d)
+: "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
+trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
+. tests/proc_check.sh
+. tests/edge_site.sh
+. tests/crowd_site.sh
+
+start_crowd_site 2
+crowd front slow_reader 100 1500 /gen/1
+crowd front no_reader 100 1500 /gen/1
+set_fault '{"large_kb": 3000}'
+crowd front slow_reader 60 2500 /look/1
+crowd front no_reader 60 2500 /look/1
+set_fault '{"large_chunked": 1}'
+crowd front no_reader 60 2500 /look/1
+set_fault '{"large_kb": 0, "large_chunked": 0}'
+check "an ordinary response is small again" "$(until_status 200 25 ordinary)" \
+    200
+crowd metrics slow_reader 200 1500 /metrics
+report_crowds
--- a/tests/fakes/fake_http.c
+++ b/tests/fakes/fake_http.c
@@ -215,7 +215,11 @@
     if (strcmp(mode, "site") == 0) {
         return Site_Main(argc, argv);
     }
-    fprintf(stderr,
-            "usage: skyfake (engine|service|platform|site) ADDRESS ...\n");
+    if (strcmp(mode, "crowd") == 0) {
+        return Crowd_Main(argc, argv);
+    }
+    fprintf(
+        stderr,
+        "usage: skyfake (engine|service|platform|site|crowd) ADDRESS ...\n");
     return 2;
 }
--- a/tests/fakes/fake_http.h
+++ b/tests/fakes/fake_http.h
@@ -61,5 +61,6 @@
 int Service_Main(int argc, char **argv);
 int Platform_Main(int argc, char **argv);
 int Site_Main(int argc, char **argv);
+int Crowd_Main(int argc, char **argv);
 
 #endif
