Bound what slow and hostile clients take, at all addresses of a host

Cause: only the callers' address counted the memory of requests, and no address bounded its connections. Responses to pipelined requests that nobody read were kept without a bound, and freed buffers stayed in malloc's arenas. Change: one memory account for all listeners and for responses to calls between hosts, of heads, unparsed input, bodies and unsent responses; large holders may take four times what is left (once, if they make no progress), so that the largest and slowest are refused first. connection_share gives each listener its part of maxFds; beyond it the longest idle connection without a request is closed, else the new one. A body below 500 bytes/s beyond the idle timeout gets 408. A caller that reads nothing for the idle timeout is closed and its target's slot freed. A pipelined request gets a callback of its own, and waits while 64 KiB of responses are unsent. An idle connection with unsent output is timed from the last byte sent. Buffers of 256 KiB and more go back to the system when freed. After a failed accept() the listener waits 100 ms. The test now waits for the fake's control port before it uses it.

--- a/lib/decide/memory_share.h
+++ b/lib/decide/memory_share.h
@@ -30,10 +30,15 @@
 void SkyMemoryShare_Update(sky_memory_share_t *share, uint64_t *held_bytes,
                            uint64_t bytes);
 
-/** @return whether a holder of @p held_bytes may not take more now: all take
- *          too much together, and it is none of the small ones. */
+/** @return whether a holder of @p held_bytes may not take more now: it takes
+ *          too much for what is left, and is none of the small ones. The less
+ *          is left, the smaller are the holders that are refused. */
 bool SkyMemoryShare_IsExceeded(const sky_memory_share_t *share,
                                uint64_t held_bytes);
+/** @return the same for a holder that makes no progress, which has to give way
+ *          earlier. */
+bool SkyMemoryShare_MustStalledYield(const sky_memory_share_t *share,
+                                     uint64_t held_bytes);
 
 #ifdef __cplusplus
 }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -1,6 +1,7 @@
 #include "edge/edge.h"
 
 #include <ev.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +10,7 @@
 #include "core/clock.h"
 #include "core/logging.h"
 #include "core/metrics.h"
+#include "decide/connection_share.h"
 #include "decide/hand_over.h"
 #include "edge/crash_sharing.h"
 #include "edge/stream_sharing.h"
@@ -25,6 +27,10 @@
 #include "platform/settings.h"
 #include "platform/store.h"
 
+/** Larger buffers are given back to the system when they are freed. By default
+ *  malloc raises its threshold to the largest one freed, and kept 890 MB after
+ *  a crowd of clients had left. */
+#define MMAP_THRESHOLD_BYTES (256 * 1024)
 /** Limits logging to a few percent of a small host's CPU. */
 #define LOG_LINES_PER_S_MAX 400
 #define LOG_FLUSH_INTERVAL_S 0.2
@@ -62,7 +68,9 @@
 typedef struct {
     sky_host_settings_t settings;
     struct ev_loop *loop;
-    sky_memory_share_t memory_share; /**< of callers and their requests */
+    sky_memory_share_t memory_share; /**< of all listeners and requests */
+    sky_connection_share_t connection_share;
+    sky_listener_stats_t listener_stats; /**< of all listeners */
     sky_directory_t directory;
     sky_metrics_t *metrics;
     sky_client_t *client;
@@ -100,6 +108,29 @@
            edge->directory.targets_known;
 }
 
+/* Clients that were refused to protect others. */
+static void
+append_client_metrics(sky_buffer_t *body, const edge_t *edge)
+{
+    const sky_listener_stats_t *stats = &edge->listener_stats;
+    SkyBuffer_AppendFormat(
+        body,
+        "# TYPE sky_clients_refused_total counter\n"
+        "sky_clients_refused_total{reason=\"memory\"} %llu\n"
+        "sky_clients_refused_total{reason=\"idle_closed\"} %llu\n"
+        "sky_clients_refused_total{reason=\"not_accepted\"} %llu\n"
+        "sky_clients_refused_total{reason=\"slow_body\"} %llu\n"
+        "sky_clients_refused_total{reason=\"slow_reader\"} %llu\n"
+        "# TYPE sky_received_bytes_held gauge\n"
+        "sky_received_bytes_held %llu\n",
+        (unsigned long long)stats->memory_refusals,
+        (unsigned long long)stats->idle_closes,
+        (unsigned long long)stats->connection_closes,
+        (unsigned long long)stats->slow_bodies,
+        (unsigned long long)stats->slow_readers,
+        (unsigned long long)edge->memory_share.used_bytes);
+}
+
 static void
 respond_metrics(edge_t *edge, sky_server_request_t *request)
 {
@@ -130,6 +161,7 @@
                            SkyProxy_OpenRequestCount(edge->proxy),
                            (unsigned long long)proxied->sent_to_peers,
                            (unsigned long long)proxied->received_from_peers);
+    append_client_metrics(&body, edge);
     SkyServerRequest_Respond(request, 200, "Content-Type: text/plain\r\n",
                              SkyBuffer_Data(&body), SkyBuffer_Size(&body));
     SkyBuffer_Clear(&body);
@@ -379,9 +411,16 @@
     if (!SkyResult_IsError(result)) {
         result = SkyStore_Create(&store_options, &edge->store);
     }
-    sky_host_calls_options_t calls_options = {.loop = edge->loop,
-                                              .client = edge->client,
-                                              .address = settings->control};
+    edge->memory_share = SkyMemoryShare_Make(settings->memory_limit_mb);
+    edge->connection_share =
+        SkyConnectionShare_Make(settings->max_file_descriptors);
+    sky_host_calls_options_t calls_options = {
+        .loop = edge->loop,
+        .client = edge->client,
+        .address = settings->control,
+        .memory_share = &edge->memory_share,
+        .max_connections = edge->connection_share.hosts,
+        .listener_stats = &edge->listener_stats};
     if (!SkyResult_IsError(result)) {
         result = SkyHostCalls_Create(&calls_options, &edge->host_calls);
     }
@@ -467,7 +506,6 @@
         result =
             SkyStreamSharing_Create(&stream_options, &edge->stream_sharing);
     }
-    edge->memory_share = SkyMemoryShare_Make(settings->memory_limit_mb);
     sky_proxy_options_t proxy_options = {.loop = edge->loop,
                                          .settings = settings,
                                          .directory = &edge->directory,
@@ -496,6 +534,8 @@
         .events = SkyProxy_ListenerEvents(),
         .context = edge->proxy,
         .memory_share = &edge->memory_share,
+        .max_connections = edge->connection_share.callers,
+        .stats = &edge->listener_stats,
     };
     if (!SkyResult_IsError(result)) {
         result = SkyListener_Create(&front_options, &edge->front_listener);
@@ -508,12 +548,16 @@
         .events = {.on_request = on_probe_request,
                    .on_disconnect = on_probe_disconnect},
         .context = edge,
+        .memory_share = &edge->memory_share,
+        .max_connections = edge->connection_share.probes,
+        .stats = &edge->listener_stats,
     };
     if (!SkyResult_IsError(result)) {
         result = SkyListener_Create(&probe_options, &edge->probe_listener);
     }
     sky_listener_options_t metrics_options = probe_options;
     metrics_options.address = settings->metrics;
+    metrics_options.max_connections = edge->connection_share.metrics;
     if (!SkyResult_IsError(result) && settings->metrics[0] != '\0' &&
         SkyResult_IsError(
             SkyListener_Create(&metrics_options, &edge->metrics_listener))) {
@@ -613,6 +657,10 @@
                  "domain=%s front=%s control=%s store=%s",
                  edge->settings.domain, edge->settings.front,
                  edge->settings.control, edge->settings.store.address);
+    if (mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES) == 0) {
+        SkyLog_Write(LOG_WARNING, "malloc_threshold_not_set", "bytes=%d",
+                     MMAP_THRESHOLD_BYTES);
+    }
     edge->loop = ev_default_loop(EVFLAG_AUTO);
     edge->metrics = SkyMetrics_Create();
     edge->directory.host_count = 1;
--- a/lib/edge/host_calls.c
+++ b/lib/edge/host_calls.c
@@ -34,6 +34,7 @@
     ev_timer timer;
     uint16_t response_status;
     sky_buffer_t response_body;
+    uint64_t held_bytes; /**< of the memory share */
     sky_host_call_done_t done;
     void *context;
     sky_host_call_t *prev;
@@ -84,6 +85,11 @@
         return;
     }
     const char *bytes = SkyServerRequest_Body(server_request, &size);
+    if (size > REQUEST_BODY_BYTES_MAX) {
+        /* Parsed JSON takes many times its size. */
+        SkyServerRequest_Respond(server_request, 413, "", "", 0);
+        return;
+    }
     const handler_t *handler = find_handler(host_calls, server_request);
     json_t *body = json_loadb(bytes, size, 0, NULL);
     if (handler == NULL || !json_is_object(body)) {
@@ -180,6 +186,8 @@
     DL_DELETE(call->host_calls->calls, call);
     ev_timer_stop(call->host_calls->options.loop, &call->timer);
     SkyBuffer_Clear(&call->response_body);
+    SkyMemoryShare_Update(call->host_calls->options.memory_share,
+                          &call->held_bytes, 0);
     free(call);
 }
 
@@ -210,7 +218,17 @@
 on_response_body(void *context, const char *bytes, size_t size)
 {
     sky_host_call_t *call = context;
+    sky_memory_share_t *share = call->host_calls->options.memory_share;
     SkyBuffer_Append(&call->response_body, bytes, size);
+    SkyMemoryShare_Update(share, &call->held_bytes,
+                          SkyBuffer_Size(&call->response_body));
+    if (SkyMemoryShare_IsExceeded(share, call->held_bytes)) {
+        SkyLog_Write(LOG_WARNING, "peer_response_refused", "bytes=%llu",
+                     (unsigned long long)call->held_bytes);
+        SkyClientRequest_Cancel(call->client_request);
+        call->client_request = NULL;
+        finish_call(call, false);
+    }
 }
 
 static void
@@ -310,6 +328,9 @@
                        .on_disconnect = on_caller_disconnect,
                        .on_caller_ready = on_caller_ready},
             .context = self,
+            .memory_share = options->memory_share,
+            .max_connections = options->max_connections,
+            .stats = options->listener_stats,
         };
         sky_result_t result = SkyListener_Create(&listener, &self->listener);
         if (SkyResult_IsError(result)) {
--- a/lib/edge/host_calls.h
+++ b/lib/edge/host_calls.h
@@ -42,6 +42,10 @@
     struct ev_loop *loop;
     sky_client_t *client;
     const char *address; /**< to listen on; "" to receive no calls */
+    /** Of calls received and of responses to calls; NULL: not counted. */
+    sky_memory_share_t *memory_share;
+    uint32_t max_connections;             /**< of other hosts; 0: any */
+    sky_listener_stats_t *listener_stats; /**< NULL: not counted */
 } sky_host_calls_options_t;
 
 sky_result_t SkyHostCalls_Create(const sky_host_calls_options_t *options,
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "decide/connection_share.h"
 #include "net/socket.h"
 
 /** Size of one read, which fits most requests as a whole. */
@@ -21,6 +22,18 @@
 /** How long to wait for the caller to close after the last response. The rest
  *  of a rejected request may still be in transit. */
 #define CLOSE_LINGER_MS 1000u
+/** The next pipelined request waits while more bytes of earlier responses than
+ *  this are unsent. */
+#define PIPELINE_UNSENT_BYTES (64u * 1024u)
+/** A body may take the idle timeout, and beyond it the time that its bytes
+ * take at this rate; the slowest mobile links reach twice as much. */
+#define BODY_RATE_MIN_BYTES_PER_S 500u
+/** A body without a byte for this long is stalled: it gives way to others when
+ *  memory is short. */
+#define STALL_MS 1000u
+#define REPORT_INTERVAL_MS                                                    \
+    1000u /**< of the log line about refused clients                          \
+           */
 #define TIMEOUT_CHECK_INTERVAL_S 0.1 /**< granularity of timeouts */
 
 typedef enum {
@@ -40,7 +53,11 @@
     sky_buffer_t input; /**< received bytes that are not parsed yet */
     sky_buffer_t body;  /**< of the current request */
     sky_buffer_t output;
-    uint64_t held_bytes; /**< of the memory share, for body and output */
+    uint64_t held_bytes; /**< of the memory share, for all buffers */
+    uint64_t request_began_ms;
+    uint64_t request_bytes; /**< received of the current request */
+    uint64_t last_sent_ms;  /**< last byte sent, or output begun */
+    uint32_t request_count; /**< complete requests so far */
     connection_state_t state;
     sky_body_framing_t framing;
     uint16_t rejection_status; /**< status of a request that is rejected before
@@ -51,6 +68,7 @@
     bool is_closed;            /**< freed when the running callback returns */
     bool in_callback;          /**< a callback of the event loop is running */
     bool caller_was_slow;
+    bool is_given_up; /**< handled as disconnected at the next read event */
     uint64_t last_activity_ms; /**< last change of state or byte of a body */
     void *user_data;
     sky_server_request_t *prev;
@@ -67,6 +85,9 @@
     uint32_t connection_count;
     bool is_draining;
     uint32_t drain_idle_ms;
+    sky_listener_stats_t stats; /**< since the last report */
+    uint64_t last_report_ms;
+    uint16_t port;
 };
 
 static void
@@ -81,13 +102,24 @@
     connection->last_activity_ms = SkyClock_NowMs();
 }
 
+/* Memory that a buffer takes. Small ones count by their content, as they are
+ * reused. */
+static uint64_t
+count_buffer_bytes(const sky_buffer_t *buffer)
+{
+    return buffer->capacity > 2 * READ_CHUNK_BYTES ? buffer->capacity
+                                                   : SkyBuffer_Size(buffer);
+}
+
 static void
 update_memory_share(sky_server_request_t *connection)
 {
-    SkyMemoryShare_Update(connection->listener->options.memory_share,
-                          &connection->held_bytes,
-                          SkyBuffer_Size(&connection->body) +
-                              SkyBuffer_Size(&connection->output));
+    SkyMemoryShare_Update(
+        connection->listener->options.memory_share, &connection->held_bytes,
+        count_buffer_bytes(&connection->input) +
+            count_buffer_bytes(&connection->reader.head.text) +
+            count_buffer_bytes(&connection->body) +
+            count_buffer_bytes(&connection->output));
 }
 
 static void
@@ -168,6 +200,9 @@
 send_output(sky_server_request_t *connection)
 {
     struct ev_loop *loop = connection->listener->options.loop;
+    if (!ev_is_active(&connection->write_watcher)) {
+        connection->last_sent_ms = SkyClock_NowMs();
+    }
     while (SkyBuffer_Size(&connection->output) > 0) {
         ssize_t sent =
             send(connection->fd, SkyBuffer_Data(&connection->output),
@@ -183,12 +218,26 @@
             return false;
         }
         SkyBuffer_Consume(&connection->output, (size_t)sent);
+        connection->last_sent_ms = SkyClock_NowMs();
         update_memory_share(connection);
     }
     ev_io_stop(loop, &connection->write_watcher);
     return true;
 }
 
+/* Has the next pipelined request parsed in a callback of its own, so that
+ * other connections are served in between. It waits for a caller that does not
+ * read the responses. */
+static void
+handle_input_later(sky_server_request_t *connection)
+{
+    if (SkyBuffer_Size(&connection->input) > 0 &&
+        SkyBuffer_Size(&connection->output) <= PIPELINE_UNSENT_BYTES) {
+        ev_feed_event(connection->listener->options.loop,
+                      &connection->read_watcher, EV_READ);
+    }
+}
+
 static void
 on_writable(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -214,6 +263,9 @@
                                                      connection);
         }
     }
+    else if (connection->state == STATE_IDLE) {
+        handle_input_later(connection);
+    }
     connection->in_callback = false;
     if (connection->is_closed) {
         free_connection(connection);
@@ -298,11 +350,11 @@
         SkyBuffer_Consume(&connection->body,
                           SkyBuffer_Size(&connection->body));
         free_large_buffer(&connection->body);
-        update_memory_share(connection);
-        if (SkyBuffer_Size(&connection->input) > 0) {
-            ev_feed_event(connection->listener->options.loop,
-                          &connection->read_watcher, EV_READ);
+        if (SkyBuffer_Size(&connection->output) == 0) {
+            free_large_buffer(&connection->output);
         }
+        update_memory_share(connection);
+        handle_input_later(connection);
         return;
     }
     if (SkyBuffer_Size(&connection->output) == 0) {
@@ -406,6 +458,16 @@
     return request->user_data;
 }
 
+/* Frees what was received: the request is refused. */
+static void
+refuse_for_memory(sky_server_request_t *connection)
+{
+    connection->listener->stats.memory_refusals++;
+    connection->rejection_status = 503;
+    SkyBuffer_Clear(&connection->body);
+    update_memory_share(connection);
+}
+
 /* Responds to a request that is not read to its end, then closes. */
 static void
 reject_request(sky_server_request_t *connection, uint16_t status)
@@ -452,12 +514,7 @@
     update_memory_share(connection);
     if (SkyMemoryShare_IsExceeded(connection->listener->options.memory_share,
                                   connection->held_bytes)) {
-        SkyLog_Write(LOG_WARNING, "memory_share_exceeded",
-                     "body_bytes=%zu action=reject",
-                     SkyBuffer_Size(&connection->body));
-        connection->rejection_status = 503;
-        SkyBuffer_Clear(&connection->body);
-        update_memory_share(connection);
+        refuse_for_memory(connection);
         return false;
     }
     return true;
@@ -477,6 +534,7 @@
     set_state(connection, STATE_SERVING);
     connection->response_has_begun = false;
     connection->framing = SKY_FRAMING_LENGTH;
+    connection->request_count++;
     listener->options.events.on_request(listener->options.context, connection);
 }
 
@@ -507,24 +565,30 @@
 static void
 parse_input(sky_server_request_t *connection)
 {
-    while (!connection->is_closed && SkyBuffer_Size(&connection->input) > 0 &&
-           (connection->state == STATE_IDLE ||
-            connection->state == STATE_READING)) {
-        if (connection->state == STATE_IDLE) {
-            SkyBuffer_Consume(&connection->body,
-                              SkyBuffer_Size(&connection->body));
-            set_state(connection, STATE_READING);
-        }
-        size_t consumed = 0;
-        sky_http_progress_t progress = SkyHttpReader_Feed(
-            &connection->reader, SkyBuffer_Data(&connection->input),
-            SkyBuffer_Size(&connection->input), &consumed);
-        SkyBuffer_Consume(&connection->input, consumed);
-        if (connection->reader.head_is_complete) {
-            connection->last_activity_ms = SkyClock_NowMs();
-        }
-        handle_progress(connection, progress);
+    bool is_idle = connection->state == STATE_IDLE;
+    if (SkyBuffer_Size(&connection->input) == 0 ||
+        (!is_idle && connection->state != STATE_READING) ||
+        (is_idle &&
+         SkyBuffer_Size(&connection->output) > PIPELINE_UNSENT_BYTES)) {
+        return;
     }
+    if (is_idle) {
+        SkyBuffer_Consume(&connection->body,
+                          SkyBuffer_Size(&connection->body));
+        set_state(connection, STATE_READING);
+        connection->request_began_ms = connection->last_activity_ms;
+        connection->request_bytes = 0;
+    }
+    size_t consumed = 0;
+    sky_http_progress_t progress = SkyHttpReader_Feed(
+        &connection->reader, SkyBuffer_Data(&connection->input),
+        SkyBuffer_Size(&connection->input), &consumed);
+    SkyBuffer_Consume(&connection->input, consumed);
+    connection->request_bytes += consumed;
+    if (connection->reader.head_is_complete) {
+        connection->last_activity_ms = SkyClock_NowMs();
+    }
+    handle_progress(connection, progress);
 }
 
 /* Stops reading from a caller that pipelines requests until it has received
@@ -536,8 +600,18 @@
     if (connection->is_closed) {
         return;
     }
-    if (SkyBuffer_Size(&connection->input) > READ_AHEAD_BYTES_MAX) {
+    size_t unparsed_bytes = SkyBuffer_Size(&connection->input);
+    if (unparsed_bytes == 0) {
+        free_large_buffer(&connection->input);
+    }
+    update_memory_share(connection);
+    if (unparsed_bytes > READ_AHEAD_BYTES_MAX ||
+        SkyMemoryShare_IsExceeded(connection->listener->options.memory_share,
+                                  unparsed_bytes)) {
         ev_io_stop(loop, &connection->read_watcher);
+        if (connection->state == STATE_IDLE) {
+            handle_input_later(connection); /* the stop discards events */
+        }
     }
     else {
         ev_io_start(loop, &connection->read_watcher);
@@ -552,9 +626,13 @@
     sky_server_request_t *connection = watcher->data;
     char bytes[READ_CHUNK_BYTES];
     connection->in_callback = true;
-    ssize_t received = recv(connection->fd, bytes, sizeof bytes, 0);
-    bool has_ended = received == 0 || (received < 0 && errno != EAGAIN &&
-                                       errno != EWOULDBLOCK && errno != EINTR);
+    bool reads = SkyBuffer_Size(&connection->input) <= READ_AHEAD_BYTES_MAX;
+    errno = EAGAIN;
+    ssize_t received =
+        reads ? recv(connection->fd, bytes, sizeof bytes, 0) : -1;
+    bool has_ended = received == 0 || connection->is_given_up ||
+                     (received < 0 && errno != EAGAIN &&
+                      errno != EWOULDBLOCK && errno != EINTR);
     if (has_ended && connection->state == STATE_CLOSING &&
         !connection->sending_is_shut_down && received == 0) {
         /* The caller closed its sending side and may still read the response.
@@ -578,39 +656,129 @@
     }
 }
 
+static void
+begin_connection(sky_listener_t *listener, int fd)
+{
+    static const sky_http_events_t EVENTS = {on_head, on_body, on_complete};
+    sky_server_request_t *connection = calloc(1, sizeof *connection);
+    if (connection == NULL) {
+        close(fd);
+        return;
+    }
+    connection->listener = listener;
+    connection->fd = fd;
+    SkyHttpReader_Init(&connection->reader, SKY_HTTP_REQUEST, &EVENTS,
+                       connection,
+                       listener->options.limits.max_request_head_bytes);
+    ev_io_init(&connection->read_watcher, on_readable, fd, EV_READ);
+    ev_io_init(&connection->write_watcher, on_writable, fd, EV_WRITE);
+    connection->read_watcher.data = connection;
+    connection->write_watcher.data = connection;
+    DL_APPEND(listener->connection_list, connection);
+    listener->connection_count++;
+    connection->last_activity_ms = SkyClock_NowMs();
+    ev_io_start(listener->options.loop, &connection->read_watcher);
+}
+
+/* Closes an idle connection for a new one; returns false if there is none. */
+static bool
+close_one_idle(sky_listener_t *listener)
+{
+    uint64_t now_ms = SkyClock_NowMs();
+    sky_server_request_t *chosen = NULL;
+    sky_idle_connection_t chosen_idle = {0};
+    sky_server_request_t *connection;
+    DL_FOREACH(listener->connection_list, connection)
+    {
+        sky_idle_connection_t idle = {now_ms - connection->last_activity_ms,
+                                      connection->request_count};
+        if (connection->state == STATE_IDLE && !connection->in_callback &&
+            SkyBuffer_Size(&connection->input) == 0 &&
+            SkyBuffer_Size(&connection->output) == 0 &&
+            (chosen == NULL ||
+             SkyConnectionShare_IsClosedBefore(&idle, &chosen_idle))) {
+            chosen = connection;
+            chosen_idle = idle;
+        }
+    }
+    if (chosen == NULL) {
+        return false;
+    }
+    listener->stats.idle_closes++;
+    close_connection(chosen, false);
+    return true;
+}
+
+static bool
+is_full(const sky_listener_t *listener)
+{
+    return listener->options.max_connections > 0 &&
+           listener->connection_count >= listener->options.max_connections;
+}
+
 static void
 on_acceptable(struct ev_loop *loop, ev_io *watcher, int events)
 {
     (void)events;
     sky_listener_t *listener = watcher->data;
-    static const sky_http_events_t EVENTS = {on_head, on_body, on_complete};
     for (;;) {
         int fd = SkySocket_Accept(listener->fd);
         if (fd < 0) {
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
                 SkyLog_Write(LOG_WARNING, "accept_failed", "error=\"%s\"",
                              strerror(errno));
+                /* The connection stays acceptable: on_timeout_check() tries
+                 * again. */
+                ev_io_stop(loop, watcher);
             }
             return;
         }
-        sky_server_request_t *connection = calloc(1, sizeof *connection);
-        if (connection == NULL) {
+        if (is_full(listener) && !close_one_idle(listener)) {
+            listener->stats.connection_closes++;
             close(fd);
-            return;
+            continue;
         }
-        connection->listener = listener;
-        connection->fd = fd;
-        SkyHttpReader_Init(&connection->reader, SKY_HTTP_REQUEST, &EVENTS,
-                           connection,
-                           listener->options.limits.max_request_head_bytes);
-        ev_io_init(&connection->read_watcher, on_readable, fd, EV_READ);
-        ev_io_init(&connection->write_watcher, on_writable, fd, EV_WRITE);
-        connection->read_watcher.data = connection;
-        connection->write_watcher.data = connection;
-        DL_APPEND(listener->connection_list, connection);
-        listener->connection_count++;
-        connection->last_activity_ms = SkyClock_NowMs();
-        ev_io_start(loop, &connection->read_watcher);
+        begin_connection(listener, fd);
+    }
+}
+
+static void
+check_body_timeouts(sky_server_request_t *connection, uint64_t now_ms)
+{
+    const sky_listener_options_t *options = &connection->listener->options;
+    uint64_t inactive_ms = now_ms - connection->last_activity_ms;
+    uint64_t allowed_ms =
+        options->limits.idle_timeout_ms +
+        connection->request_bytes * 1000 / BODY_RATE_MIN_BYTES_PER_S;
+    if (now_ms - connection->request_began_ms > allowed_ms) {
+        connection->listener->stats.slow_bodies++;
+        reject_request(connection, 408);
+    }
+    else if (inactive_ms > options->limits.idle_timeout_ms) {
+        reject_request(connection, 408);
+    }
+    else if (inactive_ms > STALL_MS &&
+             SkyMemoryShare_MustStalledYield(options->memory_share,
+                                             connection->held_bytes)) {
+        refuse_for_memory(connection);
+        reject_request(connection, 503);
+    }
+}
+
+/* Ends the request of a caller that reads nothing of its response, so that it
+ * holds no target. */
+static void
+check_reader(sky_server_request_t *connection, uint64_t now_ms)
+{
+    if (!connection->is_given_up && ev_is_active(&connection->write_watcher) &&
+        now_ms - connection->last_sent_ms >
+            connection->listener->options.limits.idle_timeout_ms) {
+        /* Its end may free other requests, so it gets a callback of its own.
+         */
+        connection->listener->stats.slow_readers++;
+        connection->is_given_up = true;
+        ev_feed_event(connection->listener->options.loop,
+                      &connection->read_watcher, EV_READ);
     }
 }
 
@@ -619,7 +787,13 @@
                uint64_t now_ms)
 {
     const sky_listener_limits_t *limits = &listener->options.limits;
-    double inactive_ms = (double)(now_ms - connection->last_activity_ms);
+    uint64_t last_ms = connection->last_activity_ms;
+    if (connection->state != STATE_READING &&
+        !connection->sending_is_shut_down &&
+        connection->last_sent_ms > last_ms) {
+        last_ms = connection->last_sent_ms;
+    }
+    double inactive_ms = (double)(now_ms - last_ms);
     uint32_t max_idle_duration_ms = listener->is_draining
                                         ? listener->drain_idle_ms
                                         : limits->idle_timeout_ms;
@@ -635,11 +809,12 @@
             inactive_ms > limits->head_timeout_ms) {
             reject_request(connection, 408);
         }
-        else if (inactive_ms > limits->idle_timeout_ms) {
-            reject_request(connection, 408);
+        else if (connection->reader.head_is_complete) {
+            check_body_timeouts(connection, now_ms);
         }
         break;
     case STATE_SERVING:
+        check_reader(connection, now_ms);
         break;
     case STATE_CLOSING:
         if (connection->sending_is_shut_down &&
@@ -658,10 +833,42 @@
     }
 }
 
+/* Reports the clients that were refused or closed, at most once a second
+ * however many there are. */
+static void
+report_refused_clients(sky_listener_t *listener, uint64_t now_ms)
+{
+    sky_listener_stats_t *stats = &listener->stats;
+    uint64_t count = stats->memory_refusals + stats->idle_closes +
+                     stats->connection_closes + stats->slow_bodies +
+                     stats->slow_readers;
+    if (count == 0 || now_ms < listener->last_report_ms + REPORT_INTERVAL_MS) {
+        return;
+    }
+    SkyLog_Write(LOG_WARNING, "clients_refused",
+                 "port=%u connections=%u memory=%llu idle_closed=%llu "
+                 "not_accepted=%llu slow_bodies=%llu slow_readers=%llu",
+                 listener->port, listener->connection_count,
+                 (unsigned long long)stats->memory_refusals,
+                 (unsigned long long)stats->idle_closes,
+                 (unsigned long long)stats->connection_closes,
+                 (unsigned long long)stats->slow_bodies,
+                 (unsigned long long)stats->slow_readers);
+    sky_listener_stats_t *total = listener->options.stats;
+    if (total != NULL) {
+        total->memory_refusals += stats->memory_refusals;
+        total->idle_closes += stats->idle_closes;
+        total->connection_closes += stats->connection_closes;
+        total->slow_bodies += stats->slow_bodies;
+        total->slow_readers += stats->slow_readers;
+    }
+    *stats = (sky_listener_stats_t){0};
+    listener->last_report_ms = now_ms;
+}
+
 static void
 on_timeout_check(struct ev_loop *loop, ev_timer *watcher, int events)
 {
-    (void)loop;
     (void)events;
     sky_listener_t *listener = watcher->data;
     sky_server_request_t *connection;
@@ -670,6 +877,8 @@
     {
         check_timeouts(listener, connection, SkyClock_NowMs());
     }
+    report_refused_clients(listener, SkyClock_NowMs());
+    ev_io_start(loop, &listener->accept_watcher);
 }
 
 sky_result_t
@@ -692,6 +901,7 @@
         free(self);
         return SKY_E_IO;
     }
+    self->port = ntohs(address.sin_port);
     ev_io_init(&self->accept_watcher, on_acceptable, self->fd, EV_READ);
     self->accept_watcher.data = self;
     ev_io_start(options->loop, &self->accept_watcher);
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -44,14 +44,27 @@
     void (*on_caller_ready)(void *context, sky_server_request_t *request);
 } sky_listener_events_t;
 
+/** Clients that were refused or closed to protect others. */
+typedef struct {
+    uint64_t memory_refusals;   /**< requests refused for want of memory */
+    uint64_t idle_closes;       /**< idle connections closed for new ones */
+    uint64_t connection_closes; /**< new connections closed at once */
+    uint64_t slow_bodies;       /**< requests below the minimum rate */
+    uint64_t slow_readers;      /**< callers that read nothing */
+} sky_listener_stats_t;
+
 typedef struct {
     struct ev_loop *loop;
     const char *address; /**< "ADDRESS:PORT" */
     sky_listener_limits_t limits;
     sky_listener_events_t events;
     void *context;
-    /** Of request bodies and unsent responses; NULL: they are not counted. */
+    /** Of requests, read or not, and unsent responses; NULL: they are not
+     *  counted. */
     sky_memory_share_t *memory_share;
+    uint32_t max_connections; /**< 0: any */
+    /** Added to; may be that of several listeners. NULL: not counted. */
+    sky_listener_stats_t *stats;
 } sky_listener_options_t;
 
 /** @return SKY_OK, SKY_E_MEMORY, SKY_E_SETTINGS for an invalid address, or
--- a/tests/crowd_site.sh
+++ b/tests/crowd_site.sh
@@ -9,7 +9,8 @@
 start_crowd_site() {
     "$FAKE" site "$BASE" 8 "$1" 4 1 >"$DIR/site.log" 2>&1 &
     PIDS="$PIDS $!"
-    sleep 0.3
+    # The fake listens at its control port last.
+    until_status 200 50 fake_status >/dev/null
     write_edge_settings 0 0
     {
         echo "ip = \"127.0.0.1\""
@@ -22,6 +23,9 @@
     check "the host becomes ready" "$(until_status 200 50 readyz_status 0)" 200
     check "an ordinary request" "$(until_status 200 25 ordinary)" 200
 }
+fake_status() {
+    curl -sS -m 2 -o /dev/null -w '%{http_code}' "$control_url/state" 2>/dev/null
+}
 # crowd_address front|ready|metrics|hosts
 crowd_address() {
     case $1 in
--- a/tests/test_memory_share.cc
+++ b/tests/test_memory_share.cc
@@ -42,6 +42,24 @@
     EXPECT_FALSE(SkyMemoryShare_IsExceeded(&share, large));
 }
 
+// Guards moderate messages against a few that take nearly all.
+TEST(MemoryShare, TheLargestAndStalledOnesAreRefusedFirst)
+{
+    sky_memory_share_t share = SkyMemoryShare_Make(160);
+    uint64_t large[9] = {0};
+    for (uint64_t &holder : large) {
+        SkyMemoryShare_Update(&share, &holder, 4 * kMb);
+        EXPECT_FALSE(SkyMemoryShare_IsExceeded(&share, holder));
+    }
+    uint64_t moderate = 0;
+    SkyMemoryShare_Update(&share, &moderate, 7 * kMb / 2);
+    EXPECT_TRUE(SkyMemoryShare_IsExceeded(&share, large[0]));
+    SkyMemoryShare_Update(&share, &moderate, kMb);
+    EXPECT_FALSE(SkyMemoryShare_IsExceeded(&share, moderate));
+    EXPECT_TRUE(SkyMemoryShare_MustStalledYield(&share, large[0]));
+    EXPECT_FALSE(SkyMemoryShare_MustStalledYield(&share, moderate));
+}
+
 TEST(MemoryShare, WithoutALimitNothingIsExceeded)
 {
     sky_memory_share_t share = SkyMemoryShare_Make(0);
