Leave descriptors for the host's own connections, and describe the limits

Cause: idle connections to targets were bounded for each address only, so that the listeners' parts of maxFds could not be relied on.

--- a/lib/decide/connection_share.c
+++ b/lib/decide/connection_share.c
@@ -2,11 +2,11 @@
 
 /** Log, settings, event loop and everything else that is no connection. */
 #define FILE_DESCRIPTORS 200u
-/* Parts of the other descriptors. Each request of a caller may need a
- * connection to a target, and each of 330 hosts has up to two connections to
+/* Parts of the other descriptors. Each request of a caller needs a connection
+ * to a target or a host, and each of 330 hosts has up to two connections to
  * this one. */
 #define PARTS 32u
-#define CALLER_PARTS 12u
+#define CALLER_PARTS 10u
 #define HOST_PARTS 8u
 #define PROBE_PARTS 1u
 #define METRICS_PARTS 1u
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -397,10 +397,14 @@
 create_core_modules(edge_t *edge)
 {
     sky_host_settings_t *settings = &edge->settings;
+    edge->memory_share = SkyMemoryShare_Make(settings->memory_limit_mb);
+    edge->connection_share =
+        SkyConnectionShare_Make(settings->max_file_descriptors);
     sky_client_options_t client_options = {
         .loop = edge->loop,
         .default_keep_alive_ms = TARGET_IDLE_TIMEOUT_MS,
         .max_idle_per_address = IDLE_CONNECTIONS_PER_TARGET_MAX,
+        .max_connections = edge->connection_share.own,
         .user_timeout_ms = TCP_USER_TIMEOUT_MS,
     };
     sky_result_t result = SkyClient_Create(&client_options, &edge->client);
@@ -411,9 +415,6 @@
     if (!SkyResult_IsError(result)) {
         result = SkyStore_Create(&store_options, &edge->store);
     }
-    edge->memory_share = SkyMemoryShare_Make(settings->memory_limit_mb);
-    edge->connection_share =
-        SkyConnectionShare_Make(settings->max_file_descriptors);
     sky_host_calls_options_t calls_options = {
         .loop = edge->loop,
         .client = edge->client,
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -68,6 +68,7 @@
     idle_pool_t *pools;
     sky_client_request_t *active_list;
     ev_timer expiry_timer;
+    uint32_t connection_count; /**< active and idle ones */
 };
 
 static uint64_t
@@ -132,6 +133,7 @@
         close(connection->fd);
     }
     connection->is_closed = true;
+    connection->client->connection_count--;
     if (!connection->in_callback) {
         free_connection(connection);
     }
@@ -181,7 +183,9 @@
     sky_client_t *client = connection->client;
     idle_pool_t *pool = get_pool(client, connection->key, true);
     if (pool == NULL ||
-        pool->idle_count >= client->options.max_idle_per_address) {
+        pool->idle_count >= client->options.max_idle_per_address ||
+        (client->options.max_connections > 0 &&
+         client->connection_count > client->options.max_connections)) {
         close_connection(connection);
         return;
     }
@@ -449,6 +453,21 @@
     return connection;
 }
 
+/* Makes room for a new connection by closing an idle one of any address. */
+static void
+close_one_idle(sky_client_t *client)
+{
+    idle_pool_t *pool;
+    idle_pool_t *next;
+    HASH_ITER(hh, client->pools, pool, next)
+    {
+        if (pool->idle_list != NULL) {
+            close_connection(pool->idle_list->prev);
+            return;
+        }
+    }
+}
+
 static sky_client_request_t *
 open_connection(sky_client_t *client,
                 const sky_client_request_options_t *options)
@@ -458,7 +477,12 @@
     if (connection == NULL) {
         return NULL;
     }
+    if (client->options.max_connections > 0 &&
+        client->connection_count >= client->options.max_connections) {
+        close_one_idle(client);
+    }
     connection->client = client;
+    client->connection_count++;
     connection->key = address_key(&options->address);
     connection->fd = SkySocket_Connect(&options->address);
     SkyHttpReader_Init(&connection->reader, SKY_HTTP_RESPONSE, &EVENTS,
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -77,7 +77,9 @@
     /** Idle timeout of connections whose server sent no Keep-Alive field. */
     uint32_t default_keep_alive_ms;
     uint32_t max_idle_per_address; /**< idle connections per address */
-    uint32_t user_timeout_ms;      /**< TCP_USER_TIMEOUT; 0: the system's */
+    /** Idle connections are closed beyond so many in all; 0: any. */
+    uint32_t max_connections;
+    uint32_t user_timeout_ms; /**< TCP_USER_TIMEOUT; 0: the system's */
 } sky_client_options_t;
 
 typedef struct {
--- a/tests/crowd_site.sh
+++ b/tests/crowd_site.sh
@@ -71,6 +71,13 @@
 within() { # VALUE MAX
     if [ "${1:-999999999}" -le "$2" ]; then echo within; else echo "${1:-gone}"; fi
 }
+# closed_count: prints how many of the last crowd's connections were closed
+closed_count() { sed -n 's/.*closed \([0-9]*\).*/\1/p' "$DIR/crowd.out"; }
+# refused_count REASON: prints the host's counter of refused clients
+refused_count() {
+    curl -sS -m 2 "http://$(ready_address 0)/metrics" |
+        sed -n "s/^sky_clients_refused_total{reason=\"$1\"} //p"
+}
 report_crowds() {
     [ "$failures" -eq 0 ] || tail -n 30 "$DIR/edge0.log"
     [ "$failures" -eq 0 ]
