--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -150,6 +150,10 @@
     sky_proxy_request_t *requests;
     uint32_t open_count;
     sky_proxy_stats_t stats;
+    /** Some request waits for capacity of a plain service, see
+     *  CheckOpenRequests(). */
+    bool has_capacity_waiters;
+    uint64_t last_check_ms;
     ev_timer check_timer;
     bool awaits_records; /**< those known are too old to act on */
     bool is_stopping;
