Rank targets by expected time, and spread choices by old reports

Cause: targets at a relative speed of 0.55 got as many requests as the others, and hosts with the same old reports sent their requests to the same target: the busiest engine of the shop got 1.81 times the mean.

Change: hosts sample the intervals between events (plain services: durations) and report them to the target's owner in the load report, which merges them and returns the target's pace. Targets are ranked by utilization, with what others are expected to have sent since the report, times pace. Where the best target is not nearly idle, a random number of the request counts the more the older the reports are. No call is added; rows of the build before are read.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -26,6 +26,18 @@
 #define PACKED_UTILIZATION 0.5
 /** Score of the last preferred target above that of the first. */
 #define PREFERENCE_WEIGHT 0.2
+/** Weight of a request's random number against the expected time, for a report
+ *  of OWNER_REPORT_RELIABLE_MS. In the replay of tests/test_target_choice.cc,
+ *  76 hosts, 4.3% of streams were late with 0.5, 4.7% with 0.3. */
+#define SPREAD_WEIGHT 0.5
+/** A request of this host stands for at most so many of others. With more, the
+ *  estimate of hosts that send little is mostly chance: in the replay with 330
+ *  hosts and no limit, nearly as many streams were late as without it. */
+#define UNREPORTED_FACTOR_MAX 2.0
+/** Up to this expected time the choice is not spread, so that the replicas of
+ *  rarely used adapters stay packed. In the replay, a limit of 0.5 let twice
+ *  as many streams be late. */
+#define SPREAD_TIME_MIN 0.3
 /** Above this utilization another replica is loaded: that takes some hundred
  *  ms, in which a growing burst fills the rest of the batch. */
 #define CROWDED_UTILIZATION 0.6
@@ -538,6 +550,80 @@
     return prompt_load > batch_load ? prompt_load : batch_load;
 }
 
+/* Load pattern: hosts choose alike by the same reports. What this host has
+ * sent since a report therefore tells what others have sent meanwhile. */
+static double
+expected_unreported(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
+                    uint64_t now_ms)
+{
+    double others = fmin(fleet->host_count - 1.0, UNREPORTED_FACTOR_MAX);
+    return is_owner_report_current(target, now_ms) && fleet->host_count > 0
+               ? target->begun_since_report * others
+               : 0.0;
+}
+
+double
+SkyFleet_GetExpectedTime(const sky_fleet_t *fleet,
+                         const sky_fleet_target_t *target, uint64_t now_ms)
+{
+    double unreported = expected_unreported(fleet, target, now_ms);
+    return (SkyFleet_GetUtilization(target, now_ms) +
+            unreported / target->entry.slots) *
+           SkyTargetPace_Get(&target->pace, now_ms);
+}
+
+/* Returns the median of the targets of the same service. */
+static double
+find_median_us(const sky_fleet_t *fleet, const char *service, double *means_us,
+               uint64_t now_ms)
+{
+    uint32_t count = 0;
+    const sky_fleet_target_t *target;
+    DL_FOREACH(fleet->targets, target)
+    {
+        double mean_us = SkyTargetPace_GetMeanUs(&target->pace, now_ms);
+        if (mean_us > 0.0 && is_usable(target, service)) {
+            means_us[count++] = mean_us;
+        }
+    }
+    return SkyTargetPace_FindMedianUs(means_us, count);
+}
+
+void
+SkyFleet_UpdateMedians(sky_fleet_t *fleet, uint64_t now_ms)
+{
+    const sky_fleet_target_t *last = NULL;
+    uint32_t count;
+    sky_fleet_target_t *target;
+    DL_COUNT(fleet->targets, target, count);
+    double *means_us = calloc(count ? count : 1, sizeof *means_us);
+    if (means_us == NULL) {
+        return; /* the medians stay as they are */
+    }
+    /* Each service is handled at its first target. */
+    DL_FOREACH(fleet->targets, target)
+    {
+        bool is_first = true;
+        for (last = fleet->targets; last != target && is_first;
+             last = last->next) {
+            is_first = strcmp(last->entry.service, target->entry.service) != 0;
+        }
+        if (!is_first) {
+            continue;
+        }
+        double median_us =
+            find_median_us(fleet, target->entry.service, means_us, now_ms);
+        sky_fleet_target_t *other;
+        DL_FOREACH(fleet->targets, other)
+        {
+            if (strcmp(other->entry.service, target->entry.service) == 0) {
+                other->pace.median_us = median_us;
+            }
+        }
+    }
+    free(means_us);
+}
+
 void
 SkyFleet_RecordPromptLoad(sky_fleet_target_t *target, double load)
 {
@@ -560,6 +646,7 @@
     target->listed_count = count;
     target->others_in_flight = others_in_flight;
     target->owner_report_ms = now_ms;
+    target->begun_since_report = 0;
     uint32_t kept = 0;
     for (uint32_t i = 0; i < target->observed_count; i++) {
         if (target->observed[i].observed_ms + OWNER_REPORT_LAG_MS > now_ms) {
@@ -581,14 +668,13 @@
  * are therefore filled one after the other, the first preferred target first.
  */
 static double
-packed_utilization(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
-                   uint64_t now_ms)
-{
-    double utilization = SkyFleet_GetUtilization(target, now_ms);
-    double excess =
-        utilization > PACKED_UTILIZATION
-            ? (utilization - PACKED_UTILIZATION) / (1.0 - PACKED_UTILIZATION)
-            : 0.0;
+packed_utilization(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
+                   sky_adapter_key_t adapter, uint64_t now_ms)
+{
+    double time = SkyFleet_GetExpectedTime(fleet, target, now_ms);
+    double excess = time > PACKED_UTILIZATION ? (time - PACKED_UTILIZATION) /
+                                                    (1.0 - PACKED_UTILIZATION)
+                                              : 0.0;
     double preference_penalty =
         1.0 - (double)rendezvous_weight(target, adapter) / (double)INT64_MAX;
     return excess + PREFERENCE_WEIGHT * preference_penalty;
@@ -599,8 +685,8 @@
               bool is_packed, sky_adapter_key_t adapter, uint64_t now_ms)
 {
     double score = FAILURE_WEIGHT * target->failure;
-    score += is_packed ? packed_utilization(target, adapter, now_ms)
-                       : SkyFleet_GetUtilization(target, now_ms);
+    score += is_packed ? packed_utilization(fleet, target, adapter, now_ms)
+                       : SkyFleet_GetExpectedTime(fleet, target, now_ms);
     if (strcmp(target->entry.domain, fleet->domain) != 0) {
         score += OTHER_DOMAIN_WEIGHT;
     }
@@ -610,6 +696,27 @@
     return score;
 }
 
+/* Load pattern: many hosts choose at the same moment by reports that are some
+ * hundred ms old, and would all choose the target that was least utilized
+ * then. The older a report is, the more a random number of the request
+ * decides. With this distribution (Gumbel) the choice is in proportion to
+ * exp(-score / weight). */
+static double
+spread_offset(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
+              const sky_fleet_query_t *query, uint64_t now_ms)
+{
+    if (!is_owner_report_current(target, now_ms) || fleet->host_count == 0) {
+        return 0.0;
+    }
+    double age_ms = (double)(now_ms - target->owner_report_ms);
+    double age = fmin(age_ms / OWNER_REPORT_RELIABLE_MS, 1.0);
+    double others = 1.0 - 1.0 / fleet->host_count;
+    uint64_t hash = XXH3_64bits_withSeed(
+        &query->tie_breaker, sizeof query->tie_breaker, target->hash);
+    double uniform = ((double)(hash >> 11) + 0.5) * 0x1.0p-53;
+    return SPREAD_WEIGHT * age * others * log(-log(uniform));
+}
+
 static bool
 is_service_brittle(const sky_fleet_t *fleet, const sky_fleet_query_t *query)
 {
@@ -658,6 +765,22 @@
                     fleet->host_rank, fleet->host_count));
 }
 
+/** A target that a request may be sent to. Lower scores are better. */
+typedef struct {
+    sky_fleet_target_t *target; /**< NULL: none yet */
+    double score;
+    uint32_t version;
+    bool is_version_required;
+} candidate_t;
+
+static void
+keep_better(candidate_t *best, const candidate_t *candidate)
+{
+    if (best->target == NULL || candidate->score < best->score) {
+        *best = *candidate;
+    }
+}
+
 void
 SkyFleet_ChooseTarget(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
                       uint64_t now_ms, sky_fleet_choice_t *choice)
@@ -669,9 +792,8 @@
     /* A resident model is not loaded again for a newer version. */
     uint32_t newest_version =
         needs_adapter ? SkyFleet_GetAnnouncedVersion(fleet, key) : 0;
-    bool is_version_required = false;
-    double best_score = 0;
-    uint32_t best_version = 0;
+    candidate_t best = {0};
+    candidate_t best_spread = {0};
     uint32_t replica_count = 0;
     bool service_is_brittle = is_service_brittle(fleet, query);
     *choice = (sky_fleet_choice_t){0};
@@ -715,36 +837,42 @@
             (is_current ? 0 : 1.0);
         /* Breaks ties between equal scores. */
         score += (double)((target->hash ^ query->tie_breaker) % 1024) / 1.0e5;
-        if (choice->target == NULL || score < best_score) {
-            choice->target = target;
-            best_score = score;
-            best_version = version;
-            is_version_required = required_version > 0;
-        }
+        candidate_t candidate = {target, score, version, required_version > 0};
+        keep_better(&best, &candidate);
+        candidate.score += spread_offset(fleet, target, query, now_ms);
+        keep_better(&best_spread, &candidate);
     }
+    if (best.target != NULL &&
+        SkyFleet_GetExpectedTime(fleet, best.target, now_ms) >
+            SPREAD_TIME_MIN) {
+        best = best_spread;
+    }
+    choice->target = best.target;
     choice->is_adapter_missing = query->engine && replica_count == 0;
     choice->batch_utilization =
         choice->target ? SkyFleet_GetUtilization(choice->target, now_ms) : 0.0;
     choice->extra_replicas =
         choice->target != NULL && needs_adapter
-            ? count_replicas_wanted(choice->target, key,
-                                    choice->batch_utilization, replica_count)
+            ? count_replicas_wanted(
+                  choice->target, key,
+                  SkyFleet_GetExpectedTime(fleet, choice->target, now_ms),
+                  replica_count)
             : 0;
     if (newest_version > 0 && choice->target != NULL) {
         bool is_checked =
-            is_version_required || best_version >= newest_version;
-        choice->version = is_checked ? best_version : 0;
+            best.is_version_required || best.version >= newest_version;
+        choice->version = is_checked ? best.version : 0;
     }
 }
 
 /* Full and limited targets rank below all others. */
 static uint64_t
-compute_rank(const sky_fleet_target_t *target, sky_adapter_key_t adapter,
-             uint64_t now_ms)
+compute_rank(const sky_fleet_t *fleet, const sky_fleet_target_t *target,
+             sky_adapter_key_t adapter, uint64_t now_ms)
 {
     uint64_t weight = rendezvous_weight(target, adapter);
-    bool is_full =
-        SkyFleet_GetUtilization(target, now_ms) > PREFERRED_UTILIZATION_MAX;
+    bool is_full = SkyFleet_GetExpectedTime(fleet, target, now_ms) >
+                   PREFERRED_UTILIZATION_MAX;
     return is_full || target->limit.per_s > 0.0 ? weight
                                                 : weight | (UINT64_C(1) << 63);
 }
@@ -775,10 +903,10 @@
         if (!can_load_adapter(target, query, adapter, now_ms)) {
             continue;
         }
-        uint64_t rank = compute_rank(target, adapter, now_ms);
+        uint64_t rank = compute_rank(fleet, target, adapter, now_ms);
         uint32_t at = count < max_count ? count++ : max_count;
-        while (at > 0 &&
-               rank > compute_rank(preferred[at - 1], adapter, now_ms)) {
+        while (at > 0 && rank > compute_rank(fleet, preferred[at - 1], adapter,
+                                             now_ms)) {
             if (at < max_count) {
                 preferred[at] = preferred[at - 1];
             }
@@ -853,6 +981,7 @@
 {
     target->references++;
     target->in_flight++;
+    target->begun_since_report++;
 }
 
 static void
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -20,6 +20,7 @@
 #include "decide/software_rollout.h"
 #include "decide/target_entry.h"
 #include "decide/target_limit.h"
+#include "decide/target_pace.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -49,11 +50,14 @@
     uint64_t removal_ms; /**< missing from the list, removed then; 0: listed */
     uint32_t references; /**< requests of this host that refer to it */
     uint32_t in_flight;  /**< requests of this host that are running on it */
-    uint32_t others_in_flight; /**< requests of all other hosts on it */
-    uint64_t owner_report_ms;  /**< last report of its owner; 0: none */
+    uint32_t others_in_flight;   /**< requests of all other hosts on it */
+    uint32_t begun_since_report; /**< requests of this host, since the last
+                                      report of its owner */
+    uint64_t owner_report_ms;    /**< last report of its owner; 0: none */
     double prompt_load; /**< part of the time that it reads prompts, 0 to 1,
                              by that report */
-    double failure;     /**< moving average of failed requests, 0 to 1 */
+    sky_target_pace_t pace;
+    double failure; /**< moving average of failed requests, 0 to 1 */
     uint32_t refused_connections; /**< in a row; stops at a maximum */
     uint64_t blocked_until_ms;    /**< after a refused connection */
     uint64_t full_until_ms; /**< it refused a request for lack of capacity */
@@ -196,6 +200,11 @@
  *  owner's newest report. */
 void SkyFleet_RecordPromptLoad(sky_fleet_target_t *target, double load);
 
+/** Computes the median of each service's targets, which their paces relate to.
+ *  Its cost grows with the number of targets: to be called a few times a
+ *  second. */
+void SkyFleet_UpdateMedians(sky_fleet_t *fleet, uint64_t now_ms);
+
 /** @return whether the owner's report is so recent that a new request can rely
  *  on it. */
 bool SkyFleet_HasRecentOwnerReport(const sky_fleet_target_t *target,
@@ -207,6 +216,12 @@
 double SkyFleet_GetUtilization(const sky_fleet_target_t *target,
                                uint64_t now_ms);
 
+/** @return utilization, with what other hosts are expected to have sent since
+ *          the owner's report, times pace. Targets are ranked by it. */
+double SkyFleet_GetExpectedTime(const sky_fleet_t *fleet,
+                                const sky_fleet_target_t *target,
+                                uint64_t now_ms);
+
 /** Chooses a target that can run a request now. */
 void SkyFleet_ChooseTarget(const sky_fleet_t *fleet,
                            const sky_fleet_query_t *query, uint64_t now_ms,
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -113,6 +113,7 @@
     }
     request->send_count++;
     request->events_before = request->event_stream.event_count;
+    request->pace_since_us = 0;
     request->answer_recorded = false;
     request->response.facts.not_run = false;
     request->response.is_invalid = false;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -100,6 +100,23 @@
            edge->directory.targets_known;
 }
 
+/* Writes the pace of each target that this host owns and has samples of. */
+static void
+write_paces(const edge_t *edge, sky_buffer_t *body)
+{
+    const sky_fleet_target_t *target =
+        SkyFleet_GetFirstTarget(edge->directory.fleet);
+    SkyBuffer_AppendText(body, "# TYPE sky_target_pace_percent gauge\n");
+    for (; target != NULL; target = target->next) {
+        if (target->listed && target->pace.merged.weight > 0.0) {
+            SkyBuffer_AppendFormat(
+                body, "sky_target_pace_percent{target=\"%s\"} %.0f\n",
+                target->entry.id,
+                100 * SkyTargetPace_Measure(&target->pace, SkyClock_NowMs()));
+        }
+    }
+}
+
 static void
 respond_metrics(edge_t *edge, sky_server_request_t *request)
 {
@@ -130,6 +147,7 @@
                            SkyProxy_OpenRequestCount(edge->proxy),
                            (unsigned long long)proxied->sent_to_peers,
                            (unsigned long long)proxied->received_from_peers);
+    write_paces(edge, &body);
     SkyServerRequest_Respond(request, 200, "Content-Type: text/plain\r\n",
                              SkyBuffer_Data(&body), SkyBuffer_Size(&body));
     SkyBuffer_Clear(&body);
--- a/lib/edge/load_report.c
+++ b/lib/edge/load_report.c
@@ -13,6 +13,8 @@
 #define RESIDENTS_MAX 256 /**< in an owner's report of one target */
 /** A turn with longer times is not taken: no prompt waits so long. */
 #define PROMPT_TURN_MAX_MS 60000
+/** Events of one target between two reports of a host; far above any rate. */
+#define PACE_SAMPLES_MAX 1000000
 /** Stands for this host among the users of its own targets' adapters. */
 #define LOCAL_HOST_ID 1
 
@@ -88,9 +90,52 @@
     }
     double prompt_load =
         SkyPromptPacer_GetLoad(&owned->prompt_pacer, SkyClock_NowMs());
-    return json_pack("[s,I,o,I]", owned->id,
-                     (json_int_t)in_flight_except(owned, host), rows,
-                     (json_int_t)(prompt_load * 100));
+    const sky_fleet_target_t *target = SkyOwnedTarget_FindFleetTarget(owned);
+    double pace = target != NULL
+                      ? SkyTargetPace_Measure(&target->pace, SkyClock_NowMs())
+                      : 1.0;
+    return json_pack(
+        "[s,I,o,I,I]", owned->id, (json_int_t)in_flight_except(owned, host),
+        rows, (json_int_t)(prompt_load * 100), (json_int_t)(pace * 100));
+}
+
+/* Merges samples of a target's pace that its owner got from a host; the row of
+ * a host of an earlier build has none. */
+static void
+merge_pace(const sky_owned_target_t *owned, const json_t *samples)
+{
+    json_int_t count = json_integer_value(json_array_get(samples, 0));
+    json_int_t mean_us = json_integer_value(json_array_get(samples, 1));
+    sky_fleet_target_t *target = SkyOwnedTarget_FindFleetTarget(owned);
+    if (target == NULL || samples == NULL) {
+        return;
+    }
+    if (count < 0 || count > PACE_SAMPLES_MAX || mean_us < 0 ||
+        mean_us > SKY_PACE_SAMPLE_MAX_US) {
+        SkyLog_Write(LOG_WARNING, "peer_call_refused",
+                     "path=/share field=pace");
+        return;
+    }
+    sky_pace_sample_t sample = {(uint32_t)count, (uint64_t)(count * mean_us)};
+    SkyTargetPace_Merge(&target->pace, &sample, SkyClock_NowMs());
+}
+
+/* Merges this host's samples of a target that it owns. */
+static void
+merge_local_pace(const sky_owned_target_t *owned)
+{
+    sky_fleet_target_t *target = SkyOwnedTarget_FindFleetTarget(owned);
+    if (target == NULL) {
+        return;
+    }
+    sky_pace_sample_t sample = SkyTargetPace_TakeUnreported(&target->pace);
+    SkyTargetPace_Merge(&target->pace, &sample, SkyClock_NowMs());
+    if (SkyTargetPace_NeedsLogLine(&target->pace, SkyClock_NowMs())) {
+        SkyLog_Write(LOG_NOTICE, "target_pace",
+                     "target=%s pace=%.2f slow=%d median_us=%.0f", owned->id,
+                     SkyTargetPace_Measure(&target->pace, SkyClock_NowMs()),
+                     target->pace.is_logged_slow, target->pace.median_us);
+    }
 }
 
 void
@@ -173,6 +218,7 @@
             continue;
         }
         apply_host_load(owned, host, (uint32_t)in_flight);
+        merge_pace(owned, json_array_get(row, 3));
         size_t i;
         json_t *use;
         json_array_foreach(uses, i, use)
@@ -231,6 +277,11 @@
                                   prompt_percent >= 0 && prompt_percent <= 100
                                       ? (double)prompt_percent / 100
                                       : 0.0);
+        /* Absent in the report of an earlier build: no pace is recorded. */
+        SkyTargetPace_RecordReport(
+            &target->pace,
+            (double)json_integer_value(json_array_get(row, 4)) / 100,
+            SkyClock_NowMs());
     }
 }
 
@@ -324,7 +375,7 @@
  * load, the owner is not known, or it is this host. */
 static void
 add_load_report(sky_placement_t *placement, json_t *messages,
-                const sky_fleet_target_t *target)
+                sky_fleet_target_t *target)
 {
     const sky_placement_options_t *options = &placement->options;
     const char *owner = SkyOwnership_FindOwnerAddress(
@@ -342,9 +393,16 @@
         rows = json_array();
         json_object_set_new(messages, owner, rows);
     }
-    json_array_append_new(rows,
-                          json_pack("[s,I,o]", target->entry.id,
-                                    (json_int_t)target->in_flight, uses));
+    sky_pace_sample_t sample = SkyTargetPace_TakeUnreported(&target->pace);
+    json_int_t mean_us =
+        sample.count > 0 ? (json_int_t)(sample.sum_us / sample.count) : 0;
+    json_t *row = json_pack("[s,I,o]", target->entry.id,
+                            (json_int_t)target->in_flight, uses);
+    if (sample.count > 0) {
+        json_array_append_new(
+            row, json_pack("[I,I]", (json_int_t)sample.count, mean_us));
+    }
+    json_array_append_new(rows, row);
 }
 
 /* Keeps the uses that still run and those that were not reported. */
@@ -401,13 +459,17 @@
     const sky_placement_options_t *options = &placement->options;
     json_t *messages = json_object();
     sky_owned_target_t *owned;
+    if (!unreported_only) {
+        SkyFleet_UpdateMedians(options->directory->fleet, SkyClock_NowMs());
+    }
     DL_FOREACH(placement->owned_targets, owned)
     {
         record_local_uses(placement, owned);
+        merge_local_pace(owned);
         SkyLoadReport_ApplyLocally(owned);
         SkyPlacement_UpdateWaitingRequests(owned);
     }
-    const sky_fleet_target_t *target =
+    sky_fleet_target_t *target =
         SkyFleet_GetFirstTarget(options->directory->fleet);
     for (; target != NULL; target = target->next) {
         if ((!unreported_only ||
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -11,7 +11,8 @@
 #include "core/logging.h"
 
 #define RETRY_AFTER_JITTER_MS 300 /**< spreads callers' retries */
-#define RESPONSE_MIN_MS 20        /**< no target responds in less time */
+#define US_PER_MS 1000
+#define RESPONSE_MIN_MS 20 /**< no target responds in less time */
 
 static sky_service_record_t *
 find_or_add_record(sky_proxy_t *proxy, const char *service)
@@ -529,6 +530,41 @@
     }
 }
 
+void
+SkyProxyRequest_RecordEvents(sky_proxy_request_t *request,
+                             uint64_t event_count)
+{
+    sky_fleet_target_t *target = request->target;
+    if (target == NULL || !request->service->engine.present ||
+        event_count == 0) {
+        return;
+    }
+    /* While a caller is slow, events wait for it and not for the target. */
+    bool is_paused = SkyServerRequest_IsCallerSlow(request->caller_request);
+    uint64_t now_us = SkyClock_NowUs();
+    uint64_t now_ms = SkyClock_NowMs();
+    if (request->pace_since_us > 0 && event_count <= UINT32_MAX) {
+        uint64_t work_us =
+            SkyTargetPace_NormalizeUs(now_us - request->pace_since_us,
+                                      SkyFleet_GetUtilization(target, now_ms));
+        sky_pace_sample_t sample = {(uint32_t)event_count, work_us};
+        SkyTargetPace_Record(&target->pace, &sample, now_ms);
+    }
+    request->pace_since_us = is_paused ? 0 : now_us;
+}
+
+void
+SkyProxyRequest_RecordDuration(const sky_proxy_request_t *request)
+{
+    if (request->target == NULL || request->service->engine.present ||
+        request->response.status >= 400) {
+        return;
+    }
+    uint64_t now_ms = SkyClock_NowMs();
+    sky_pace_sample_t sample = {1, (now_ms - request->sent_ms) * US_PER_MS};
+    SkyTargetPace_Record(&request->target->pace, &sample, now_ms);
+}
+
 void
 SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request)
 {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -109,6 +109,8 @@
     sky_proxy_response_t response;
     sky_event_stream_t event_stream;
     uint64_t events_before; /**< events of earlier exchanges */
+    uint64_t pace_since_us; /**< newest event of this exchange that can begin
+                                 an interval; 0: none */
     bool answer_recorded;   /**< see SkyProxyRequest_RecordAnswer() */
     /** Software version of the current exchange's target. */
     char sent_software[SKY_SOFTWARE_VERSION_BYTES];
@@ -247,6 +249,16 @@
 /** Records, once in an exchange, how long the first event took. */
 void SkyProxyRequest_RecordPromptTime(sky_proxy_request_t *request);
 
+/** Records the intervals of events that just arrived as samples of the
+ * target's pace.
+ *  @param event_count completed now */
+void SkyProxyRequest_RecordEvents(sky_proxy_request_t *request,
+                                  uint64_t event_count);
+
+/** Records the duration of a plain service's whole response as a sample of the
+ *  target's pace. */
+void SkyProxyRequest_RecordDuration(const sky_proxy_request_t *request);
+
 /** Records the version that began the stream, with its first event, or before
  *  the head of a response that names it. */
 void SkyProxyRequest_RecordFirstEvent(sky_proxy_request_t *request);
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -187,12 +187,15 @@
         return;
     }
     sky_buffer_t whole_events = {0};
+    uint64_t events_before = SkyProxyRequest_EventCount(request);
     SkyEventStream_Feed(&request->event_stream, bytes, size, &whole_events);
     SkyServerRequest_WriteBody(request->caller_request,
                                SkyBuffer_Data(&whole_events),
                                SkyBuffer_Size(&whole_events));
     SkyBuffer_Clear(&whole_events);
     wait_for_slow_caller(request);
+    SkyProxyRequest_RecordEvents(request, SkyProxyRequest_EventCount(request) -
+                                              events_before);
     if (SkyProxyRequest_EventCount(request) > 0) {
         SkyProxyRequest_RecordPromptTime(request);
         SkyProxyRequest_RecordFirstEvent(request);
@@ -322,6 +325,7 @@
         handle_failure(request, "cut_event");
         return;
     }
+    SkyProxyRequest_RecordDuration(request);
     SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK);
     SkyProxyRequest_RecordResponse(request);
     SkyServerRequest_EndResponse(request->caller_request);
@@ -377,6 +381,7 @@
         finish_relay(request);
         return;
     }
+    SkyProxyRequest_RecordDuration(request);
     SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK);
     SkyProxyRequest_ForwardResponse(request);
 }
