--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -135,6 +135,23 @@
         (unsigned long long)edge->memory_share.used_bytes);
 }
 
+/* Writes the pace of each target that this host owns and has samples of. */
+static void
+write_paces(const edge_t *edge, sky_buffer_t *body)
+{
+    const sky_fleet_target_t *target =
+        SkyFleet_GetFirstTarget(edge->directory.fleet);
+    SkyBuffer_AppendText(body, "# TYPE sky_target_pace_percent gauge\n");
+    for (; target != NULL; target = target->next) {
+        if (target->listed && target->pace.merged.weight > 0.0) {
+            SkyBuffer_AppendFormat(
+                body, "sky_target_pace_percent{target=\"%s\"} %.0f\n",
+                target->entry.id,
+                100 * SkyTargetPace_Measure(&target->pace, SkyClock_NowMs()));
+        }
+    }
+}
+
 static void
 respond_metrics(edge_t *edge, sky_server_request_t *request)
 {
@@ -175,6 +192,7 @@
                            (unsigned long long)quotas->calls);
     SkyServiceTurns_WriteMetrics(edge->service_turns, &body);
     append_client_metrics(&body, edge);
+    write_paces(edge, &body);
     SkyServerRequest_Respond(request, 200, "Content-Type: text/plain\r\n",
                              SkyBuffer_Data(&body), SkyBuffer_Size(&body));
     SkyBuffer_Clear(&body);
