Refund the workspace that was charged, also if its key was removed

Cause: a refund took the name of the request's workspace, which is NULL once a newer configuration has removed the key.

--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -141,14 +141,14 @@
     sky_quota_result_t result = SkyQuotaSharing_Acquire(
         request->proxy->options.quota_sharing, &need, on_quota, request,
         &wait_ms, &request->quota_request);
-    if (result != SKY_QUOTA_DENIED) {
+    if (result == SKY_QUOTA_DENIED) {
+        SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+    }
+    else {
         request->quota_cost = need.cost;
         request->charged = SkyDeployment_Acquire(request->access);
         request->charged_workspace = workspace;
     }
-    if (result == SKY_QUOTA_DENIED) {
-        SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
-    }
     return result == SKY_QUOTA_GRANTED;
 }
 
@@ -157,7 +157,8 @@
 {
     if (request->quota_cost > 0) {
         SkyQuotaSharing_Refund(request->proxy->options.quota_sharing,
-                               request->workspace->name, request->quota_cost);
+                               request->charged_workspace->name,
+                               request->quota_cost);
         request->quota_cost = 0;
     }
 }
