Time out reads of the configuration sooner while its proof is missing

Cause: a call that the store did not respond to held the next read for 1.5 s.

Change: the configuration is read with a timeout of 500 ms while the newest proof is older than half of the bound. Deployments without the bound are not affected.

--- a/lib/edge/feed.c
+++ b/lib/edge/feed.c
@@ -30,6 +30,7 @@
 /** A proof of the configuration counts for so much less than the bound: the
  *  clocks of hosts run a little apart. */
 #define PROOF_MARGIN_MS 300
+#define URGENT_TIMEOUT_MS 500 /**< a slow store takes some hundred ms */
 /** Records may always be this old: a host that reads the store only when those
  *  of its peers are stale has them in time. */
 #define MAX_AGE_MIN_MS 1400
@@ -299,6 +300,24 @@
     schedule_read(topic, is_next_due ? 0 : read_interval_ms(topic));
 }
 
+static uint32_t
+proof_max_age_ms(const sky_feed_t *feed)
+{
+    uint32_t limit_ms = feed->options.settings->bounds.revocation_ms;
+    return limit_ms > PROOF_MARGIN_MS ? limit_ms - PROOF_MARGIN_MS : 0;
+}
+
+/* Whether the peers' proofs come in time. Those of an earlier build send none,
+ * and this host has to read the store itself. */
+static bool
+is_proof_relayed(const sky_feed_t *feed)
+{
+    return feed->options.settings->bounds.revocation_ms == 0 ||
+           SkyFreshness_IsProven(&feed->topics[SKY_FEED_OPERATOR].freshness,
+                                 proof_max_age_ms(feed) / 2,
+                                 SkyClock_BootMs());
+}
+
 static void
 read_store(sky_feed_state_t *topic)
 {
@@ -316,26 +335,13 @@
                                    on_snapshot_page, topic);
         return;
     }
+    /* Once the store is back, requests wait for the proof: a call that the
+     * store will not respond to must not delay the next one by the usual
+     * timeout. */
+    bool is_urgent =
+        topic->id == SKY_FEED_OPERATOR && !is_proof_relayed(topic->feed);
     SkyStore_ReadRecords(store, topic->name, topic->next_offset, wait_ms,
-                         on_records, topic);
-}
-
-static uint32_t
-proof_max_age_ms(const sky_feed_t *feed)
-{
-    uint32_t limit_ms = feed->options.settings->bounds.revocation_ms;
-    return limit_ms > PROOF_MARGIN_MS ? limit_ms - PROOF_MARGIN_MS : 0;
-}
-
-/* Whether the peers' proofs come in time. Those of an earlier build send none,
- * and this host has to read the store itself. */
-static bool
-is_proof_relayed(const sky_feed_t *feed)
-{
-    return feed->options.settings->bounds.revocation_ms == 0 ||
-           SkyFreshness_IsProven(&feed->topics[SKY_FEED_OPERATOR].freshness,
-                                 proof_max_age_ms(feed) / 2,
-                                 SkyClock_BootMs());
+                         is_urgent ? URGENT_TIMEOUT_MS : 0, on_records, topic);
 }
 
 /* Whether the peers pass on what they read. For the crashes, whose reads are
