Begin the rounds of a start at the first join

Cause: the time after which each host reads the store itself ran from the start of the process. After an outage of the store of 2 s or more, all hosts read all topics when it came back: the start that the election is to prevent. Change: a host without records begins its rounds at its first join. A host whose joins are all refused still reads after 3,500 ms.

--- a/lib/decide/start_reads.c
+++ b/lib/decide/start_reads.c
@@ -57,6 +57,12 @@
 SkyStartReads_RecordJoin(sky_start_reads_t *start,
                          const sky_start_join_t *join)
 {
+    /* While the store is down nobody can be elected, so the rounds begin at
+     * the first join. Otherwise all hosts read when it comes back. */
+    if (join->number == 1 && start->served_ms == 0 &&
+        join->now_ms > start->started_ms) {
+        start->started_ms = join->now_ms;
+    }
     start->rank = join->rank;
     start->reads_alone =
         join->owned_count > 0 &&
--- a/lib/decide/start_reads.h
+++ b/lib/decide/start_reads.h
@@ -34,9 +34,9 @@
 #define SKY_START_ADDRESS_BYTES 64
 
 typedef struct {
-    uint64_t started_ms;
-    uint64_t served_ms; /**< when it had its first records; 0: not yet */
-    uint32_t spread_ms; /**< delay of this host's last resort */
+    uint64_t started_ms; /**< or the first join, while it had no records */
+    uint64_t served_ms;  /**< when it had its first records; 0: not yet */
+    uint32_t spread_ms;  /**< delay of this host's last resort */
     bool is_seed;
     bool is_store_reader; /**< chosen among the known members */
     bool reads_alone;     /**< few others are there */
@@ -66,6 +66,7 @@
     uint32_t shard_count; /**< of all */
     uint32_t number;      /**< of this host's joins, from 1 */
     uint64_t passed; /**< generations of the group since the join before */
+    uint64_t now_ms;
 } sky_start_join_t;
 
 void SkyStartReads_RecordJoin(sky_start_reads_t *start,
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -139,7 +139,8 @@
     sky_start_join_t join = {.rank = UINT32_MAX,
                              .shard_count = ownership->shard_count,
                              .number = ++ownership->joins,
-                             .passed = passed};
+                             .passed = passed,
+                             .now_ms = SkyClock_NowMs()};
     for (size_t i = 0; i < response->partition_count; i++) {
         uint32_t index = find_shard_index(ownership, &response->partitions[i]);
         if (index != UINT32_MAX) {
--- a/tests/test_start_reads.cc
+++ b/tests/test_start_reads.cc
@@ -78,6 +78,7 @@
     uint32_t suspended_readers = 0;
     bool reads_at_once = false; // as hosts did before
     uint32_t pages = PAGES;
+    uint64_t down_ms = 0; // the store refuses all calls until then
 };
 
 class Replay {
@@ -143,6 +144,12 @@
         return now_ >= host.still_from_ms && now_ < host.still_until_ms;
     }
 
+    bool
+    IsStoreDown() const
+    {
+        return now_ < START_MS + faults_.down_ms;
+    }
+
     bool
     IsUp(const Host &host) const
     {
@@ -159,6 +166,9 @@
     bool
     TakeRead()
     {
+        if (IsStoreDown()) {
+            return true;
+        }
         reads++;
         bool is_refused = ++reads_in_s_ > READS_PER_S;
         refused += is_refused;
@@ -215,7 +225,8 @@
     {
         if (host.join_arrives_ms == NEVER && now_ >= host.next_join_ms) {
             host.join_arrives_ms = now_ + STORE_MS;
-            host.join_is_refused = ++writes_in_s_ > WRITES_PER_S;
+            host.join_is_refused =
+                IsStoreDown() || ++writes_in_s_ > WRITES_PER_S;
             refused += host.join_is_refused;
             if (!host.join_is_refused && host.joined_ms == 0) {
                 members_.push_back(&host);
@@ -248,6 +259,7 @@
         join.shard_count = shard_count_;
         join.number = ++host.joins;
         join.passed = generation_ - host.generation;
+        join.now_ms = now_;
         SkyStartReads_RecordJoin(&host.start, &join);
         host.next_join_ms = now_ + JOIN_INTERVAL_MS;
         if (host.generation != generation_) {
@@ -533,13 +545,49 @@
     EXPECT_LE(after.reads, before.reads / 5);
 }
 
+// Guards against a store that comes back when the start is over for all hosts,
+// and that each of them then reads.
+TEST(StartReadsOfManyHosts, FewReadAfterAnOutageOfTheStore)
+{
+    for (uint64_t down_ms : {1500u, 2500u, 4500u, 10000u}) {
+        Faults faults;
+        faults.pages = 40;
+        faults.seeds = 0;
+        faults.down_ms = down_ms;
+        Replay replay(330, 1, faults);
+        replay.Run(30000);
+        printf("down for %llu ms: ms=%lld reads=%u refused=%u\n",
+               (unsigned long long)down_ms, (long long)replay.all_serve_ms,
+               replay.reads, replay.refused);
+        EXPECT_LE(replay.all_serve_ms, down_ms + 5000);
+        EXPECT_LE(replay.reads, 330 * TOPICS * faults.pages / 5);
+    }
+}
+
+// Its first join begins the rounds, as long as it has no records.
+TEST(StartReadsOfOneHost, RoundsBeginAtTheFirstJoin)
+{
+    sky_start_options_t options = {1000, 7, false};
+    sky_start_reads_t start = SkyStartReads_Make(&options);
+    EXPECT_TRUE(SkyStartReads_MayRead(&start, 4500));
+    sky_start_join_t join = {200, 1, 660, 1, 5000, 5500};
+    SkyStartReads_RecordJoin(&start, &join);
+    EXPECT_FALSE(SkyStartReads_MayRead(&start, 5500));
+    EXPECT_TRUE(SkyStartReads_MayRead(&start, 9000));
+
+    sky_start_reads_t served = SkyStartReads_Make(&options);
+    SkyStartReads_RecordServed(&served, 2000);
+    SkyStartReads_RecordJoin(&served, &join);
+    EXPECT_TRUE(SkyStartReads_MayRead(&served, 5500));
+}
+
 // A host that starts alone in a large group does not wait for others, also if
 // its seeds are stale.
 TEST(StartReadsOfOneHost, ReadAfterTheSecondJoin)
 {
     sky_start_options_t options = {1000, 7, false};
     sky_start_reads_t start = SkyStartReads_Make(&options);
-    sky_start_join_t join = {200, 1, 660, 1, 5000};
+    sky_start_join_t join = {200, 1, 660, 1, 5000, 1010};
     SkyStartReads_RecordJoin(&start, &join);
     EXPECT_FALSE(SkyStartReads_MayRead(&start, 1010));
     join.number = 2;
@@ -553,7 +601,7 @@
 {
     sky_start_options_t options = {1000, 7, false};
     sky_start_reads_t start = SkyStartReads_Make(&options);
-    sky_start_join_t join = {200, 1, 660, 1, 5000};
+    sky_start_join_t join = {200, 1, 660, 1, 5000, 1010};
     SkyStartReads_RecordJoin(&start, &join);
     for (uint32_t number = 2; number < 5; number++) {
         join.number = number;
