Close slow incomplete requests for new connections

Cause: beyond its maximum an address closed idle connections only. A crowd of slow bodies closed the kept connections of ordinary callers and then shut out new ones up to the idle timeout. Change: connection_share orders all that may be closed: those that sent nothing, those that were responded to, requests older than 1 s below the minimum rate, used idle ones, other incomplete requests. A connection with a pending event is no victim. Counter and log field incomplete_closed.

--- a/lib/decide/connection_share.c
+++ b/lib/decide/connection_share.c
@@ -12,6 +12,8 @@
 #define METRICS_PARTS 1u
 /** A listener serves on if the limit is too low for any division. */
 #define CONNECTIONS_MIN 8u
+/** Ordinary callers send their requests in less time. */
+#define REQUEST_KEPT_MS 1000u
 
 static uint32_t
 get_part(uint32_t sockets, uint32_t parts)
@@ -40,12 +42,48 @@
     return share;
 }
 
-int
-SkyConnectionShare_IsClosedBefore(const sky_idle_connection_t *one,
-                                  const sky_idle_connection_t *other)
+bool
+SkyConnectionShare_MayClose(const sky_held_connection_t *connection)
 {
-    if ((one->requests == 0) != (other->requests == 0)) {
-        return one->requests == 0;
+    return connection->state != SKY_HELD_READING ||
+           connection->state_ms >= REQUEST_KEPT_MS;
+}
+
+static bool
+is_below_min_rate(const sky_held_connection_t *connection)
+{
+    return connection->request_bytes * 1000 <
+           connection->state_ms * SKY_REQUEST_RATE_MIN_BYTES_PER_S;
+}
+
+/* Those with the lowest rank are closed first. */
+static int
+get_rank(const sky_held_connection_t *connection)
+{
+    switch (connection->state) {
+    case SKY_HELD_IDLE:
+        return connection->requests == 0 ? 0 : 3;
+    case SKY_HELD_CLOSING:
+        return 1;
+    case SKY_HELD_READING:
+        break;
+    }
+    return is_below_min_rate(connection) ? 2 : 4;
+}
+
+bool
+SkyConnectionShare_IsClosedBefore(const sky_held_connection_t *one,
+                                  const sky_held_connection_t *other)
+{
+    int rank = get_rank(one);
+    int other_rank = get_rank(other);
+    if (rank != other_rank) {
+        return rank < other_rank;
+    }
+    if (one->state == SKY_HELD_READING) {
+        /* Compares bytes per time without a division. */
+        return one->request_bytes * other->state_ms <
+               other->request_bytes * one->state_ms;
     }
-    return one->idle_ms > other->idle_ms;
+    return one->state_ms > other->state_ms;
 }
--- a/lib/decide/connection_share.h
+++ b/lib/decide/connection_share.h
@@ -10,6 +10,7 @@
 #ifndef SKY_DECIDE_CONNECTION_SHARE_H
 #define SKY_DECIDE_CONNECTION_SHARE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -28,16 +29,33 @@
 /** @param max_file_descriptors of the process; 0: any. */
 sky_connection_share_t SkyConnectionShare_Make(uint32_t max_file_descriptors);
 
-/** What may be closed when a listener has no connection left. */
+/** Minimum rate of a request; the slowest mobile links reach twice as much. */
+#define SKY_REQUEST_RATE_MIN_BYTES_PER_S 500u
+
+typedef enum {
+    SKY_HELD_IDLE,    /**< without a request */
+    SKY_HELD_READING, /**< a request is being received */
+    SKY_HELD_CLOSING, /**< responded to; waits for the client to close */
+} sky_held_state_t;
+
+/** What may be closed when a listener has no connection left. A connection
+ *  whose request is being served is never closed. */
 typedef struct {
-    uint64_t idle_ms;  /**< without a request */
-    uint32_t requests; /**< received so far */
-} sky_idle_connection_t;
-
-/** @return whether @p one is closed before @p other: connections that never
- *          had a request go first, then the longest idle ones. */
-int SkyConnectionShare_IsClosedBefore(const sky_idle_connection_t *one,
-                                      const sky_idle_connection_t *other);
+    sky_held_state_t state;
+    uint64_t state_ms;      /**< how long it has been in this state */
+    uint32_t requests;      /**< complete ones so far */
+    uint64_t request_bytes; /**< received of the current one */
+} sky_held_connection_t;
+
+/** @return whether the connection may be closed for a new one: not while its
+ *          request is as young as those of ordinary callers are. */
+bool SkyConnectionShare_MayClose(const sky_held_connection_t *connection);
+/** @return whether @p one is closed before @p other. In this order: those that
+ *          never sent anything, those that were responded to, requests below
+ *          the minimum rate, idle ones, other incomplete requests; among equal
+ *          ones the slowest request, or the longest in its state. */
+bool SkyConnectionShare_IsClosedBefore(const sky_held_connection_t *one,
+                                       const sky_held_connection_t *other);
 
 #ifdef __cplusplus
 }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -122,6 +122,7 @@
         "# TYPE sky_clients_refused_total counter\n"
         "sky_clients_refused_total{reason=\"memory\"} %llu\n"
         "sky_clients_refused_total{reason=\"idle_closed\"} %llu\n"
+        "sky_clients_refused_total{reason=\"incomplete_closed\"} %llu\n"
         "sky_clients_refused_total{reason=\"not_accepted\"} %llu\n"
         "sky_clients_refused_total{reason=\"slow_body\"} %llu\n"
         "sky_clients_refused_total{reason=\"slow_reader\"} %llu\n"
@@ -129,6 +130,7 @@
         "sky_received_bytes_held %llu\n",
         (unsigned long long)stats->memory_refusals,
         (unsigned long long)stats->idle_closes,
+        (unsigned long long)stats->incomplete_closes,
         (unsigned long long)stats->connection_closes,
         (unsigned long long)stats->slow_bodies,
         (unsigned long long)stats->slow_readers,
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -25,9 +25,6 @@
 /** The next pipelined request waits while more bytes of earlier responses than
  *  this are unsent. */
 #define PIPELINE_UNSENT_BYTES (64u * 1024u)
-/** A body may take the idle timeout, and beyond it the time that its bytes
- * take at this rate; the slowest mobile links reach twice as much. */
-#define BODY_RATE_MIN_BYTES_PER_S 500u
 /** A body without a byte for this long is stalled: it gives way to others when
  *  memory is short. */
 #define STALL_MS 1000u
@@ -680,32 +677,69 @@
     ev_io_start(listener->options.loop, &connection->read_watcher);
 }
 
-/* Closes an idle connection for a new one; returns false if there is none. */
+/* Describes a connection that may be closed for a new one; returns false if it
+ * may not. */
 static bool
-close_one_idle(sky_listener_t *listener)
+describe_held(const sky_server_request_t *connection, uint64_t now_ms,
+              sky_held_connection_t *held)
+{
+    uint64_t since_ms = connection->last_activity_ms;
+    *held =
+        (sky_held_connection_t){.requests = connection->request_count,
+                                .request_bytes = connection->request_bytes};
+    switch (connection->state) {
+    case STATE_IDLE:
+        if (SkyBuffer_Size(&connection->input) > 0 ||
+            SkyBuffer_Size(&connection->output) > 0) {
+            return false;
+        }
+        held->state = SKY_HELD_IDLE;
+        break;
+    case STATE_READING:
+        held->state = SKY_HELD_READING;
+        since_ms = connection->request_began_ms;
+        break;
+    case STATE_CLOSING:
+        if (!connection->sending_is_shut_down) {
+            return false;
+        }
+        held->state = SKY_HELD_CLOSING;
+        break;
+    case STATE_SERVING:
+        return false;
+    }
+    held->state_ms = now_ms - since_ms;
+    /* A pending event may be the request that is waited for. */
+    return !connection->in_callback &&
+           !ev_is_pending(&connection->read_watcher) &&
+           SkyConnectionShare_MayClose(held);
+}
+
+/* Closes a connection for a new one; returns false if none may be closed. */
+static bool
+close_for_new(sky_listener_t *listener)
 {
     uint64_t now_ms = SkyClock_NowMs();
     sky_server_request_t *chosen = NULL;
-    sky_idle_connection_t chosen_idle = {0};
+    sky_held_connection_t chosen_held = {0};
     /* Not DL_FOREACH, whose variable cppcheck takes for uninitialized. */
     for (sky_server_request_t *connection = listener->connection_list;
          connection != NULL; connection = connection->next) {
-        sky_idle_connection_t idle = {now_ms - connection->last_activity_ms,
-                                      connection->request_count};
-        if (connection->state == STATE_IDLE && !connection->in_callback &&
-            SkyBuffer_Size(&connection->input) == 0 &&
-            SkyBuffer_Size(&connection->output) == 0 &&
+        sky_held_connection_t held;
+        if (describe_held(connection, now_ms, &held) &&
             (chosen == NULL ||
-             SkyConnectionShare_IsClosedBefore(&idle, &chosen_idle))) {
+             SkyConnectionShare_IsClosedBefore(&held, &chosen_held))) {
             chosen = connection;
-            chosen_idle = idle;
+            chosen_held = held;
         }
     }
     if (chosen == NULL) {
         return false;
     }
-    listener->stats.idle_closes++;
-    close_connection(chosen, false);
+    bool is_incomplete = chosen->state == STATE_READING;
+    listener->stats.incomplete_closes += is_incomplete;
+    listener->stats.idle_closes += !is_incomplete;
+    close_connection(chosen, is_incomplete);
     return true;
 }
 
@@ -733,7 +767,7 @@
             }
             return;
         }
-        if (is_full(listener) && !close_one_idle(listener)) {
+        if (is_full(listener) && !close_for_new(listener)) {
             listener->stats.connection_closes++;
             close(fd);
             continue;
@@ -747,9 +781,11 @@
 {
     const sky_listener_options_t *options = &connection->listener->options;
     uint64_t inactive_ms = now_ms - connection->last_activity_ms;
+    /* The idle timeout, and beyond it the time that the bytes take at the
+     * minimum rate. */
     uint64_t allowed_ms =
         options->limits.idle_timeout_ms +
-        connection->request_bytes * 1000 / BODY_RATE_MIN_BYTES_PER_S;
+        connection->request_bytes * 1000 / SKY_REQUEST_RATE_MIN_BYTES_PER_S;
     if (now_ms - connection->request_began_ms > allowed_ms) {
         connection->listener->stats.slow_bodies++;
         reject_request(connection, 408);
@@ -840,17 +876,19 @@
 {
     sky_listener_stats_t *stats = &listener->stats;
     uint64_t count = stats->memory_refusals + stats->idle_closes +
-                     stats->connection_closes + stats->slow_bodies +
-                     stats->slow_readers;
+                     stats->incomplete_closes + stats->connection_closes +
+                     stats->slow_bodies + stats->slow_readers;
     if (count == 0 || now_ms < listener->last_report_ms + REPORT_INTERVAL_MS) {
         return;
     }
     SkyLog_Write(LOG_WARNING, "clients_refused",
                  "port=%u connections=%u memory=%llu idle_closed=%llu "
-                 "not_accepted=%llu slow_bodies=%llu slow_readers=%llu",
+                 "incomplete_closed=%llu not_accepted=%llu slow_bodies=%llu "
+                 "slow_readers=%llu",
                  listener->port, listener->connection_count,
                  (unsigned long long)stats->memory_refusals,
                  (unsigned long long)stats->idle_closes,
+                 (unsigned long long)stats->incomplete_closes,
                  (unsigned long long)stats->connection_closes,
                  (unsigned long long)stats->slow_bodies,
                  (unsigned long long)stats->slow_readers);
@@ -858,6 +896,7 @@
     if (total != NULL) {
         total->memory_refusals += stats->memory_refusals;
         total->idle_closes += stats->idle_closes;
+        total->incomplete_closes += stats->incomplete_closes;
         total->connection_closes += stats->connection_closes;
         total->slow_bodies += stats->slow_bodies;
         total->slow_readers += stats->slow_readers;
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -48,6 +48,7 @@
 typedef struct {
     uint64_t memory_refusals;   /**< requests refused for want of memory */
     uint64_t idle_closes;       /**< idle connections closed for new ones */
+    uint64_t incomplete_closes; /**< incomplete requests closed for new ones */
     uint64_t connection_closes; /**< new connections closed at once */
     uint64_t slow_bodies;       /**< requests below the minimum rate */
     uint64_t slow_readers;      /**< callers that read nothing */
--- a/tests/test_connection_share.cc
+++ b/tests/test_connection_share.cc
@@ -28,15 +28,36 @@
     EXPECT_EQ(0u, SkyConnectionShare_Make(0).callers);
 }
 
-// Guards ordinary keep-alive callers against a crowd that only connects.
-TEST(ConnectionShare, ConnectionsWithoutAnyRequestAreClosedFirst)
+// Guards ordinary keep-alive callers against a crowd that only connects, or
+// sends its requests slowly: the kept connections were closed before those.
+TEST(ConnectionShare, CrowdsAreClosedBeforeOrdinaryCallers)
 {
-    sky_idle_connection_t used = {9000, 5};
-    sky_idle_connection_t newer = {10, 0};
-    sky_idle_connection_t older = {20, 0};
-    EXPECT_TRUE(SkyConnectionShare_IsClosedBefore(&newer, &used));
-    EXPECT_FALSE(SkyConnectionShare_IsClosedBefore(&used, &newer));
-    EXPECT_TRUE(SkyConnectionShare_IsClosedBefore(&older, &newer));
+    const sky_held_connection_t ORDER[] = {
+        {SKY_HELD_IDLE, 20, 0, 0},         // never sent anything
+        {SKY_HELD_IDLE, 10, 0, 0},         // newer
+        {SKY_HELD_CLOSING, 500, 1, 0},     // responded to
+        {SKY_HELD_READING, 2000, 0, 100},  // 50 bytes a second
+        {SKY_HELD_READING, 9000, 0, 900},  // 100
+        {SKY_HELD_IDLE, 9000, 5, 0},       // used
+        {SKY_HELD_IDLE, 8000, 5, 0},       // later
+        {SKY_HELD_READING, 9000, 0, 9000}, // 1,000 bytes a second
+        {SKY_HELD_READING, 2000, 0, 90000}};
+    for (size_t i = 0; i < sizeof ORDER / sizeof ORDER[0]; i++) {
+        EXPECT_TRUE(SkyConnectionShare_MayClose(&ORDER[i]));
+        for (size_t j = 0; j < sizeof ORDER / sizeof ORDER[0]; j++) {
+            EXPECT_EQ(i < j,
+                      SkyConnectionShare_IsClosedBefore(&ORDER[i], &ORDER[j]));
+        }
+    }
+}
+
+// A caller that has just connected and sends a large request is no victim.
+TEST(ConnectionShare, ARequestThatJustBeganIsKept)
+{
+    sky_held_connection_t young = {SKY_HELD_READING, 999, 0, 1};
+    sky_held_connection_t old = {SKY_HELD_READING, 1000, 0, 1};
+    EXPECT_FALSE(SkyConnectionShare_MayClose(&young));
+    EXPECT_TRUE(SkyConnectionShare_MayClose(&old));
 }
 
 } // namespace
--- /dev/null
+++ b/tests/test_listener.cc
@@ -0,0 +1,160 @@
+// A listener with real sockets: which connections it closes to protect others.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "net/listener.h"
+#include "net/socket.h"
+
+namespace {
+
+const char INCOMPLETE[] = "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\nx";
+const char ORDINARY[] = "GET / HTTP/1.1\r\n\r\n";
+
+class ListenerTest : public ::testing::Test {
+  protected:
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    sky_listener_t *listener = nullptr;
+    sky_listener_stats_t stats = {};
+    std::string response_body;
+    std::vector<int> fds;
+    std::string address = "127.0.0.1:" + std::to_string(FindFreePort());
+
+    static uint16_t
+    FindFreePort()
+    {
+        struct sockaddr_in any = {};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof any;
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(0, bind(fd, (sockaddr *)&any, size));
+        getsockname(fd, (sockaddr *)&any, &size);
+        close(fd);
+        return ntohs(any.sin_port);
+    }
+
+    void
+    Start(uint32_t max_connections, uint32_t idle_timeout_ms)
+    {
+        sky_listener_options_t options = {};
+        options.loop = loop;
+        options.address = address.c_str();
+        options.limits = {16384, 4194304, 30000, idle_timeout_ms};
+        options.events.on_request = OnRequest;
+        options.events.on_disconnect = OnDisconnect;
+        options.context = this;
+        options.max_connections = max_connections;
+        options.stats = &stats;
+        ASSERT_EQ(SKY_OK, SkyListener_Create(&options, &listener));
+    }
+
+    void
+    TearDown() override
+    {
+        for (int fd : fds) {
+            close(fd);
+        }
+        SkyListener_Free(listener);
+        ev_loop_destroy(loop);
+    }
+
+    static void
+    OnRequest(void *context, sky_server_request_t *request)
+    {
+        auto *test = static_cast<ListenerTest *>(context);
+        if (test->response_body.empty()) {
+            SkyServerRequest_Respond(request, 200, "", "", 0);
+            return;
+        }
+        // In progress until all is sent, like that of a target.
+        SkyServerRequest_BeginResponse(request, 200, "", SKY_FRAMING_CHUNKED,
+                                       0);
+        SkyServerRequest_WriteBody(request, test->response_body.data(),
+                                   test->response_body.size());
+    }
+
+    static void
+    OnDisconnect(void *, sky_server_request_t *)
+    {
+    }
+
+    void
+    RunFor(uint64_t duration_ms)
+    {
+        uint64_t end_ms = SkyClock_NowMs() + duration_ms;
+        while (SkyClock_NowMs() < end_ms) {
+            ev_run(loop, EVRUN_NOWAIT);
+            usleep(1000);
+        }
+    }
+
+    int
+    Connect(const char *text, int receive_buffer_bytes = 0)
+    {
+        struct sockaddr_in server;
+        EXPECT_TRUE(SkySocket_ParseAddress(address.c_str(), &server));
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        if (receive_buffer_bytes > 0) {
+            setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                       sizeof receive_buffer_bytes);
+        }
+        EXPECT_EQ(0, connect(fd, (sockaddr *)&server, sizeof server));
+        EXPECT_EQ((ssize_t)strlen(text),
+                  send(fd, text, strlen(text), MSG_NOSIGNAL));
+        fds.push_back(fd);
+        RunFor(20);
+        return fd;
+    }
+
+    static bool
+    IsOpen(int fd)
+    {
+        char byte;
+        ssize_t size = recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+        return size > 0 || (size < 0 && errno == EAGAIN);
+    }
+
+    static std::string
+    Receive(int fd)
+    {
+        char bytes[4096];
+        ssize_t size = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+        return std::string(bytes, size > 0 ? (size_t)size : 0);
+    }
+};
+
+// Guards new callers against a crowd of slow bodies: they were shut out until
+// the idle timeout, since only idle connections were closed.
+TEST_F(ListenerTest, ASlowBodyIsClosedForANewCaller)
+{
+    Start(8, 15000);
+    std::vector<int> slow;
+    for (int i = 0; i < 8; i++) {
+        slow.push_back(Connect(INCOMPLETE));
+    }
+    // No request is closed that just began.
+    EXPECT_FALSE(IsOpen(Connect(ORDINARY)));
+    EXPECT_TRUE(IsOpen(slow[0]));
+    RunFor(1200);
+    int kept = Connect(ORDINARY);
+    EXPECT_EQ("HTTP/1.1 200", Receive(kept).substr(0, 12));
+    // The one that is kept open after its response is not the next one closed.
+    int next = Connect(ORDINARY);
+    EXPECT_EQ("HTTP/1.1 200", Receive(next).substr(0, 12));
+    EXPECT_TRUE(IsOpen(kept));
+    EXPECT_EQ(8u, SkyListener_ConnectionCount(listener));
+    RunFor(1200); // the counters are added once a second
+    EXPECT_EQ(2u, stats.incomplete_closes);
+    EXPECT_EQ(1u, stats.connection_closes);
+    EXPECT_EQ(0u, stats.idle_closes);
+}
+
+} // namespace
