Keep a slow caller that reads its response

Cause: the idle timeout ran from the last byte that the kernel accepted. It accepts more only when a third of its buffer is free, so that a caller that reads steadily at a low rate was reset after idleTimeoutMs.

--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -1,9 +1,12 @@
 #include "net/listener.h"
 
 #include <errno.h>
+#include <limits.h>
+#include <linux/sockios.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -53,7 +56,9 @@
     uint64_t held_bytes; /**< of the memory share, for all buffers */
     uint64_t request_began_ms;
     uint64_t request_bytes; /**< received of the current request */
-    uint64_t last_sent_ms;  /**< last byte sent, or output begun */
+    uint64_t last_sent_ms; /**< last byte sent or read by the caller, or output
+                              begun */
+    int queued_bytes;      /**< in the kernel, not read by the caller */
     uint32_t request_count; /**< complete requests so far */
     connection_state_t state;
     sky_body_framing_t framing;
@@ -215,6 +220,7 @@
             return false;
         }
         SkyBuffer_Consume(&connection->output, (size_t)sent);
+        connection->queued_bytes = INT_MAX;
         connection->last_sent_ms = SkyClock_NowMs();
         update_memory_share(connection);
     }
@@ -801,6 +807,23 @@
     }
 }
 
+/* Records that a caller reads what the kernel has: the kernel accepts more
+ * only when a third of its buffer is free, which takes a slow caller minutes.
+ */
+static void
+record_reader_progress(sky_server_request_t *connection, uint64_t now_ms)
+{
+    int queued_bytes = 0;
+    if (!ev_is_active(&connection->write_watcher) ||
+        ioctl(connection->fd, SIOCOUTQ, &queued_bytes) != 0) {
+        return;
+    }
+    if (queued_bytes < connection->queued_bytes) {
+        connection->last_sent_ms = now_ms;
+    }
+    connection->queued_bytes = queued_bytes;
+}
+
 /* Ends the request of a caller that reads nothing of its response, so that it
  * holds no target. */
 static void
@@ -823,6 +846,7 @@
                uint64_t now_ms)
 {
     const sky_listener_limits_t *limits = &listener->options.limits;
+    record_reader_progress(connection, now_ms);
     uint64_t last_ms = connection->last_activity_ms;
     if (connection->state != STATE_READING &&
         !connection->sending_is_shut_down &&
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -157,4 +157,27 @@
     EXPECT_EQ(0u, stats.idle_closes);
 }
 
+// Guards a caller on a slow link: the kernel accepts more of a response only
+// when a third of its buffer is free, which may take longer than the idle
+// timeout, and the connection was reset although the caller read all the time.
+TEST_F(ListenerTest, ASlowReaderThatReadsIsKept)
+{
+    response_body.assign(24u << 20, 'x');
+    Start(0, 400);
+    int fd = Connect(ORDINARY, 8192);
+    std::vector<char> bytes(16384);
+    size_t received = 0;
+    for (int i = 0; i < 100; i++) {
+        RunFor(20);
+        ssize_t size = recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        received += size > 0 ? (size_t)size : 0;
+    }
+    EXPECT_GT(received, 0u);
+    EXPECT_EQ(1u, SkyListener_ConnectionCount(listener));
+    // One that stops reading is reset.
+    RunFor(2000);
+    EXPECT_EQ(0u, SkyListener_ConnectionCount(listener));
+    EXPECT_EQ(1u, stats.slow_readers);
+}
+
 } // namespace
