Bound the time for which a poll of a host is held

Cause: a poll was held for as long as it asked. A client at the address for other hosts could take all its connections for good: they have a request, which no timeout ends. Change: a poll is held for 1 s at most; hosts ask for 200 ms.

--- a/lib/edge/feed_relay.c
+++ b/lib/edge/feed_relay.c
@@ -19,6 +19,9 @@
 #define TICK_INTERVAL_S 0.05
 /** Time for which a host holds the poll of one that has no records yet. */
 #define START_HOLD_MS 200
+/** A poll that asks for more is held for this long: one without a limit would
+ *  keep its connection taken, since it counts as a request in progress. */
+#define HOLD_MAX_MS 1000
 /** Until the next poll of a host that was named: it holds polls itself. */
 #define START_RETRY_MS 50
 #define SOURCES_TIMEOUT_MS 1000 /**< of a call that names sources */
@@ -174,6 +177,9 @@
     poll->received_ms = SkyClock_NowMs();
     poll->hold_ms =
         (uint64_t)json_integer_value(json_object_get(body, "hold_ms"));
+    if (poll->hold_ms > HOLD_MAX_MS) {
+        poll->hold_ms = HOLD_MAX_MS;
+    }
     DL_APPEND2(relay->polls, poll, prev, next);
     SkyServerRequest_SetUserData(server_request, poll);
     if (is_due(relay, poll, poll->received_ms)) {
--- a/tests/alone_connections.sh
+++ b/tests/alone_connections.sh
@@ -20,4 +20,12 @@
 crowd hosts slow_body 1000 2000 /share 4000
 crowd front reset 400 1000 /look/1
 crowd hosts reset 400 1000 /share
+
+# A poll of a host that asks to be held for ever held its connection for ever,
+# which no limit closes, as it has a request.
+check "a held poll ends" "$(curl -sS -m 3 -o /dev/null -w '%{http_code}' \
+    -d '{"hold_ms": 1000000000, "operator": [1000000, 1000000],
+    "targets": [1000000, 1000000], "crashes": [1000000, 1000000],
+    "owners": 1000000000}' \
+    "http://$(crowd_address hosts)/feed")" 200
 report_crowds
