Refund a quota to the workspace that was charged

Cause: RefundQuota() read the name of the request's present workspace, which is NULL once a new configuration has removed the key: a request that waited for a target, or for a retry, ended the process. A request that waited for credit while its key moved ran without a charge to the new workspace. When the unit of a quota changed, credit and refunds of the old unit (tokens) counted in the new one (requests). Change: the refund uses the workspace that was charged; a granted request whose key has moved acquires credit of the new workspace; a change of unit discards credit, the owner's account and the response on its way, and refuses the requests that wait. Moved keys and changed units have no test: both need a request that waits for credit at that moment.

--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "core/clock.h"
 #include "core/logging.h"
 #include "edge/proxy_request.h"
@@ -113,13 +115,25 @@
 {
     sky_proxy_request_t *request = context;
     request->quota_request = NULL;
-    if (result == SKY_QUOTA_GRANTED) {
-        SkyProxyRequest_Count(request);
-        SkyProxyRequest_Dispatch(request);
+    if (result == SKY_QUOTA_DENIED) {
+        request->quota_cost = 0;
+        SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
         return;
     }
-    request->quota_cost = 0;
-    SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+    if (!SkyProxyRequest_HasAccess(request)) {
+        return;
+    }
+    /* A new configuration may have moved the key to another workspace. */
+    if (request->workspace != NULL &&
+        strcmp(request->workspace->name, request->charged_workspace->name) !=
+            0) {
+        SkyProxyRequest_RefundQuota(request);
+        if (!SkyProxyRequest_AcquireQuota(request)) {
+            return;
+        }
+    }
+    SkyProxyRequest_Count(request);
+    SkyProxyRequest_Dispatch(request);
 }
 
 bool
@@ -142,6 +156,7 @@
         &wait_ms, &request->quota_request);
     if (result != SKY_QUOTA_DENIED) {
         request->quota_cost = need.cost;
+        SkyDeployment_Release(request->charged);
         request->charged = SkyDeployment_Acquire(request->access);
         request->charged_workspace = workspace;
     }
@@ -156,7 +171,8 @@
 {
     if (request->quota_cost > 0) {
         SkyQuotaSharing_Refund(request->proxy->options.quota_sharing,
-                               request->workspace->name, request->quota_cost);
+                               request->charged_workspace,
+                               request->quota_cost);
         request->quota_cost = 0;
     }
 }
--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -38,6 +38,7 @@
 typedef struct {
     char *name;
     uint64_t hash;
+    sky_quota_unit_t unit;
     sky_quota_credit_t credit;
     sky_quota_owner_t *account;    /**< as an owner */
     sky_quota_request_t *requests; /**< that wait, the next one first */
@@ -651,24 +652,49 @@
                                    (json_int_t)host_count, "rows", granted));
 }
 
+/* The response to the call in progress is ignored for this workspace. */
 static void
-remove_workspace(sky_quota_sharing_t *sharing, workspace_t *workspace)
+detach_call(workspace_t *workspace)
 {
-    HASH_DEL(sharing->workspaces, workspace);
-    while (workspace->requests != NULL) {
-        end_request(workspace->requests, SKY_QUOTA_GRANTED, 0, "");
-    }
     for (uint32_t i = 0;
          workspace->call != NULL && i < workspace->call->row_count; i++) {
         if (workspace->call->rows[i].workspace == workspace) {
             workspace->call->rows[i].workspace = NULL;
         }
     }
+    workspace->call = NULL;
+}
+
+static void
+remove_workspace(sky_quota_sharing_t *sharing, workspace_t *workspace)
+{
+    HASH_DEL(sharing->workspaces, workspace);
+    while (workspace->requests != NULL) {
+        end_request(workspace->requests, SKY_QUOTA_GRANTED, 0, "");
+    }
+    detach_call(workspace);
     SkyQuotaOwner_Free(workspace->account);
     free(workspace->name);
     free(workspace);
 }
 
+/* Amounts in the old unit mean nothing in the new one. */
+static void
+apply_unit(workspace_t *workspace, sky_quota_unit_t unit,
+           const sky_quota_terms_t *terms, uint64_t now_ms)
+{
+    workspace->unit = unit;
+    SkyQuotaCredit_Init(&workspace->credit, terms, now_ms);
+    SkyQuotaOwner_Free(workspace->account);
+    workspace->account = NULL;
+    workspace->asks_one = false;
+    detach_call(workspace);
+    while (workspace->requests != NULL) {
+        end_request(workspace->requests, SKY_QUOTA_DENIED, WAIT_UNKNOWN_MS,
+                    "-");
+    }
+}
+
 static void
 apply_quota(sky_quota_sharing_t *sharing, const sky_workspace_t *configured)
 {
@@ -681,8 +707,11 @@
     if (workspace != NULL) {
         workspace->is_current = true;
         const sky_quota_terms_t *before = &workspace->credit.terms;
-        if (before->rate_per_s != terms.rate_per_s ||
-            before->burst != terms.burst || before->room != terms.room) {
+        if (workspace->unit != configured->quota.unit) {
+            apply_unit(workspace, configured->quota.unit, &terms, now_ms);
+        }
+        else if (before->rate_per_s != terms.rate_per_s ||
+                 before->burst != terms.burst || before->room != terms.room) {
             SkyQuotaCredit_SetTerms(&workspace->credit, &terms);
             if (workspace->account != NULL) {
                 SkyQuotaOwner_SetTerms(workspace->account, &terms, now_ms);
@@ -701,6 +730,7 @@
     }
     workspace->name = name;
     workspace->hash = XXH3_64bits(name, strlen(name));
+    workspace->unit = configured->quota.unit;
     workspace->is_current = true;
     SkyQuotaCredit_Init(&workspace->credit, &terms, now_ms);
     HASH_ADD_KEYPTR(hh, sharing->workspaces, workspace->name, strlen(name),
@@ -801,11 +831,11 @@
 }
 
 void
-SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing, const char *workspace,
-                       uint64_t cost)
+SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing,
+                       const sky_workspace_t *charged, uint64_t cost)
 {
-    workspace_t *found = find_workspace(sharing, workspace);
-    if (found != NULL) {
+    workspace_t *found = find_workspace(sharing, charged->name);
+    if (found != NULL && found->unit == charged->quota.unit) {
         SkyQuotaCredit_Refund(&found->credit, cost, SkyClock_BootMs());
     }
 }
--- a/lib/edge/quota_sharing.h
+++ b/lib/edge/quota_sharing.h
@@ -39,7 +39,9 @@
 void SkyQuotaSharing_Free(sky_quota_sharing_t *sharing);
 
 /** Applies the quotas of the directory's deployment. Requests that wait for
- *  credit of a workspace that has no quota any more are granted. */
+ *  credit of a workspace that has no quota any more are granted; those of a
+ *  workspace whose unit changed are refused, as their cost is in the old
+ *  unit. */
 void SkyQuotaSharing_HandleConfigChange(sky_quota_sharing_t *sharing);
 
 /** @param result SKY_QUOTA_GRANTED or SKY_QUOTA_DENIED
@@ -64,9 +66,11 @@
                                            sky_quota_request_t **pending);
 /** Cancels a pending request; its callback is not called. */
 void SkyQuotaSharing_Cancel(sky_quota_request_t *request);
-/** Returns the credit of a request that did not run. */
+/** Returns the credit of a request that did not run.
+ *  @param charged workspace as it was when the request was charged; nothing is
+ *         returned if its unit has changed */
 void SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing,
-                            const char *workspace, uint64_t cost);
+                            const sky_workspace_t *charged, uint64_t cost);
 
 typedef struct {
     uint64_t refused; /**< requests */
--- a/tests/proc_quota.sh
+++ b/tests/proc_quota.sh
@@ -11,7 +11,8 @@
 . tests/edge_site.sh
 control_url="http://127.0.0.1:$((BASE + 50))"
 
-# publish_quota VERSION RATE BURST: in requests; the workspace "free" has none
+# publish_quota VERSION RATE BURST [KEY]: in requests; the workspace "free" has
+# none
 publish_quota() {
     curl -fsS -m 5 -d "{\"version\":$1,\"routes\":[
       {\"name\":\"look\",\"host\":\"a.example\",\"pathPrefix\":\"/look/\",
@@ -19,7 +20,7 @@
        \"maxAttempts\":2}],
       \"services\":[{\"name\":\"app\",\"healthPath\":\"/h\",
        \"maxConns\":100}],
-      \"tenants\":[{\"name\":\"small\",\"apiKeys\":[\"key-small\"],
+      \"tenants\":[{\"name\":\"small\",\"apiKeys\":[\"${4:-key-small}\"],
         \"priority\":1,\"ratePerS\":$2,\"burst\":$3},
        {\"name\":\"free\",\"apiKeys\":[\"key-free\"],\"priority\":2}],
       \"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,
@@ -127,5 +128,25 @@
 load none 2 0.1 $others
 check "without a quota all requests are served" \
     "$(awk '$1 != 200' "$DIR/load.none")" ""
+
+# Guards against a refund that looks up the workspace which the key has lost.
+n=$(echo $others | cut -d" " -f1)
+publish_quota 10 100 100
+sleep 5 # 9 requests find credit
+set_fault '{"brittle_app": 1, "app_room": 6, "app_run_ms": 1500}'
+send small "$n" warm >/dev/null # the host learns that the target is brittle
+sleep 0.5
+held_pids=""
+for i in 1 2 3 4 5 6 7 8 9; do
+    (echo "$(send small "$n" "held$i")") >"$DIR/held.$i" &
+    held_pids="$held_pids $!"
+done
+sleep 0.5
+publish_quota 11 100 100 key-other
+wait $held_pids
+check "requests that wait for a target with a removed key are refused" \
+    "$(cat "$DIR"/held.* | sort | uniq -c | tr -s ' \n' ' ')" " 6 200 3 401 "
+set_fault '{"brittle_app": 0, "app_room": 0, "app_run_ms": 0}'
+check "the host serves on" "$(until_status 200 10 send free "$n" after)" 200
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
