Refuse numbers of hosts from owners that other owners would refuse

Cause: a response could state up to 2^32 hosts, and a host repeats the number to other owners for 30 s, which answer 400 to calls that state more than SKY_GROUP_MEMBERS_MAX x 4: one wrong response left a host without owners. Change: the same maximum for both. Result: builds; no test, as no owner of this repository states such a number.

--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -26,6 +26,9 @@
 #define PAUSE_MIN_MS 1000
 #define OLD_CALLS_MS 200 /**< all of them have been read by then */
 #define AMOUNT_MAX INT64_C(1000000000000000)
+/** A greater number of hosts is an error. It is refused from owners as well,
+ *  as other owners would refuse the calls that repeat it. */
+#define HOSTS_STATED_MAX (SKY_GROUP_MEMBERS_MAX * 4)
 #define WAIT_UNKNOWN_MS 100 /**< the owner does not know the workspace yet */
 
 typedef struct {
@@ -390,7 +393,7 @@
     bool is_valid = body != NULL &&
                     json_unpack((json_t *)body, "{s:I, s:o}", "hosts", &hosts,
                                 "rows", &rows) == 0 &&
-                    hosts >= 0 && hosts <= UINT32_MAX;
+                    hosts >= 0 && hosts <= HOSTS_STATED_MAX;
     if (is_valid) {
         SkyQuotaHosts_Record(&sharing->hosts, call->owner.hash,
                              (uint32_t)hosts, now_ms);
@@ -615,7 +618,7 @@
     json_t *rows = NULL;
     if (json_unpack((json_t *)body, "{s:s, s:I, s:o}", "host", &host, "hosts",
                     &hosts, "rows", &rows) != 0 ||
-        hosts < 0 || hosts > SKY_GROUP_MEMBERS_MAX * 4) {
+        hosts < 0 || hosts > HOSTS_STATED_MAX) {
         SkyLog_Write(LOG_WARNING, "peer_call_refused", "path=" CALL_PATH);
         SkyServerRequest_Respond(server_request, 400, "", "", 0);
         return;
