--- a/lib/decide/quota_credit.c
+++ b/lib/decide/quota_credit.c
@@ -24,6 +24,7 @@
 /** Numbers of hosts that owners told are kept so long. */
 #define HOSTS_TTL_MS 30000
 #define WAIT_MAX_MS 60000.0
+#define WAIT_SPREAD_DIVISOR 4
 
 void
 SkyQuotaCredit_Init(sky_quota_credit_t *credit, const sky_quota_terms_t *terms,
@@ -137,6 +138,13 @@
     return false;
 }
 
+uint32_t
+SkyQuota_SpreadWait(uint32_t wait_ms, uint64_t hash)
+{
+    uint64_t longer_ms = hash % (wait_ms / WAIT_SPREAD_DIVISOR + 1);
+    return (uint32_t)fmin((double)wait_ms + (double)longer_ms, UINT32_MAX);
+}
+
 void
 SkyQuotaCredit_Refund(sky_quota_credit_t *credit, uint64_t cost,
                       uint64_t now_ms)
--- a/lib/decide/quota_credit.h
+++ b/lib/decide/quota_credit.h
@@ -95,6 +95,10 @@
 /** Takes the cost out of this host's own share, as no owner responds. */
 bool SkyQuotaCredit_AcquireShare(sky_quota_credit_t *credit, uint64_t cost,
                                  uint64_t now_ms, uint32_t *wait_ms);
+/** @param hash of the refused request
+ *  @return the wait to state: up to a quarter longer, so that callers refused
+ *          within REFUSAL_TTL_MS of each other do not return together */
+uint32_t SkyQuota_SpreadWait(uint32_t wait_ms, uint64_t hash);
 /** Returns the cost of a request that did not run. */
 void SkyQuotaCredit_Refund(sky_quota_credit_t *credit, uint64_t cost,
                            uint64_t now_ms);
--- a/lib/decide/quota_owner.c
+++ b/lib/decide/quota_owner.c
@@ -20,6 +20,9 @@
 /** Waits are promised no further ahead: few callers return later. */
 #define PROMISE_MAX_MS 8000.0
 #define WAIT_MAX_MS 60000.0
+/** All hosts are gone through no more often than this, as each of them calls
+ *  2.5 times a second: the cost would grow with their number squared. */
+#define SWEEP_INTERVAL_MS 10
 
 typedef struct {
     uint64_t name_hash;
@@ -27,6 +30,7 @@
     uint64_t heard_ms;         /**< last call */
     uint64_t refilled_ms;      /**< the bucket was refilled for it until */
     uint64_t counted_until_ms; /**< 0: counted by another owner */
+    bool is_counted;           /**< in heard_count */
     double held;               /**< credit that it may hold */
     double issued;             /**< granted and not yet returned */
     UT_hash_handle hh;
@@ -37,8 +41,9 @@
     double level;
     uint64_t promised_until_ms; /**< the refill is promised until then */
     uint32_t all_hosts;         /**< N of the design */
-    uint32_t heard_count;
+    uint32_t heard_count;       /**< hosts that are counted */
     double held_total;
+    uint64_t swept_ms;
     /** Greatest numbers stated in this period and the one before. */
     uint32_t stated[2];
     uint64_t stated_since_ms;
@@ -103,11 +108,12 @@
 /* Refills the bucket for the time in which each host was counted, and forgets
  * hosts that were not heard since. */
 static void
-update(sky_quota_owner_t *owner, uint64_t now_ms)
+sweep(sky_quota_owner_t *owner, uint64_t now_ms)
 {
     host_t *host;
     host_t *next;
     double host_rate = owner->terms.rate_per_s / owner->all_hosts;
+    owner->swept_ms = now_ms;
     owner->heard_count = 0;
     owner->held_total = 0.0;
     HASH_ITER(hh, owner->hosts, host, next)
@@ -124,17 +130,27 @@
             free(host);
             continue;
         }
-        owner->heard_count += host->counted_until_ms >= now_ms;
+        host->is_counted = host->counted_until_ms >= now_ms;
+        owner->heard_count += host->is_counted;
         owner->held_total += host->held;
     }
     owner->level = fmin(owner->level, get_size(owner));
 }
 
+/* Sweeps if the last time was long enough ago. */
+static void
+update(sky_quota_owner_t *owner, uint64_t now_ms)
+{
+    if (now_ms >= owner->swept_ms + SWEEP_INTERVAL_MS) {
+        sweep(owner, now_ms);
+    }
+}
+
 void
 SkyQuotaOwner_SetTerms(sky_quota_owner_t *owner,
                        const sky_quota_terms_t *terms, uint64_t now_ms)
 {
-    update(owner, now_ms);
+    sweep(owner, now_ms);
     owner->terms = *terms;
     owner->promised_until_ms = 0;
     owner->level = fmin(owner->level, get_size(owner));
@@ -179,11 +195,15 @@
 }
 
 static void
-count_host(host_t *host, int64_t elsewhere_ms, uint64_t now_ms)
+count_host(sky_quota_owner_t *owner, host_t *host, int64_t elsewhere_ms,
+           uint64_t now_ms)
 {
     bool is_elsewhere = elsewhere_ms >= 0 &&
                         elsewhere_ms < SKY_QUOTA_VALID_MS + COUNT_DELAY_MS;
     host->heard_ms = now_ms;
+    owner->heard_count -= host->is_counted;
+    host->is_counted = !is_elsewhere;
+    owner->heard_count += host->is_counted;
     if (is_elsewhere) {
         host->counted_until_ms = 0;
         return;
@@ -237,15 +257,16 @@
     if (host == NULL) {
         return SKY_E_MEMORY;
     }
-    count_host(host, ask->elsewhere_ms, now_ms);
+    count_host(owner, host, ask->elsewhere_ms, now_ms);
     update_all_hosts(owner, ask->host_count, member_count, now_ms);
     /* Credit of another owner, and what is returned twice, is not known. */
     double returned = fmin((double)ask->returned, host->issued);
     host->issued -= returned;
     owner->level += returned;
+    owner->held_total += (double)ask->left - host->held;
     host->held = (double)ask->left;
-    update(owner, now_ms);
     double size = get_size(owner);
+    owner->level = fmin(owner->level, size);
     double needed = (double)ask->needed;
     grant->wait_ms = 0;
     if (needed > 0.0 && (owner->heard_count == 0 || admits_nothing(owner) ||
@@ -262,6 +283,7 @@
         fmax(0.0, fmin(hold, owner->level - HOLD_LEVEL_FRACTION * size)));
     owner->level -= hold;
     host->held += hold;
+    owner->held_total += hold;
     host->issued += needed + hold;
     grant->granted = ask->needed + (uint64_t)hold;
     return SKY_OK;
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -110,6 +110,13 @@
            request->access->workspaces != NULL;
 }
 
+static void
+refuse_quota(sky_proxy_request_t *request, uint32_t wait_ms)
+{
+    wait_ms = SkyQuota_SpreadWait(wait_ms, SkyProxyRequest_IdHash(request));
+    SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+}
+
 static void
 on_quota(void *context, sky_quota_result_t result, uint32_t wait_ms)
 {
@@ -117,7 +124,7 @@
     request->quota_request = NULL;
     if (result == SKY_QUOTA_DENIED) {
         request->quota_cost = 0;
-        SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+        refuse_quota(request, wait_ms);
         return;
     }
     if (!SkyProxyRequest_HasAccess(request)) {
@@ -160,8 +167,8 @@
         request->charged = SkyDeployment_Acquire(request->access);
         request->charged_workspace = workspace;
     }
-    if (result == SKY_QUOTA_DENIED) {
-        SkyProxyRequest_RespondError(request, 429, wait_ms, "quota");
+    else {
+        refuse_quota(request, wait_ms);
     }
     return result == SKY_QUOTA_GRANTED;
 }
--- a/tests/test_quota_credit.cc
+++ b/tests/test_quota_credit.cc
@@ -711,6 +711,23 @@
     EXPECT_EQ(Acquire(100, 1500), SKY_QUOTA_ASK);
 }
 
+// Guards against callers refused at one moment that return at one moment.
+TEST(QuotaWait, SpreadsOverAQuarterOfTheWaitAndIsNeverShorter)
+{
+    uint32_t least = UINT32_MAX;
+    uint32_t most = 0;
+    for (uint64_t hash = 0; hash < 5000; hash++) {
+        uint32_t wait_ms = SkyQuota_SpreadWait(8000, hash * 7919);
+        least = std::min(least, wait_ms);
+        most = std::max(most, wait_ms);
+    }
+    EXPECT_GE(least, 8000u);
+    EXPECT_LE(most, 10000u);
+    EXPECT_GE(most - least, 1900u);
+    EXPECT_EQ(SkyQuota_SpreadWait(1, 77), 1u);
+    EXPECT_EQ(SkyQuota_SpreadWait(UINT32_MAX, 1000), UINT32_MAX);
+}
+
 TEST_F(QuotaCredit, UsesATenthOfItsShareWithoutAnOwner)
 {
     Grant(0, 0);
--- a/tests/test_quota_owner.cc
+++ b/tests/test_quota_owner.cc
@@ -147,6 +147,33 @@
     EXPECT_LE(held, 400u);
 }
 
+// Guards against a host that changes its owner between two sweeps and stays in
+// the number of those counted, or is counted twice.
+TEST_F(QuotaOwner, FollowsHostsBetweenSweeps)
+{
+    Hear(0, 3000);
+    Ask(2, 3001, 0, 10);
+    EXPECT_NEAR(SkyQuotaOwner_GetLevel(owner_), 600, 1);
+    Ask(2, 3002);
+    Ask(2, 3003);
+    Ask(1, 3004);
+    EXPECT_EQ(Ask(1, 3005, 601).granted, 0u);
+    Hear(3100, 5000);
+    EXPECT_NEAR(SkyQuotaOwner_GetLevel(owner_), 1200, 1);
+}
+
+// Guards against credit that is granted between two sweeps and not counted.
+TEST_F(QuotaOwner, CountsCreditHeldBetweenSweeps)
+{
+    Hear(0, 3000);
+    uint64_t held = 0;
+    for (uint64_t host = 1; host <= 2; host++) {
+        held += Ask(host, 3000 + host, 0, -1, 0, 300).granted;
+    }
+    EXPECT_LE(held, 400u);
+    EXPECT_GE(held, 390u);
+}
+
 TEST_F(QuotaOwner, CutsTheBucketToALowerQuotaAndAdmitsNothingAtZero)
 {
     Hear(0, 3000);
