--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -26,6 +26,9 @@
 #define PAUSE_MIN_MS 1000
 #define OLD_CALLS_MS 200 /**< all of them have been read by then */
 #define AMOUNT_MAX INT64_C(1000000000000000)
+/** A greater number of hosts is an error. It is refused from owners as well,
+ *  as other owners would refuse the calls that repeat it. */
+#define HOSTS_STATED_MAX (SKY_GROUP_MEMBERS_MAX * 4)
 #define WAIT_UNKNOWN_MS 100 /**< the owner does not know the workspace yet */
 
 typedef struct {
@@ -38,6 +41,7 @@
 typedef struct {
     char *name;
     uint64_t hash;
+    sky_quota_unit_t unit;
     sky_quota_credit_t credit;
     sky_quota_owner_t *account;    /**< as an owner */
     sky_quota_request_t *requests; /**< that wait, the next one first */
@@ -389,7 +393,7 @@
     bool is_valid = body != NULL &&
                     json_unpack((json_t *)body, "{s:I, s:o}", "hosts", &hosts,
                                 "rows", &rows) == 0 &&
-                    hosts >= 0 && hosts <= UINT32_MAX;
+                    hosts >= 0 && hosts <= HOSTS_STATED_MAX;
     if (is_valid) {
         SkyQuotaHosts_Record(&sharing->hosts, call->owner.hash,
                              (uint32_t)hosts, now_ms);
@@ -614,7 +618,7 @@
     json_t *rows = NULL;
     if (json_unpack((json_t *)body, "{s:s, s:I, s:o}", "host", &host, "hosts",
                     &hosts, "rows", &rows) != 0 ||
-        hosts < 0 || hosts > SKY_GROUP_MEMBERS_MAX * 4) {
+        hosts < 0 || hosts > HOSTS_STATED_MAX) {
         SkyLog_Write(LOG_WARNING, "peer_call_refused", "path=" CALL_PATH);
         SkyServerRequest_Respond(server_request, 400, "", "", 0);
         return;
@@ -651,24 +655,49 @@
                                    (json_int_t)host_count, "rows", granted));
 }
 
+/* The response to the call in progress is ignored for this workspace. */
 static void
-remove_workspace(sky_quota_sharing_t *sharing, workspace_t *workspace)
+detach_call(workspace_t *workspace)
 {
-    HASH_DEL(sharing->workspaces, workspace);
-    while (workspace->requests != NULL) {
-        end_request(workspace->requests, SKY_QUOTA_GRANTED, 0, "");
-    }
     for (uint32_t i = 0;
          workspace->call != NULL && i < workspace->call->row_count; i++) {
         if (workspace->call->rows[i].workspace == workspace) {
             workspace->call->rows[i].workspace = NULL;
         }
     }
+    workspace->call = NULL;
+}
+
+static void
+remove_workspace(sky_quota_sharing_t *sharing, workspace_t *workspace)
+{
+    HASH_DEL(sharing->workspaces, workspace);
+    while (workspace->requests != NULL) {
+        end_request(workspace->requests, SKY_QUOTA_GRANTED, 0, "");
+    }
+    detach_call(workspace);
     SkyQuotaOwner_Free(workspace->account);
     free(workspace->name);
     free(workspace);
 }
 
+/* Amounts in the old unit mean nothing in the new one. */
+static void
+apply_unit(workspace_t *workspace, sky_quota_unit_t unit,
+           const sky_quota_terms_t *terms, uint64_t now_ms)
+{
+    workspace->unit = unit;
+    SkyQuotaCredit_Init(&workspace->credit, terms, now_ms);
+    SkyQuotaOwner_Free(workspace->account);
+    workspace->account = NULL;
+    workspace->asks_one = false;
+    detach_call(workspace);
+    while (workspace->requests != NULL) {
+        end_request(workspace->requests, SKY_QUOTA_DENIED, WAIT_UNKNOWN_MS,
+                    "-");
+    }
+}
+
 static void
 apply_quota(sky_quota_sharing_t *sharing, const sky_workspace_t *configured)
 {
@@ -681,8 +710,11 @@
     if (workspace != NULL) {
         workspace->is_current = true;
         const sky_quota_terms_t *before = &workspace->credit.terms;
-        if (before->rate_per_s != terms.rate_per_s ||
-            before->burst != terms.burst || before->room != terms.room) {
+        if (workspace->unit != configured->quota.unit) {
+            apply_unit(workspace, configured->quota.unit, &terms, now_ms);
+        }
+        else if (before->rate_per_s != terms.rate_per_s ||
+                 before->burst != terms.burst || before->room != terms.room) {
             SkyQuotaCredit_SetTerms(&workspace->credit, &terms);
             if (workspace->account != NULL) {
                 SkyQuotaOwner_SetTerms(workspace->account, &terms, now_ms);
@@ -701,6 +733,7 @@
     }
     workspace->name = name;
     workspace->hash = XXH3_64bits(name, strlen(name));
+    workspace->unit = configured->quota.unit;
     workspace->is_current = true;
     SkyQuotaCredit_Init(&workspace->credit, &terms, now_ms);
     HASH_ADD_KEYPTR(hh, sharing->workspaces, workspace->name, strlen(name),
@@ -801,11 +834,11 @@
 }
 
 void
-SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing, const char *workspace,
-                       uint64_t cost)
+SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing,
+                       const sky_workspace_t *charged, uint64_t cost)
 {
-    workspace_t *found = find_workspace(sharing, workspace);
-    if (found != NULL) {
+    workspace_t *found = find_workspace(sharing, charged->name);
+    if (found != NULL && found->unit == charged->quota.unit) {
         SkyQuotaCredit_Refund(&found->credit, cost, SkyClock_BootMs());
     }
 }
