--- a/lib/decide/quota_credit.c
+++ b/lib/decide/quota_credit.c
@@ -21,6 +21,10 @@
  *  one is asked: a change costs this host a second without credit. */
 #define TIMEOUTS_MAX 2
 #define REFUSAL_TTL_MS 100
+/** Credit that was charged earlier goes back to the owner, whose bucket cuts
+ *  it: requests that waited seconds for a target would otherwise move credit
+ *  of an earlier window into this one. */
+#define REFUND_HELD_MS 250
 /** Numbers of hosts that owners told are kept so long. */
 #define HOSTS_TTL_MS 30000
 #define WAIT_MAX_MS 60000.0
@@ -147,12 +151,18 @@
 
 void
 SkyQuotaCredit_Refund(sky_quota_credit_t *credit, uint64_t cost,
-                      uint64_t now_ms)
+                      uint64_t charged_ms, uint64_t now_ms)
 {
     expire(credit, now_ms);
-    if (now_ms < credit->valid_until_ms) {
+    if (now_ms >= credit->valid_until_ms) {
+        return;
+    }
+    if (now_ms <= charged_ms + REFUND_HELD_MS) {
         credit->left += (double)cost;
     }
+    else {
+        credit->returned += (double)cost;
+    }
 }
 
 void
--- a/lib/decide/quota_credit.h
+++ b/lib/decide/quota_credit.h
@@ -99,9 +99,10 @@
  *  @return the wait to state: up to a quarter longer, so that callers refused
  *          within REFUSAL_TTL_MS of each other do not return together */
 uint32_t SkyQuota_SpreadWait(uint32_t wait_ms, uint64_t hash);
-/** Returns the cost of a request that did not run. */
+/** Returns the cost of a request that did not run: to this host's credit, or
+ *  to the owner if it was charged long ago. */
 void SkyQuotaCredit_Refund(sky_quota_credit_t *credit, uint64_t cost,
-                           uint64_t now_ms);
+                           uint64_t charged_ms, uint64_t now_ms);
 /** Remembers that the owner refused a request. */
 void SkyQuotaCredit_RecordRefusal(sky_quota_credit_t *credit, uint64_t cost,
                                   uint32_t wait_ms, uint64_t now_ms);
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -122,6 +122,7 @@
 {
     sky_proxy_request_t *request = context;
     request->quota_request = NULL;
+    request->charged_ms = SkyClock_BootMs();
     if (result == SKY_QUOTA_DENIED) {
         request->quota_cost = 0;
         refuse_quota(request, wait_ms);
@@ -163,6 +164,7 @@
         &wait_ms, &request->quota_request);
     if (result != SKY_QUOTA_DENIED) {
         request->quota_cost = need.cost;
+        request->charged_ms = SkyClock_BootMs();
         SkyDeployment_Release(request->charged);
         request->charged = SkyDeployment_Acquire(request->access);
         request->charged_workspace = workspace;
@@ -178,8 +180,8 @@
 {
     if (request->quota_cost > 0) {
         SkyQuotaSharing_Refund(request->proxy->options.quota_sharing,
-                               request->charged_workspace,
-                               request->quota_cost);
+                               request->charged_workspace, request->quota_cost,
+                               request->charged_ms);
         request->quota_cost = 0;
     }
 }
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -74,6 +74,7 @@
     sky_rate_permit_request_t *permit_request; /**< pending, or NULL */
     sky_quota_request_t *quota_request;        /**< pending, or NULL */
     uint64_t quota_cost;       /**< charged to a quota; 0: nothing */
+    uint64_t charged_ms;       /**< on the clock of SkyClock_BootMs() */
     sky_deployment_t *charged; /**< of charged_workspace; NULL: none */
     const sky_workspace_t *charged_workspace; /**< set with quota_cost */
     uint64_t permitted_target; /**< hash of a limited target to send to; 0:
--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -835,11 +835,13 @@
 
 void
 SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing,
-                       const sky_workspace_t *charged, uint64_t cost)
+                       const sky_workspace_t *charged, uint64_t cost,
+                       uint64_t charged_ms)
 {
     workspace_t *found = find_workspace(sharing, charged->name);
     if (found != NULL && found->unit == charged->quota.unit) {
-        SkyQuotaCredit_Refund(&found->credit, cost, SkyClock_BootMs());
+        SkyQuotaCredit_Refund(&found->credit, cost, charged_ms,
+                              SkyClock_BootMs());
     }
 }
 
--- a/lib/edge/quota_sharing.h
+++ b/lib/edge/quota_sharing.h
@@ -68,9 +68,11 @@
 void SkyQuotaSharing_Cancel(sky_quota_request_t *request);
 /** Returns the credit of a request that did not run.
  *  @param charged workspace as it was when the request was charged; nothing is
- *         returned if its unit has changed */
+ *         returned if its unit has changed
+ *  @param charged_ms when it was charged, by SkyClock_BootMs() */
 void SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing,
-                            const sky_workspace_t *charged, uint64_t cost);
+                            const sky_workspace_t *charged, uint64_t cost,
+                            uint64_t charged_ms);
 
 typedef struct {
     uint64_t refused; /**< requests */
--- a/tests/test_quota_credit.cc
+++ b/tests/test_quota_credit.cc
@@ -705,12 +705,25 @@
 {
     Grant(100, 0);
     EXPECT_EQ(Acquire(100, 10), SKY_QUOTA_GRANTED);
-    SkyQuotaCredit_Refund(&credit_, 100, kStartMs + 20);
+    SkyQuotaCredit_Refund(&credit_, 100, kStartMs + 10, kStartMs + 20);
     EXPECT_EQ(Acquire(100, 30), SKY_QUOTA_GRANTED);
-    SkyQuotaCredit_Refund(&credit_, 100, kStartMs + 1500);
+    SkyQuotaCredit_Refund(&credit_, 100, kStartMs + 1499, kStartMs + 1500);
     EXPECT_EQ(Acquire(100, 1500), SKY_QUOTA_ASK);
 }
 
+// Guards against requests that wait for a target together and then hand the
+// credit of an earlier window to others.
+TEST_F(QuotaCredit, GivesBackToTheOwnerWhatWasChargedLongAgo)
+{
+    Grant(100, 0);
+    EXPECT_EQ(Acquire(100, 10), SKY_QUOTA_GRANTED);
+    SkyQuotaCredit_Refund(&credit_, 100, kStartMs + 10, kStartMs + 500);
+    EXPECT_EQ(Acquire(1, 510), SKY_QUOTA_ASK);
+    sky_quota_ask_t ask = {};
+    SkyQuotaCredit_BeginCall(&credit_, 1, 0, kStartMs + 520, &ask);
+    EXPECT_EQ(ask.returned, 100u);
+}
+
 // Guards against callers refused at one moment that return at one moment.
 TEST(QuotaWait, SpreadsOverAQuarterOfTheWaitAndIsNeverShorter)
 {
@@ -740,6 +753,17 @@
     EXPECT_NEAR((double)served, 20 + 85 + 100, 2);
 }
 
+// Guards against an owner that refills for a host which has just used its own
+// share.
+TEST_F(QuotaCredit, TellsAnOwnerThatItUsedItsOwnShare)
+{
+    Grant(0, 0);
+    SkyQuotaCredit_AcquireShare(&credit_, 1, kStartMs + 3000, &wait_ms_);
+    sky_quota_ask_t ask = {};
+    SkyQuotaCredit_BeginCall(&credit_, 1, 0, kStartMs + 3100, &ask);
+    EXPECT_EQ(ask.elsewhere_ms, 100);
+}
+
 TEST_F(QuotaCredit, ReturnsToAnOwnerThatWasSilentAfterASecond)
 {
     const uint64_t owners[] = {1, 2};
--- a/tests/test_quota_owner.cc
+++ b/tests/test_quota_owner.cc
@@ -174,6 +174,16 @@
     EXPECT_GE(held, 390u);
 }
 
+// Guards against time before a change of the quota that refills at the new
+// rate.
+TEST_F(QuotaOwner, RefillsAtTheOldRateUntilTheQuotaChanges)
+{
+    Hear(0, 500);
+    sky_quota_terms_t slower = {100, 1000, 1000};
+    SkyQuotaOwner_SetTerms(owner_, &slower, kStart + 700);
+    EXPECT_NEAR(SkyQuotaOwner_GetLevel(owner_), 700, 1);
+}
+
 TEST_F(QuotaOwner, CutsTheBucketToALowerQuotaAndAdmitsNothingAtZero)
 {
     Hear(0, 3000);
