Take no turns in calm because response times vary

Cause: a host took a service for short when the average of its last few responses reached 2 times the usual time. The usual time came from 8 responses with a gain of 0.25, and targets differ in speed, so that chance sufficed. The replay of a calm service allowed 5 calls per 100 requests.

Change: the average has to be 4 mean deviations above the usual time as well, and the usual time is the mean of 32 responses before it counts. The replay asserts no call. A new test has 330 hosts with 1,000 responses each, of targets with speeds 1.2 and 0.55.

--- a/lib/decide/shortage.c
+++ b/lib/decide/shortage.c
@@ -1,11 +1,19 @@
 #include "decide/shortage.h"
 
+#include <math.h>
+
 #define SLOW_FACTOR 2.0 /**< of the usual response time */
 /** A host among 330 sees few responses in a second: two that take four times
  *  as long as usual have to suffice. */
 #define RECENT_GAIN 0.25
 #define USUAL_GAIN 0.02
-#define SAMPLES_MIN 8 /**< before averages mean anything */
+/** Of fewer, the usual time is too uncertain. Rejections and the owner tell a
+ *  new host of a shortage. */
+#define SAMPLES_MIN 32
+/** Mean deviations above the usual time that chance does not reach: with 2
+ *  times the usual time alone, hosts took turns in calm because targets differ
+ *  in speed and responses in duration. */
+#define SLOW_DEVIATIONS 4.0
 
 void
 SkyShortage_RecordRejection(sky_shortage_t *shortage, uint64_t now_ms)
@@ -33,7 +41,9 @@
     shortage->recent_ms += RECENT_GAIN * (duration_ms - shortage->recent_ms);
     /* Below a millisecond the clock's resolution looks like a change. */
     double usual_ms = shortage->usual_ms > 1.0 ? shortage->usual_ms : 1.0;
-    bool is_slow = shortage->recent_ms >= SLOW_FACTOR * usual_ms;
+    bool is_slow = shortage->recent_ms >= SLOW_FACTOR * usual_ms &&
+                   shortage->recent_ms >=
+                       usual_ms + SLOW_DEVIATIONS * shortage->deviation_ms;
     if (shortage->sample_count == SAMPLES_MIN && is_slow) {
         shortage->short_until_ms = now_ms + SKY_SHORTAGE_HOLD_MS;
     }
@@ -41,9 +51,12 @@
      * for good does not count as short for ever. */
     double gain = is_slow ? USUAL_GAIN / 4 : USUAL_GAIN;
     if (shortage->sample_count < SAMPLES_MIN) {
-        gain = RECENT_GAIN;
+        gain = 1.0 / shortage->sample_count;
     }
-    shortage->usual_ms += gain * (duration_ms - shortage->usual_ms);
+    double difference_ms = duration_ms - shortage->usual_ms;
+    shortage->deviation_ms +=
+        gain * (fabs(difference_ms) - shortage->deviation_ms);
+    shortage->usual_ms += gain * difference_ms;
 }
 
 bool
--- a/lib/decide/shortage.h
+++ b/lib/decide/shortage.h
@@ -22,8 +22,9 @@
 /** Zero-initialised: not short, no response times known. */
 typedef struct {
     uint64_t short_until_ms;
-    double usual_ms;  /**< of responses while the service is not short */
-    double recent_ms; /**< moving average of the last few responses */
+    double usual_ms;     /**< of responses while the service is not short */
+    double deviation_ms; /**< mean distance of a response from usual_ms */
+    double recent_ms;    /**< moving average of the last few responses */
     uint32_t sample_count;
 } sky_shortage_t;
 
--- a/tests/test_turn_schedule.cc
+++ b/tests/test_turn_schedule.cc
@@ -262,6 +262,24 @@
     EXPECT_TRUE(SkyShortage_IsShort(&shortage, 9001));
 }
 
+// Responses of targets with different speeds vary, and each call in calm costs
+// a request some ms: chance must not look like a shortage.
+TEST(Shortage, VaryingResponsesOfACalmServiceAreNoSign)
+{
+    std::mt19937 random(1);
+    std::lognormal_distribution<double> run_ms(std::log(30.0) - 0.08, 0.4);
+    std::discrete_distribution<uint32_t> is_slow({12, 6});
+    for (uint32_t host = 0; host < 330; host++) {
+        sky_shortage_t shortage = {};
+        for (uint64_t now = 1000; now < 1000000; now += 1000) {
+            double speed = is_slow(random) ? 0.55 : 1.2;
+            SkyShortage_RecordResponse(
+                &shortage, static_cast<uint32_t>(run_ms(random) / speed), now);
+            ASSERT_FALSE(SkyShortage_IsShort(&shortage, now));
+        }
+    }
+}
+
 // A service that has become slower for good is not short for ever.
 TEST(Shortage, LastingSlownessBecomesUsual)
 {
@@ -476,7 +494,7 @@
     options.rate = [](double) { return RATE / 2; };
     after_ = Replay(options).Run();
     EXPECT_EQ(after_.rejected, 0u);
-    EXPECT_LE(after_.calls, after_.requests / 20);
+    EXPECT_EQ(after_.calls, 0u);
 }
 
 INSTANTIATE_TEST_SUITE_P(Hosts, TurnReplay, ::testing::Values(8, 76, 330));
