Accept as many header fields as fit in a head

Cause: a request within maxHeaderBytes with more than 64 fields got 431, and one with fewer got it when it was passed to another host, which adds its own. More fields were costly: each was compared with all others to find Connection. Change: fields are an array that grows (4,096 at most), counted by the memory account and freed between requests if large. The names in Connection fields are recorded once, 32 at most. A host accepts what the spaces that it adds take. The check of 64 fields is replaced by one of 4,096, as strict.

--- a/lib/edge/host_calls.c
+++ b/lib/edge/host_calls.c
@@ -143,7 +143,9 @@
 SkyHostCalls_SetRequestLimits(sky_host_calls_t *host_calls,
                               uint32_t head_bytes, uint32_t body_bytes)
 {
-    uint32_t head_max = head_bytes + HOP_FIELDS_BYTES_MAX;
+    /* A host writes a space after each colon, which makes the shortest field
+     * of 4 bytes one longer. */
+    uint32_t head_max = head_bytes + head_bytes / 4 + HOP_FIELDS_BYTES_MAX;
     sky_listener_limits_t limits = {
         head_max > REQUEST_HEAD_BYTES_MAX ? head_max : REQUEST_HEAD_BYTES_MAX,
         body_bytes > REQUEST_BODY_BYTES_MAX ? body_bytes
--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -1,8 +1,14 @@
 #include "net/http_reader.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#define LIST_SEPARATORS " \t,"
+#define FIELDS_CAPACITY_MIN 16u
+/** Fits most heads, and is kept for the next one. */
+#define FIELDS_CAPACITY_KEPT_MAX 64u
+
 static sky_http_reader_t *
 reader_from_parser(http_parser *parser)
 {
@@ -23,7 +29,10 @@
     sky_buffer_t text = reader->head.text;
     text.start = 0;
     text.end = 0;
-    reader->head = (sky_http_head_t){.text = text};
+    reader->head =
+        (sky_http_head_t){.text = text,
+                          .fields = reader->head.fields,
+                          .field_capacity = reader->head.field_capacity};
     reader->current_name_offset = 0;
     reader->in_field_value = false;
     reader->head_is_complete = false;
@@ -40,6 +49,44 @@
     return append_to_head(reader, bytes, size);
 }
 
+/* Makes room for one more field. */
+static bool
+reserve_field(sky_http_head_t *head)
+{
+    if (head->field_count < head->field_capacity) {
+        return true;
+    }
+    uint32_t capacity = head->field_capacity > 0 ? 2 * head->field_capacity
+                                                 : FIELDS_CAPACITY_MIN;
+    sky_http_field_t *fields =
+        realloc(head->fields, capacity * sizeof *fields);
+    if (fields == NULL) {
+        return false;
+    }
+    head->fields = fields;
+    head->field_capacity = capacity;
+    return true;
+}
+
+/* Records the names in the value of a Connection field; returns false if there
+ * are too many. */
+static bool
+record_connection_names(sky_http_head_t *head, const char *list)
+{
+    for (list += strspn(list, LIST_SEPARATORS); *list != '\0';
+         list += strspn(list, LIST_SEPARATORS)) {
+        if (head->connection_name_count == SKY_HTTP_CONNECTION_NAMES_MAX) {
+            return false;
+        }
+        size_t size = strcspn(list, LIST_SEPARATORS);
+        head->connection_names[head->connection_name_count++] =
+            (sky_http_name_t){(uint32_t)(list - head->text.bytes),
+                              (uint32_t)size};
+        list += size;
+    }
+    return true;
+}
+
 /* Terminates the field value that is being read, if any. */
 static int
 finish_field_value(sky_http_reader_t *reader)
@@ -52,7 +99,16 @@
     field->value_bytes = (uint32_t)head->text.end - field->value_offset;
     head->field_count++;
     reader->in_field_value = false;
-    return append_to_head(reader, "", 1);
+    if (append_to_head(reader, "", 1) != 0) {
+        return 1;
+    }
+    uint32_t last = head->field_count - 1;
+    if (strcasecmp(SkyHttpHead_FieldName(head, last), "Connection") == 0 &&
+        !record_connection_names(head, SkyHttpHead_FieldValue(head, last))) {
+        reader->head_is_too_large = true;
+        return 1;
+    }
+    return 0;
 }
 
 static int
@@ -80,6 +136,9 @@
             reader->head_is_too_large = true;
             return 1;
         }
+        if (!reserve_field(&reader->head)) {
+            return 1;
+        }
         reader->current_name_offset = (uint32_t)reader->head.text.end;
     }
     return append_to_head(reader, bytes, size);
@@ -190,6 +249,19 @@
 SkyHttpReader_Clear(sky_http_reader_t *reader)
 {
     SkyBuffer_Clear(&reader->head.text);
+    free(reader->head.fields);
+    reader->head.fields = NULL;
+    reader->head.field_count = 0;
+    reader->head.field_capacity = 0;
+    reader->head.connection_name_count = 0;
+}
+
+void
+SkyHttpReader_Shrink(sky_http_reader_t *reader)
+{
+    if (reader->head.field_capacity > FIELDS_CAPACITY_KEPT_MAX) {
+        SkyHttpReader_Clear(reader);
+    }
 }
 
 sky_http_progress_t
@@ -256,24 +328,6 @@
     return NULL;
 }
 
-/* Whether a comma-separated list contains the name, in any case. */
-static bool
-list_contains(const char *list, const char *name)
-{
-    size_t name_size = strlen(name);
-    const char *token = list;
-    while (*token != '\0') {
-        token += strspn(token, " \t,");
-        size_t token_size = strcspn(token, " \t,");
-        if (token_size == name_size &&
-            strncasecmp(token, name, name_size) == 0) {
-            return true;
-        }
-        token += token_size;
-    }
-    return false;
-}
-
 bool
 SkyHttpHead_IsHopByHop(const sky_http_head_t *head, const char *name)
 {
@@ -297,9 +351,12 @@
                     strlen(SKY_HTTP_HOP_FIELD_PREFIX)) == 0) {
         return true;
     }
-    for (uint32_t i = 0; i < head->field_count; i++) {
-        if (strcasecmp(SkyHttpHead_FieldName(head, i), "Connection") == 0 &&
-            list_contains(SkyHttpHead_FieldValue(head, i), name)) {
+    size_t name_size = strlen(name);
+    for (uint32_t i = 0; i < head->connection_name_count; i++) {
+        const sky_http_name_t *named = &head->connection_names[i];
+        if (named->bytes == name_size &&
+            strncasecmp(head->text.bytes + named->offset, name, name_size) ==
+                0) {
             return true;
         }
     }
--- a/lib/net/http_reader.h
+++ b/lib/net/http_reader.h
@@ -20,7 +20,12 @@
 extern "C" {
 #endif
 
-#define SKY_HTTP_FIELDS_MAX 64 /**< header fields in one message */
+/** Header fields in one message: of a head of 16 KiB that has only the
+ * shortest ones. */
+#define SKY_HTTP_FIELDS_MAX 4096
+/** Fields that the Connection fields of one message may name: each field is
+ *  compared with them. */
+#define SKY_HTTP_CONNECTION_NAMES_MAX 32
 
 /** Prefix of the names of this product's own hop-by-hop fields. */
 #define SKY_HTTP_HOP_FIELD_PREFIX "Sky-Hop-"
@@ -33,11 +38,21 @@
     uint32_t value_bytes;
 } sky_http_field_t;
 
+/** A name in a list, not NUL-terminated. */
+typedef struct {
+    uint32_t offset;
+    uint32_t bytes;
+} sky_http_name_t;
+
 /** Request line or status line, and the header fields. */
 typedef struct {
     sky_buffer_t text; /**< URL, names and values, each NUL-terminated */
-    sky_http_field_t fields[SKY_HTTP_FIELDS_MAX];
+    sky_http_field_t *fields;
     uint32_t field_count;
+    uint32_t field_capacity;
+    /** Fields named by Connection fields, in the text. */
+    sky_http_name_t connection_names[SKY_HTTP_CONNECTION_NAMES_MAX];
+    uint32_t connection_name_count;
     uint32_t url_bytes; /**< the URL is at the start of the text */
     uint16_t status;    /**< responses only */
     uint8_t method;     /**< requests only; an enum http_method */
@@ -65,7 +80,7 @@
     SKY_HTTP_INCOMPLETE, /**< all bytes consumed, message not complete */
     SKY_HTTP_COMPLETE,   /**< message complete; bytes behind it not consumed */
     SKY_HTTP_MALFORMED,  /**< not HTTP/1.1 */
-    SKY_HTTP_TOO_LARGE,  /**< head exceeds its size limit or field count */
+    SKY_HTTP_TOO_LARGE,  /**< head exceeds a limit of its size or fields */
     SKY_HTTP_STOPPED,    /**< a callback returned false */
 } sky_http_progress_t;
 
@@ -92,6 +107,8 @@
                         const sky_http_events_t *events, void *context,
                         size_t max_head_bytes);
 void SkyHttpReader_Clear(sky_http_reader_t *reader);
+/** Frees what a large head took, between two messages. */
+void SkyHttpReader_Shrink(sky_http_reader_t *reader);
 
 /** Parses bytes up to the end of a message.
  *  @param size 0 signals the end of the stream, which completes a response
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -120,6 +120,7 @@
         connection->listener->options.memory_share, &connection->held_bytes,
         count_buffer_bytes(&connection->input) +
             count_buffer_bytes(&connection->reader.head.text) +
+            connection->reader.head.field_capacity * sizeof(sky_http_field_t) +
             count_buffer_bytes(&connection->body) +
             count_buffer_bytes(&connection->output));
 }
@@ -353,6 +354,7 @@
         SkyBuffer_Consume(&connection->body,
                           SkyBuffer_Size(&connection->body));
         free_large_buffer(&connection->body);
+        SkyHttpReader_Shrink(&connection->reader);
         if (SkyBuffer_Size(&connection->output) == 0) {
             free_large_buffer(&connection->output);
         }
