Wait 150 ms to tell whether a host starts alone

Cause: a host with at most two others between its first two joins, 30 ms apart, counted as alone. Change: 150 ms between the first two joins, unless the group is small.

--- a/lib/decide/start_reads.c
+++ b/lib/decide/start_reads.c
@@ -22,9 +22,11 @@
 #define TREE_FANOUT 3
 /** Further joins that make the next one wait one minimum longer. */
 #define GENERATIONS_PER_DELAY 4
-/** A host that sees no more joins between two of its own starts alone: 30 ms
- *  lie between them, in which 33 of 330 hosts join that start at once. */
+/** A host that sees no more joins than this between its first two starts
+ * alone. In 30 ms, hosts that start one after the other, 25 ms apart, saw no
+ * more either. */
 #define LONE_GENERATIONS 2
+#define LONE_WINDOW_MS 150
 /** Polls in vain until other hosts are taken. */
 #define SOURCES_KEPT_POLLS 6
 /** A prime above all numbers of shards: products with it differ by them. */
@@ -207,6 +209,16 @@
     return delay_ms < max_ms ? (uint32_t)delay_ms : max_ms;
 }
 
+uint32_t
+SkyStartReads_GetSecondJoinDelayMs(const sky_start_reads_t *start,
+                                   uint32_t min_ms)
+{
+    return start->reads_alone || start->served_ms > 0 ||
+                   min_ms > LONE_WINDOW_MS
+               ? min_ms
+               : LONE_WINDOW_MS;
+}
+
 bool
 SkyStartReads_TakeWholeResponse(sky_start_reads_t *start, uint32_t link_mbps,
                                 uint64_t now_ms)
--- a/lib/decide/start_reads.h
+++ b/lib/decide/start_reads.h
@@ -125,6 +125,10 @@
  *  @param min_ms if few came; @p max_ms is the usual interval */
 uint32_t SkyStartReads_GetJoinDelayMs(bool tells_others, uint64_t passed,
                                       uint32_t min_ms, uint32_t max_ms);
+/** @return time after which a host joins again after its first join; long
+ *          enough to tell whether it starts alone. */
+uint32_t SkyStartReads_GetSecondJoinDelayMs(const sky_start_reads_t *start,
+                                            uint32_t min_ms);
 
 #ifdef __cplusplus
 }
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -212,6 +212,20 @@
                         ownership->member_name, on_leave_response, ownership);
 }
 
+/* Returns the time until the next join of a host that saw others come. */
+static uint32_t
+get_join_delay_ms(const sky_ownership_t *ownership, uint64_t passed,
+                  uint32_t interval_ms)
+{
+    const sky_start_reads_t *start = ownership->options.start;
+    uint32_t min_ms = OWNERS_READ_DELAY_MS / 2;
+    return ownership->joins == 1
+               ? SkyStartReads_GetSecondJoinDelayMs(start, min_ms)
+               : SkyStartReads_GetJoinDelayMs(
+                     SkyStartReads_TellsOthers(start, SkyClock_NowMs()),
+                     passed, min_ms, interval_ms);
+}
+
 static void
 on_join_response(void *context, const sky_store_response_t *response)
 {
@@ -257,11 +271,7 @@
     if (generation_changed) {
         /* Joining again soon releases shards that moved to other members. */
         start_timer(ownership, &ownership->join_timer,
-                    SkyStartReads_GetJoinDelayMs(
-                        SkyStartReads_TellsOthers(ownership->options.start,
-                                                  SkyClock_NowMs()),
-                        ownership->joins > 1 ? passed : 0,
-                        OWNERS_READ_DELAY_MS / 2, interval_ms));
+                    get_join_delay_ms(ownership, passed, interval_ms));
     }
     if (ownership->owners_generation != ownership->generation &&
         !ownership->owners_read_pending &&
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -171,6 +171,7 @@
     char name[96];
     uint64_t joined_ms;
     uint64_t renewed_ms; /* last join */
+    uint64_t ttl_ms;     /* as in the last join */
 } member_t;
 
 typedef struct {
@@ -625,7 +626,7 @@
                               (json_int_t)topic->count));
 }
 
-/** Removes members whose last join is older than MEMBER_TTL_MS.
+/** Removes members whose last join is older than its time to live.
  *  @return number of live members, whose indices are written */
 static int
 collect_live_members(int *indices)
@@ -633,7 +634,8 @@
     int count = 0;
     for (int i = 0; i < MEMBERS_MAX; i++) {
         if (group_members[i].name[0] != '\0' &&
-            group_members[i].renewed_ms + MEMBER_TTL_MS < SkyClock_NowMs()) {
+            group_members[i].renewed_ms + group_members[i].ttl_ms <
+                SkyClock_NowMs()) {
             group_members[i].name[0] = '\0';
             next_generation();
         }
@@ -697,13 +699,17 @@
         }
     }
     group_members[index].renewed_ms = SkyClock_NowMs();
+    json_int_t ttl_ms = json_integer_value(json_object_get(body, "ttlMs"));
+    group_members[index].ttl_ms =
+        ttl_ms > 0 ? (uint64_t)ttl_ms : MEMBER_TTL_MS;
     json_decref(group_topics);
     group_topics = json_incref(json_object_get(body, "topics"));
     json_t *assignments = encode_assignments(name, false, group_topics);
     send_store_json(request, 200,
                     json_pack("{s:I, s:i, s:o}", "generation",
                               (json_int_t)group_generation, "ttlMs",
-                              MEMBER_TTL_MS, "parts", assignments));
+                              (json_int_t)group_members[index].ttl_ms, "parts",
+                              assignments));
 }
 
 static void
--- a/tests/test_start_reads.cc
+++ b/tests/test_start_reads.cc
@@ -78,7 +78,8 @@
     uint32_t suspended_readers = 0;
     bool reads_at_once = false; // as hosts did before
     uint32_t pages = PAGES;
-    uint64_t down_ms = 0; // the store refuses all calls until then
+    uint64_t spread_ms = 300; // from the first to the last start
+    uint64_t down_ms = 0;     // the store refuses all calls until then
 };
 
 class Replay {
@@ -89,7 +90,7 @@
         for (uint32_t i = 0; i < count; i++) {
             Host &host = hosts_[i];
             host.address = "h" + std::to_string(i);
-            host.starts_ms = START_MS + random_() % 300;
+            host.starts_ms = START_MS + random_() % faults.spread_ms;
             host.next_join_ms = host.starts_ms;
             host.next_read_ms = host.starts_ms;
             host.next_poll_ms = host.starts_ms;
@@ -104,6 +105,7 @@
 
     uint64_t all_serve_ms = NEVER;
     uint32_t reads = 0;
+    uint32_t page_reads = 0; // those of topics
     uint32_t refused = 0;
 
     void
@@ -264,12 +266,13 @@
         host.next_join_ms = now_ + JOIN_INTERVAL_MS;
         if (host.generation != generation_) {
             host.next_join_ms =
-                now_ + (faults_.reads_at_once
-                            ? JOIN_MIN_MS
+                now_ + (faults_.reads_at_once ? JOIN_MIN_MS
+                        : join.number == 1
+                            ? SkyStartReads_GetSecondJoinDelayMs(&host.start,
+                                                                 JOIN_MIN_MS)
                             : SkyStartReads_GetJoinDelayMs(
                                   SkyStartReads_TellsOthers(&host.start, now_),
-                                  join.number == 1 ? 0 : join.passed,
-                                  JOIN_MIN_MS, JOIN_INTERVAL_MS));
+                                  join.passed, JOIN_MIN_MS, JOIN_INTERVAL_MS));
             host.generation = generation_;
         }
         if (host.owners_generation != generation_ &&
@@ -288,6 +291,7 @@
             host.read_is_refused = false;
             for (uint32_t i = 0; i < TOPICS; i++) {
                 host.read_is_refused = TakeRead() || host.read_is_refused;
+                page_reads++;
             }
             host.read_arrives_ms = now_ + STORE_MS;
             Strike(host);
@@ -564,6 +568,27 @@
     }
 }
 
+// Guards against hosts that start one after the other, as on a busy machine or
+// by a slow restart: each saw few others come, and read the store.
+TEST(StartReadsOfManyHosts, FewReadIfTheyStartOneAfterTheOther)
+{
+    for (uint64_t spread_ms : {1000u, 3000u, 10000u}) {
+        for (uint32_t seeds : {3u, 0u}) {
+            Faults faults;
+            faults.seeds = seeds;
+            faults.spread_ms = spread_ms;
+            Replay replay(330, 1, faults);
+            replay.Run(30000);
+            printf("spread over %llu ms: ms=%lld reads=%u pages=%u\n",
+                   (unsigned long long)spread_ms,
+                   (long long)replay.all_serve_ms, replay.reads,
+                   replay.page_reads);
+            EXPECT_LE(replay.all_serve_ms, spread_ms + 5000);
+            EXPECT_LE(replay.page_reads, 330 * TOPICS * PAGES / 4);
+        }
+    }
+}
+
 // Its first join begins the rounds, as long as it has no records.
 TEST(StartReadsOfOneHost, RoundsBeginAtTheFirstJoin)
 {
