Check slow bodies and held polls with a running host

Cause: the check of a held poll passed without its part: the poll named a generation of the owners that is lower than that of the test's group, and got a response at once. Change: a higher generation; ordinary requests beside a crowd of slow bodies.

--- a/tests/alone_connections.sh
+++ b/tests/alone_connections.sh
@@ -21,11 +21,26 @@
 crowd front reset 400 1000 /look/1
 crowd hosts reset 400 1000 /share
 
+# New callers were shut out for as long as a crowd of slow bodies held all
+# connections.
+"$FAKE" crowd "$(front_address 0)" slow_body 600 9000 /look/1 4000 \
+    >/dev/null 2>&1 &
+slow_pid=$!
+PIDS="$PIDS $slow_pid"
+sleep 3
+served=""
+for _ in $(seq 5); do served="$served$(ordinary) "; done
+check "ordinary requests beside slow bodies" "$(echo "$served" |
+    tr ' ' '\n' | sort -u | tr -d '\n')" 200
+check "while the crowd is there" \
+    "$(kill -0 $slow_pid 2>/dev/null && echo yes)" yes
+wait $slow_pid
+
 # A poll of a host that asks to be held for ever held its connection for ever,
 # which no limit closes, as it has a request.
 check "a held poll ends" "$(curl -sS -m 3 -o /dev/null -w '%{http_code}' \
     -d '{"hold_ms": 1000000000, "operator": [1000000, 1000000],
     "targets": [1000000, 1000000], "crashes": [1000000, 1000000],
-    "owners": 1000000000}' \
+    "owners": 1000000000000000000}' \
     "http://$(crowd_address hosts)/feed")" 200
 report_crowds
