Explain where a request would go now, and why

Cause: the log tells where a request went, but not why a target was left out or ranked behind another one, nor where a request would go now.

Change: `skylarkspar explain` asks a running host at its metrics address (POST /explain, lib/edge/explain). Admission comes first, then each target with its figures and the first reason that ruled it out, the chosen one, and the preferred targets for a load. SkyFleet_ChooseTarget() itself reports to an optional observer of the query; the query is made by lib/edge/target_query, which the proxy uses too. The credit of a quota is inspected on a copy. `skyfake json` reads JSON in tests.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -504,24 +504,47 @@
             contains_hash(target->hash, query->allowed, query->allowed_count));
 }
 
+static bool
+is_listed_for(const sky_fleet_target_t *target, const char *service)
+{
+    return target->listed && strcmp(target->entry.service, service) == 0;
+}
+
 static bool
 is_usable(const sky_fleet_target_t *target, const char *service)
 {
-    return target->listed && target->entry.state == SKY_TARGET_READY &&
-           strcmp(target->entry.service, service) == 0;
+    return target->entry.state == SKY_TARGET_READY &&
+           is_listed_for(target, service);
+}
+
+/* Returns why a listed target of the service is none of those that the query
+ * is about. */
+static sky_target_obstacle_t
+find_query_obstacle(const sky_fleet_target_t *target,
+                    const sky_fleet_query_t *query)
+{
+    if (target->entry.state != SKY_TARGET_READY) {
+        return SKY_OBSTACLE_NOT_READY;
+    }
+    if (query->software != NULL &&
+        strcmp(target->entry.software, query->software) != 0) {
+        return SKY_OBSTACLE_SOFTWARE;
+    }
+    if (query->rollout != NULL &&
+        !SkySoftwareRollout_MayBegin(query->rollout, query->service,
+                                     target->entry.software,
+                                     query->rollout_ms)) {
+        return SKY_OBSTACLE_ROLLOUT;
+    }
+    return SKY_OBSTACLE_NONE;
 }
 
 /* Whether the target is one of those that the query is about. */
 static bool
 is_candidate(const sky_fleet_target_t *target, const sky_fleet_query_t *query)
 {
-    return is_usable(target, query->service) &&
-           (query->software == NULL ||
-            strcmp(target->entry.software, query->software) == 0) &&
-           (query->rollout == NULL ||
-            SkySoftwareRollout_MayBegin(query->rollout, query->service,
-                                        target->entry.software,
-                                        query->rollout_ms));
+    return is_listed_for(target, query->service) &&
+           find_query_obstacle(target, query) == SKY_OBSTACLE_NONE;
 }
 
 /* Returns until when the target takes no request of this host, for a limit or
@@ -785,6 +808,52 @@
     }
 }
 
+const char *
+SkyFleet_GetObstacleName(sky_target_obstacle_t obstacle)
+{
+    switch (obstacle) {
+    case SKY_OBSTACLE_NONE:
+        return "none";
+    case SKY_OBSTACLE_NOT_READY:
+        return "not_ready";
+    case SKY_OBSTACLE_SOFTWARE:
+        return "software_version";
+    case SKY_OBSTACLE_ROLLOUT:
+        return "software_not_introduced";
+    case SKY_OBSTACLE_ADAPTER_MISSING:
+        return "adapter_not_resident";
+    case SKY_OBSTACLE_OLD_VERSION:
+        return "old_adapter_version";
+    case SKY_OBSTACLE_BLOCKED:
+        return "blocked";
+    case SKY_OBSTACLE_EXCLUDED:
+        return "excluded";
+    case SKY_OBSTACLE_LIMITED:
+        return "limited";
+    case SKY_OBSTACLE_PAUSED:
+        return "paused";
+    case SKY_OBSTACLE_BRITTLE_FULL:
+        return "brittle_and_full";
+    }
+    return "unknown";
+}
+
+/* Passes a target that SkyFleet_ChooseTarget() looked at to the observer. */
+static void
+notify_observer(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
+                const sky_fleet_candidate_t *seen, uint64_t now_ms)
+{
+    if (query->on_candidate == NULL) {
+        return;
+    }
+    sky_fleet_candidate_t candidate = *seen;
+    candidate.utilization = SkyFleet_GetUtilization(seen->target, now_ms);
+    candidate.expected_time =
+        SkyFleet_GetExpectedTime(fleet, seen->target, now_ms);
+    candidate.pace = SkyTargetPace_Get(&seen->target->pace, now_ms);
+    query->on_candidate(query->on_candidate_context, &candidate);
+}
+
 void
 SkyFleet_ChooseTarget(const sky_fleet_t *fleet, const sky_fleet_query_t *query,
                       uint64_t now_ms, sky_fleet_choice_t *choice)
@@ -804,7 +873,13 @@
     sky_fleet_target_t *target;
     DL_FOREACH(fleet->targets, target)
     {
-        if (!is_candidate(target, query)) {
+        if (!is_listed_for(target, query->service)) {
+            continue;
+        }
+        sky_fleet_candidate_t seen = {
+            .target = target, .obstacle = find_query_obstacle(target, query)};
+        if (seen.obstacle != SKY_OBSTACLE_NONE) {
+            notify_observer(fleet, query, &seen, now_ms);
             continue;
         }
         choice->has_usable_target = true;
@@ -815,12 +890,20 @@
             newest_version > 0
                 ? find_required_version(fleet, target, key, now_ms)
                 : 0;
+        seen.version = version;
+        seen.required_version = required_version;
         if (version == 0 || version < required_version) {
+            seen.obstacle = version == 0 ? SKY_OBSTACLE_ADAPTER_MISSING
+                                         : SKY_OBSTACLE_OLD_VERSION;
+            notify_observer(fleet, query, &seen, now_ms);
             continue;
         }
         bool is_blocked = target->blocked_until_ms > now_ms;
         choice->has_blocked_target = choice->has_blocked_target || is_blocked;
         if (is_blocked || !is_allowed(query, target)) {
+            seen.obstacle =
+                is_blocked ? SKY_OBSTACLE_BLOCKED : SKY_OBSTACLE_EXCLUDED;
+            notify_observer(fleet, query, &seen, now_ms);
             continue;
         }
         uint64_t wait_until_ms = wait_until(target);
@@ -829,10 +912,16 @@
                 wait_until_ms < choice->limit_wait_until_ms) {
                 choice->limit_wait_until_ms = wait_until_ms;
             }
+            seen.obstacle = target->pause_until_ms == wait_until_ms
+                                ? SKY_OBSTACLE_PAUSED
+                                : SKY_OBSTACLE_LIMITED;
+            notify_observer(fleet, query, &seen, now_ms);
             continue;
         }
         if (is_brittle_and_full(fleet, target, service_is_brittle, now_ms)) {
             choice->has_full_brittle_target = true;
+            seen.obstacle = SKY_OBSTACLE_BRITTLE_FULL;
+            notify_observer(fleet, query, &seen, now_ms);
             continue;
         }
         replica_count++;
@@ -845,11 +934,15 @@
         keep_better(&best, &candidate);
         candidate.score += spread_offset(fleet, target, query, now_ms);
         keep_better(&best_spread, &candidate);
+        seen.score = score;
+        seen.spread_score = candidate.score;
+        notify_observer(fleet, query, &seen, now_ms);
     }
     if (best.target != NULL &&
         SkyFleet_GetExpectedTime(fleet, best.target, now_ms) >
             SPREAD_TIME_MIN) {
         best = best_spread;
+        choice->is_spread = true;
     }
     choice->target = best.target;
     choice->is_adapter_missing = query->engine && replica_count == 0;
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -151,6 +151,41 @@
                               const sky_residency_t *residency,
                               uint64_t now_ms);
 
+/** The first reason that rules a target out; the order is that of the checks.
+ */
+typedef enum {
+    SKY_OBSTACLE_NONE,
+    SKY_OBSTACLE_NOT_READY, /**< it leaves */
+    SKY_OBSTACLE_SOFTWARE,  /**< another software version than required */
+    SKY_OBSTACLE_ROLLOUT,   /**< its software may not begin streams yet */
+    SKY_OBSTACLE_ADAPTER_MISSING, /**< model or adapter is not resident */
+    SKY_OBSTACLE_OLD_VERSION,     /**< of the adapter */
+    SKY_OBSTACLE_BLOCKED,         /**< this host could not connect to it */
+    SKY_OBSTACLE_EXCLUDED,        /**< by the query */
+    SKY_OBSTACLE_LIMITED,         /**< by a limit that it named */
+    SKY_OBSTACLE_PAUSED,          /**< by a pause that it named */
+    SKY_OBSTACLE_BRITTLE_FULL,    /**< brittle, with enough of this host's
+                                   * requests
+                                   */
+} sky_target_obstacle_t;
+
+/** @return the obstacle's name for output, for example "not_ready". */
+const char *SkyFleet_GetObstacleName(sky_target_obstacle_t obstacle);
+
+/** A target of the service as SkyFleet_ChooseTarget() sees it. */
+typedef struct {
+    const sky_fleet_target_t *target;
+    sky_target_obstacle_t obstacle;
+    uint32_t
+        version; /**< of the adapter there; 0: not resident or not known */
+    uint32_t required_version; /**< 0: any */
+    double utilization;
+    double expected_time;
+    double pace;
+    double score;        /**< the lowest is best; set without an obstacle */
+    double spread_score; /**< decides while the best target is busy */
+} sky_fleet_candidate_t;
+
 typedef struct {
     const char *service;
     bool engine;              /**< the service runs models */
@@ -168,6 +203,11 @@
     uint64_t tie_breaker; /**< any number; breaks ties between targets */
     bool
         without_adapter; /**< rank targets where the adapter is not resident */
+    /** SkyFleet_ChooseTarget() calls it for each listed target of the service;
+     *  NULL: nobody observes the choice. */
+    void (*on_candidate)(void *context,
+                         const sky_fleet_candidate_t *candidate);
+    void *on_candidate_context;
 } sky_fleet_query_t;
 
 typedef struct {
@@ -183,6 +223,7 @@
     uint32_t
         extra_replicas; /**< further replicas of the adapter to load at once */
     double batch_utilization; /**< utilization of the chosen target's batch */
+    bool is_spread; /**< chosen by the spread score, as the best was busy */
     /** When the first of the targets that were left out for their limit or a
      *  pause takes a request; 0: none was. */
     uint64_t limit_wait_until_ms;
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -1,4 +1,5 @@
 #include "edge/proxy_request.h"
+#include "edge/target_query.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -233,41 +234,19 @@
                                  count);
 }
 
-/* Keeps a stream that is to begin from versions that are being introduced, if
- * targets of others are left. */
-static void
-restrict_to_introduced(const sky_proxy_request_t *request,
-                       sky_fleet_query_t *query)
-{
-    const sky_directory_t *directory = request->proxy->options.directory;
-    const sky_software_rollout_t *rollout =
-        SkyStreamVersions_GetRollout(directory->streams);
-    uint64_t boot_ms = SkyClock_BootMs();
-    if (request->has_stream_software ||
-        request->route->retry_policy != SKY_RETRY_RESUME ||
-        !SkySoftwareRollout_IsIntroducing(rollout, query->service, boot_ms)) {
-        return;
-    }
-    if (SkyFleet_HasIntroducedTarget(directory->fleet, query->service, rollout,
-                                     boot_ms)) {
-        query->rollout = rollout;
-        query->rollout_ms = boot_ms;
-    }
-}
-
 sky_fleet_query_t
 SkyProxyRequest_BuildQuery(const sky_proxy_request_t *request)
 {
-    sky_fleet_query_t query = {
-        .service = request->service->name,
-        .engine = request->service->engine.present,
-        .model = request->facts.model,
-        .adapter = request->facts.adapter,
+    sky_target_query_options_t options = {
+        .directory = request->proxy->options.directory,
+        .route = request->route,
+        .service = request->service,
+        .facts = &request->facts,
         .software =
             request->has_stream_software ? request->stream_software : NULL,
         .tie_breaker = SkyProxyRequest_IdHash(request),
     };
-    restrict_to_introduced(request, &query);
+    sky_fleet_query_t query = SkyTargetQuery_Make(&options);
     SkyAttempts_RestrictQuery(&request->attempts, request->route->targets_max,
                               &query);
     return query;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -16,6 +16,7 @@
 #include "edge/crash_sharing.h"
 #include "edge/stream_sharing.h"
 #include "edge/directory.h"
+#include "edge/explain.h"
 #include "edge/feed.h"
 #include "edge/feed_relay.h"
 #include "edge/host_settings.h"
@@ -216,6 +217,25 @@
     }
 }
 
+static void
+on_metrics_request(void *context, sky_server_request_t *request)
+{
+    edge_t *edge = context;
+    if (strcmp(SkyHttpHead_Url(SkyServerRequest_Head(request)),
+               SKY_EXPLAIN_PATH) != 0) {
+        on_probe_request(context, request);
+        return;
+    }
+    sky_explain_options_t options = {.directory = &edge->directory,
+                                     .settings = &edge->settings,
+                                     .feed = edge->feed,
+                                     .quota_sharing = edge->quota_sharing,
+                                     .service_turns = edge->service_turns,
+                                     .is_stopping =
+                                         edge->term_received_ms > 0};
+    SkyExplain_Respond(&options, request);
+}
+
 static void
 on_probe_disconnect(void *context, sky_server_request_t *request)
 {
@@ -629,6 +649,7 @@
     }
     sky_listener_options_t metrics_options = probe_options;
     metrics_options.address = settings->metrics;
+    metrics_options.events.on_request = on_metrics_request;
     metrics_options.max_connections = edge->connection_share.metrics;
     if (!SkyResult_IsError(result) && settings->metrics[0] != '\0' &&
         SkyResult_IsError(
--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -810,6 +810,51 @@
     }
 }
 
+bool
+SkyQuotaSharing_Inspect(const sky_quota_sharing_t *sharing,
+                        const sky_quota_need_t *need, sky_quota_view_t *view)
+{
+    uint64_t now_ms = SkyClock_BootMs();
+    workspace_t *workspace;
+    owner_t owner;
+    HASH_FIND_STR(sharing->workspaces, need->workspace, workspace);
+    *view = (sky_quota_view_t){0};
+    if (workspace == NULL) {
+        return false;
+    }
+    /* The decision is made on a copy: no credit is taken. */
+    sky_quota_credit_t credit = workspace->credit;
+    credit.host_count = SkyQuotaHosts_Count(
+        &sharing->hosts, get_member_count(sharing), 0, now_ms);
+    bool is_valid = now_ms < credit.valid_until_ms;
+    view->left = is_valid ? credit.left : 0.0;
+    view->credit_valid_ms =
+        is_valid ? (uint32_t)(credit.valid_until_ms - now_ms) : 0;
+    view->demand_per_s = credit.demand_per_s;
+    view->host_count = credit.host_count;
+    view->equal_share_per_s = credit.terms.rate_per_s / credit.host_count;
+    const sky_quota_request_t *request;
+    DL_FOREACH(workspace->requests, request)
+    {
+        view->waiting++;
+    }
+    view->uses_own_share = !choose_owner(sharing, workspace, now_ms, &owner);
+    bool is_behind = workspace->requests != NULL &&
+                     workspace->requests->need.urgency <= need->urgency;
+    view->result = is_behind ? SKY_QUOTA_ASK
+                             : SkyQuotaCredit_Acquire(&credit, need->cost,
+                                                      now_ms, &view->wait_ms);
+    if (view->result == SKY_QUOTA_ASK && view->uses_own_share) {
+        view->wait_ms = SKY_QUOTA_VALID_MS;
+        view->result = sharing->knows_members &&
+                               SkyQuotaCredit_AcquireShare(
+                                   &credit, need->cost, now_ms, &view->wait_ms)
+                           ? SKY_QUOTA_GRANTED
+                           : SKY_QUOTA_DENIED;
+    }
+    return true;
+}
+
 const sky_quota_stats_t *
 SkyQuotaSharing_Stats(const sky_quota_sharing_t *sharing)
 {
--- a/lib/edge/quota_sharing.h
+++ b/lib/edge/quota_sharing.h
@@ -68,6 +68,26 @@
 void SkyQuotaSharing_Refund(sky_quota_sharing_t *sharing,
                             const char *workspace, uint64_t cost);
 
+/** What a request of a workspace would get now. */
+typedef struct {
+    sky_quota_result_t result; /**< if SKY_QUOTA_ASK, the owner decides */
+    uint32_t wait_ms;          /**< if denied */
+    double left;               /**< credit at hand */
+    uint32_t credit_valid_ms;  /**< time until it expires; 0: expired */
+    double demand_per_s;       /**< at the last request or call */
+    uint32_t waiting;          /**< requests that wait for credit */
+    uint32_t host_count;       /**< hosts that share the quota */
+    double equal_share_per_s;  /**< rate by host_count */
+    /** No owner responds: the host uses its own share. */
+    bool uses_own_share;
+} sky_quota_view_t;
+
+/** Shows what SkyQuotaSharing_Acquire() would do, without any effect.
+ *  @return false: the workspace has no quota */
+bool SkyQuotaSharing_Inspect(const sky_quota_sharing_t *sharing,
+                             const sky_quota_need_t *need,
+                             sky_quota_view_t *view);
+
 typedef struct {
     uint64_t refused; /**< requests */
     uint64_t calls;   /**< to owners */
--- a/programs/commands.h
+++ b/programs/commands.h
@@ -23,6 +23,15 @@
     int64_t base_revision; /**< revision to amend; -1: the current one */
     bool prints_json;
     bool prints_settings_table; /**< `check` only */
+    /* Of `explain`: the request. */
+    const char *caller_host;
+    const char *path;
+    const char *attempt_id;
+    const char *workspace;
+    const char *model;
+    const char *adapter;
+    const char *tokens; /**< "PROMPT,OUTPUT" */
+    const char *parts;  /**< "ID:TOKENS,..." with hexadecimal ids */
 } sky_arguments_t;
 
 sky_result_t SkyCommand_ServeHost(const sky_arguments_t *arguments);
@@ -33,5 +42,7 @@
 sky_result_t SkyCommand_ShowDocuments(const sky_arguments_t *arguments);
 sky_result_t SkyCommand_ShowStatus(const sky_arguments_t *arguments);
 sky_result_t SkyCommand_DrainHost(const sky_arguments_t *arguments);
+/** Its exit code is 1 if the host does not answer within 2 s. */
+sky_result_t SkyCommand_ExplainRequest(const sky_arguments_t *arguments);
 
 #endif
--- a/programs/skylarkspar.c
+++ b/programs/skylarkspar.c
@@ -18,6 +18,7 @@
                             "show [(template|workspace) NAME]\n"
                             "status\n"
                             "drain\n"
+                            "explain --caller-host HOST --path PATH\n"
                             "version";
 
 static const char HELP[] =
@@ -27,13 +28,24 @@
     "names. check validates a settings file and reports the first error. "
     "publish creates a document, amend replaces one; FILE is TOML. show "
     "prints the documents in force, status the state of a host and of the "
-    "members it knows; drain shuts a host down gracefully. publish, amend, "
+    "members it knows; drain shuts a host down gracefully. "
+    "explain asks a host of edge, at its metrics address, where a request "
+    "would go now and why; it needs no key and sends nothing on. publish, "
+    "amend, "
     "show, status and drain need --host and the operators' key, from "
     "--key-file or SKYLARKSPAR_KEY. Exit codes: docs/RESULT-CODES.md.";
 
 /** Keys of options without a short form: not characters. */
 enum {
     OPTION_SETTINGS_TABLE = 1000,
+    OPTION_CALLER_HOST,
+    OPTION_PATH,
+    OPTION_ATTEMPT_ID,
+    OPTION_WORKSPACE,
+    OPTION_MODEL,
+    OPTION_ADAPTER,
+    OPTION_TOKENS,
+    OPTION_PARTS,
 };
 
 static const struct argp_option OPTIONS[] = {
@@ -46,9 +58,22 @@
      "status: draw a histogram: load_stall, queue_wait, first_token, total or "
      "batch_fill",
      0},
-    {"json", 'j', NULL, 0, "status: print JSON", 0},
+    {"json", 'j', NULL, 0, "status, explain: print JSON", 0},
     {"table", OPTION_SETTINGS_TABLE, NULL, 0,
      "check: print the table of all settings", 0},
+    {"caller-host", OPTION_CALLER_HOST, "HOST", 0,
+     "explain: Host field of the request", 0},
+    {"path", OPTION_PATH, "PATH", 0, "explain: path of the request", 0},
+    {"id", OPTION_ATTEMPT_ID, "ID", 0,
+     "explain: id of the request, which breaks ties; default: none", 0},
+    {"workspace", OPTION_WORKSPACE, "NAME", 0,
+     "explain: workspace, by its name; keys are not accepted", 0},
+    {"model", OPTION_MODEL, "MODEL", 0, "explain: model", 0},
+    {"adapter", OPTION_ADAPTER, "ADAPTER", 0, "explain: adapter", 0},
+    {"tokens", OPTION_TOKENS, "PROMPT,OUTPUT", 0,
+     "explain: tokens of the prompt, and most of the output", 0},
+    {"parts", OPTION_PARTS, "ID:TOKENS,...", 0,
+     "explain: parts of the prompt, with hexadecimal ids", 0},
     {0},
 };
 
@@ -121,6 +146,30 @@
     case OPTION_SETTINGS_TABLE:
         arguments->prints_settings_table = true;
         return 0;
+    case OPTION_CALLER_HOST:
+        arguments->caller_host = text;
+        return 0;
+    case OPTION_PATH:
+        arguments->path = text;
+        return 0;
+    case OPTION_ATTEMPT_ID:
+        arguments->attempt_id = text;
+        return 0;
+    case OPTION_WORKSPACE:
+        arguments->workspace = text;
+        return 0;
+    case OPTION_MODEL:
+        arguments->model = text;
+        return 0;
+    case OPTION_ADAPTER:
+        arguments->adapter = text;
+        return 0;
+    case OPTION_TOKENS:
+        arguments->tokens = text;
+        return 0;
+    case OPTION_PARTS:
+        arguments->parts = text;
+        return 0;
     case ARGP_KEY_ARG:
         parse_argument(arguments, text, state);
         return 0;
@@ -143,6 +192,7 @@
     {"show", SkyCommand_ShowDocuments},
     {"status", SkyCommand_ShowStatus},
     {"drain", SkyCommand_DrainHost},
+    {"explain", SkyCommand_ExplainRequest},
 };
 
 static sky_result_t
--- a/tests/fakes/fake_http.c
+++ b/tests/fakes/fake_http.c
@@ -218,8 +218,10 @@
     if (strcmp(mode, "crowd") == 0) {
         return Crowd_Main(argc, argv);
     }
-    fprintf(
-        stderr,
-        "usage: skyfake (engine|service|platform|site|crowd) ADDRESS ...\n");
+    if (strcmp(mode, "json") == 0) {
+        return JsonValue_Main(argc, argv);
+    }
+    fprintf(stderr, "usage: skyfake (engine|service|platform|site|crowd) "
+                    "ADDRESS ...\n       skyfake json PATH\n");
     return 2;
 }
--- a/tests/fakes/fake_http.h
+++ b/tests/fakes/fake_http.h
@@ -62,5 +62,6 @@
 int Platform_Main(int argc, char **argv);
 int Site_Main(int argc, char **argv);
 int Crowd_Main(int argc, char **argv);
+int JsonValue_Main(int argc, char **argv);
 
 #endif
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -745,4 +745,119 @@
     EXPECT_EQ("t1", TargetId(Choose("a1")));
 }
 
+struct Observed {
+    std::map<std::string, std::vector<sky_target_obstacle_t>> obstacles;
+    std::map<std::string, sky_fleet_candidate_t> figures;
+};
+
+void
+Observe(void *context, const sky_fleet_candidate_t *candidate)
+{
+    Observed *observed = static_cast<Observed *>(context);
+    std::string id = candidate->target->entry.id;
+    observed->obstacles[id].push_back(candidate->obstacle);
+    observed->figures[id] = *candidate;
+}
+
+// Guards against an explanation that leaves a target out, names it twice, or
+// gives another reason than the one that ruled it out.
+TEST_F(FleetTest, TheObserverSeesEachTargetOnceWithItsObstacle)
+{
+    Add("leaving", {"a1"}, SKY_TARGET_LEAVING);
+    Add("empty", {});
+    sky_fleet_target_t *blocked = Add("blocked", {"a1"});
+    blocked->blocked_until_ms = now_ms + 1;
+    sky_fleet_target_t *excluded = Add("excluded", {"a1"});
+    sky_fleet_target_t *limited = Add("limited", {"a1"});
+    limited->limit.per_s = 5;
+    limited->limit_wait_until_ms = now_ms + 50;
+    SkyFleet_RecordPause(Add("paused", {"a1"}), 100, now_ms);
+    sky_fleet_target_t *brittle = Add("brittle", {"a1"});
+    SkyFleet_SetHostRank(fleet, 0, 16);
+    SkyFleet_RecordBrittle(brittle, true, 3);
+    SkyFleet_BeginRequest(brittle);
+    SkyFleet_RecordBrittle(Add("good", {"a1"}), false, 0);
+    sky_fleet_target_t *busy = Add("busy", {"a1"});
+    SkyFleet_RecordBrittle(busy, false, 0);
+    for (int i = 0; i < 16; i++) {
+        SkyFleet_BeginRequest(busy);
+    }
+    Observed observed;
+    sky_fleet_query_t query = Query("a1");
+    query.excluded = &excluded->hash;
+    query.excluded_count = 1;
+    query.on_candidate = Observe;
+    query.on_candidate_context = &observed;
+    sky_fleet_choice_t choice;
+    SkyFleet_ChooseTarget(fleet, &query, now_ms, &choice);
+    EXPECT_EQ("good", TargetId(choice));
+    std::map<std::string, std::vector<sky_target_obstacle_t>> wanted = {
+        {"leaving", {SKY_OBSTACLE_NOT_READY}},
+        {"empty", {SKY_OBSTACLE_ADAPTER_MISSING}},
+        {"blocked", {SKY_OBSTACLE_BLOCKED}},
+        {"excluded", {SKY_OBSTACLE_EXCLUDED}},
+        {"limited", {SKY_OBSTACLE_LIMITED}},
+        {"paused", {SKY_OBSTACLE_PAUSED}},
+        {"brittle", {SKY_OBSTACLE_BRITTLE_FULL}},
+        {"good", {SKY_OBSTACLE_NONE}},
+        {"busy", {SKY_OBSTACLE_NONE}}};
+    EXPECT_EQ(wanted, observed.obstacles);
+    EXPECT_LT(observed.figures["good"].score, observed.figures["busy"].score);
+    EXPECT_DOUBLE_EQ(1.0, observed.figures["busy"].utilization);
+}
+
+// Guards against an old version that is shown as a missing adapter.
+TEST_F(FleetTest, TheObserverSeesThatAVersionIsOld)
+{
+    Add("t1", {"a1"});
+    Announce("a1", 2);
+    now_ms += 4000; // the version is required by now
+    Observed observed;
+    sky_fleet_query_t query = Query("a1");
+    query.on_candidate = Observe;
+    query.on_candidate_context = &observed;
+    sky_fleet_choice_t choice;
+    SkyFleet_ChooseTarget(fleet, &query, now_ms, &choice);
+    EXPECT_EQ(nullptr, choice.target);
+    EXPECT_EQ(SKY_OBSTACLE_OLD_VERSION, observed.figures["t1"].obstacle);
+    EXPECT_EQ(1u, observed.figures["t1"].version);
+    EXPECT_EQ(2u, observed.figures["t1"].required_version);
+}
+
+// Guards against an observer that changes what it observes.
+TEST_F(FleetTest, TheChoiceIsTheSameWithAndWithoutAnObserver)
+{
+    SkyFleet_SetHostRank(fleet, 0, 30);
+    for (uint32_t i = 0; i < 12; i++) {
+        sky_fleet_target_t *target =
+            Add("t" + std::to_string(i), {"a1"}, SKY_TARGET_READY, 1,
+                i % 3 == 0 ? "zone-b" : "zone-a");
+        sky_residency_t resident = {};
+        resident.adapter = SkyFleet_MakeAdapterKey("m", "a1");
+        resident.version = 1;
+        resident.present = true;
+        SkyFleet_ApplyOwnerReport(target, 5 + i % 4, &resident, 1, now_ms);
+    }
+    now_ms += 200;
+    std::set<std::string> chosen;
+    for (uint64_t tie = 0; tie < 200; tie++) {
+        Observed observed;
+        sky_fleet_query_t query = Query("a1", tie * 2654435761u);
+        sky_fleet_choice_t without;
+        sky_fleet_choice_t with;
+        SkyFleet_ChooseTarget(fleet, &query, now_ms, &without);
+        query.on_candidate = Observe;
+        query.on_candidate_context = &observed;
+        SkyFleet_ChooseTarget(fleet, &query, now_ms, &with);
+        ASSERT_EQ(TargetId(without), TargetId(with)) << tie;
+        ASSERT_TRUE(with.is_spread);
+        for (const auto &entry : observed.figures) { // it explains the choice
+            ASSERT_GE(entry.second.spread_score,
+                      observed.figures[TargetId(with)].spread_score);
+        }
+        chosen.insert(TargetId(with));
+    }
+    EXPECT_GT(chosen.size(), 1u);
+}
+
 } // namespace
