proc_explain: keep callers sending while credit is explained

Cause: the host held enough credit only at some moments, so that the check found it after 3 to 8 of 12 tries, and in one run not at all. Change: four callers send all the while; no check or bound changes.

--- a/tests/proc_explain.sh
+++ b/tests/proc_explain.sh
@@ -110,8 +110,23 @@
 # While requests come, the host holds credit; owners renew it each 400 ms. It
 # would fall at nearly each explanation that takes some.
 url="http://$metrics_address/explain"
+send_steadily() { # ID
+    while [ -f "$DIR/filling" ]; do
+        curl -sS -m 2 -o /dev/null -X POST -d prompt -H 'Host: a.example' \
+            -H "X-Skylarkspar-Attempt-Id: $1" \
+            -H 'X-Skylarkspar-Model: m1/a1' \
+            -H 'X-Skylarkspar-Token-Count: 100,40' \
+            -H 'X-Skylarkspar-Credential: key-small' \
+            "http://$(front_address 0)/gen/1"
+        sleep 0.02
+    done
+}
+: >"$DIR/filling"
+for i in 1 2 3 4; do
+    send_steadily "fill$i" >"$DIR/filled$i" 2>&1 &
+    PIDS="$PIDS $!"
+done
 for i in 1 2 3 4 5 6 7 8 9 10 11 12; do
-    generate /gen/1 a1 "fill$i" >"$DIR/code"
     curl -sS -m 2 -w '\n' -d '{"host": "a.example", "path": "/gen/1",
         "workspace": "small", "model": "m1", "tokens": [5, 5]}' \
         $url $url $url $url $url $url $url $url $url $url >"$DIR/explained"
@@ -123,6 +138,7 @@
     # Enough for the ten explanations, if each took some.
     awk 'NR == 1 {exit !($2 >= 100)}' "$DIR/credits" && break
 done
+rm "$DIR/filling"
 check "the host holds credit" \
     "$(grep -q '^granted' "$DIR/credits" && echo granted)" granted
 check "explain takes no credit: what the host holds" \
