Read the targets once for each turn

Cause: the owner of a plain service looked up its usable targets by index for each turn, and each look-up begins at the head of the list of targets: the cost of a turn grew with the square of the number of targets. So did a host's check of a refusal.

Change: both go through the list once. No behaviour changes.

The time saved was not measured.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -521,6 +521,12 @@
            strcmp(target->entry.service, service) == 0;
 }
 
+bool
+SkyFleet_IsUsable(const sky_fleet_target_t *target, const char *service)
+{
+    return is_usable(target, service);
+}
+
 /* Whether the target is one of those that the query is about. */
 static bool
 is_candidate(const sky_fleet_target_t *target, const sky_fleet_query_t *query)
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -252,6 +252,9 @@
                                 */
 } sky_exchange_result_t;
 
+/** @return whether it is a listed target of the service that takes requests.
+ */
+bool SkyFleet_IsUsable(const sky_fleet_target_t *target, const char *service);
 /** @return number of listed targets of the service that take requests. */
 uint32_t SkyFleet_CountUsable(const sky_fleet_t *fleet, const char *service);
 /** @return whether one of them runs a version that may begin streams at
--- a/lib/edge/service_turns.c
+++ b/lib/edge/service_turns.c
@@ -130,12 +130,10 @@
 static bool
 is_any_under_own_rules(const sky_service_turns_t *turns, const char *service)
 {
-    const sky_fleet_t *fleet = turns->options.directory->fleet;
-    uint32_t count = SkyFleet_CountUsable(fleet, service);
-    for (uint32_t i = 0; i < count; i++) {
-        const sky_fleet_target_t *target =
-            SkyFleet_GetUsable(fleet, service, i);
-        if (target != NULL && has_own_rules(target)) {
+    const sky_fleet_target_t *target =
+        SkyFleet_GetFirstTarget(turns->options.directory->fleet);
+    for (; target != NULL; target = target->next) {
+        if (has_own_rules(target) && SkyFleet_IsUsable(target, service)) {
             return true;
         }
     }
@@ -145,14 +143,14 @@
 static void
 update_targets(sky_service_turns_t *turns, service_t *service, uint64_t now_ms)
 {
-    const sky_fleet_t *fleet = turns->options.directory->fleet;
+    const sky_fleet_target_t *target =
+        SkyFleet_GetFirstTarget(turns->options.directory->fleet);
     sky_turn_target_t targets[SKY_TURN_TARGETS_MAX];
-    uint32_t count = SkyFleet_CountUsable(fleet, service->name);
     uint32_t used = 0;
-    for (uint32_t i = 0; i < count && used < SKY_TURN_TARGETS_MAX; i++) {
-        const sky_fleet_target_t *target =
-            SkyFleet_GetUsable(fleet, service->name, i);
-        if (target != NULL && can_take_turns(target, now_ms)) {
+    for (; target != NULL && used < SKY_TURN_TARGETS_MAX;
+         target = target->next) {
+        if (SkyFleet_IsUsable(target, service->name) &&
+            can_take_turns(target, now_ms)) {
             targets[used++] =
                 (sky_turn_target_t){target->hash, target->entry.slots};
         }
