--- a/lib/edge/service_turns.c
+++ b/lib/edge/service_turns.c
@@ -21,9 +21,8 @@
 #define OWNER_SILENT_MS 2000
 #define MEMBERS_PER_OWNER 64
 #define OWNERS_MAX 8
-#define OWNERS_TTL_MS                                                         \
-    250 /**< the members of 330 hosts are listed so often                     \
-         */
+/** Listing the members of 330 hosts for each turn would cost more than it. */
+#define OWNERS_TTL_MS 250
 #define REPORTED_TARGETS_MAX 64
 /** Older responses say little: a host that makes no calls forgets them. */
 #define REPORT_TTL_MS 300
--- a/tests/turn_replay.h
+++ b/tests/turn_replay.h
@@ -26,10 +26,7 @@
 constexpr uint32_t SENDS_MAX = 4;
 constexpr double REFUSAL_MS = 20;
 constexpr uint64_t USE_SLOT_MS_MIN = 1800; // of a second, to be counted
-#ifndef TTL
-#define TTL 300
-#endif
-constexpr double REPORT_TTL_MS = TTL;
+constexpr double REPORT_TTL_MS = 300;
 
 struct ReplayOptions {
     bool with_turns = true;
