--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -549,6 +549,12 @@
     return SKY_OBSTACLE_NONE;
 }
 
+bool
+SkyFleet_IsUsable(const sky_fleet_target_t *target, const char *service)
+{
+    return is_usable(target, service);
+}
+
 /* Whether the target is one of those that the query is about. */
 static bool
 is_candidate(const sky_fleet_target_t *target, const sky_fleet_query_t *query)
