Keep the limit of 64 fields for responses

Cause: the larger limit of fields applied to responses too, and a response whose head has no end was read for more than 8 s in test_client. Change: only requests may have 4,096 fields.

--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -5,6 +5,8 @@
 #include <strings.h>
 
 #define LIST_SEPARATORS " \t,"
+/** Ends a response whose head has no end. */
+#define RESPONSE_FIELDS_MAX 64u
 #define FIELDS_CAPACITY_MIN 16u
 /** Fits most heads, and is kept for the next one. */
 #define FIELDS_CAPACITY_KEPT_MAX 64u
@@ -132,7 +134,10 @@
             append_to_head(reader, "", 1) != 0) {
             return 1;
         }
-        if (reader->head.field_count >= SKY_HTTP_FIELDS_MAX) {
+        uint32_t fields_max = reader->kind == SKY_HTTP_REQUEST
+                                  ? SKY_HTTP_FIELDS_MAX
+                                  : RESPONSE_FIELDS_MAX;
+        if (reader->head.field_count >= fields_max) {
             reader->head_is_too_large = true;
             return 1;
         }
