--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -40,14 +40,11 @@
     return SkyWorkspaces_FindByKey(workspaces, &digest);
 }
 
-/* Returns the request's route by the newest configuration; NULL: none. */
+/* Returns the request's route by another configuration; NULL: none. */
 static const sky_route_t *
-find_newest_route(const sky_proxy_request_t *request,
-                  const sky_deployment_t *newest)
+find_route_in(const sky_proxy_request_t *request,
+              const sky_deployment_t *newest)
 {
-    if (newest == request->deployment) {
-        return request->route;
-    }
     const sky_http_head_t *head =
         SkyServerRequest_Head(request->caller_request);
     const char *host = SkyHttpHead_FindField(head, "Host");
@@ -70,13 +67,18 @@
     }
     /* A route that is gone keeps its urgency: the configuration that ranks it
      * is another one. */
-    const sky_route_t *route = find_newest_route(request, newest);
-    request->needs_key =
-        route != NULL ? !route->is_public : !request->route->is_public;
+    const sky_route_t *route = request->route;
+    bool is_ranked = true;
+    if (newest != request->deployment) {
+        const sky_route_t *found = find_route_in(request, newest);
+        is_ranked = found != NULL;
+        route = is_ranked ? found : route;
+    }
+    request->needs_key = !route->is_public;
     if (request->needs_key) {
         request->workspace = find_workspace(request, newest->workspaces);
     }
-    if (route != NULL) {
+    if (is_ranked) {
         request->urgency =
             SkyDeployment_GetUrgency(newest, route, request->workspace);
     }
