--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -975,10 +975,10 @@
         choice->target ? SkyFleet_GetUtilization(choice->target, now_ms) : 0.0;
     choice->extra_replicas =
         choice->target != NULL && needs_adapter
-            ? count_replicas_wanted(
-                  choice->target, key,
-                  SkyFleet_GetExpectedTime(fleet, choice->target, now_ms),
-                  replica_count)
+            /* Not by the expected time: what others may have sent since the
+             * report is no reason to load weights. */
+            ? count_replicas_wanted(choice->target, key,
+                                    choice->batch_utilization, replica_count)
             : 0;
     if (newest_version > 0 && choice->target != NULL) {
         bool is_checked =
