Log: lines of evidence are not dropped before others, and dropped lines are counted by event

Cause: lines beyond the budget of a second were dropped by their count alone, and those in the buffer went with a killed process. A line too long for its buffer was left out without a count.

Change: a class of lines, evidence, with a budget of its own (400 a second; beyond it, what ordinary lines have left), 16 KiB of the buffer that ordinary lines leave free, and written to standard output at once. Dropped lines are counted by class and by event (16 names, the rest as 'other'), told of in one log_dropped line a second, and on /metrics. Long lines are cut and counted.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -35,6 +35,9 @@
 #define MMAP_THRESHOLD_BYTES (256 * 1024)
 /** Limits logging to a few percent of a small host's CPU. */
 #define LOG_LINES_PER_S_MAX 400
+/** The three lines of each of about 130 requests. With the others it bounds
+ *  the log to about 0.2 MB a second. */
+#define LOG_EVIDENCE_LINES_PER_S_MAX 400
 #define LOG_FLUSH_INTERVAL_S 0.2
 #define TICK_INTERVAL_S 0.1
 #define LOOP_LATE_LOGGED_MS 300 /**< a longer delay of a tick is logged */
@@ -155,6 +158,29 @@
     }
 }
 
+static void
+append_log_metrics(sky_buffer_t *body)
+{
+    sky_log_stats_t stats;
+    SkyLog_GetStats(&stats);
+    SkyBuffer_AppendFormat(body,
+                           "# TYPE sky_log_evidence_dropped_total counter\n"
+                           "sky_log_evidence_dropped_total %llu\n"
+                           "# TYPE sky_log_lines_truncated_total counter\n"
+                           "sky_log_lines_truncated_total %llu\n"
+                           "# TYPE sky_log_event_dropped_total counter\n",
+                           (unsigned long long)stats.dropped[SKY_LOG_EVIDENCE],
+                           (unsigned long long)stats.truncated);
+    for (uint32_t i = 0; i <= SKY_LOG_EVENTS_MAX; i++) {
+        if (stats.events[i].lines > 0) {
+            SkyBuffer_AppendFormat(
+                body, "sky_log_event_dropped_total{event=\"%s\"} %llu\n",
+                stats.events[i].event,
+                (unsigned long long)stats.events[i].lines);
+        }
+    }
+}
+
 static void
 respond_metrics(edge_t *edge, sky_server_request_t *request)
 {
@@ -193,6 +219,7 @@
                            (unsigned long long)proxied->received_from_peers,
                            (unsigned long long)quotas->refused,
                            (unsigned long long)quotas->calls);
+    append_log_metrics(&body);
     SkyServiceTurns_WriteMetrics(edge->service_turns, &body);
     append_client_metrics(&body, edge);
     write_paces(edge, &body);
@@ -743,7 +770,10 @@
         return SKY_E_MEMORY;
     }
     signal(SIGPIPE, SIG_IGN);
-    SkyLog_UseStandardOutput(LOG_LINES_PER_S_MAX);
+    sky_log_options_t log_options = {.lines_per_s = LOG_LINES_PER_S_MAX,
+                                     .evidence_lines_per_s =
+                                         LOG_EVIDENCE_LINES_PER_S_MAX};
+    SkyLog_UseStandardOutput(&log_options);
     sky_result_t result =
         SkyHostSettings_Load(settings_path, &edge->settings, error);
     if (SkyResult_IsError(result)) {
