Client: log responses that answer no waiting request, and tell of an exchange

Cause: a response that names another request was skipped, one without an id on a reused connection rejected, and bytes beyond a response or on an idle connection closed it, all without a line. So the log could not tell a refusal of another request from one of the request that waited. Change: response_skipped and response_rejected are evidence and name the waiting request, the other id, the status and the requests that the connection served; bytes_beyond_response and bytes_on_idle name the request before. A request's options may ask for what is known of its exchange: reuse, bytes sent, status and id of the last response, responses of others. No outcome changes.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -1,6 +1,8 @@
 #include "net/client.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -10,6 +12,7 @@
 #include <utlist.h>
 
 #include "core/clock.h"
+#include "core/logging.h"
 #include "net/socket.h"
 
 /** Size of one read, which fits several events of a stream. */
@@ -37,9 +40,11 @@
     sky_http_reader_t reader;
     sky_buffer_t output;
     sky_client_request_options_t options;
-    char *echo_value;
-    bool is_active; /**< a request is using the connection */
-    bool is_reused; /**< it served an earlier request */
+    char *echo_value; /**< of the current request, or of the last one */
+    sky_client_exchange_t exchange;
+    uint32_t served_count; /**< requests so far, without the current one */
+    bool is_active;        /**< a request is using the connection */
+    bool is_reused;        /**< it served an earlier request */
     bool is_connected;
     bool has_sent_bytes;    /**< a byte of the current request was sent */
     bool skips_response;    /**< the response being read is an interim one, or
@@ -71,6 +76,66 @@
     uint32_t connection_count; /**< active and idle ones */
 };
 
+/* Ids that a server writes are cut to this length. */
+#define LOGGED_ID_BYTES_MAX 64
+#define ADDRESS_TEXT_BYTES (INET_ADDRSTRLEN + 6) /**< ADDRESS:PORT */
+
+static const char *
+get_request_id(const sky_client_request_t *connection)
+{
+    const char *id = connection->echo_value;
+    return id != NULL && id[0] != '\0' ? id : "-";
+}
+
+/* Passes on what is known of the exchange. */
+static void
+update_exchange(sky_client_request_t *connection)
+{
+    if (connection->is_active && connection->options.exchange != NULL) {
+        *connection->options.exchange = connection->exchange;
+    }
+}
+
+/* Writes the server's address as ADDRESS:PORT. */
+static void
+format_address(const sky_client_request_t *connection,
+               char text[ADDRESS_TEXT_BYTES])
+{
+    const struct sockaddr_in *address = &connection->options.address;
+    char host[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &address->sin_addr, host, sizeof host);
+    snprintf(text, ADDRESS_TEXT_BYTES, "%s:%u", host,
+             ntohs(address->sin_port));
+}
+
+/* Logs a response that does not answer the request which waits for one. */
+static void
+log_foreign_response(sky_client_request_t *connection, const char *event,
+                     const char *other_id, uint16_t status)
+{
+    char server[ADDRESS_TEXT_BYTES];
+    format_address(connection, server);
+    connection->exchange.foreign_count++;
+    update_exchange(connection);
+    SkyLog_WriteClass(SKY_LOG_EVIDENCE, LOG_NOTICE, event,
+                      "id=%s other=%.*s status=%u served=%u sent=%s server=%s",
+                      get_request_id(connection), LOGGED_ID_BYTES_MAX,
+                      other_id, status, connection->served_count,
+                      SkyClient_SentName(connection->exchange.sent), server);
+}
+
+/* Logs bytes that came after the response to the connection's last request. */
+static void
+log_extra_bytes(const sky_client_request_t *connection, const char *event,
+                size_t size)
+{
+    char server[ADDRESS_TEXT_BYTES];
+    format_address(connection, server);
+    SkyLog_Write(LOG_NOTICE, event, "after=%s bytes=%zu served=%u server=%s",
+                 get_request_id(connection), size, connection->served_count,
+                 server);
+}
+
 static uint64_t
 address_key(const struct sockaddr_in *address)
 {
@@ -133,6 +198,7 @@
         close(connection->fd);
     }
     connection->is_closed = true;
+    connection->options.exchange = NULL;
     connection->client->connection_count--;
     if (!connection->in_callback) {
         free_connection(connection);
@@ -198,14 +264,21 @@
 }
 
 static void
-complete_request(sky_client_request_t *connection, bool has_extra_bytes)
+complete_request(sky_client_request_t *connection, size_t extra_bytes)
 {
+    bool has_extra_bytes = extra_bytes > 0;
     sky_client_request_events_t events = connection->options.events;
     void *context = connection->options.context;
     const sky_http_head_t *head = &connection->reader.head;
     bool has_unsent_bytes = SkyBuffer_Size(&connection->output) > 0;
     connection->keep_alive_ms = parse_keep_alive_ms(head);
+    connection->served_count++;
     connection->client->stats.unsolicited_closes += has_extra_bytes ? 1 : 0;
+    if (has_extra_bytes) {
+        connection->exchange.foreign_count++;
+        update_exchange(connection);
+        log_extra_bytes(connection, "bytes_beyond_response", extra_bytes);
+    }
     if (has_extra_bytes || has_unsent_bytes || !head->keep_alive) {
         close_connection(connection);
     }
@@ -215,16 +288,37 @@
     events.on_end(context, SKY_CLIENT_OUTCOME_COMPLETE);
 }
 
+static void
+record_response(sky_client_request_t *connection, uint16_t status,
+                const char *echo)
+{
+    sky_client_exchange_t *exchange = &connection->exchange;
+    if (status < 200) {
+        return;
+    }
+    exchange->status = status;
+    exchange->echo = SKY_CLIENT_ECHO_NONE;
+    if (echo != NULL) {
+        exchange->echo = strcmp(echo, connection->echo_value) == 0
+                             ? SKY_CLIENT_ECHO_OWN
+                             : SKY_CLIENT_ECHO_OTHER;
+    }
+    update_exchange(connection);
+}
+
 static bool
 on_head(void *context, const sky_http_head_t *head)
 {
     sky_client_request_t *connection = context;
     const char *field = connection->options.echo_field;
     const char *echo = field ? SkyHttpHead_FindField(head, field) : NULL;
+    record_response(connection, head->status, echo);
     connection->skips_response = head->status < 200;
     if (echo != NULL && strcmp(echo, connection->echo_value) != 0) {
         connection->skips_response = true;
         connection->client->stats.skipped_responses++;
+        log_foreign_response(connection, "response_skipped", echo,
+                             head->status);
     }
     if (connection->skips_response) {
         connection->skipped_count++;
@@ -232,6 +326,8 @@
     }
     if (field != NULL && echo == NULL && connection->is_reused &&
         connection->echo_value[0] != '\0') {
+        log_foreign_response(connection, "response_rejected", "-",
+                             head->status);
         return false; /* it may belong to an earlier request */
     }
     return connection->options.events.on_head(connection->options.context,
@@ -285,7 +381,7 @@
             if (connection->skips_response) {
                 break;
             }
-            complete_request(connection, offset < size);
+            complete_request(connection, size - offset);
             return false;
         case SKY_HTTP_MALFORMED:
         case SKY_HTTP_TOO_LARGE:
@@ -325,6 +421,7 @@
     if (!connection->is_active) {
         if (received > 0) {
             connection->client->stats.unsolicited_closes++;
+            log_extra_bytes(connection, "bytes_on_idle", (size_t)received);
         }
         if (received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
             close_connection(connection);
@@ -342,6 +439,16 @@
     leave_callback(connection);
 }
 
+static void
+record_sent(sky_client_request_t *connection, size_t size)
+{
+    connection->exchange.sent_bytes += size;
+    connection->exchange.sent = SkyBuffer_Size(&connection->output) > 0
+                                    ? SKY_CLIENT_SENT_PART
+                                    : SKY_CLIENT_SENT_WHOLE;
+    update_exchange(connection);
+}
+
 /* Sends the remaining output; returns false if the connection failed. */
 static bool
 send_output(sky_client_request_t *connection)
@@ -354,6 +461,7 @@
         if (sent > 0) {
             connection->has_sent_bytes = true;
             SkyBuffer_Consume(&connection->output, (size_t)sent);
+            record_sent(connection, (size_t)sent);
             continue;
         }
         if (errno == EINTR) {
@@ -512,6 +620,10 @@
     connection->options = *options;
     connection->options.request = NULL;
     connection->is_active = true;
+    connection->exchange =
+        (sky_client_exchange_t){.served_before = connection->served_count,
+                                .is_reused = connection->is_reused};
+    update_exchange(connection);
     connection->has_sent_bytes = false;
     connection->skips_response = false;
     connection->skipped_count = 0;
@@ -598,6 +710,20 @@
     return NAMES[outcome];
 }
 
+const char *
+SkyClient_EchoName(sky_client_echo_t echo)
+{
+    static const char *const NAMES[] = {"none", "own", "other"};
+    return NAMES[echo];
+}
+
+const char *
+SkyClient_SentName(sky_client_sent_t sent)
+{
+    static const char *const NAMES[] = {"none", "part", "whole"};
+    return NAMES[sent];
+}
+
 static void
 close_expired(sky_client_t *client, idle_pool_t *pool, uint64_t now_ms)
 {
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -48,6 +48,36 @@
     void (*on_end)(void *context, sky_client_outcome_t outcome);
 } sky_client_request_events_t;
 
+typedef enum {
+    SKY_CLIENT_ECHO_NONE,  /**< no response, or one without the echo field */
+    SKY_CLIENT_ECHO_OWN,   /**< it names this request */
+    SKY_CLIENT_ECHO_OTHER, /**< it names another request */
+} sky_client_echo_t;
+
+typedef enum {
+    SKY_CLIENT_SENT_NONE,
+    SKY_CLIENT_SENT_PART,
+    SKY_CLIENT_SENT_WHOLE, /**< the kernel took the whole request */
+} sky_client_sent_t;
+
+/** @return the names for log lines. */
+const char *SkyClient_EchoName(sky_client_echo_t echo);
+const char *SkyClient_SentName(sky_client_sent_t sent);
+
+/** What is known of a request's exchange, for log lines. */
+typedef struct {
+    uint32_t served_before; /**< requests that the connection served before */
+    bool is_reused;
+    sky_client_sent_t sent;
+    uint64_t sent_bytes;    /**< of the request, taken by the kernel */
+    uint16_t status;        /**< of the newest response that is not interim, of
+                                 another request or not; 0: none */
+    sky_client_echo_t echo; /**< of the same response */
+    /** Responses of other requests, or that may be so, and bytes beyond the
+     *  response. */
+    uint32_t foreign_count;
+} sky_client_exchange_t;
+
 typedef struct {
     struct sockaddr_in address;
     const sky_buffer_t *request; /**< head and body; copied */
@@ -68,6 +98,9 @@
     const char *echo_field;
     /** Copied; "": the request has no such field, nor has its response. */
     const char *echo_value;
+    /** Reset by SkyClient_Send() and kept up to date until on_end is called or
+     *  the request is cancelled, so long it must exist. NULL: not needed. */
+    sky_client_exchange_t *exchange;
     sky_client_request_events_t events;
     void *context;
 } sky_client_request_options_t;
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "captured_log.h"
 #include "net/client.h"
 #include "net/socket.h"
 
@@ -151,6 +152,7 @@
         options.is_new_connection = is_new_connection;
         options.echo_field = "X-Id";
         options.echo_value = id;
+        options.exchange = &exchange;
         options.events = {OnHead, OnBody, OnEnd};
         options.context = this;
         EXPECT_NE(nullptr, SkyClient_Send(client, &options));
@@ -185,6 +187,18 @@
     sky_client_outcome_t outcome = SKY_CLIENT_OUTCOME_UNSENT;
     int accepted_connections = 0;
     int received_requests = 0;
+    sky_client_exchange_t exchange = {};
+    CapturedLog log{{.lines_per_s = 1000, .evidence_lines_per_s = 1000}};
+
+    // Whether exactly one line of an event was written, with these fields.
+    bool
+    HasLine(const std::string &event, const std::string &fields)
+    {
+        SkyLog_Flush();
+        std::vector<std::string> lines = log.Find("event=" + event + " ");
+        return lines.size() == 1 &&
+               lines[0].find(" " + fields) != std::string::npos;
+    }
 };
 
 std::string
@@ -397,6 +411,84 @@
     EXPECT_EQ(503, status);
 }
 
+// No line named the requests that met responses of others. Without these lines
+// a refusal that answers no request can't be told from one that does.
+TEST_F(RepeatedRefusal, ASkippedResponseIsLoggedWithBothIds)
+{
+    SendUnsolicited(Refusal("X-Id: 1\r\n"));
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest(
+                  "2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_TRUE(HasLine("response_skipped",
+                        "id=2 other=1 status=503 served=1 sent=whole"));
+    EXPECT_EQ(1u, exchange.foreign_count);
+    EXPECT_EQ(SKY_CLIENT_ECHO_OWN, exchange.echo);
+    EXPECT_EQ(200, exchange.status);
+    EXPECT_EQ(1u, exchange.served_before);
+    EXPECT_TRUE(exchange.is_reused);
+}
+
+TEST_F(RepeatedRefusal, ARejectedResponseIsLoggedWithTheIdThatWaits)
+{
+    SendUnsolicited(Refusal(""));
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest(
+                  "2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_TRUE(HasLine("response_rejected",
+                        "id=2 other=- status=503 served=1 sent=whole"));
+    EXPECT_EQ(SKY_CLIENT_ECHO_NONE, exchange.echo);
+    EXPECT_EQ(503, exchange.status);
+    EXPECT_EQ(1u, exchange.foreign_count);
+}
+
+// A host under load drops ordinary lines; these two are not among them.
+TEST_F(RepeatedRefusal, LinesAboutResponsesOfOthersAreEvidence)
+{
+    CapturedLog evidence_only{
+        {.lines_per_s = 0, .evidence_lines_per_s = 1000}};
+    SendUnsolicited(Refusal("X-Id: 1\r\n"));
+    SendRequest("2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}});
+    SendUnsolicited(Refusal(""));
+    SendRequest("3", {{Response("3", "three"), ScriptedResponse::KEEP_OPEN}});
+    EXPECT_EQ(1u, evidence_only.Count("event=response_skipped id=2"));
+    EXPECT_EQ(1u, evidence_only.Count("event=response_rejected id=3"));
+}
+
+TEST_F(RepeatedRefusal, BytesOnAnIdleConnectionAreLoggedWithTheIdBefore)
+{
+    std::string refusal = Refusal("X-Id: 1\r\n");
+    SendUnsolicited(refusal);
+    RunLoop(20);
+    EXPECT_TRUE(HasLine("bytes_on_idle",
+                        "after=1 bytes=" + std::to_string(refusal.size()) +
+                            " served=1 server=127.0.0.1:"));
+}
+
+TEST_F(ClientTest, BytesBeyondAResponseAreLoggedWithItsId)
+{
+    SendRequest("1", {{Response("1", "one") + Response("1", "twice"),
+                       ScriptedResponse::KEEP_OPEN}});
+    EXPECT_TRUE(HasLine(
+        "bytes_beyond_response",
+        "after=1 bytes=" + std::to_string(Response("1", "twice").size()) +
+            " served=1"));
+    EXPECT_EQ(1u, exchange.foreign_count);
+    EXPECT_EQ(SKY_CLIENT_SENT_WHOLE, exchange.sent);
+    EXPECT_GT(exchange.sent_bytes, 0u);
+    EXPECT_FALSE(exchange.is_reused);
+}
+
+TEST_F(ClientTest, AnExchangeWithoutAConnectionHasSentNothing)
+{
+    exchange.sent = SKY_CLIENT_SENT_WHOLE; // of an earlier exchange
+    ev_io_stop(loop, &accept_watcher);
+    close(listen_fd);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_UNSENT, SendRequest("1", {}));
+    listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ(SKY_CLIENT_SENT_NONE, exchange.sent);
+    EXPECT_EQ(0, exchange.status);
+}
+
 // Unsolicited bytes must not be read as the response to the next request.
 TEST_F(ClientTest, ClosesConnectionOnBytesBeyondResponse)
 {
