Listener: log the requests that it refuses by itself

Cause: 400, 408, 413, 431 and 503 of the listener left no line, although callers take 408 and 503 for a promise that the request was not run. Change: request_rejected has status, reason, id and path if the head was read, bytes read, and requests served before; 408 and 503 are evidence. At most 10 lines a second a listener, the rest is counted in the next line.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -28,6 +28,7 @@
 #include "net/listener.h"
 #include "platform/settings.h"
 #include "platform/store.h"
+#include "platform/wire.h"
 
 /** Larger buffers are given back to the system when they are freed. By default
  *  malloc raises its threshold to the largest one freed, and kept 890 MB after
@@ -656,6 +657,7 @@
         .context = edge->proxy,
         .memory_share = &edge->memory_share,
         .max_connections = edge->connection_share.callers,
+        .id_field = SkyWire_RequestIdFieldName(),
         .stats = &edge->listener_stats,
     };
     if (!SkyResult_IsError(result)) {
--- a/lib/edge/host_calls.c
+++ b/lib/edge/host_calls.c
@@ -7,6 +7,7 @@
 #include "core/logging.h"
 #include "edge/hop_fields.h"
 #include "net/socket.h"
+#include "platform/wire.h"
 
 #define HANDLERS_MAX 16
 /** Hosts are some milliseconds apart. */
@@ -332,6 +333,7 @@
             .context = self,
             .memory_share = options->memory_share,
             .max_connections = options->max_connections,
+            .id_field = SkyWire_RequestIdFieldName(),
             .stats = options->listener_stats,
         };
         sky_result_t result = SkyListener_Create(&listener, &self->listener);
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -34,6 +34,11 @@
 #define REPORT_INTERVAL_MS                                                    \
     1000u /**< of the log line about refused clients                          \
            */
+/** Lines a second about requests that the listener refuses by itself; the rest
+ *  is counted. A crowd of such requests is described by the first ones. */
+#define REJECTION_LINES_PER_S 10
+/** Ids and paths are cut to this in those lines. */
+#define LOGGED_TEXT_BYTES_MAX 64
 #define TIMEOUT_CHECK_INTERVAL_S 0.1 /**< granularity of timeouts */
 
 typedef enum {
@@ -89,6 +94,9 @@
     uint32_t drain_idle_ms;
     sky_listener_stats_t stats; /**< since the last report */
     uint64_t last_report_ms;
+    uint64_t rejection_second;      /**< of the last line about a rejection */
+    uint32_t rejection_lines;       /**< in that second */
+    uint32_t rejections_not_logged; /**< since the last such line */
     uint16_t port;
 };
 
@@ -473,10 +481,54 @@
     update_memory_share(connection);
 }
 
+/* Logs a request that this listener refuses by itself, with what is known of
+ * it. The caller takes 408 and 503 as a promise that it was not run. */
+static void
+log_rejection(const sky_server_request_t *connection, uint16_t status,
+              const char *reason)
+{
+    sky_listener_t *listener = connection->listener;
+    const sky_http_reader_t *reader = &connection->reader;
+    uint64_t second = SkyClock_NowMs() / 1000;
+    if (second != listener->rejection_second) {
+        listener->rejection_second = second;
+        listener->rejection_lines = 0;
+    }
+    if (listener->rejection_lines == REJECTION_LINES_PER_S) {
+        listener->rejections_not_logged++;
+        return;
+    }
+    listener->rejection_lines++;
+    const char *id = NULL;
+    const char *url = "-";
+    /* Until a message begins, the head is that of the one before. */
+    if (reader->in_message && reader->head_is_complete) {
+        url = SkyHttpHead_Url(&reader->head);
+        id = listener->options.id_field
+                 ? SkyHttpHead_FindField(&reader->head,
+                                         listener->options.id_field)
+                 : NULL;
+    }
+    size_t path_bytes = strcspn(url, "?");
+    SkyLog_WriteClass(
+        status == 408 || status == 503 ? SKY_LOG_EVIDENCE : SKY_LOG_ORDINARY,
+        LOG_NOTICE, "request_rejected",
+        "port=%u status=%u reason=%s id=%.*s path=%.*s bytes=%llu served=%u "
+        "not_logged=%u",
+        listener->port, status, reason, LOGGED_TEXT_BYTES_MAX, id ? id : "-",
+        path_bytes < LOGGED_TEXT_BYTES_MAX ? (int)path_bytes
+                                           : LOGGED_TEXT_BYTES_MAX,
+        url, (unsigned long long)connection->request_bytes,
+        connection->request_count, listener->rejections_not_logged);
+    listener->rejections_not_logged = 0;
+}
+
 /* Responds to a request that is not read to its end, then closes. */
 static void
-reject_request(sky_server_request_t *connection, uint16_t status)
+reject_request(sky_server_request_t *connection, uint16_t status,
+               const char *reason)
 {
+    log_rejection(connection, status, reason);
     connection->rejection_status = status;
     set_state(connection, STATE_SERVING);
     SkyServerRequest_Respond(connection, status, "", "", 0);
@@ -543,6 +595,23 @@
     listener->options.events.on_request(listener->options.context, connection);
 }
 
+/* Rejects a request at which a callback of the reader stopped. */
+static void
+reject_stopped(sky_server_request_t *connection)
+{
+    switch (connection->rejection_status) {
+    case 413:
+        reject_request(connection, 413, "body_too_large");
+        break;
+    case 503:
+        reject_request(connection, 503, "memory");
+        break;
+    default:
+        reject_request(connection, 400, "interim_not_sent");
+        break;
+    }
+}
+
 static void
 handle_progress(sky_server_request_t *connection, sky_http_progress_t progress)
 {
@@ -553,15 +622,13 @@
         handle_request(connection);
         break;
     case SKY_HTTP_TOO_LARGE:
-        reject_request(connection, 431);
+        reject_request(connection, 431, "head_too_large");
         break;
     case SKY_HTTP_MALFORMED:
-        reject_request(connection, 400);
+        reject_request(connection, 400, "malformed");
         break;
     case SKY_HTTP_STOPPED:
-        reject_request(connection, connection->rejection_status
-                                       ? connection->rejection_status
-                                       : 400);
+        reject_stopped(connection);
         break;
     }
 }
@@ -796,16 +863,16 @@
         connection->request_bytes * 1000 / SKY_REQUEST_RATE_MIN_BYTES_PER_S;
     if (now_ms - connection->request_began_ms > allowed_ms) {
         connection->listener->stats.slow_bodies++;
-        reject_request(connection, 408);
+        reject_request(connection, 408, "slow_body");
     }
     else if (inactive_ms > options->limits.idle_timeout_ms) {
-        reject_request(connection, 408);
+        reject_request(connection, 408, "idle_body");
     }
     else if (inactive_ms > STALL_MS &&
              SkyMemoryShare_MustStalledYield(options->memory_share,
                                              connection->held_bytes)) {
         refuse_for_memory(connection);
-        reject_request(connection, 503);
+        reject_request(connection, 503, "memory_stalled");
     }
 }
 
@@ -869,7 +936,7 @@
     case STATE_READING:
         if (!connection->reader.head_is_complete &&
             inactive_ms > limits->head_timeout_ms) {
-            reject_request(connection, 408);
+            reject_request(connection, 408, "head_timeout");
         }
         else if (connection->reader.head_is_complete) {
             check_body_timeouts(connection, now_ms);
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -64,6 +64,9 @@
      *  counted. */
     sky_memory_share_t *memory_share;
     uint32_t max_connections; /**< 0: any */
+    /** Name of the field with a request's id, for log lines; not copied. NULL:
+     *  requests have none. */
+    const char *id_field;
     /** Added to; may be that of several listeners. NULL: not counted. */
     sky_listener_stats_t *stats;
 } sky_listener_options_t;
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "captured_log.h"
 #include "core/clock.h"
 #include "net/listener.h"
 #include "net/socket.h"
@@ -25,6 +26,8 @@
     sky_listener_stats_t stats = {};
     std::string response_body;
     std::vector<int> fds;
+    sky_memory_share_t *memory_share = nullptr;
+    CapturedLog log{{.lines_per_s = 1000, .evidence_lines_per_s = 1000}};
     std::string address = "127.0.0.1:" + std::to_string(FindFreePort());
 
     static uint16_t
@@ -52,6 +55,8 @@
         options.events.on_disconnect = OnDisconnect;
         options.context = this;
         options.max_connections = max_connections;
+        options.id_field = "X-Id";
+        options.memory_share = memory_share;
         options.stats = &stats;
         ASSERT_EQ(SKY_OK, SkyListener_Create(&options, &listener));
     }
@@ -180,4 +185,105 @@
     EXPECT_EQ(1u, stats.slow_readers);
 }
 
+class RejectionTest : public ListenerTest {
+  protected:
+    // The line about the only rejection, without what comes before its status.
+    std::string
+    RejectionLine()
+    {
+        SkyLog_Flush();
+        std::vector<std::string> lines = log.Find("event=request_rejected");
+        EXPECT_EQ(1u, lines.size());
+        return lines.empty() ? "" : lines[0].substr(lines[0].find("status="));
+    }
+};
+
+// The listener's own refusals left no line, though callers take some of them
+// for a promise that the request was not run.
+TEST_F(RejectionTest, ARejectionIsLoggedWithWhatIsKnownOfTheRequest)
+{
+    Start(8, 15000);
+    std::string text = std::string(ORDINARY) +
+                       "POST /book?key=secret HTTP/1.1\r\nX-Id: 7\r\n"
+                       "Content-Length: 99999999\r\n\r\n";
+    int fd = Connect(text.c_str());
+    EXPECT_NE(std::string::npos, Receive(fd).find("HTTP/1.1 413"));
+    // The reader stops before the last byte of the head.
+    EXPECT_EQ("status=413 reason=body_too_large id=7 path=/book bytes=" +
+                  std::to_string(text.size() - strlen(ORDINARY) - 1) +
+                  " served=1 not_logged=0",
+              RejectionLine());
+}
+
+TEST_F(RejectionTest, BytesThatAreNoRequestHaveNeitherIdNorPath)
+{
+    Start(8, 15000);
+    // The head of the request before them must not be taken for theirs.
+    int fd = Connect("GET /first HTTP/1.1\r\nX-Id: 1\r\n\r\n\x01\x02");
+    EXPECT_NE(std::string::npos, Receive(fd).find("HTTP/1.1 400"));
+    EXPECT_EQ(0u, RejectionLine().find(
+                      "status=400 reason=malformed id=- path=- bytes="));
+}
+
+TEST_F(RejectionTest, ALargeHeadIsLogged)
+{
+    Start(8, 15000);
+    std::string text =
+        "GET / HTTP/1.1\r\nX-Id: 1\r\nX-Large: " + std::string(20000, 'x') +
+        "\r\n\r\n";
+    Connect(text.c_str());
+    RunFor(50);
+    EXPECT_EQ(0u, RejectionLine().find(
+                      "status=431 reason=head_too_large id=- path=- bytes="));
+}
+
+// 408 tells the caller that its request was not run: the line is evidence.
+TEST_F(RejectionTest, AnIncompleteBodyIsLoggedAsEvidence)
+{
+    Start(8, 200);
+    CapturedLog evidence_only{
+        {.lines_per_s = 0, .evidence_lines_per_s = 1000}};
+    int fd = Connect("POST /book HTTP/1.1\r\nX-Id: 8\r\n"
+                     "Content-Length: 900\r\n\r\nx");
+    RunFor(600);
+    EXPECT_NE(std::string::npos, Receive(fd).find("HTTP/1.1 408"));
+    EXPECT_EQ(1u, evidence_only.Count("status=408 reason="));
+    EXPECT_EQ(1u, evidence_only.Count("id=8 path=/book"));
+}
+
+TEST_F(RejectionTest, WantOfMemoryIsLogged)
+{
+    sky_memory_share_t share = {}; // which small requests may exceed
+    share.limit_bytes = 1;
+    memory_share = &share;
+    Start(8, 15000);
+    std::string text = "POST /book HTTP/1.1\r\nX-Id: 9\r\n"
+                       "Content-Length: 90000\r\n\r\n" +
+                       std::string(40000, 'b');
+    int fd = Connect(text.c_str());
+    EXPECT_NE(std::string::npos, Receive(fd).find("HTTP/1.1 503"));
+    EXPECT_EQ(0u, RejectionLine().find(
+                      "status=503 reason=memory id=9 path=/book bytes="));
+}
+
+// A crowd of requests that are refused must not use up the log.
+TEST_F(RejectionTest, LinesAreBoundedAndTheRestIsCounted)
+{
+    Start(100, 15000);
+    CapturedLog::AwaitNextSecond();
+    for (int i = 0; i < 30; i++) {
+        Connect("\x01");
+    }
+    RunFor(1100);
+    Connect("\x01");
+    SkyLog_Flush();
+    std::vector<std::string> lines = log.Find("event=request_rejected");
+    EXPECT_LE(lines.size(), 21u);
+    uint64_t not_logged = 0;
+    for (const std::string &line : lines) {
+        not_logged += std::stoull(line.substr(line.find("not_logged=") + 11));
+    }
+    EXPECT_EQ(31u, lines.size() + not_logged);
+}
+
 } // namespace
