Proxy: lines of requests that must not repeat are evidence when it matters

Cause: sending_end, repeat and request_end were dropped like other lines, and 408 or 429 without a mark left only an informational request_end. Neither the request's id in the response nor the reuse of its connection was logged, so that a refusal of another request and an unmarked status looked the same. A 503 for want of memory names its request. No decision changes.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -148,6 +148,7 @@
         .is_new_connection = is_resent,
         .echo_field = SkyWire_RequestIdFieldName(),
         .echo_value = request->facts.id,
+        .exchange = &request->exchange,
         .events = SkyProxyRequest_ResponseEvents(),
         .context = request,
     };
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -155,6 +155,7 @@
                 HTTP_HEAD,
             .echo_field = SkyWire_RequestIdFieldName(),
             .echo_value = request->facts.id,
+            .exchange = &request->exchange,
             .events = SkyProxyRequest_ResponseEvents(),
             .context = request,
         };
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -15,6 +15,9 @@
 /** For a host that starts while the store is unreachable: outages last for
  *  seconds, and many callers retry only once. */
 #define RETRY_AFTER_STORE_UNREACHABLE_MS 1500
+/** Ids and paths are cut to this in the line about a request without memory.
+ */
+#define LOGGED_TEXT_BYTES_MAX 64
 #define CHECK_INTERVAL_S 0.02 /**< of SkyProxy_CheckOpenRequests() */
 
 /* Ends and frees a request that has run out of time. */
@@ -164,13 +167,33 @@
     }
 }
 
+/* Logs a request that gets 503 because there is no memory for its state. */
+static void
+log_without_memory(const sky_server_request_t *caller_request,
+                   bool is_forwarded)
+{
+    const sky_http_head_t *head = SkyServerRequest_Head(caller_request);
+    const char *id = SkyHttpHead_FindField(head, SkyWire_RequestIdFieldName());
+    const char *url = SkyHttpHead_Url(head);
+    size_t body_bytes;
+    SkyServerRequest_Body(caller_request, &body_bytes);
+    int path_bytes = (int)strcspn(url, "?");
+    SkyLog_WriteClass(
+        SKY_LOG_EVIDENCE, LOG_ERR, "request_dropped",
+        "reason=memory status=503 id=%.*s path=%.*s body=%zu forwarded=%d",
+        LOGGED_TEXT_BYTES_MAX, id ? id : "-",
+        path_bytes < LOGGED_TEXT_BYTES_MAX ? path_bytes
+                                           : LOGGED_TEXT_BYTES_MAX,
+        url, body_bytes, is_forwarded);
+}
+
 static void
 begin_request(sky_proxy_t *proxy, sky_server_request_t *caller_request,
               bool is_forwarded)
 {
     sky_proxy_request_t *request = calloc(1, sizeof *request);
     if (request == NULL) {
-        SkyLog_Write(LOG_ERR, "request_dropped", "reason=memory");
+        log_without_memory(caller_request, is_forwarded);
         SkyServerRequest_Respond(caller_request, 503, "", "", 0);
         return;
     }
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -194,6 +194,32 @@
     }
 }
 
+/* Whether a status tells a caller that its request was not run. */
+static bool
+says_not_run(uint16_t status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+sky_log_class_t
+SkyProxyRequest_GetLogClass(const sky_proxy_request_t *request,
+                            uint16_t status)
+{
+    if (request->route == NULL ||
+        request->route->retry_policy != SKY_RETRY_AT_MOST_ONCE ||
+        request->send_count == 0) {
+        return SKY_LOG_ORDINARY;
+    }
+    bool is_sent_again = request->send_count > 1;
+    bool is_refused = request->response.facts.not_run || says_not_run(status);
+    bool has_foreign_bytes = request->exchange.foreign_count > 0;
+    bool target_says_not_run = says_not_run(request->exchange.status);
+    return is_sent_again || is_refused || has_foreign_bytes ||
+                   target_says_not_run
+               ? SKY_LOG_EVIDENCE
+               : SKY_LOG_ORDINARY;
+}
+
 /* Returns -1 for an event that has not happened (at_ms is 0). */
 static long long
 ms_since_received(const sky_proxy_request_t *request, uint64_t at_ms)
@@ -206,8 +232,8 @@
                        uint16_t status, const char *outcome,
                        const char *reason)
 {
-    SkyLog_Write(
-        priority, "request_end",
+    SkyLog_WriteClass(
+        SkyProxyRequest_GetLogClass(request, status), priority, "request_end",
         "id=%s route=%s service=%s adapter=%s/%s target=%s status=%u "
         "outcome=%s "
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
@@ -500,11 +526,11 @@
     sky_proxy_t *proxy = request->proxy;
     uint64_t now = SkyClock_NowMs();
     const char *obstacle = SkyProxyRequest_GetRetryObstacle(request);
-    SkyLog_Write(LOG_NOTICE, "repeat",
-                 "id=%s reason=%s allowed=%s sends=%u left_ms=%lld",
-                 request->facts.id, reason, obstacle ? obstacle : "yes",
-                 request->send_count,
-                 (long long)(request->deadline_at_ms - now));
+    SkyLog_WriteClass(
+        SkyProxyRequest_GetLogClass(request, 0), LOG_NOTICE, "repeat",
+        "id=%s reason=%s allowed=%s sends=%u left_ms=%lld", request->facts.id,
+        reason, obstacle ? obstacle : "yes", request->send_count,
+        (long long)(request->deadline_at_ms - now));
     if (obstacle == NULL) {
         if (request->attempts.last_send_arrived) {
             SkyRetryBudget_AcquireRetry(
@@ -676,15 +702,31 @@
 {
     char parts[SKY_PROMPT_PARTS_MAX * 17 + 1];
     format_shared_parts(&request->facts, parts, sizeof parts);
-    SkyLog_Write(
-        LOG_NOTICE, "sending_end",
+    const sky_client_exchange_t *exchange = &request->exchange;
+    SkyLog_WriteClass(
+        SkyProxyRequest_GetLogClass(request, 0), LOG_NOTICE, "sending_end",
         "id=%s fingerprint=%016llx parts=%s target=%s how=%s status=%u "
-        "events=%llu not_run=%d bad=%d failure=%.2f in_flight=%u",
+        "events=%llu not_run=%d bad=%d failure=%.2f in_flight=%u "
+        "read_status=%u id_echo=%s reused=%d served=%u sent=%s "
+        "sent_bytes=%llu foreign=%u sends=%u",
         request->facts.id, (unsigned long long)request->fingerprint, parts,
         request->target ? request->target->entry.id : request->peer, cause,
         request->response.status,
         (unsigned long long)SkyProxyRequest_EventCount(request),
         request->response.facts.not_run, request->response.is_invalid,
         request->target ? request->target->failure : 0.0,
-        request->target ? request->target->in_flight : 0);
+        request->target ? request->target->in_flight : 0, exchange->status,
+        SkyClient_EchoName(exchange->echo), exchange->is_reused,
+        exchange->served_before, SkyClient_SentName(exchange->sent),
+        (unsigned long long)exchange->sent_bytes, exchange->foreign_count,
+        request->send_count);
+}
+
+void
+SkyProxyRequest_LogUnconfirmedStatus(const sky_proxy_request_t *request)
+{
+    if (request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
+        says_not_run(request->response.status)) {
+        SkyProxyRequest_LogExchangeFailure(request, "answered_unmarked");
+    }
 }
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -15,6 +15,7 @@
 #ifndef SKY_EDGE_PROXY_REQUEST_H
 #define SKY_EDGE_PROXY_REQUEST_H
 
+#include "core/logging.h"
 #include "decide/attempts.h"
 #include "decide/prompt_times.h"
 #include "decide/retry_budget.h"
@@ -91,6 +92,8 @@
     /** The records are too old to route the request, or to choose a target. */
     bool waits_for_records;
     sky_client_request_t *target_request; /**< in progress, or NULL */
+    /** Of the current or last exchange; all zero before the first one. */
+    sky_client_exchange_t exchange;
     sky_fleet_target_t *target; /**< of the exchange; NULL: none, or a peer */
     /** Peer of the exchange, by its address; "": none, or a target. */
     char peer[SKY_PEER_ADDRESS_BYTES];
@@ -291,10 +294,23 @@
  *  target may have crashed while it ran the request. */
 void SkyProxyRequest_SuspectCrash(const sky_proxy_request_t *request);
 
+/** @return how the request's lines are logged. They are evidence if the
+ *          request must not repeat and was sent more than once, was refused
+ *          after a send, has met bytes of another request, or has got a status
+ *          from its target that says that it was not run.
+ *  @param status of the final response to the caller; 0: not known yet */
+sky_log_class_t SkyProxyRequest_GetLogClass(const sky_proxy_request_t *request,
+                                            uint16_t status);
+
 /** Logs an exchange that ended without a usable response. */
 void SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                         const char *cause);
 
+/** Logs an exchange whose response is passed on although its status says that
+ *  the request was not run, which the response does not confirm. Does nothing
+ *  for other responses, and for requests that may repeat. */
+void SkyProxyRequest_LogUnconfirmedStatus(const sky_proxy_request_t *request);
+
 /** @return the directory's fleet query for this request; it refers to the
  *          request's memory. */
 sky_fleet_query_t
