--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -42,6 +42,8 @@
  * - shed: the request is refused with 503, without being run
  * - lose: the service runs the request, but closes the connection
  * - fail: the service runs the request and responds with 500
+ * - unmarked: the service runs the request and responds with unmarked_status,
+ *   without saying that it did not run it
  * - garble: the service sends only a part of the response
  * - endless_success, endless_unsealed, endless_error, endless_refusal: the
  *   service's response, without a length, goes on until the caller closes
@@ -1838,6 +1840,10 @@
     if (consume_fault("lose")) {
         SkyServerRequest_Abort(request);
     }
+    else if (consume_fault("unmarked")) {
+        SkyServerRequest_Respond(
+            request, (uint16_t)get_fault("unmarked_status"), fields, "", 0);
+    }
     else if (consume_fault("cut_heads")) {
         send_part_of_head(request, "X-Skylarkspar-Server-Seal: s2\r\n");
         crash_soon(&target->crash_timer);
