Rig of real processes that shows broken promises

Cause: no test ran several hosts as processes before a worker that breaks its answers, with a judge that shares no code with the product. Change: tests/rig/promise_rig with raw-socket clients and a worker that counts what ran, and tests/proc_promises.sh.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 LIB_O := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
 PROG_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/*.c))
 FAKE_O := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/fakes/connect_via.c,$(wildcard tests/fakes/*.c)))
+RIG_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/rig/*.c))
 DRIVER_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/driver*.c) bench/oracle.c bench/stats.c)
 TESTS := $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/test_*.cc))
 BENCHES := $(patsubst bench/bench_%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
@@ -44,6 +45,9 @@
 	$(CXX) $(LDFLAGS) -Wl,--wrap=connect -o $@ $^ $(DEP_LIBS)
 $(BUILD)/skyfake: $(FAKE_O) $(TEST_LIB_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(DEP_LIBS)
+# The judge of promises links none of the product's code.
+$(BUILD)/promise_rig: $(RIG_O)
+	$(CC) $(LDFLAGS) -o $@ $^ -lpthread
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(DRIVER_O) $(TEST_LIB_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(DEP_LIBS) -lgtest -lgtest_main
 $(BUILD)/bench/%: $(BUILD)/bench/bench_%.o $(DRIVER_O) $(TEST_LIB_O)
@@ -72,7 +76,7 @@
 test: deps
 	$(MAKE) -j8 tests-only
 
-test-programs: $(TESTS) $(BUILD)/skyfake $(BUILD)/skylarkspar-check
+test-programs: $(TESTS) $(BUILD)/skyfake $(BUILD)/skylarkspar-check $(BUILD)/promise_rig
 
 tests-only: test-programs
 	scripts/run-tests.sh $(BUILD) $(sort $(TESTS))
