proc_promises: the check of calm compares in parentheses

Cause: awk read the comparison of the calm share as a redirection, so that the check failed with every share. Change: parentheses around it.

--- a/tests/proc_promises.sh
+++ b/tests/proc_promises.sh
@@ -34,7 +34,7 @@
     # 1.0 on an idle machine; a busy one may delay a few beyond their deadline.
     check "in calm 99 of 100 requests are served" "$(sed -n \
         's/.*calm success share: \([0-9.]*\) .*/\1/p' "$DIR/calm/figures" |
-        awk '{print $1 >= 0.99 ? "so" : $1}')" so
+        awk '{print ($1 >= 0.99 ? "so" : $1)}')" so
     run_rig pauses base pause,cut 18
     check "a host paused, one without worker: no promise is broken" "$code" 0
     run_rig restarts base pause,restart 14
