--- a/tests/captured_log.h
+++ b/tests/captured_log.h
@@ -35,7 +35,7 @@
 
     ~CapturedLog()
     {
-        SkyLog_Flush();
+        ReadAll(); // leaves nothing in the buffer for the next test
         fflush(stdout);
         dup2(saved_fd, STDOUT_FILENO);
         close(saved_fd);
@@ -59,6 +59,18 @@
         return text;
     }
 
+    // Writes the whole buffer out, also if it is larger than the pipe.
+    void
+    ReadAll()
+    {
+        size_t size;
+        do {
+            size = text.size();
+            SkyLog_Flush();
+            Read();
+        } while (text.size() > size);
+    }
+
     // Forgets what was written out so far.
     void
     Clear()
