--- a/lib/decide/attempts.c
+++ b/lib/decide/attempts.c
@@ -59,6 +59,35 @@
     }
 }
 
+void
+SkyAttempts_RecordConnection(sky_attempts_t *attempts, uint64_t target,
+                             uint64_t address)
+{
+    uint32_t index = attempts->connection_count;
+    if (index < SKY_ATTEMPTS_CONNECTIONS_MAX) {
+        attempts->connections[index].target = target;
+        attempts->connections[index].address = address;
+    }
+    attempts->connection_count++;
+}
+
+bool
+SkyAttempts_NeedsNewConnection(const sky_attempts_t *attempts, uint64_t target,
+                               uint64_t address)
+{
+    if (attempts->connection_count > SKY_ATTEMPTS_CONNECTIONS_MAX) {
+        return true;
+    }
+    for (uint32_t i = 0; i < attempts->connection_count; i++) {
+        /* A target that restarted has another id at the same address. */
+        if (attempts->connections[i].target == target ||
+            attempts->connections[i].address == address) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 SkyAttempts_RestrictQuery(const sky_attempts_t *attempts, uint32_t targets_max,
                           sky_fleet_query_t *query)
--- a/lib/decide/attempts.h
+++ b/lib/decide/attempts.h
@@ -20,7 +20,8 @@
 extern "C" {
 #endif
 
-#define SKY_ATTEMPTS_TARGETS_MAX 8 /**< targets remembered per request */
+#define SKY_ATTEMPTS_TARGETS_MAX 8     /**< targets remembered per request */
+#define SKY_ATTEMPTS_CONNECTIONS_MAX 8 /**< sends remembered per request */
 
 /** Targets by the hash of their id. Zero-initialised: not sent yet. */
 typedef struct {
@@ -32,6 +33,12 @@
     /** Targets that must not get the request again. */
     uint64_t failed[SKY_ATTEMPTS_TARGETS_MAX];
     uint32_t failed_count;
+    /** Targets and addresses that it was sent to, by send. */
+    struct {
+        uint64_t target;
+        uint64_t address;
+    } connections[SKY_ATTEMPTS_CONNECTIONS_MAX];
+    uint32_t connection_count; /**< also of those that are not remembered */
     /** Whether the last send may have arrived, so that the next one is a retry
      *  by the retry budget. */
     bool last_send_arrived;
@@ -47,6 +54,17 @@
 /** Records that a target must not get the request again. */
 void SkyAttempts_RecordFailed(sky_attempts_t *attempts, uint64_t target);
 
+/** Records to which target, and by a connection to which address, the request
+ *  is sent. @param address equal for connections that are reused for one
+ *  another */
+void SkyAttempts_RecordConnection(sky_attempts_t *attempts, uint64_t target,
+                                  uint64_t address);
+/** @return whether the request must not be sent on a connection that was used
+ *          before: an answer to an earlier send may still arrive on it, with
+ *          the same id. True also if not all sends are remembered. */
+bool SkyAttempts_NeedsNewConnection(const sky_attempts_t *attempts,
+                                    uint64_t target, uint64_t address);
+
 /** Restricts a query to the targets that may get the request next. The query
  *  refers to the memory of @p attempts.
  *  @param targets_max targets that may run the request, by its route. */
--- a/tests/test_attempts.cc
+++ b/tests/test_attempts.cc
@@ -97,4 +97,31 @@
     EXPECT_TRUE(attempts.last_send_arrived) << "a refusal counts as received";
 }
 
+// A target restarted under another id at its address: the connection on which
+// it had refused the request carried that refusal once more.
+TEST(Attempts, ARequestIsNotSentAgainOnAConnectionThatItMayHaveUsed)
+{
+    sky_attempts_t attempts = {};
+    EXPECT_FALSE(SkyAttempts_NeedsNewConnection(&attempts, 11, 1));
+    SkyAttempts_RecordConnection(&attempts, 11, 1);
+    EXPECT_TRUE(SkyAttempts_NeedsNewConnection(&attempts, 11, 1));
+    EXPECT_TRUE(SkyAttempts_NeedsNewConnection(&attempts, 22, 1));
+    EXPECT_TRUE(SkyAttempts_NeedsNewConnection(&attempts, 11, 2));
+    EXPECT_FALSE(SkyAttempts_NeedsNewConnection(&attempts, 22, 2));
+}
+
+// Guards against a connection that is used again because the table of sends
+// was full.
+TEST(Attempts, BeyondTheRememberedSendsEachNeedsANewConnection)
+{
+    sky_attempts_t attempts = {};
+    for (uint64_t i = 1; i <= SKY_ATTEMPTS_CONNECTIONS_MAX; i++) {
+        SkyAttempts_RecordConnection(&attempts, i, i);
+        EXPECT_FALSE(SkyAttempts_NeedsNewConnection(&attempts, 99, 99));
+    }
+    SkyAttempts_RecordConnection(&attempts, 50, 50);
+    EXPECT_TRUE(SkyAttempts_NeedsNewConnection(&attempts, 50, 50));
+    EXPECT_TRUE(SkyAttempts_NeedsNewConnection(&attempts, 99, 99));
+}
+
 } // namespace
