Client: tell whether a response names its request, and who stopped reading

Cause: a response without the request's id on a new connection, and bytes that are garbled after a valid head, look to the proxy like an answer to this request and like a response that it chose not to read on. Change: SkyClientRequest_NamesRequest() tells whether the response has the request's id; a response that on_head rejects ends as "stopped", one whose bytes are malformed as "garbled".

--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -424,6 +424,7 @@
     case SKY_CLIENT_OUTCOME_UNSENT:
         handle_unsent(request);
         break;
+    case SKY_CLIENT_OUTCOME_STOPPED:
     case SKY_CLIENT_OUTCOME_GARBLED:
         if (request->response.facts.not_run) {
             handle_refusal(request);
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -44,6 +44,8 @@
     bool has_sent_bytes;    /**< a byte of the current request was sent */
     bool skips_response;    /**< the response being read is an interim one, or
                                that of an earlier request */
+    bool names_request;     /**< the response has the request's echo value */
+    bool is_stopped;        /**< on_head chose to read no more */
     uint32_t skipped_count; /**< responses skipped for this request */
     uint64_t skipped_body_bytes;
     uint64_t body_bytes;    /**< of the response, received so far */
@@ -234,9 +236,11 @@
         connection->echo_value[0] != '\0') {
         return false; /* it may belong to an earlier request */
     }
-    return connection->options.events.on_head(connection->options.context,
-                                              head) &&
-           !connection->is_closed;
+    connection->names_request =
+        echo != NULL && connection->echo_value[0] != '\0';
+    connection->is_stopped =
+        !connection->options.events.on_head(connection->options.context, head);
+    return !connection->is_stopped && !connection->is_closed;
 }
 
 static bool
@@ -290,7 +294,9 @@
         case SKY_HTTP_MALFORMED:
         case SKY_HTTP_TOO_LARGE:
         case SKY_HTTP_STOPPED:
-            fail_request(connection, SKY_CLIENT_OUTCOME_GARBLED);
+            fail_request(connection, connection->is_stopped
+                                         ? SKY_CLIENT_OUTCOME_STOPPED
+                                         : SKY_CLIENT_OUTCOME_GARBLED);
             return false;
         }
     } while (offset < size);
@@ -514,6 +520,8 @@
     connection->is_active = true;
     connection->has_sent_bytes = false;
     connection->skips_response = false;
+    connection->names_request = false;
+    connection->is_stopped = false;
     connection->skipped_count = 0;
     connection->skipped_body_bytes = 0;
     connection->body_bytes = 0;
@@ -590,11 +598,17 @@
     return client_request->has_sent_bytes;
 }
 
+bool
+SkyClientRequest_NamesRequest(const sky_client_request_t *client_request)
+{
+    return client_request->names_request;
+}
+
 const char *
 SkyClientRequest_OutcomeName(sky_client_outcome_t outcome)
 {
     static const char *const NAMES[] = {"complete", "unsent", "broken",
-                                        "garbled"};
+                                        "garbled", "stopped"};
     return NAMES[outcome];
 }
 
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -32,8 +32,11 @@
      *  missing. */
     SKY_CLIENT_OUTCOME_BROKEN,
     /** The request counts as sent. What was received is no valid response,
-     *  exceeds a limit, or on_head rejected it. */
+     *  or exceeds a limit. */
     SKY_CLIENT_OUTCOME_GARBLED,
+    /** The request counts as sent. The response's head is valid, and on_head
+     *  chose to read no more of it. */
+    SKY_CLIENT_OUTCOME_STOPPED,
 } sky_client_outcome_t;
 
 /** @return the name for log lines. */
@@ -41,7 +44,7 @@
 
 typedef struct {
     /** The response's head was read. Returning false ends the request as
-     *  SKY_CLIENT_OUTCOME_GARBLED. */
+     *  SKY_CLIENT_OUTCOME_STOPPED. */
     bool (*on_head)(void *context, const sky_http_head_t *head);
     void (*on_body)(void *context, const char *bytes, size_t size);
     /** Last callback of a request, whose pointer is invalid from here on. */
@@ -64,7 +67,8 @@
     /** Name of a field that the server echoes, not copied. A response with
      *  another value in it belongs to an earlier request and is skipped; one
      *  without the field on a connection that served an earlier request may,
-     *  and counts as garbled. NULL: no such check. */
+     *  and counts as garbled; see SkyClientRequest_NamesRequest() for one on
+     *  a new connection. NULL: no such check. */
     const char *echo_field;
     /** Copied; "": the request has no such field, nor has its response. */
     const char *echo_value;
@@ -109,6 +113,9 @@
 void SkyClientRequest_Cancel(sky_client_request_t *client_request);
 /** @return whether any byte of the request was sent. */
 bool SkyClientRequest_HasSentBytes(const sky_client_request_t *client_request);
+/** @return whether the response has the value of the echo field, so that it
+ *  surely answers this request. Set from on_head on. */
+bool SkyClientRequest_NamesRequest(const sky_client_request_t *client_request);
 /** Closes the idle connections to an address; NULL: to all addresses. */
 void SkyClient_CloseIdle(sky_client_t *client,
                          const struct sockaddr_in *address);
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -114,7 +114,9 @@
     {
         auto *test = static_cast<ClientTest *>(context);
         test->status = head->status;
-        return true;
+        test->names_request =
+            SkyClientRequest_NamesRequest(test->client_request);
+        return test->reads_bodies;
     }
 
     static void
@@ -140,6 +142,7 @@
         script = std::move(responses);
         body.clear();
         status = 0;
+        names_request = false;
         ended = false;
         sky_buffer_t request = {};
         SkyBuffer_AppendFormat(&request, "GET / HTTP/1.1\r\nX-Id: %s\r\n\r\n",
@@ -153,7 +156,8 @@
         options.echo_value = id;
         options.events = {OnHead, OnBody, OnEnd};
         options.context = this;
-        EXPECT_NE(nullptr, SkyClient_Send(client, &options));
+        client_request = SkyClient_Send(client, &options);
+        EXPECT_NE(nullptr, client_request);
         SkyBuffer_Clear(&request);
         for (int i = 0; i < 50000 && !ended; i++) {
             ev_run(loop, EVRUN_NOWAIT);
@@ -180,7 +184,10 @@
     std::vector<ev_io *> connections;
     std::vector<ScriptedResponse> script;
     std::string body;
+    sky_client_request_t *client_request = nullptr;
     uint16_t status = 0;
+    bool names_request = false;
+    bool reads_bodies = true;
     bool ended = false;
     sky_client_outcome_t outcome = SKY_CLIENT_OUTCOME_UNSENT;
     int accepted_connections = 0;
@@ -397,6 +404,62 @@
     EXPECT_EQ(503, status);
 }
 
+// A refusal without the request's id counted as proof on a new connection.
+TEST_F(RepeatedRefusal, OnlyAnEqualIdNamesTheRequest)
+{
+    const auto keep = ScriptedResponse::KEEP_OPEN;
+    EXPECT_TRUE(names_request) << "of the refusal in SetUp()";
+    for (bool is_new : {true, false}) {
+        EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+                  SendRequest("2", {{Refusal("X-Id: 2\r\n"), keep}}, is_new));
+        EXPECT_TRUE(names_request);
+        EXPECT_EQ(
+            SKY_CLIENT_OUTCOME_COMPLETE,
+            SendRequest(
+                "3", {{Refusal("X-Id: 2\r\n") + Refusal("X-Id: 3\r\n"), keep}},
+                is_new));
+        EXPECT_TRUE(names_request);
+    }
+    for (const char *fields : {"", "X-Other: 4\r\n"}) {
+        EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+                  SendRequest("4", {{Refusal(fields), keep}}, true));
+        EXPECT_EQ(503, status);
+        EXPECT_FALSE(names_request) << fields;
+    }
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest("", {{Refusal(""), keep}}, true));
+    EXPECT_FALSE(names_request) << "a request without an id";
+}
+
+// Bytes that are garbled after a refusal's head looked like a refusal whose
+// body the host chose not to read.
+TEST_F(RepeatedRefusal, OneThatIsGarbledIsToldFromOneThatIsNotReadOn)
+{
+    const std::string head = "HTTP/1.1 503 Busy\r\nX-Id: 2\r\n";
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest("2",
+                          {{head + "Transfer-Encoding: chunked\r\n\r\nxyz",
+                            ScriptedResponse::KEEP_OPEN}},
+                          true));
+    EXPECT_EQ(503, status);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_BROKEN,
+              SendRequest("2",
+                          {{head + "Content-Length: 9\r\n\r\ncut",
+                            ScriptedResponse::CLOSE}},
+                          true));
+    reads_bodies = false;
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_STOPPED,
+              SendRequest("2",
+                          {{head + "\r\n" + std::string(100000, 'x'),
+                            ScriptedResponse::KEEP_OPEN}},
+                          true));
+    EXPECT_TRUE(names_request);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_GARBLED,
+              SendRequest("2", {{"\x01\x02\x03", ScriptedResponse::KEEP_OPEN}},
+                          true));
+    EXPECT_EQ(0, status);
+}
+
 // Unsolicited bytes must not be read as the response to the next request.
 TEST_F(ClientTest, ClosesConnectionOnBytesBeyondResponse)
 {
