Hop fields: a host states on what its "not run" rests

Cause: a host that passed a request on takes the other's "not run" for true, also that of a build which concludes it from a status. Change: the response field Proof has the value "account" if the account of sends proves it. Earlier builds neither write it nor look for it, and read all other fields as before.

--- a/lib/edge/hop_fields.c
+++ b/lib/edge/hop_fields.c
@@ -10,6 +10,8 @@
 #define FIELD_SOFTWARE SKY_HTTP_HOP_FIELD_PREFIX "Software"
 #define FIELD_OUTCOME SKY_HTTP_HOP_FIELD_PREFIX "Outcome"
 #define FIELD_RETRY_AFTER_MS SKY_HTTP_HOP_FIELD_PREFIX "Retry-After-Ms"
+#define FIELD_PROOF SKY_HTTP_HOP_FIELD_PREFIX "Proof"
+#define PROOF_ACCOUNT "account" /**< see decide/send_account.h */
 
 static const char *const OUTCOMES[] = {"target", "not_run", "not_reached",
                                        "unknown"};
@@ -83,12 +85,21 @@
                          request);
 }
 
+static bool
+says_not_run(sky_hop_outcome_t outcome)
+{
+    return outcome == SKY_HOP_NOT_RUN || outcome == SKY_HOP_NOT_REACHED;
+}
+
 void
 SkyHopFields_WriteResponse(sky_buffer_t *out,
                            const sky_hop_response_t *response)
 {
     write_field(out, FIELD_OUTCOME, OUTCOMES[response->outcome]);
     write_field(out, FIELD_SOFTWARE, response->software);
+    if (says_not_run(response->outcome) && response->is_proved) {
+        write_field(out, FIELD_PROOF, PROOF_ACCOUNT);
+    }
     if (response->retry_after_ms > 0) {
         SkyBuffer_AppendFormat(out, FIELD_RETRY_AFTER_MS ": %u\r\n",
                                response->retry_after_ms);
@@ -100,6 +111,7 @@
                            sky_hop_response_t *response)
 {
     const char *outcome = SkyHttpHead_FindField(head, FIELD_OUTCOME);
+    const char *proof = SkyHttpHead_FindField(head, FIELD_PROOF);
     const char *retry_after =
         SkyHttpHead_FindField(head, FIELD_RETRY_AFTER_MS);
     *response = (sky_hop_response_t){.outcome = SKY_HOP_UNKNOWN};
@@ -112,6 +124,8 @@
                     sizeof response->software)) {
         response->outcome = SKY_HOP_UNKNOWN;
     }
+    response->is_proved = says_not_run(response->outcome) && proof != NULL &&
+                          strcmp(proof, PROOF_ACCOUNT) == 0;
     response->retry_after_ms =
         retry_after != NULL ? (uint32_t)strtoul(retry_after, NULL, 10) : 0;
 }
--- a/lib/edge/hop_fields.h
+++ b/lib/edge/hop_fields.h
@@ -54,6 +54,9 @@
     char software[SKY_SOFTWARE_VERSION_BYTES];
     /** SKY_HOP_NOT_RUN: when the caller may come back; 0: not known. */
     uint32_t retry_after_ms;
+    /** SKY_HOP_NOT_RUN, SKY_HOP_NOT_REACHED: the host's account of its sends
+     *  proves it. Hosts of earlier builds do not say on what it rests. */
+    bool is_proved;
 } sky_hop_response_t;
 
 void SkyHopFields_WriteResponse(sky_buffer_t *out,
--- a/tests/test_hop_fields.cc
+++ b/tests/test_hop_fields.cc
@@ -99,7 +99,7 @@
 {
     for (sky_hop_outcome_t outcome : {SKY_HOP_TARGET, SKY_HOP_NOT_RUN,
                                       SKY_HOP_NOT_REACHED, SKY_HOP_UNKNOWN}) {
-        sky_hop_response_t sent = {outcome, "v3", 250};
+        sky_hop_response_t sent = {outcome, "v3", 250, true};
         sky_hop_response_t received;
         sky_buffer_t out = {};
         SkyHopFields_WriteResponse(&out, &sent);
@@ -108,6 +108,8 @@
         EXPECT_EQ(received.outcome, outcome);
         EXPECT_STREQ(received.software, "v3");
         EXPECT_EQ(received.retry_after_ms, 250u);
+        EXPECT_EQ(received.is_proved, outcome == SKY_HOP_NOT_RUN ||
+                                          outcome == SKY_HOP_NOT_REACHED);
     }
 }
 
@@ -123,6 +125,44 @@
     }
 }
 
+// Guards against a promise that rests on the word of a host of an earlier
+// build, which concludes it from the status alone.
+TEST(HopFields, ARefusalOfAnEarlierBuildIsNotProved)
+{
+    sky_hop_response_t hop;
+    for (const char *outcome : {"not_run", "not_reached"}) {
+        std::string field =
+            std::string("Sky-Hop-Outcome: ") + outcome + "\r\n";
+        for (const char *proof :
+             {"", "Sky-Hop-Proof: \r\n", "Sky-Hop-Proof: else\r\n"}) {
+            Head head(SKY_HTTP_RESPONSE, field + proof);
+            SkyHopFields_ParseResponse(head.Get(), &hop);
+            EXPECT_FALSE(hop.is_proved) << proof;
+        }
+        Head head(SKY_HTTP_RESPONSE, field + "Sky-Hop-Proof: account\r\n");
+        SkyHopFields_ParseResponse(head.Get(), &hop);
+        EXPECT_TRUE(hop.is_proved);
+    }
+    sky_hop_response_t unproved = {SKY_HOP_NOT_RUN, "", 0, false};
+    sky_buffer_t out = {};
+    SkyHopFields_WriteResponse(&out, &unproved);
+    EXPECT_EQ("Sky-Hop-Outcome: not_run\r\n", Take(&out));
+}
+
+// Guards against a proof beside an outcome that contradicts it.
+TEST(HopFields, OnlyARefusalCanBeProved)
+{
+    sky_hop_response_t hop;
+    for (const char *fields :
+         {"Sky-Hop-Proof: account\r\n",
+          "Sky-Hop-Outcome: unknown\r\nSky-Hop-Proof: account\r\n",
+          "Sky-Hop-Outcome: target\r\nSky-Hop-Proof: account\r\n"}) {
+        Head head(SKY_HTTP_RESPONSE, fields);
+        SkyHopFields_ParseResponse(head.Get(), &hop);
+        EXPECT_FALSE(hop.is_proved) << fields;
+    }
+}
+
 TEST(HopFields, AreNotPassedOn)
 {
     Head head(SKY_HTTP_REQUEST, "Sky-Hop-From: a\r\nX-Other: b\r\n");
