Proxy: a promise rests on the account of sends alone

Cause: "not run" was concluded in seven places by what an answer looks like, and the status that goes out was chosen in several. A target's 408, 421, 429 or 503 without the mark was returned, or taken for a refusal and sent on, although the request ran; so was a marked success, a refusal without the request's id, and one whose bytes are garbled after its head. A marked answer by way of a peer made the host read a target that it has not. Change: the flag may_have_run is gone. Each exchange ends with its evidence, in one place, which records the account's verdict for the route's bound as well. All statuses pass check_status(): a target's promise without proof becomes this host's own 502 (504 past the deadline) if the request must not repeat; an own one breaks the invariant promise_is_proved. Quota refunds and what a host tells the one that passed the request on rest on the account too, as does the invariant no_send_after_a_run. 421 without the mark still tells that the target is wrong, and proves nothing. A request goes to a target, or to an address, that had it before on a new connection only; sends beyond the table of eight get one as well. A host refuses a request that must not repeat and that another host has sent to a target that may have run it. The body of a refusal is read and dropped, so that neither a lack of memory nor an encoding turns it into a failure. Tests: test_wire expected that 421 without the mark is "not run"; the protocol says that only the mark states it, so that the test now expects the contrary, and "not run" for 421 with the mark. The fake's endless refusal had no id and counted as a run, and one 421 had no mark; both follow the protocol, and a 421 without the mark is one more answer of proc_stream_next_error.

--- a/lib/core/invariant.h
+++ b/lib/core/invariant.h
@@ -27,7 +27,9 @@
     X(SKY_INV_NO_ORDER_WITHOUT_LEASE, "no_order_without_lease")               \
     X(SKY_INV_LOADS_WITHIN_LIMIT, "transit_within_allowance")                 \
     X(SKY_INV_LOAD_HAS_ROOM, "load_has_room")                                 \
-    X(SKY_INV_ONE_EXCHANGE, "one_exchange_per_request")
+    X(SKY_INV_ONE_EXCHANGE, "one_exchange_per_request")                       \
+    X(SKY_INV_PROMISE_IS_PROVED, "promise_is_proved")                         \
+    X(SKY_INV_NO_SEND_AFTER_RUN, "no_send_after_a_run")
 
 typedef enum {
 #define X(symbol, name) symbol,
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -83,24 +83,17 @@
     }
 }
 
-static bool
-was_sent_to(const sky_proxy_request_t *request, uint64_t target)
-{
-    for (uint32_t i = 0; i < request->send_count && i < SENDS_PER_REQUEST_MAX;
-         i++) {
-        if (request->sent_targets[i] == target) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
 send_request(sky_proxy_request_t *request, const sky_fleet_choice_t *choice)
 {
     sky_proxy_t *proxy = request->proxy;
     sky_buffer_t request_bytes = {0};
-    SkyProxyRequest_CheckNoExchange(request);
+    const sky_fleet_target_t *target = choice->target;
+    uint64_t address = SkyClient_GetAddressKey(&target->entry.address);
+    bool needs_new_connection = SkyAttempts_NeedsNewConnection(
+        &request->attempts, target->hash, address);
+    SkyProxyRequest_BeginSend(request, target->hash);
+    SkyAttempts_RecordConnection(&request->attempts, target->hash, address);
     request->target = choice->target;
     snprintf(request->last_target_id, sizeof request->last_target_id, "%s",
              choice->target->entry.id);
@@ -116,19 +109,9 @@
     request->first_sent_ms = request->first_sent_ms
                                  ? request->first_sent_ms
                                  : request->last_activity_ms;
-    bool is_resent = was_sent_to(request, choice->target->hash);
-    if (request->send_count < SENDS_PER_REQUEST_MAX) {
-        request->sent_targets[request->send_count] = choice->target->hash;
-    }
-    request->send_count++;
-    request->events_before = request->event_stream.event_count;
     request->pace_since_us = 0;
-    request->answer_recorded = false;
-    request->response.facts.not_run = false;
-    request->response.is_invalid = false;
     memcpy(request->sent_software, choice->target->entry.software,
            sizeof request->sent_software);
-    SkyAttempts_RecordSent(&request->attempts, choice->target->hash);
     SkyFleet_BeginRequest(request->target);
     SkyReachability_RecordSend(proxy->options.directory->reachability,
                                request->service->name,
@@ -145,7 +128,7 @@
         .is_head_request =
             SkyServerRequest_Head(request->caller_request)->method ==
             HTTP_HEAD,
-        .is_new_connection = is_resent,
+        .is_new_connection = needs_new_connection,
         .echo_field = SkyWire_RequestIdFieldName(),
         .echo_value = request->facts.id,
         .events = SkyProxyRequest_ResponseEvents(),
@@ -154,7 +137,9 @@
     request->target_request = SkyClient_Send(proxy->options.client, &options);
     SkyBuffer_Clear(&request_bytes);
     if (request->target_request == NULL) {
-        SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE);
+        sky_send_evidence_t evidence = {.kind = SKY_SEND_UNSENT};
+        SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE,
+                                    &evidence);
         SkyProxyRequest_Fail(request, RETRY_AFTER_FULL_MS, "memory");
         return;
     }
@@ -751,6 +736,10 @@
     if (request->waits_for_records) {
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
+    if (!SkyProxyRequest_MaySendAgain(request)) {
+        SkyProxyRequest_Fail(request, 0, "not_repeatable");
+        return;
+    }
     if (SkyProxyRequest_FailIfStopping(request) || fail_crashing(request) ||
         !SkyProxyRequest_HasAccess(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -110,7 +110,8 @@
 begin_exchange(sky_proxy_request_t *request, const char *peer)
 {
     uint64_t now = SkyClock_NowMs();
-    SkyProxyRequest_CheckNoExchange(request);
+    /* The peer's address stands for the target that it chooses. */
+    SkyProxyRequest_BeginSend(request, hash_peer(peer));
     snprintf(request->peer, sizeof request->peer, "%s", peer);
     memcpy(request->tried_peers[request->tried_peer_count++], request->peer,
            sizeof request->peer);
@@ -118,11 +119,6 @@
     request->last_activity_ms = now;
     request->first_sent_ms =
         request->first_sent_ms ? request->first_sent_ms : now;
-    request->send_count++;
-    request->events_before = request->event_stream.event_count;
-    request->answer_recorded = false;
-    request->response.facts.not_run = false;
-    request->response.is_invalid = false;
     request->capacity_wait_since_ms = 0;
     request->waits_for_path = false;
     request->waits_for_turn = false;
@@ -141,10 +137,10 @@
 {
     struct sockaddr_in address;
     sky_buffer_t request_bytes = {0};
-    begin_exchange(request, peer);
+    /* The request names earlier sends alone: it is written before this one
+     * counts. */
     write_request(request, &request_bytes);
-    /* The peer's address stands for the target that it chooses. */
-    SkyAttempts_RecordSent(&request->attempts, hash_peer(peer));
+    begin_exchange(request, peer);
     if (SkySocket_ParseAddress(peer, &address)) {
         sky_client_request_options_t options = {
             .address = address,
@@ -163,7 +159,9 @@
     }
     SkyBuffer_Clear(&request_bytes);
     if (request->target_request == NULL) {
-        SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE);
+        sky_send_evidence_t evidence = {.kind = SKY_SEND_UNSENT};
+        SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE,
+                                    &evidence);
         SkyProxyRequest_Fail(request, RETRY_AFTER_FULL_MS, "memory");
     }
 }
@@ -214,31 +212,23 @@
 }
 
 void
-SkyProxyRequest_RecordNotRunByPeer(sky_proxy_request_t *request)
-{
-    SkyAttempts_RecordNotRun(&request->attempts, hash_peer(request->peer));
-}
-
-void
-SkyProxyRequest_HandlePeerRefusal(sky_proxy_request_t *request)
+SkyProxyRequest_HandlePeerRefusal(sky_proxy_request_t *request,
+                                  const sky_send_evidence_t *evidence)
 {
     sky_hop_response_t hop = request->hop_response;
     bool is_reached = hop.outcome != SKY_HOP_NOT_REACHED;
     SkyProxyRequest_LogExchangeFailure(request, "peer_refused");
-    if (hop.outcome == SKY_HOP_NOT_RUN || hop.outcome == SKY_HOP_NOT_REACHED) {
-        SkyProxyRequest_RecordNotRunByPeer(request);
-    }
     SkyProxyRequest_EndExchange(
-        request, is_reached ? SKY_EXCHANGE_OK : SKY_EXCHANGE_UNREACHABLE);
+        request, is_reached ? SKY_EXCHANGE_OK : SKY_EXCHANGE_UNREACHABLE,
+        evidence);
     switch (hop.outcome) {
     case SKY_HOP_NOT_REACHED:
-        SkyProxyRequest_Dispatch(request);
+        SkyProxyRequest_Dispatch(request); /* fails what must not be sent */
         break;
     case SKY_HOP_UNKNOWN:
-        request->may_have_run = true;
+    case SKY_HOP_TARGET:
         SkyProxyRequest_Fail(request, 0, "peer_failed");
         break;
-    case SKY_HOP_TARGET:
     case SKY_HOP_NOT_RUN:
         SkyProxyRequest_Fail(request, hop.retry_after_ms, "peer_refused");
         break;
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -23,9 +23,6 @@
             const char *reason)
 {
     if (request->target_request != NULL) {
-        request->may_have_run =
-            request->may_have_run ||
-            SkyClientRequest_HasSentBytes(request->target_request);
         SkyProxyRequest_LogExchangeFailure(request, reason);
     }
     SkyProxyRequest_CancelPending(request);
@@ -69,14 +66,16 @@
     return XXH3_64bits_withSeed(&head->method, sizeof head->method, hash);
 }
 
-/* Takes over what the host that passed the request on says of it. */
-static void
+/* Takes over what the host that passed the request on says of it. @return
+ * whether the request may be sent; else it was refused and freed: a target
+ * that the other host sent it to may have run it */
+static bool
 apply_hop_request(sky_proxy_request_t *request)
 {
     sky_hop_request_t hop;
     if (!SkyHopFields_ParseRequest(
             SkyServerRequest_Head(request->caller_request), &hop)) {
-        return;
+        return true;
     }
     for (uint32_t i = 0; i < hop.may_have_run_count; i++) {
         SkyAttempts_RecordSent(&request->attempts, hop.may_have_run[i]);
@@ -90,6 +89,13 @@
     request->proxy->stats.received_from_peers++;
     SkyLog_Write(LOG_INFO, "forwarded", "id=%s from=%s may_have_run=%u",
                  request->facts.id, hop.from, hop.may_have_run_count);
+    if (hop.may_have_run_count > 0 &&
+        request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE) {
+        /* By this host it has not run: the other one knows the rest. */
+        SkyProxyRequest_Fail(request, 0, "not_repeatable");
+        return false;
+    }
+    return true;
 }
 
 /* Returns what a route that is split among services is split by: a stream that
@@ -155,8 +161,8 @@
                                       : 0.0,
                  0.0);
     ev_timer_start(proxy->options.loop, &request->deadline_timer);
-    if (request->is_forwarded) {
-        apply_hop_request(request);
+    if (request->is_forwarded && !apply_hop_request(request)) {
+        return;
     }
     if (SkyProxyRequest_AcquireQuota(request)) {
         SkyProxyRequest_Count(request);
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -20,7 +20,7 @@
 static void
 refuse_key(sky_proxy_request_t *request, const char *reason)
 {
-    if (request->response_started || request->may_have_run) {
+    if (request->response_started || SkyProxyRequest_MayHaveRun(request)) {
         SkyProxyRequest_Fail(request, 0, reason); /* 401 would say "not run" */
         return;
     }
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -93,12 +93,44 @@
             SkyBuffer_Size(&request->event_stream.partial_event));
 }
 
+/* Without a route nothing was sent, and the strictest policy holds. */
+static sky_retry_policy_t
+get_retry_policy(const sky_proxy_request_t *request)
+{
+    return request->route != NULL ? request->route->retry_policy
+                                  : SKY_RETRY_AT_MOST_ONCE;
+}
+
+bool
+SkyProxyRequest_MayHaveRun(const sky_proxy_request_t *request)
+{
+    return SkySendAccount_MayHaveRun(&request->sends);
+}
+
+bool
+SkyProxyRequest_MaySendAgain(const sky_proxy_request_t *request)
+{
+    return SkySendAccount_MaySendAgain(&request->sends,
+                                       get_retry_policy(request));
+}
+
 void
-SkyProxyRequest_CheckNoExchange(const sky_proxy_request_t *request)
+SkyProxyRequest_BeginSend(sky_proxy_request_t *request, uint64_t sent_to)
 {
     SKY_INVARIANT(SKY_INV_ONE_EXCHANGE, request->target_request == NULL &&
                                             request->target == NULL &&
                                             request->peer[0] == '\0');
+    SKY_INVARIANT(SKY_INV_NO_SEND_AFTER_RUN,
+                  SkyProxyRequest_MaySendAgain(request));
+    SkySendAccount_Begin(&request->sends);
+    SkyAttempts_RecordSent(&request->attempts, sent_to);
+    request->sent_to = sent_to;
+    request->send_count++;
+    request->events_before = request->event_stream.event_count;
+    request->answer_recorded = false;
+    request->response.facts = (sky_response_facts_t){.not_run = false};
+    request->response.stated = (sky_send_response_t){.status = 0};
+    request->response.is_invalid = false;
 }
 
 /* Gives a freed slot to a waiting request without the delay of the timer. */
@@ -116,9 +148,17 @@
 
 void
 SkyProxyRequest_EndExchange(sky_proxy_request_t *request,
-                            sky_exchange_result_t result)
+                            sky_exchange_result_t result,
+                            const sky_send_evidence_t *evidence)
 {
     sky_proxy_t *proxy = request->proxy;
+    if (SkySendAccount_End(&request->sends, get_retry_policy(request),
+                           evidence)) {
+        SkyAttempts_RecordNotRun(&request->attempts, request->sent_to);
+    }
+    if (evidence->kind == SKY_SEND_UNSENT) {
+        SkyAttempts_RecordUnsent(&request->attempts);
+    }
     if (request->peer[0] != '\0') {
         SkyReachability_RecordPeerEnd(proxy->options.directory->reachability,
                                       request->service->name, request->peer,
@@ -154,14 +194,17 @@
     }
 }
 
-void
+sky_send_evidence_t
 SkyProxyRequest_CancelExchange(sky_proxy_request_t *request)
 {
+    sky_send_evidence_t evidence = {.kind = SKY_SEND_UNSENT};
     if (SkyClientRequest_HasSentBytes(request->target_request)) {
+        evidence.kind = SKY_SEND_NO_ANSWER;
         SkyProxyRequest_HoldSlot(request);
     }
     SkyClientRequest_Cancel(request->target_request);
     request->target_request = NULL;
+    return evidence;
 }
 
 void
@@ -189,8 +232,9 @@
         request->stream_ask = NULL;
     }
     if (request->target_request != NULL) {
-        SkyProxyRequest_CancelExchange(request);
-        SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE);
+        sky_send_evidence_t evidence = SkyProxyRequest_CancelExchange(request);
+        SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_INCONCLUSIVE,
+                                    &evidence);
     }
 }
 
@@ -249,7 +293,7 @@
 {
     sky_proxy_t *proxy = request->proxy;
     SkyProxyRequest_CancelPending(request);
-    if (request->send_count == 0 && request->tried_peer_count == 0) {
+    if (!SkyProxyRequest_MayHaveRun(request)) {
         SkyProxyRequest_RefundQuota(request);
     }
     ev_timer_stop(proxy->options.loop, &request->deadline_timer);
@@ -276,26 +320,54 @@
 /* Returns what a response of this host's own says to the host that passed the
  * request on. */
 static sky_hop_outcome_t
-get_hop_outcome(const sky_proxy_request_t *request, uint16_t status)
+get_hop_outcome(const sky_proxy_request_t *request)
 {
-    if (status == 502 || status == 504) {
+    if (SkyProxyRequest_MayHaveRun(request)) {
         return SKY_HOP_UNKNOWN;
     }
     return SkyProxyRequest_IsOutOfReach(request) ? SKY_HOP_NOT_REACHED
                                                  : SKY_HOP_NOT_RUN;
 }
 
+/* All statuses that go out to the caller pass here. */
+static uint16_t
+check_status(const sky_proxy_request_t *request, uint16_t status,
+             bool is_targets)
+{
+    sky_send_status_t query = {
+        .status = status,
+        .is_targets = is_targets,
+        .is_past_deadline = request->deadline_at_ms > 0 &&
+                            SkyClock_NowMs() >= request->deadline_at_ms,
+        .retry_policy = get_retry_policy(request),
+    };
+    return SkySendAccount_CheckStatus(&request->sends, &query);
+}
+
+uint16_t
+SkyProxyRequest_CheckTargetStatus(const sky_proxy_request_t *request)
+{
+    return check_status(request, request->response.status, true);
+}
+
 void
 SkyProxyRequest_RespondError(sky_proxy_request_t *request, uint16_t status,
                              uint32_t retry_after_ms, const char *reason)
 {
     sky_buffer_t header_fields = {0};
-    sky_hop_response_t hop = {.outcome = get_hop_outcome(request, status),
+    uint16_t allowed_status = check_status(request, status, false);
+    SKY_INVARIANT(SKY_INV_PROMISE_IS_PROVED, allowed_status == status);
+    if (allowed_status != status) {
+        status = allowed_status;
+        retry_after_ms = 0;
+    }
+    sky_hop_response_t hop = {.outcome = get_hop_outcome(request),
                               .retry_after_ms = retry_after_ms};
-    if (request->is_forwarded && hop.outcome != SKY_HOP_UNKNOWN) {
+    hop.is_proved = hop.outcome != SKY_HOP_UNKNOWN;
+    if (request->is_forwarded && hop.is_proved) {
         SkyProxyRequest_Uncount(request);
     }
-    if (hop.outcome != SKY_HOP_UNKNOWN) {
+    if (hop.is_proved) {
         SkyProxyRequest_RefundQuota(request);
     }
     SkyProxyRequest_WriteHopResponse(request, &header_fields, &hop);
@@ -323,7 +395,7 @@
         SkyServerRequest_Abort(request->caller_request);
         SkyProxyRequest_Free(request);
     }
-    else if (request->may_have_run) {
+    else if (SkyProxyRequest_MayHaveRun(request)) {
         bool deadline_passed = SkyClock_NowMs() >= request->deadline_at_ms;
         SkyProxyRequest_RespondError(request, deadline_passed ? 504 : 502, 0,
                                      reason);
@@ -350,7 +422,7 @@
 {
     const sky_proxy_t *proxy = request->proxy;
     if (!proxy->is_stopping || request->target_request != NULL ||
-        request->may_have_run || request->response_started) {
+        SkyProxyRequest_MayHaveRun(request) || request->response_started) {
         return false;
     }
     sky_stop_request_t stopped = {
@@ -392,6 +464,11 @@
 SkyProxyRequest_ForwardResponse(sky_proxy_request_t *request)
 {
     sky_proxy_response_t *response = &request->response;
+    uint16_t status = SkyProxyRequest_CheckTargetStatus(request);
+    if (status != response->status) {
+        SkyProxyRequest_RespondError(request, status, 0, "unproved_refusal");
+        return;
+    }
     SkyProxyRequest_RecordResponse(request);
     SkyServerRequest_Respond(request->caller_request, response->status,
                              SkyBuffer_Data(&response->header_fields),
@@ -423,13 +500,6 @@
     }
 }
 
-static bool
-is_safe_to_retry(const sky_proxy_request_t *request)
-{
-    return !request->may_have_run ||
-           request->route->retry_policy != SKY_RETRY_AT_MOST_ONCE;
-}
-
 /* Whether the response that the caller has a part of, if any, can go on with
  * that of another target: only that to a stream begins where it is told to. */
 static bool
@@ -463,7 +533,7 @@
 {
     sky_proxy_t *proxy = request->proxy;
     uint64_t now = SkyClock_NowMs();
-    if (!is_safe_to_retry(request)) {
+    if (!SkyProxyRequest_MaySendAgain(request)) {
         return "not_repeatable";
     }
     if (!can_continue_response(request)) {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -18,6 +18,7 @@
 #include "decide/attempts.h"
 #include "decide/prompt_times.h"
 #include "decide/retry_budget.h"
+#include "decide/send_account.h"
 #include "decide/stop_admission.h"
 #include "edge/hop_fields.h"
 #include "edge/proxy.h"
@@ -35,7 +36,9 @@
 typedef struct {
     uint16_t status;
     sky_response_facts_t facts; /**< of the current exchange */
-    bool is_event_stream;       /**< that is passed on to the caller */
+    /** What the head of the current exchange states; is_whole is not set. */
+    sky_send_response_t stated;
+    bool is_event_stream; /**< that is passed on to the caller */
     sky_buffer_t header_fields;
     sky_buffer_t body;
     bool has_content_length;
@@ -102,19 +105,18 @@
     bool is_forwarded;               /**< came from another host */
     bool is_counted;                 /**< in this host's retry budget */
     char last_target_id[SKY_TARGET_ID_BYTES]; /**< "": not sent yet */
+    sky_send_account_t sends;
     sky_attempts_t attempts;
-    /** Hashes of the targets that it was sent to, by send. */
-    uint64_t sent_targets[SENDS_PER_REQUEST_MAX];
+    uint64_t sent_to; /**< target or peer of the last send, in `attempts` */
     uint32_t send_count;
     uint32_t placement_count;    /**< placements requested */
     uint32_t owner_report_count; /**< reports requested from owners */
     uint32_t permit_count;       /**< permits requested */
     uint32_t adapter_version;    /**< required in the last send; 0: any */
-    bool may_have_run;
-    bool response_started;     /**< the caller has the response's head */
-    uint64_t last_activity_ms; /**< last byte received in this exchange, or
-                                    its start */
-    uint64_t sent_ms;          /**< start of this exchange */
+    bool response_started;       /**< the caller has the response's head */
+    uint64_t last_activity_ms;   /**< last byte received in this exchange, or
+                                      its start */
+    uint64_t sent_ms;            /**< start of this exchange */
     uint64_t list_age_ms; /**< age of the list of targets at the last send */
     bool prompt_time_recorded;       /**< of this exchange */
     uint64_t capacity_wait_since_ms; /**< 0: does not wait for capacity */
@@ -201,22 +203,31 @@
 /** To be called after the buffered part of the response has changed. */
 void SkyProxyRequest_UpdateMemoryShare(sky_proxy_request_t *request);
 
-/** Checks the invariant that no exchange of the request is under way, before
- *  one begins. */
-void SkyProxyRequest_CheckNoExchange(const sky_proxy_request_t *request);
+/** @return whether a send of the request may have run it. */
+bool SkyProxyRequest_MayHaveRun(const sky_proxy_request_t *request);
+/** @return whether its sends allow another one. */
+bool SkyProxyRequest_MaySendAgain(const sky_proxy_request_t *request);
 
-/** Ends the exchange with the current target, if any: reports the result to
- *  the fleet and to placement. Does not cancel the request to the target. */
+/** Records that the request is about to be sent, and checks the invariants
+ *  that no exchange of it is under way and that it may be sent.
+ *  @param sent_to hash that stands for the target or peer in `attempts` */
+void SkyProxyRequest_BeginSend(sky_proxy_request_t *request, uint64_t sent_to);
+
+/** Ends the exchange with the current target or peer, if any: records what its
+ *  end proves, and reports the result to the fleet and to placement. Does not
+ *  cancel the request to the target. */
 void SkyProxyRequest_EndExchange(sky_proxy_request_t *request,
-                                 sky_exchange_result_t result);
+                                 sky_exchange_result_t result,
+                                 const sky_send_evidence_t *evidence);
 
 /** Keeps the slot of the target in use, as it may run the request until its
  *  deadline. */
 void SkyProxyRequest_HoldSlot(const sky_proxy_request_t *request);
 
 /** Cancels the request to the target or peer; SkyProxyRequest_EndExchange() is
- *  to follow. */
-void SkyProxyRequest_CancelExchange(sky_proxy_request_t *request);
+ *  to follow, with the evidence that this returns. */
+sky_send_evidence_t
+SkyProxyRequest_CancelExchange(sky_proxy_request_t *request);
 
 /** Cancels the pending placement or permit request, and the request to the
  *  target, which ends the exchange. */
@@ -232,7 +243,8 @@
 void SkyProxyRequest_Free(sky_proxy_request_t *request);
 
 /** Sends this host's own final response and frees the request. A status of 502
- *  or 504 says that a target may have run it, any other that none has.
+ *  or 504 says that a target may have run it, any other that none has; the
+ *  latter is a broken invariant while a send may have run, and 502 is sent.
  *  @param retry_after_ms jitter is added; 0: no Retry-After field */
 void SkyProxyRequest_RespondError(sky_proxy_request_t *request,
                                   uint16_t status, uint32_t retry_after_ms,
@@ -248,7 +260,13 @@
 /** Logs and counts that the caller got a target's whole response. */
 void SkyProxyRequest_RecordResponse(const sky_proxy_request_t *request);
 
-/** Sends the buffered response to the caller and frees the request. */
+/** @return the status with which the target's response may be sent to the
+ *          caller; if it differs from the target's, nothing else of the
+ *          response may be sent. */
+uint16_t SkyProxyRequest_CheckTargetStatus(const sky_proxy_request_t *request);
+
+/** Sends the buffered response to the caller and frees the request. If its
+ *  status makes a promise that is not proved, this host responds itself. */
 void SkyProxyRequest_ForwardResponse(sky_proxy_request_t *request);
 
 /** @return the reason for the log why the request must not be retried, or why
@@ -314,11 +332,10 @@
  *  say, if this host does not reach the targets. @return false if neither was
  *  done; else the request may have been freed. */
 bool SkyProxyRequest_TryPeer(sky_proxy_request_t *request);
-/** Records that no target has run the request by way of the current peer. */
-void SkyProxyRequest_RecordNotRunByPeer(sky_proxy_request_t *request);
 /** Handles the peer's refusal, or its failure to serve the request; may free
  *  the request. */
-void SkyProxyRequest_HandlePeerRefusal(sky_proxy_request_t *request);
+void SkyProxyRequest_HandlePeerRefusal(sky_proxy_request_t *request,
+                                       const sky_send_evidence_t *evidence);
 /** Adds to the fields of a response what this host says to the one that passed
  *  the request on; nothing if the request came from a caller. */
 void SkyProxyRequest_WriteHopResponse(const sky_proxy_request_t *request,
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -55,13 +55,20 @@
     }
 }
 
+/* Whether the target says that it does not run the request. Whether that is
+ * proved is the account's to say: SkySendAccount_End(). */
+static bool
+is_refusal(const sky_proxy_response_t *response)
+{
+    return response->facts.not_run || response->facts.wrong_target;
+}
+
 /* Whether more than the head is to be read. The body of a response that is not
  * passed on may have no end. */
 static bool
 needs_body(const sky_proxy_response_t *response)
 {
-    return !response->is_invalid &&
-           (!response->facts.not_run || response->is_framed);
+    return is_refusal(response) ? response->is_framed : !response->is_invalid;
 }
 
 /* Whether the response is one that the peer made itself. */
@@ -89,9 +96,16 @@
     sky_proxy_response_t *response = &request->response;
     sky_response_facts_t facts;
     SkyWire_ParseResponse(head, &facts);
+    sky_send_response_t stated = {
+        .status = head->status,
+        .is_marked = facts.not_run,
+        .names_request =
+            SkyClientRequest_NamesRequest(request->target_request),
+    };
     if (request->peer[0] != '\0') {
         apply_hop_response(request, head);
         if (is_peers_own(request)) {
+            response->stated = stated;
             return true; /* its body is empty */
         }
     }
@@ -100,6 +114,7 @@
         SkyProxyResponse_Clear(response);
     }
     response->facts = facts;
+    response->stated = stated;
     response->is_framed = head->has_length;
     response->body_bytes = 0;
     if (request->response_started) {
@@ -130,7 +145,7 @@
 {
     const sky_proxy_response_t *response = &request->response;
     return response->status < 400 && !response->is_invalid &&
-           !response->facts.not_run &&
+           !is_refusal(response) &&
            (request->route->streaming || response->facts.events ||
             response->content_length > BUFFERED_RESPONSE_MAX_BYTES ||
             SkyBuffer_Size(&response->body) > BUFFERED_RESPONSE_MAX_BYTES);
@@ -146,7 +161,8 @@
                                          !response->content_length
                                      ? SKY_FRAMING_CHUNKED
                                      : SKY_FRAMING_LENGTH;
-    SkyServerRequest_BeginResponse(request->caller_request, response->status,
+    SkyServerRequest_BeginResponse(request->caller_request,
+                                   SkyProxyRequest_CheckTargetStatus(request),
                                    SkyBuffer_Data(&response->header_fields),
                                    framing, response->content_length);
     request->response_started = true;
@@ -205,27 +221,51 @@
     }
 }
 
-/* Handles a response by which the target states that it did not run the
- * request. */
+/* Returns what the response proves of the send. */
+static sky_send_evidence_t
+get_evidence(const sky_proxy_request_t *request)
+{
+    sky_send_response_t stated = request->response.stated;
+    stated.is_whole = true;
+    if (!is_peers_own(request)) {
+        return (sky_send_evidence_t){.kind = SKY_SEND_RESPONSE,
+                                     .response = stated};
+    }
+    const sky_hop_response_t *hop = &request->hop_response;
+    return (sky_send_evidence_t){
+        .kind = SKY_SEND_PEER,
+        .peer = {.says_not_run = hop->outcome == SKY_HOP_NOT_RUN ||
+                                 hop->outcome == SKY_HOP_NOT_REACHED,
+                 .is_proved = hop->is_proved,
+                 .names_request = stated.names_request,
+                 .is_whole = true},
+    };
+}
+
+/* Handles a response by which the target, maybe that of a peer, states that it
+ * does not run the request. */
 static void
-handle_refusal(sky_proxy_request_t *request)
+handle_refusal(sky_proxy_request_t *request,
+               const sky_send_evidence_t *evidence)
 {
     sky_proxy_t *proxy = request->proxy;
     bool is_wrong_target = request->response.facts.wrong_target;
-    uint64_t target_hash = request->target->hash;
+    bool is_own_target = request->target != NULL;
+    uint64_t target_hash = request->sent_to;
     bool lacks_adapter = is_wrong_target && request->service->engine.present;
     SkyProxyRequest_LogExchangeFailure(request, "refused");
-    SkyAttempts_RecordNotRun(&request->attempts, target_hash);
-    if (lacks_adapter) {
+    if (lacks_adapter && is_own_target) {
         sky_residency_t absent = {.adapter =
                                       SkyProxyRequest_AdapterKey(request)};
         SkyFleet_RecordResidency(proxy->options.directory->fleet,
                                  request->target, &absent, SkyClock_NowMs());
     }
-    SkyProxyRequest_EndExchange(request, is_wrong_target
-                                             ? SKY_EXCHANGE_INCONCLUSIVE
-                                             : SKY_EXCHANGE_TARGET_FULL);
-    if ((!lacks_adapter || request->placement_count > 0 ||
+    SkyProxyRequest_EndExchange(request,
+                                is_wrong_target ? SKY_EXCHANGE_INCONCLUSIVE
+                                                : SKY_EXCHANGE_TARGET_FULL,
+                                evidence);
+    if (is_own_target &&
+        (!lacks_adapter || request->placement_count > 0 ||
          request->facts.adapter[0] == '\0') &&
         (is_wrong_target || !request->is_sent_by_turn ||
          !SkyProxyRequest_TakesTurns(request))) {
@@ -240,6 +280,8 @@
         is_wrong_target ? "adapter_missing" : "target_full");
 }
 
+static const sky_send_evidence_t NO_ANSWER = {.kind = SKY_SEND_NO_ANSWER};
+
 static void
 handle_failure(sky_proxy_request_t *request, const char *cause)
 {
@@ -249,7 +291,7 @@
          request->send_count > 1)) {
         SkyAttempts_RecordFailed(&request->attempts, request->target->hash);
     }
-    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_FAILED);
+    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_FAILED, &NO_ANSWER);
     SkyProxyRequest_RetryOrFail(request, 0, cause);
 }
 
@@ -258,12 +300,11 @@
 static void
 break_off(sky_proxy_request_t *request, const char *cause)
 {
-    SkyProxyRequest_CancelExchange(request);
-    if (request->response.facts.not_run) {
-        handle_refusal(request);
+    sky_send_evidence_t evidence = SkyProxyRequest_CancelExchange(request);
+    if (is_refusal(&request->response)) {
+        handle_refusal(request, &evidence);
         return;
     }
-    request->may_have_run = true;
     handle_failure(request, cause);
 }
 
@@ -297,6 +338,13 @@
         return;
     }
     response->body_bytes += size;
+    if (is_refusal(response)) {
+        /* It is read to its end, and not passed on. */
+        if (response->body_bytes > BUFFERED_RESPONSE_MAX_BYTES) {
+            break_off(request, "too_large");
+        }
+        return;
+    }
     if (request->response_started) {
         relay_bytes(request, bytes, size);
     }
@@ -328,8 +376,9 @@
         handle_failure(request, "cut_event");
         return;
     }
+    sky_send_evidence_t evidence = get_evidence(request);
     SkyProxyRequest_RecordDuration(request);
-    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK);
+    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK, &evidence);
     SkyProxyRequest_RecordResponse(request);
     SkyServerRequest_EndResponse(request->caller_request);
     SkyProxyRequest_Free(request);
@@ -352,15 +401,15 @@
 handle_complete_response(sky_proxy_request_t *request)
 {
     sky_proxy_response_t *response = &request->response;
+    sky_send_evidence_t evidence = get_evidence(request);
     if (is_peers_own(request)) {
-        SkyProxyRequest_HandlePeerRefusal(request);
+        SkyProxyRequest_HandlePeerRefusal(request, &evidence);
         return;
     }
-    if (response->facts.not_run) {
-        handle_refusal(request);
+    if (is_refusal(response)) {
+        handle_refusal(request, &evidence);
         return;
     }
-    request->may_have_run = true;
     if (is_body_missing(request)) {
         SkyProxyRequest_SuspectCrash(request);
         SkyProxyRequest_SuspectParts(request);
@@ -385,7 +434,7 @@
         return;
     }
     SkyProxyRequest_RecordDuration(request);
-    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK);
+    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK, &evidence);
     SkyProxyRequest_ForwardResponse(request);
 }
 
@@ -393,25 +442,34 @@
 static void
 handle_unsent(sky_proxy_request_t *request)
 {
+    static const sky_send_evidence_t UNSENT = {.kind = SKY_SEND_UNSENT};
     SkyProxyRequest_LogExchangeFailure(request, "unreachable");
-    SkyAttempts_RecordUnsent(&request->attempts);
     if (request->target != NULL) {
-        SkyAttempts_RecordNotRun(&request->attempts, request->target->hash);
         SkyAttempts_RecordFailed(&request->attempts, request->target->hash);
         SkyReachSharing_RecordFailure(request->proxy->options.reach_sharing,
                                       request->target);
     }
-    else {
-        SkyProxyRequest_RecordNotRunByPeer(request);
-    }
-    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_UNREACHABLE);
+    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_UNREACHABLE, &UNSENT);
     /* No target got the request, so that this is no retry. */
-    if (!request->may_have_run && SkyProxyRequest_TryPeer(request)) {
+    if (!SkyProxyRequest_MayHaveRun(request) &&
+        SkyProxyRequest_TryPeer(request)) {
         return;
     }
     SkyProxyRequest_RetryOrFail(request, RETRY_AFTER_FULL_MS, "unreachable");
 }
 
+/* The head was whole and valid, and this host chose not to read on. */
+static void
+handle_rejected_response(sky_proxy_request_t *request)
+{
+    sky_send_evidence_t evidence = get_evidence(request);
+    if (is_refusal(&request->response)) {
+        handle_refusal(request, &evidence);
+        return;
+    }
+    handle_failure(request, "bad_answer");
+}
+
 static void
 on_response_end(void *context, sky_client_outcome_t outcome)
 {
@@ -425,19 +483,10 @@
         handle_unsent(request);
         break;
     case SKY_CLIENT_OUTCOME_STOPPED:
+        handle_rejected_response(request);
+        break;
     case SKY_CLIENT_OUTCOME_GARBLED:
-        if (request->response.facts.not_run) {
-            handle_refusal(request);
-            break;
-        }
-        if (request->response.is_invalid) {
-            request->may_have_run = true;
-            handle_failure(request, "bad_answer");
-            break;
-        }
-        /* fall through */
     case SKY_CLIENT_OUTCOME_BROKEN:
-        request->may_have_run = true;
         SkyProxyRequest_HoldSlot(request);
         request->response.status =
             request->response_started ? request->response.status : 0;
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -108,10 +108,9 @@
         request->last_activity_ms = SkyClock_NowMs();
         return;
     }
-    SkyProxyRequest_CancelExchange(request);
-    request->may_have_run = true;
+    sky_send_evidence_t evidence = SkyProxyRequest_CancelExchange(request);
     SkyProxyRequest_LogExchangeFailure(request, "silent");
-    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_UNREACHABLE);
+    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_UNREACHABLE, &evidence);
     SkyProxyRequest_RetryOrFail(request, 0, "silent");
 }
 
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -29,7 +29,7 @@
  * idle connection stays in the pool of its address. */
 struct sky_client_request {
     sky_client_t *client;
-    uint64_t key; /**< see address_key() */
+    uint64_t key; /**< see SkyClient_GetAddressKey() */
     int fd;
     ev_io read_watcher;
     ev_io write_watcher;
@@ -73,8 +73,8 @@
     uint32_t connection_count; /**< active and idle ones */
 };
 
-static uint64_t
-address_key(const struct sockaddr_in *address)
+uint64_t
+SkyClient_GetAddressKey(const struct sockaddr_in *address)
 {
     return ((uint64_t)address->sin_addr.s_addr << 16) | address->sin_port;
 }
@@ -445,7 +445,7 @@
                         const sky_client_request_options_t *options)
 {
     idle_pool_t *pool =
-        get_pool(client, address_key(&options->address), false);
+        get_pool(client, SkyClient_GetAddressKey(&options->address), false);
     sky_client_request_t *connection = pool ? pool->idle_list : NULL;
     if (connection == NULL ||
         !can_reuse(connection, options, client->options.default_keep_alive_ms,
@@ -489,7 +489,7 @@
     }
     connection->client = client;
     client->connection_count++;
-    connection->key = address_key(&options->address);
+    connection->key = SkyClient_GetAddressKey(&options->address);
     connection->fd = SkySocket_Connect(&options->address);
     SkyHttpReader_Init(&connection->reader, SKY_HTTP_RESPONSE, &EVENTS,
                        connection, RESPONSE_HEAD_MAX_BYTES);
@@ -653,7 +653,7 @@
     idle_pool_t *next;
     HASH_ITER(hh, client->pools, pool, next)
     {
-        if (address != NULL && pool->key != address_key(address)) {
+        if (address != NULL && pool->key != SkyClient_GetAddressKey(address)) {
             continue;
         }
         sky_client_request_t *connection;
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -100,6 +100,10 @@
 void SkyClient_Free(sky_client_t *client);
 const sky_client_stats_t *SkyClient_Stats(const sky_client_t *client);
 
+/** @return a value that is equal for addresses whose connections are reused
+ *          for one another. */
+uint64_t SkyClient_GetAddressKey(const struct sockaddr_in *address);
+
 /** Starts to send a request.
  *  @return NULL if out of memory; no callback follows then. */
 sky_client_request_t *
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -42,6 +42,10 @@
  * - shed: the request is refused with 503, without being run
  * - lose: the service runs the request, but closes the connection
  * - fail: the service runs the request and responds with 500
+ * - refuse_without_id: the service refuses it with 503, without its id
+ * - mark_after_run: the service runs it, and marks its success as a refusal
+ * - garble_after_mark: the service runs it, sends the head of a refusal and
+ *   bytes that are no body
  * - garble: the service sends only a part of the response
  * - endless_success, endless_unsealed, endless_error, endless_refusal: the
  *   service's response, without a length, goes on until the caller closes
@@ -75,6 +79,8 @@
  *   streams make no events meanwhile; 0: none
  * - measure_intervals: the longest interval between two events of a stream is
  *   kept, as longest_interval; 0: not
+ * - status_after_run: the service runs a request and responds with this
+ * status, its seal and no mark; 0: with 200
  * - app_run_ms: time that the service takes for a request
  * - long_app_ms, long_event_ms: in place of app_run_ms and event_ms, of a
  *   request with "/long" in its path
@@ -1184,7 +1190,8 @@
      SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
     {503, SEALED_EVENTS "X-Skylarkspar-Not-Executed: 1\r\n",
      SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
-    {421, "", SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
+    {421, "X-Skylarkspar-Not-Executed: 1\r\n", SKY_FRAMING_LENGTH,
+     EVENT_OF_ERROR},
     {204, SEALED_EVENTS, SKY_FRAMING_LENGTH, ""},
     {302, SEALED_EVENTS, SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
     {200, EVENTS, SKY_FRAMING_CHUNKED, EVENT_OF_ERROR},
@@ -1196,6 +1203,7 @@
     {200, SEALED_TEXT, SKY_FRAMING_UNTIL_CLOSE, EVENT_OF_ERROR},
     {200, SEALED_TEXT, SKY_FRAMING_LENGTH, ""},
     {200, SEALED_TEXT, SKY_FRAMING_CHUNKED, ""},
+    {421, "", SKY_FRAMING_LENGTH, EVENT_OF_ERROR},
     {0, SEALED_EVENTS, SKY_FRAMING_LENGTH, ""}, /* a part of a head */
 };
 
@@ -1783,6 +1791,33 @@
     }
 }
 
+/** Responds with a success that has the mark of a refusal. */
+static void
+send_mark_after_run(sky_server_request_t *request)
+{
+    char fields[192];
+    write_response_fields(request, SERVICE_LIMIT_NAME, fields, sizeof fields,
+                          "X-Skylarkspar-Not-Executed: 1\r\n"
+                          "X-Skylarkspar-Server-Seal: s2\r\n");
+    SkyServerRequest_Respond(request, 200, fields, "service", 7);
+}
+
+/** Sends the whole head of a refusal, and bytes that are no chunks. */
+static void
+garble_after_mark(sky_server_request_t *request)
+{
+    char fields[192];
+    char bytes[384];
+    write_response_fields(request, SERVICE_LIMIT_NAME, fields, sizeof fields,
+                          "X-Skylarkspar-Not-Executed: 1\r\n");
+    int size = snprintf(bytes, sizeof bytes,
+                        "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n"
+                        "%s\r\nno chunk\r\n",
+                        fields);
+    /* No response was begun, so that the bytes are sent as they are. */
+    SkyServerRequest_WriteBody(request, bytes, (size_t)size);
+}
+
 static void
 on_service_request(void *context, sky_server_request_t *request)
 {
@@ -1814,6 +1849,18 @@
         shed_request(request, SERVICE_LIMIT_NAME);
         return;
     }
+    if (consume_fault("endless_refusal")) {
+        write_response_fields(request, SERVICE_LIMIT_NAME, fields,
+                              sizeof fields,
+                              "X-Skylarkspar-Not-Executed: 1\r\n");
+        start_endless_response(request, 503, fields, "");
+        return;
+    }
+    if (consume_fault("refuse_without_id")) {
+        SkyServerRequest_Respond(request, 503,
+                                 "X-Skylarkspar-Not-Executed: 1\r\n", "", 0);
+        return;
+    }
     if (get_fault("app_room") > 0 &&
         target->running >= get_fault("app_room")) {
         refuse_for_want_of_room(target, request);
@@ -1854,13 +1901,20 @@
     else if (consume_fault("endless_error")) {
         start_endless_response(request, 500, fields, "");
     }
-    else if (consume_fault("endless_refusal")) {
-        start_endless_response(request, 503,
-                               "X-Skylarkspar-Not-Executed: 1\r\n", "");
-    }
     else if (consume_fault("fail")) {
         SkyServerRequest_Respond(request, 500, fields, "failed", 6);
     }
+    else if (get_fault("status_after_run") > 0) {
+        SkyServerRequest_Respond(request,
+                                 (uint16_t)get_fault("status_after_run"),
+                                 fields, "ran", 3);
+    }
+    else if (consume_fault("mark_after_run")) {
+        send_mark_after_run(request);
+    }
+    else if (consume_fault("garble_after_mark")) {
+        garble_after_mark(request);
+    }
     else if (consume_fault("garble")) {
         SkyServerRequest_BeginResponse(request, 200, fields,
                                        SKY_FRAMING_LENGTH, 400);
--- a/tests/proc_stream_next_error.sh
+++ b/tests/proc_stream_next_error.sh
@@ -81,7 +81,7 @@
     "200 with an encoding" "200, no byte until close" \
     "200, text with a length" "200, text in chunks" "200, text until close" \
     "200, empty text with a length" "200, empty text in chunks" \
-    "a part of a head"; do
+    "421 without the mark" "a part of a head"; do
     wanted="whole 200 t1 t2 t3 t4 t5 t6 t7 t8 resumed"
     # Two targets seem to have crashed: the request is quarantined.
     case $answer in
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -269,6 +269,13 @@
         ParseHead("HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n",
                   SKY_HTTP_RESPONSE),
         &facts);
+    EXPECT_FALSE(facts.not_run) << "only the header field guarantees it";
+    EXPECT_TRUE(facts.wrong_target);
+    SkyWire_ParseResponse(
+        ParseHead("HTTP/1.1 421 x\r\nX-Skylarkspar-Not-Executed: "
+                  "1\r\nContent-Length: 0\r\n\r\n",
+                  SKY_HTTP_RESPONSE),
+        &facts);
     EXPECT_TRUE(facts.not_run);
     EXPECT_TRUE(facts.wrong_target);
     SkyWire_ParseResponse(
