--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -32,7 +32,7 @@
  * idle connection stays in the pool of its address. */
 struct sky_client_request {
     sky_client_t *client;
-    uint64_t key; /**< see address_key() */
+    uint64_t key; /**< see SkyClient_GetAddressKey() */
     int fd;
     ev_io read_watcher;
     ev_io write_watcher;
@@ -49,6 +49,7 @@
     bool has_sent_bytes;    /**< a byte of the current request was sent */
     bool skips_response;    /**< the response being read is an interim one, or
                                that of an earlier request */
+    bool is_stopped;        /**< on_head chose to read no more */
     uint32_t skipped_count; /**< responses skipped for this request */
     uint64_t skipped_body_bytes;
     uint64_t body_bytes;    /**< of the response, received so far */
@@ -136,8 +137,8 @@
                  server);
 }
 
-static uint64_t
-address_key(const struct sockaddr_in *address)
+uint64_t
+SkyClient_GetAddressKey(const struct sockaddr_in *address)
 {
     return ((uint64_t)address->sin_addr.s_addr << 16) | address->sin_port;
 }
@@ -330,9 +331,9 @@
                              head->status);
         return false; /* it may belong to an earlier request */
     }
-    return connection->options.events.on_head(connection->options.context,
-                                              head) &&
-           !connection->is_closed;
+    connection->is_stopped =
+        !connection->options.events.on_head(connection->options.context, head);
+    return !connection->is_stopped && !connection->is_closed;
 }
 
 static bool
@@ -386,7 +387,9 @@
         case SKY_HTTP_MALFORMED:
         case SKY_HTTP_TOO_LARGE:
         case SKY_HTTP_STOPPED:
-            fail_request(connection, SKY_CLIENT_OUTCOME_GARBLED);
+            fail_request(connection, connection->is_stopped
+                                         ? SKY_CLIENT_OUTCOME_STOPPED
+                                         : SKY_CLIENT_OUTCOME_GARBLED);
             return false;
         }
     } while (offset < size);
@@ -547,7 +550,7 @@
                         const sky_client_request_options_t *options)
 {
     idle_pool_t *pool =
-        get_pool(client, address_key(&options->address), false);
+        get_pool(client, SkyClient_GetAddressKey(&options->address), false);
     sky_client_request_t *connection = pool ? pool->idle_list : NULL;
     if (connection == NULL ||
         !can_reuse(connection, options, client->options.default_keep_alive_ms,
@@ -591,7 +594,7 @@
     }
     connection->client = client;
     client->connection_count++;
-    connection->key = address_key(&options->address);
+    connection->key = SkyClient_GetAddressKey(&options->address);
     connection->fd = SkySocket_Connect(&options->address);
     SkyHttpReader_Init(&connection->reader, SKY_HTTP_RESPONSE, &EVENTS,
                        connection, RESPONSE_HEAD_MAX_BYTES);
@@ -626,6 +629,7 @@
     update_exchange(connection);
     connection->has_sent_bytes = false;
     connection->skips_response = false;
+    connection->is_stopped = false;
     connection->skipped_count = 0;
     connection->skipped_body_bytes = 0;
     connection->body_bytes = 0;
@@ -702,11 +706,18 @@
     return client_request->has_sent_bytes;
 }
 
+bool
+SkyClientRequest_NamesRequest(const sky_client_request_t *client_request)
+{
+    return client_request->exchange.echo == SKY_CLIENT_ECHO_OWN &&
+           client_request->echo_value[0] != '\0';
+}
+
 const char *
 SkyClientRequest_OutcomeName(sky_client_outcome_t outcome)
 {
     static const char *const NAMES[] = {"complete", "unsent", "broken",
-                                        "garbled"};
+                                        "garbled", "stopped"};
     return NAMES[outcome];
 }
 
@@ -765,7 +776,7 @@
     idle_pool_t *next;
     HASH_ITER(hh, client->pools, pool, next)
     {
-        if (address != NULL && pool->key != address_key(address)) {
+        if (address != NULL && pool->key != SkyClient_GetAddressKey(address)) {
             continue;
         }
         sky_client_request_t *connection;
--- a/tests/proc_promises.sh
+++ b/tests/proc_promises.sh
@@ -2,8 +2,8 @@
 # Checks with hosts as processes, raw-socket clients and a worker that keeps its
 # own count (tests/rig) that a request that must not repeat does not run when it
 # is answered with a promise, and that its work does not run twice. The worker
-# answers in every way of "promise_rig --kinds base"; hosts are paused, stopped,
-# killed, and one reaches no worker.
+# answers in every way that the rig has; hosts are paused, stopped, killed, and
+# one reaches no worker.
 # SEED: of the kinds of answers and the clients; KINDS: one run with these kinds
 #   alone; SECONDS_EACH: length of a run
 set -u
@@ -35,9 +35,9 @@
     check "in calm 99 of 100 requests are served" "$(sed -n \
         's/.*calm success share: \([0-9.]*\) .*/\1/p' "$DIR/calm/figures" |
         awk '{print ($1 >= 0.99 ? "so" : $1)}')" so
-    run_rig pauses base pause,cut 18
+    run_rig pauses all pause,cut 18
     check "a host paused, one without worker: no promise is broken" "$code" 0
-    run_rig restarts base pause,restart 14
+    run_rig restarts all pause,restart 14
     check "hosts stopped and killed: no promise is broken" "$code" 0
 fi
 [ "$failures" -eq 0 ]
