Listener: tests of rejected requests, requests sent ahead and trailers

A caller is told 'not run' by a rejection of the listener, so that the request must never reach the proxy, and nothing behind it on the connection either. No test covered this.

The tests send requests ahead, trailers, a request behind each rejection (400, 413 by length and in chunks, 431), the rest of a request that got 408, a request with Expect behind another one, and close the sending half.

--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -24,6 +24,9 @@
     sky_listener_t *listener = nullptr;
     sky_listener_stats_t stats = {};
     std::string response_body;
+    int handled_requests = 0;
+    bool responds_twice = false;
+    uint16_t chunked_status = 0; // of responses that are written in chunks
     std::vector<int> fds;
     std::string address = "127.0.0.1:" + std::to_string(FindFreePort());
 
@@ -42,12 +45,13 @@
     }
 
     void
-    Start(uint32_t max_connections, uint32_t idle_timeout_ms)
+    Start(uint32_t max_connections, uint32_t idle_timeout_ms,
+          uint32_t head_timeout_ms = 30000)
     {
         sky_listener_options_t options = {};
         options.loop = loop;
         options.address = address.c_str();
-        options.limits = {16384, 4194304, 30000, idle_timeout_ms};
+        options.limits = {16384, 4194304, head_timeout_ms, idle_timeout_ms};
         options.events.on_request = OnRequest;
         options.events.on_disconnect = OnDisconnect;
         options.context = this;
@@ -70,8 +74,18 @@
     OnRequest(void *context, sky_server_request_t *request)
     {
         auto *test = static_cast<ListenerTest *>(context);
+        test->handled_requests++;
+        if (test->chunked_status != 0) {
+            SkyServerRequest_BeginResponse(request, test->chunked_status, "",
+                                           SKY_FRAMING_CHUNKED, 0);
+            SkyServerRequest_EndResponse(request);
+            return;
+        }
         if (test->response_body.empty()) {
             SkyServerRequest_Respond(request, 200, "", "", 0);
+            if (test->responds_twice) {
+                SkyServerRequest_Respond(request, 503, "", "", 0);
+            }
             return;
         }
         // In progress until all is sent, like that of a target.
@@ -129,8 +143,22 @@
         ssize_t size = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
         return std::string(bytes, size > 0 ? (size_t)size : 0);
     }
+
+    static size_t
+    Count(const std::string &text, const std::string &part)
+    {
+        size_t count = 0;
+        for (size_t at = text.find(part); at != std::string::npos;
+             at = text.find(part, at + 1)) {
+            count++;
+        }
+        return count;
+    }
 };
 
+const char IN_CHUNKS[] = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                         "\r\n1\r\nx\r\n0\r\n\r\n";
+
 // Guards new callers against a crowd of slow bodies: they were shut out until
 // the idle timeout, since only idle connections were closed.
 TEST_F(ListenerTest, ASlowBodyIsClosedForANewCaller)
@@ -180,4 +208,132 @@
     EXPECT_EQ(1u, stats.slow_readers);
 }
 
+// Guards requests against being run after the connection's caller was told
+// that they were not: what follows a rejected request is never parsed.
+TEST_F(ListenerTest, WhatFollowsARejectedRequestIsNotHandled)
+{
+    Start(0, 15000);
+    const std::string next = IN_CHUNKS;
+    const std::string rejected[][2] = {
+        {"JUNK\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", "413"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "500000\r\n" +
+             std::string(0x500000, 'x') + "\r\n0\r\n\r\n",
+         "413"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nxJUNK\r\n0\r\n\r\n",
+         "400"},
+        {"GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n",
+         "431"},
+    };
+    for (const auto &[text, status] : rejected) {
+        handled_requests = 0;
+        int fd = Connect(IN_CHUNKS);
+        EXPECT_EQ("HTTP/1.1 200", Receive(fd).substr(0, 12));
+        std::string bytes = text + next;
+        for (size_t sent = 0; sent < bytes.size();) {
+            ssize_t size = send(fd, bytes.data() + sent, bytes.size() - sent,
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+            ASSERT_TRUE(size > 0 || errno == EAGAIN);
+            sent += size > 0 ? (size_t)size : 0;
+            RunFor(1);
+        }
+        std::string received;
+        for (int i = 0; i < 500 && received.empty(); i++) {
+            RunFor(20);
+            received = Receive(fd);
+        }
+        EXPECT_EQ("HTTP/1.1 " + status, received.substr(0, 12));
+        EXPECT_EQ(1u, Count(received, "HTTP/1.1"));
+        EXPECT_NE(std::string::npos, received.find("Connection: close"));
+        EXPECT_EQ(1, handled_requests);
+        RunFor(10);
+        send(fd, next.data(), next.size(), MSG_NOSIGNAL);
+        RunFor(50);
+        EXPECT_EQ("", Receive(fd));
+        EXPECT_EQ(1, handled_requests);
+    }
+}
+
+// Guards requests that are sent ahead: each is answered in its place, and none
+// behind a rejected one.
+TEST_F(ListenerTest, RequestsSentAheadAreAnsweredInOrder)
+{
+    Start(0, 15000);
+    int fd = Connect((std::string(IN_CHUNKS) + ORDINARY + "BAD\r\n\r\n" +
+                      IN_CHUNKS + ORDINARY)
+                         .c_str());
+    RunFor(50);
+    std::string received = Receive(fd);
+    EXPECT_EQ(2, handled_requests);
+    EXPECT_EQ(3u, Count(received, "HTTP/1.1"));
+    EXPECT_EQ(2u, Count(received, "HTTP/1.1 200"));
+    EXPECT_GT(received.find("HTTP/1.1 400"), received.rfind("HTTP/1.1 200"));
+}
+
+// Guards trailer fields, which end with the request, against being parsed as
+// the next one.
+TEST_F(ListenerTest, TrailerFieldsBelongToTheirRequest)
+{
+    Start(0, 15000);
+    int fd = Connect("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "1\r\nx\r\n0\r\nSum: 1\r\nOther: 2\r\n\r\n"
+                     "GET / HTTP/1.1\r\n\r\n");
+    RunFor(50);
+    std::string received = Receive(fd);
+    EXPECT_EQ(2, handled_requests);
+    EXPECT_EQ(2u, Count(received, "HTTP/1.1"));
+    EXPECT_EQ(2u, Count(received, "HTTP/1.1 200"));
+}
+
+// Guards a timeout of a request's body: the rest of the request, sent late, is
+// neither its end nor another request.
+TEST_F(ListenerTest, TheRestOfATimedOutRequestIsNotHandled)
+{
+    Start(0, 200, 200);
+    int fd = Connect("POST / HTTP/1.1\r\nContent-Length: 18\r\n\r\n");
+    RunFor(500);
+    EXPECT_EQ("HTTP/1.1 408", Receive(fd).substr(0, 12));
+    send(fd, ORDINARY, strlen(ORDINARY), MSG_NOSIGNAL);
+    send(fd, ORDINARY, strlen(ORDINARY), MSG_NOSIGNAL);
+    RunFor(100);
+    EXPECT_EQ("", Receive(fd));
+    EXPECT_EQ(0, handled_requests);
+}
+
+// Guards the order of responses: 100 (Continue) to a request that was sent
+// ahead must not come before the rest of the response to the one before.
+TEST_F(ListenerTest, ContinueWaitsForTheResponseBefore)
+{
+    Start(0, 15000);
+    int fd = Connect((std::string(ORDINARY) +
+                      "POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+                      "Content-Length: 1\r\n\r\n")
+                         .c_str());
+    RunFor(50);
+    std::string received = Receive(fd);
+    EXPECT_EQ(1, handled_requests);
+    EXPECT_EQ(0u, received.find("HTTP/1.1 200"));
+    EXPECT_EQ(received.rfind("HTTP/1.1 "), received.find("HTTP/1.1 100"));
+    send(fd, "x", 1, MSG_NOSIGNAL);
+    RunFor(50);
+    EXPECT_EQ(2, handled_requests);
+    EXPECT_EQ("HTTP/1.1 200", Receive(fd).substr(0, 12));
+}
+
+// Guards a caller that closes its sending half after a whole request: it is
+// told nothing about a request that may have run.
+TEST_F(ListenerTest, ACallerThatClosedItsSendingHalfGetsNoRejection)
+{
+    response_body = "x"; // in progress
+    Start(0, 15000);
+    int fd = Connect(IN_CHUNKS);
+    shutdown(fd, SHUT_WR);
+    RunFor(50);
+    EXPECT_EQ(1u, Count(Receive(fd), "HTTP/1.1"));
+    EXPECT_EQ(1, handled_requests);
+    EXPECT_FALSE(IsOpen(fd));
+}
+
 } // namespace
