Listener: a line end after a request gets no response

Cause: a line end between requests (some callers write one behind a body in chunks) made the connection count as reading a request. After the head timeout, or the idle timeout behind an earlier request, it got a 408 that answers no request: the caller takes it for the answer to its next one.

Change: until a request has begun, the connection stays idle, and line ends do not extend its idle timeout.

Measured: ListenerTest.ALineEndAfterARequestGetsNoResponse received 408 on both connections before (after a request in chunks, and without any request), and passes now. That request was never handed on, so the 408 was true, but not an answer.

--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -571,6 +571,7 @@
 parse_input(sky_server_request_t *connection)
 {
     bool is_idle = connection->state == STATE_IDLE;
+    uint64_t last_activity_ms = connection->last_activity_ms;
     if (SkyBuffer_Size(&connection->input) == 0 ||
         (!is_idle && connection->state != STATE_READING) ||
         (is_idle &&
@@ -590,6 +591,14 @@
         SkyBuffer_Size(&connection->input), &consumed);
     SkyBuffer_Consume(&connection->input, consumed);
     connection->request_bytes += consumed;
+    if (is_idle && progress == SKY_HTTP_INCOMPLETE &&
+        !connection->reader.in_message) {
+        /* Only line ends, which may follow a request (RFC 9112 section 2.2):
+         * no request has begun that could be rejected. */
+        set_state(connection, STATE_IDLE);
+        connection->last_activity_ms = last_activity_ms;
+        return;
+    }
     if (connection->reader.head_is_complete) {
         connection->last_activity_ms = SkyClock_NowMs();
     }
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -336,4 +336,22 @@
     EXPECT_FALSE(IsOpen(fd));
 }
 
+// Guards the caller's next request against a response that answers none: a
+// line end after a request counted as the begin of another one, which got a
+// 408.
+TEST_F(ListenerTest, ALineEndAfterARequestGetsNoResponse)
+{
+    Start(0, 400, 200);
+    int fd = Connect((std::string(IN_CHUNKS) + "\r\n").c_str());
+    int without_request = Connect("\r\n");
+    std::string received = Receive(fd);
+    EXPECT_EQ("HTTP/1.1 200", received.substr(0, 12));
+    EXPECT_EQ(1u, Count(received, "HTTP/1.1"));
+    RunFor(1200);
+    EXPECT_EQ("", Receive(fd));
+    EXPECT_EQ("", Receive(without_request));
+    EXPECT_FALSE(IsOpen(fd)); // idle
+    EXPECT_EQ(1, handled_requests);
+}
+
 } // namespace
