Listener: responses to HEAD, 204 and 304 end with their head

Cause: a response that a worker sent without a length is passed on in chunks. Without a body (HEAD, 204, 304) the empty last chunk was written all the same. A caller reads such a response to the end of its head, so that the chunk stayed on the kept connection, before the response to the caller's next request. 204 also had a Transfer-Encoding field, which RFC 9112 forbids.

Change: the listener notes whether a response has a body, and writes neither chunks nor bytes of one that has none.

--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -65,6 +65,7 @@
     uint16_t rejection_status; /**< status of a request that is rejected before
                                   it was read to its end, or 0 */
     bool response_has_begun;   /**< the response's head is in the output */
+    bool response_has_no_body; /**< it ends with its head */
     bool sending_is_shut_down; /**< waiting for the caller to close */
     bool is_counted_open;      /**< included in open_request_count */
     bool is_closed;            /**< freed when the running callback returns */
@@ -305,6 +306,9 @@
                      uint64_t length)
 {
     connection->framing = framing;
+    connection->response_has_no_body =
+        connection->reader.head.method == HTTP_HEAD || status == 204 ||
+        status == 304;
     sky_buffer_t *output = &connection->output;
     SkyBuffer_AppendFormat(output, "HTTP/1.1 %u %s\r\n%s", status,
                            reason_phrase(status), fields);
@@ -316,7 +320,9 @@
         }
         break;
     case SKY_FRAMING_CHUNKED:
-        SkyBuffer_AppendText(output, "Transfer-Encoding: chunked\r\n");
+        if (!connection->response_has_no_body) {
+            SkyBuffer_AppendText(output, "Transfer-Encoding: chunked\r\n");
+        }
         break;
     case SKY_FRAMING_UNTIL_CLOSE:
         break;
@@ -372,8 +378,7 @@
                          const char *fields, const void *body, size_t size)
 {
     append_response_head(request, status, fields, SKY_FRAMING_LENGTH, size);
-    bool omits_body = request->reader.head.method == HTTP_HEAD;
-    if (!omits_body) {
+    if (!request->response_has_no_body) {
         SkyBuffer_Append(&request->output, body, size);
     }
     finish_response(request);
@@ -391,7 +396,7 @@
 SkyServerRequest_WriteBody(sky_server_request_t *request, const void *bytes,
                            size_t size)
 {
-    if (size == 0) {
+    if (size == 0 || request->response_has_no_body) {
         return;
     }
     if (request->framing == SKY_FRAMING_CHUNKED) {
@@ -416,7 +421,8 @@
 void
 SkyServerRequest_EndResponse(sky_server_request_t *request)
 {
-    if (request->framing == SKY_FRAMING_CHUNKED) {
+    if (request->framing == SKY_FRAMING_CHUNKED &&
+        !request->response_has_no_body) {
         SkyBuffer_AppendText(&request->output, "0\r\n\r\n");
     }
     finish_response(request);
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -354,4 +354,20 @@
     EXPECT_EQ(1, handled_requests);
 }
 
+// Guards the next response on a connection: those without a body (to HEAD,
+// 204, 304) were ended with an empty chunk if the target had not stated a
+// length, and the caller took it for the begin of the response to its next
+// request.
+TEST_F(ListenerTest, AResponseWithoutABodyEndsWithItsHead)
+{
+    Start(0, 15000);
+    for (uint16_t status : {200, 204, 304}) {
+        chunked_status = status;
+        int fd = Connect(status == 200 ? "HEAD / HTTP/1.1\r\n\r\n" : ORDINARY);
+        std::string received = Receive(fd);
+        ASSERT_LT(received.find("\r\n\r\n"), received.size()) << status;
+        EXPECT_EQ(received.size(), received.find("\r\n\r\n") + 4) << received;
+    }
+}
+
 } // namespace
