Listener: a second response to a request is not sent

Cause: nothing kept a user of the listener from responding to a request twice. The second response went out on the kept connection, where the caller reads it as the answer to its next request. No place that does so is known; a promise of 'not run' must not rest on there being none.

Change: a response begins only for a request that is being served and has none yet. A second one is logged (second_response) and closes the connection, with a reset if the first one was not complete.

Measured: ListenerTest.ASecondResponseIsNotSent received both responses on an open connection before; now the first one, and the connection is closed. The case of a response within another one is new and was not run on the code before.

--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -373,10 +373,37 @@
     }
 }
 
+/* Returns whether a response may begin. A second one would be read as the
+ * response to the next request: the connection is closed instead. */
+static bool
+may_begin_response(sky_server_request_t *request, uint16_t status)
+{
+    if (request->state == STATE_SERVING && !request->response_has_begun) {
+        return true;
+    }
+    SkyLog_Write(LOG_ERR, "second_response", "port=%u status=%u requests=%u",
+                 request->listener->port, status, request->request_count);
+    if (request->state == STATE_SERVING) { /* within the first response */
+        request->is_given_up = true;
+        ev_feed_event(request->listener->options.loop, &request->read_watcher,
+                      EV_READ);
+    }
+    else if (request->state != STATE_CLOSING) {
+        set_state(request, STATE_CLOSING);
+        if (SkyBuffer_Size(&request->output) == 0) {
+            end_exchange(request);
+        }
+    }
+    return false;
+}
+
 void
 SkyServerRequest_Respond(sky_server_request_t *request, uint16_t status,
                          const char *fields, const void *body, size_t size)
 {
+    if (!may_begin_response(request, status)) {
+        return;
+    }
     append_response_head(request, status, fields, SKY_FRAMING_LENGTH, size);
     if (!request->response_has_no_body) {
         SkyBuffer_Append(&request->output, body, size);
@@ -389,6 +416,9 @@
                                const char *fields, sky_body_framing_t framing,
                                uint64_t length)
 {
+    if (!may_begin_response(request, status)) {
+        return;
+    }
     append_response_head(request, status, fields, framing, length);
 }
 
@@ -396,7 +426,8 @@
 SkyServerRequest_WriteBody(sky_server_request_t *request, const void *bytes,
                            size_t size)
 {
-    if (size == 0 || request->response_has_no_body) {
+    if (size == 0 || request->response_has_no_body ||
+        request->state != STATE_SERVING) {
         return;
     }
     if (request->framing == SKY_FRAMING_CHUNKED) {
@@ -421,6 +452,9 @@
 void
 SkyServerRequest_EndResponse(sky_server_request_t *request)
 {
+    if (request->state != STATE_SERVING) {
+        return;
+    }
     if (request->framing == SKY_FRAMING_CHUNKED &&
         !request->response_has_no_body) {
         SkyBuffer_AppendText(&request->output, "0\r\n\r\n");
@@ -484,6 +518,7 @@
 reject_request(sky_server_request_t *connection, uint16_t status)
 {
     connection->rejection_status = status;
+    connection->response_has_begun = false;
     set_state(connection, STATE_SERVING);
     SkyServerRequest_Respond(connection, status, "", "", 0);
 }
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -93,7 +93,8 @@
                                   void *user_data);
 void *SkyServerRequest_UserData(const sky_server_request_t *request);
 
-/** Sends a complete response and ends the request.
+/** Sends a complete response and ends the request. A second response to the
+ *  same request is not sent: the error is logged and the connection closed.
  *  @param fields header lines "Name: value\r\n" without those that frame the
  *         body; may be "". */
 void SkyServerRequest_Respond(sky_server_request_t *request, uint16_t status,
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -26,6 +26,7 @@
     std::string response_body;
     int handled_requests = 0;
     bool responds_twice = false;
+    bool begins_twice = false;
     uint16_t chunked_status = 0; // of responses that are written in chunks
     std::vector<int> fds;
     std::string address = "127.0.0.1:" + std::to_string(FindFreePort());
@@ -81,6 +82,12 @@
             SkyServerRequest_EndResponse(request);
             return;
         }
+        if (test->begins_twice) {
+            SkyServerRequest_BeginResponse(request, 200, "",
+                                           SKY_FRAMING_CHUNKED, 0);
+            SkyServerRequest_Respond(request, 503, "", "", 0);
+            return;
+        }
         if (test->response_body.empty()) {
             SkyServerRequest_Respond(request, 200, "", "", 0);
             if (test->responds_twice) {
@@ -370,4 +377,19 @@
     }
 }
 
+// Guards the next request on a connection: a second response to the one before
+// would be read as the answer to it.
+TEST_F(ListenerTest, ASecondResponseIsNotSent)
+{
+    Start(0, 15000);
+    responds_twice = true;
+    int fd = Connect(ORDINARY);
+    EXPECT_EQ(1u, Count(Receive(fd), "HTTP/1.1"));
+    EXPECT_FALSE(IsOpen(fd)); // the host no longer knows what it answers
+    begins_twice = true;
+    fd = Connect(ORDINARY);
+    EXPECT_EQ(std::string::npos, Receive(fd).find("503"));
+    EXPECT_FALSE(IsOpen(fd));
+}
+
 } // namespace
