Entry: no 'not run' after an attempt whose exchange broke

Cause: an idempotent request whose exchange with a target broke is sent again. Its result was that of the last attempt alone: a later refusal, an attempt that could not be sent, a refusal of the owner, the deadline or the want of a target ended it as 'not run', though the first attempt may have run.

Change: the entry notes that an exchange broke; from then on such an end is SKY_E_UNKNOWN, and releases no claim. The traffic thread names the reason of the last attempt in its place only if that reason promises nothing.

--- a/lib/decide/entry.c
+++ b/lib/decide/entry.c
@@ -34,6 +34,7 @@
     uint32_t target;              /**< that the permit in use is for */
     uint64_t target_epoch;        /**< when the permit was granted */
     bool dispatched;
+    bool may_have_run; /**< the exchange of an earlier attempt broke */
     uint64_t deadline_us;
     uint64_t requested_us; /**< last claim or permit request sent */
     UT_hash_handle hh;
@@ -201,13 +202,21 @@
              claim);
 }
 
-/** Finishes a request that is known not to have run; releases its claim. */
+/** Finishes a request whose current attempt did not run. If no earlier one may
+ *  have run either, releases its claim; else the result is unknown. */
 static void
 finish_not_run(sky_entry_t *entry, request_t *request, sky_result_t code,
                uint32_t retry_after_ms, sky_actions_t *out)
 {
     SKY_INVARIANT(SKY_INV_NO_DISPATCH_AFTER_NOT_RUN,
                   request->state != STATE_DISPATCHED);
+    if (request->may_have_run) {
+        sky_result_t unknown =
+            code == SKY_E_CANCELLED ? SKY_E_CANCELLED : SKY_E_UNKNOWN;
+        respond(entry, request->in.request, unknown, retry_after_ms, out);
+        remove_request(entry, request);
+        return;
+    }
     if (request->in.at_most_once && request->state != STATE_CLAIMING) {
         SkyClaims_Release(&request->in.key, request->in.request,
                           SkyMembers_NextNonce(entry->members), out);
@@ -670,6 +679,8 @@
     release_permit(owner, attempt_id(request), request->shard, request->target,
                    outcome->outcome, out);
     if (outcome->outcome == SKY_OUTCOME_BROKEN) {
+        request->may_have_run =
+            !(entry->options.disabled_mechanisms & SKY_DISABLE_UNKNOWN_RESULT);
         record_unconfirmed_crash(entry, request, now_us, out);
     }
     if (can_retry(entry, request, outcome, now_us)) {
--- a/lib/serve/caller_request.c
+++ b/lib/serve/caller_request.c
@@ -334,8 +334,11 @@
 {
     request->is_finished = true;
     request->retry_after_ms = response->retry_after_ms;
-    if (response->code == SKY_E_UNKNOWN && SkyResult_IsError(detail)) {
-        return detail; /* more specific than "unknown" */
+    /* More specific than SKY_E_UNKNOWN, unless it is that of a later attempt
+     * that did not run: an earlier one may have. */
+    if (response->code == SKY_E_UNKNOWN && SkyResult_IsError(detail) &&
+        strcmp(SkyResult_Outcome(detail), "unknown") == 0) {
+        return detail;
     }
     return response->code;
 }
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -85,6 +85,38 @@
         SkyEntry_HandleMessage(entry, &in, now_us, &out);
     }
 
+    /** @return the code of the only response. */
+    uint32_t
+    ResponseCode() const
+    {
+        EXPECT_EQ(CountActions(SKY_ACT_RESPOND), 1u);
+        for (size_t i = 0; i < out.count; i++) {
+            if (out.items[i].kind == SKY_ACT_RESPOND) {
+                return out.items[i].u.response.code;
+            }
+        }
+        return SKY_OK;
+    }
+
+    void
+    SendOutcome(sky_outcome_t kind, uint64_t now_us)
+    {
+        sky_in_outcome_t outcome = {0x100, kind, false};
+        SkyEntry_HandleOutcome(entry, &outcome, now_us, &out);
+    }
+
+    /** Grants the request's attempt of this number, from 0. */
+    void
+    GrantAttempt(uint32_t attempt)
+    {
+        sky_in_message_t in = {};
+        in.from = SkyName_Hash("host");
+        in.msg.kind = SKY_MSG_GRANT;
+        in.msg.u.grant.request = 0x100 + attempt;
+        in.msg.u.grant.fence = 1;
+        SkyEntry_HandleMessage(entry, &in, SECOND, &out);
+    }
+
     uint32_t
     CountActions(sky_action_kind_t kind) const
     {
@@ -166,4 +198,68 @@
     EXPECT_EQ(SkyEntry_Stats(entry)->not_run, 1u);
 }
 
+/** Ends of a request after an attempt whose exchange broke: it may have run,
+ *  whatever becomes of the attempts after it. */
+class EntryAfterABrokenAttemptTest : public EntryTest {
+  protected:
+    void
+    SetUp() override
+    {
+        EntryTest::SetUp();
+        SendRequest(false, 5000);
+        GrantAttempt(0);
+        SendOutcome(SKY_OUTCOME_BROKEN, SECOND);
+        ASSERT_EQ(CountActions(SKY_ACT_RESPOND), 0u); /* a second attempt */
+    }
+
+    void
+    TearDown() override
+    {
+        EXPECT_EQ(ResponseCode(), (uint32_t)SKY_E_UNKNOWN);
+        EXPECT_EQ(SkyEntry_Stats(entry)->not_run, 0u);
+        EXPECT_EQ(SkyEntry_Stats(entry)->unknown, 1u);
+        EXPECT_EQ(SkyEntry_OpenCount(entry), 0u);
+        EntryTest::TearDown();
+    }
+};
+
+// These guard callers against a false 'not run' and a second run: the result
+// was that of the last attempt alone.
+TEST_F(EntryAfterABrokenAttemptTest, ARefusalOfTheTargetIsNoPromise)
+{
+    GrantAttempt(1);
+    SendOutcome(SKY_OUTCOME_REFUSED, SECOND);
+    GrantAttempt(2);
+    SendOutcome(SKY_OUTCOME_REFUSED, SECOND);
+}
+
+TEST_F(EntryAfterABrokenAttemptTest, AnUnsentAttemptIsNoPromise)
+{
+    GrantAttempt(1);
+    SendOutcome(SKY_OUTCOME_NOT_SENT, SECOND);
+    GrantAttempt(2);
+    SendOutcome(SKY_OUTCOME_NOT_SENT, SECOND);
+}
+
+TEST_F(EntryAfterABrokenAttemptTest, ARefusalOfTheOwnerIsNoPromise)
+{
+    sky_in_message_t in = {};
+    in.from = SkyName_Hash("host");
+    in.msg.kind = SKY_MSG_REFUSE;
+    in.msg.u.refuse.request = 0x101;
+    in.msg.u.refuse.code = SKY_E_OVERLOADED;
+    SkyEntry_HandleMessage(entry, &in, SECOND, &out);
+}
+
+TEST_F(EntryAfterABrokenAttemptTest, TheDeadlineIsNoPromise)
+{
+    SkyEntry_Tick(entry, 10 * SECOND, &out);
+}
+
+TEST_F(EntryAfterABrokenAttemptTest, ALeavingTargetIsNoPromise)
+{
+    SkyEntry_SetTargetLeaving(entry, 0, true);
+    SkyEntry_Tick(entry, 2 * SECOND, &out);
+}
+
 } // namespace
