--- a/bench/driver.c
+++ b/bench/driver.c
@@ -306,8 +306,7 @@
     DriverState_Trace(driver, "response %lx at host%u: %s", response->request,
                       result->host, SkyResult_Symbol(response->code));
     if (SkyResult_Outcome(response->code)[0] == 'n') { /* not_run */
-        driver->breaches.run_after_not_run +=
-            result->runs > 0 && result->request.at_most_once;
+        driver->breaches.run_after_not_run += result->runs > 0;
         bool late =
             driver->now_us > deadline_us + RESPONSE_SLACK_US &&
             driver->hosts[result->host].paused_until_us + RESPONSE_SLACK_US <
