Target exchange: a refusal of another request is no refusal of this one

Cause: 404, 409, 412, 429 and 503 of an engine counted as 'not run' by their status alone, also if they named another request in X-Request-Id. The key of a request that must not repeat is released on 'not run', so that it may run twice. For any other status a mismatch was found already.

Change: such a refusal breaks the exchange with SKY_E_MISMATCH.

Measured, with a stand-in that answers one request: before, all five statuses with another id gave REFUSED; now BROKEN.

--- a/lib/serve/target_exchange.c
+++ b/lib/serve/target_exchange.c
@@ -251,7 +251,8 @@
 
 /* ---- outcome ---- */
 
-/** An engine sends these statuses only before it runs a request. */
+/** An engine sends these statuses only before it runs a request;
+ * check_refusal() checks that it is this one. */
 static bool
 status_proves_not_run(const sky_target_exchange_t *exchange)
 {
@@ -270,6 +271,22 @@
     }
 }
 
+/** A refusal counts only if it names this request: another one may come from
+ *  something between host and engine, and tells nothing of a run. */
+static sky_outcome_t
+check_refusal(const sky_target_exchange_t *exchange, sky_result_t *detail)
+{
+    const char *echoed_id =
+        ne_get_response_header(exchange->request, "X-Request-Id");
+    if (echoed_id != NULL &&
+        strcmp(echoed_id, exchange->options.request_id) != 0) {
+        *detail = SKY_E_MISMATCH;
+        return SKY_OUTCOME_BROKEN;
+    }
+    *detail = SKY_E_REFUSED;
+    return SKY_OUTCOME_REFUSED;
+}
+
 static void
 read_response_head(sky_target_exchange_t *exchange)
 {
@@ -296,8 +313,7 @@
     }
     read_response_head(exchange);
     if (status_proves_not_run(exchange)) {
-        *detail = SKY_E_REFUSED;
-        return SKY_OUTCOME_REFUSED;
+        return check_refusal(exchange, detail);
     }
     *detail = exchange->is_stream ? read_until_event(exchange)
                                   : read_full_response(exchange);
--- /dev/null
+++ b/tests/test_target_exchange.cc
@@ -0,0 +1,213 @@
+// One exchange of `serve` with a target, against a stand-in that receives a
+// request, writes the bytes that the test chose, and closes the connection.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <string>
+#include <thread>
+
+#include "core/clock.h"
+#include "platform/http_call.h"
+#include "serve/target_exchange.h"
+
+namespace {
+
+const char BODY_END[] = "\r\n\r\n";
+
+/** Serves one connection. */
+class StandIn {
+  public:
+    /** @param response written after a whole request; "": closes without one
+     */
+    explicit StandIn(const std::string &response) : response_(response)
+    {
+        struct sockaddr_in any = {};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof any;
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(0, bind(listener_, (sockaddr *)&any, size));
+        EXPECT_EQ(0, listen(listener_, 1));
+        getsockname(listener_, (sockaddr *)&any, &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+        thread_ = std::thread(&StandIn::Serve, this);
+    }
+
+    ~StandIn()
+    {
+        Join();
+        close(listener_);
+    }
+
+    /** @return whether a whole request was received. */
+    bool
+    HasRun()
+    {
+        Join();
+        return has_run_;
+    }
+
+    std::string address;
+
+  private:
+    void
+    Join()
+    {
+        if (thread_.joinable()) {
+            shutdown(listener_, SHUT_RDWR); // ends a wait for a connection
+            thread_.join();
+        }
+    }
+
+    bool
+    IsWhole() const
+    {
+        size_t head = received_.find(BODY_END);
+        size_t length = received_.find("Content-Length: ");
+        size_t body =
+            length < head ? strtoul(&received_[length + 16], nullptr, 10) : 0;
+        return head != std::string::npos &&
+               received_.size() >= head + 4 + body;
+    }
+
+    void
+    Serve()
+    {
+        int fd = accept(listener_, nullptr, nullptr);
+        char bytes[4096];
+        ssize_t size = 1;
+        while (fd >= 0 && !IsWhole() && size > 0) {
+            size = recv(fd, bytes, sizeof bytes, 0);
+            received_.append(bytes, size > 0 ? (size_t)size : 0);
+        }
+        has_run_ = IsWhole();
+        if (has_run_ && !response_.empty()) {
+            send(fd, response_.data(), response_.size(), MSG_NOSIGNAL);
+        }
+        close(fd);
+    }
+
+    std::string response_;
+    std::string received_;
+    bool has_run_ = false;
+    int listener_;
+    std::thread thread_;
+};
+
+std::string
+MakeResponse(const std::string &status, const std::string &fields,
+             const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields +
+           "Connection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** A request with the id "ours". */
+class TargetExchangeTest : public ::testing::Test {
+  protected:
+    sky_target_exchange_options_t options = {};
+    sky_result_t detail = SKY_OK;
+
+    void
+    SetUp() override
+    {
+        ASSERT_EQ(SKY_OK, SkyHttpCall_InitLibrary());
+        options.method = "POST";
+        options.path = "/v1/completions";
+        options.body = "{}";
+        options.content_type = "application/json";
+        options.model = "notes@3";
+        strcpy(options.request_id, "ours");
+        options.expires_us = UINT64_MAX;
+        options.timeout_ms = 5000;
+    }
+
+    sky_outcome_t
+    Open(const std::string &address)
+    {
+        sky_target_exchange_t *exchange = nullptr;
+        options.address = address.c_str();
+        sky_outcome_t outcome =
+            SkyTargetExchange_Open(&options, &exchange, &detail);
+        SkyTargetExchange_Close(exchange);
+        return outcome;
+    }
+};
+
+const char *const REFUSALS[] = {
+    "404 Not Found", "409 Conflict", "412 Precondition Failed",
+    "429 Too Many Requests", "503 Service Unavailable"};
+
+TEST_F(TargetExchangeTest, ARefusalWithTheIdOfTheRequestCounts)
+{
+    for (const char *status : REFUSALS) {
+        StandIn engine(
+            MakeResponse(status, "X-Request-Id: ours\r\n", "not run\n"));
+        EXPECT_EQ(SKY_OUTCOME_REFUSED, Open(engine.address)) << status;
+        EXPECT_EQ(SKY_E_REFUSED, detail);
+    }
+}
+
+// Guards callers against a false 'not run', and a key that is released for a
+// second run: a refusal counted whichever request it named.
+TEST_F(TargetExchangeTest, ARefusalOfAnotherRequestIsNoPromise)
+{
+    for (const char *status : REFUSALS) {
+        StandIn engine(
+            MakeResponse(status, "X-Request-Id: other\r\n", "not run\n"));
+        EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(engine.address)) << status;
+        EXPECT_EQ(SKY_E_MISMATCH, detail);
+    }
+}
+
+// Guards callers of plain services: their statuses say nothing of a run.
+TEST_F(TargetExchangeTest, AStatusOfAPlainServiceIsItsAnswer)
+{
+    options.model = nullptr;
+    for (const char *status : REFUSALS) {
+        StandIn service(
+            MakeResponse(status, "X-Request-Id: ours\r\n", "no\n"));
+        EXPECT_EQ(SKY_OUTCOME_COMPLETED, Open(service.address)) << status;
+    }
+}
+
+TEST_F(TargetExchangeTest, ARequestWithoutAnAnswerMayHaveRun)
+{
+    StandIn engine("");
+    EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(engine.address));
+    EXPECT_TRUE(engine.HasRun());
+    options.method = "GET";
+    options.body = nullptr;
+    StandIn other("");
+    EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(other.address));
+    EXPECT_TRUE(other.HasRun());
+}
+
+// Guards 'not sent' after a permit that expired: the target must not have a
+// whole request.
+TEST_F(TargetExchangeTest, ARequestWhosePermitExpiredDoesNotRun)
+{
+    options.expires_us = 1;
+    StandIn engine(MakeResponse("200 OK", "", "{}"));
+    EXPECT_EQ(SKY_OUTCOME_NOT_SENT, Open(engine.address));
+    EXPECT_EQ(SKY_E_LEASE, detail);
+    EXPECT_FALSE(engine.HasRun());
+}
+
+TEST_F(TargetExchangeTest, ARequestThatReachesNoTargetIsNotSent)
+{
+    std::string address;
+    {
+        StandIn engine("");
+        address = engine.address;
+    }
+    EXPECT_EQ(SKY_OUTCOME_NOT_SENT, Open(address));
+}
+
+} // namespace
