Target exchange: a request with an empty body may have run

Cause: an exchange that broke before its body was asked for counted as not sent, since the body is withheld until the permit has been checked. neon never asks for a body without bytes, so that a request to a service with one (of which the first byte is NUL) was sent whole and yet counted as not sent: 'not run', and the key released.

Change: a body without bytes counts like none.

Measured, with a stand-in that reads a whole request and closes: NOT_SENT before, BROKEN now.

--- a/lib/serve/target_exchange.c
+++ b/lib/serve/target_exchange.c
@@ -306,7 +306,7 @@
     if (begin_status != NE_OK) {
         bool may_have_run =
             exchange->body_started ||
-            (exchange->options.body == NULL && begin_status != NE_CONNECT &&
+            (exchange->body_bytes == 0 && begin_status != NE_CONNECT &&
              begin_status != NE_LOOKUP);
         *detail = exchange->permit_expired ? SKY_E_LEASE : SKY_E_UNKNOWN;
         return may_have_run ? SKY_OUTCOME_BROKEN : SKY_OUTCOME_NOT_SENT;
--- a/tests/test_target_exchange.cc
+++ b/tests/test_target_exchange.cc
@@ -210,4 +210,15 @@
     EXPECT_EQ(SKY_OUTCOME_NOT_SENT, Open(address));
 }
 
+// Guards callers of services against a false 'not run': an empty body is never
+// asked for, and the request counted as not sent although it was.
+TEST_F(TargetExchangeTest, ARequestWithAnEmptyBodyMayHaveRun)
+{
+    options.model = nullptr;
+    options.body = "";
+    StandIn service("");
+    EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(service.address));
+    EXPECT_TRUE(service.HasRun());
+}
+
 } // namespace
