Platform: a server error to an order leaves its result unknown

Cause: every status but 200 and 412 of an engine counted as 'not done', also a 500, 503 or 504 that may come after the load or unload was carried out. The slot then counted as free, or the load as failed, on what the status looks like.

Change: only 4xx (without 408) says that nothing was done. All else leaves the slot unknown until the engine's next report, as an order without a response does.

Measured, with a stand-in that answers one order: 202, 408, 500, 502, 503 and 504 gave FAILED before and UNKNOWN now; 400, 404, 409 and 412 are as before.

--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -11,6 +11,8 @@
 #define PATH_BYTES 128
 #define CONNECT_TIMEOUT_MS 1000
 #define STATUS_OK 200
+#define STATUS_CLIENT_ERROR 400
+#define STATUS_REQUEST_TIMEOUT 408
 #define STATUS_FENCED 412
 #define STATUS_SERVER_ERROR 500
 #define US_PER_MS 1000
@@ -243,8 +245,15 @@
     if (status == STATUS_OK) {
         return SKY_ORDER_RESULT_DONE;
     }
-    return status == STATUS_FENCED ? SKY_ORDER_RESULT_FENCED
-                                   : SKY_ORDER_RESULT_FAILED;
+    if (status == STATUS_FENCED) {
+        return SKY_ORDER_RESULT_FENCED;
+    }
+    /* Only these say that nothing was done. A server error may come after the
+     * order was carried out, or from something between host and engine. */
+    bool is_rejected = status >= STATUS_CLIENT_ERROR &&
+                       status < STATUS_SERVER_ERROR &&
+                       status != STATUS_REQUEST_TIMEOUT;
+    return is_rejected ? SKY_ORDER_RESULT_FAILED : SKY_ORDER_RESULT_UNKNOWN;
 }
 
 sky_order_result_t
--- a/tests/test_target_exchange.cc
+++ b/tests/test_target_exchange.cc
@@ -13,6 +13,7 @@
 
 #include "core/clock.h"
 #include "platform/http_call.h"
+#include "platform/platform.h"
 #include "serve/target_exchange.h"
 
 namespace {
@@ -221,4 +222,39 @@
     EXPECT_TRUE(service.HasRun());
 }
 
+// Guards an engine's slots: after an answer that does not tell whether an
+// order was carried out, its slot counted as free.
+TEST(PlatformOrderTest, AServerErrorLeavesTheResultUnknown)
+{
+    ASSERT_EQ(SKY_OK, SkyHttpCall_InitLibrary());
+    const struct {
+        const char *status;
+        sky_order_result_t result;
+    } cases[] = {
+        {"200 OK", SKY_ORDER_RESULT_DONE},
+        {"400 Bad Request", SKY_ORDER_RESULT_FAILED},
+        {"404 Not Found", SKY_ORDER_RESULT_FAILED},
+        {"409 Conflict", SKY_ORDER_RESULT_FAILED},
+        {"412 Precondition Failed", SKY_ORDER_RESULT_FENCED},
+        {"202 Accepted", SKY_ORDER_RESULT_UNKNOWN},
+        {"408 Request Timeout", SKY_ORDER_RESULT_UNKNOWN},
+        {"500 Internal Server Error", SKY_ORDER_RESULT_UNKNOWN},
+        {"502 Bad Gateway", SKY_ORDER_RESULT_UNKNOWN},
+        {"503 Service Unavailable", SKY_ORDER_RESULT_UNKNOWN},
+        {"504 Gateway Timeout", SKY_ORDER_RESULT_UNKNOWN},
+    };
+    for (const auto &item : cases) {
+        StandIn engine(MakeResponse(item.status, "", "text"));
+        sky_target_info_t target = {};
+        snprintf(target.address, sizeof target.address, "%s",
+                 engine.address.c_str());
+        sky_order_t order = {};
+        order.kind = SKY_ORDER_LOAD;
+        order.expires_us = UINT64_MAX;
+        EXPECT_EQ(item.result, SkyPlatform_SendOrder(&target, &order,
+                                                     "notes@3", "store", 5000))
+            << item.status;
+    }
+}
+
 } // namespace
