Target exchange: a refusal of an engine must name the request

Cause: 404, 409, 412, 429 and 503 without X-Request-Id counted as 'not run' of an engine, though an engine names the request in every response: such a status comes from something else, or from an engine that lost track of the request.

Change: without the id the exchange counts as broken, with SKY_E_UNKNOWN.

Measured, with a stand-in that answers one request: REFUSED for all five statuses before, BROKEN now. The refusals of the fake engine have the id.

--- a/lib/serve/target_exchange.c
+++ b/lib/serve/target_exchange.c
@@ -271,15 +271,19 @@
     }
 }
 
-/** A refusal counts only if it names this request: another one may come from
- *  something between host and engine, and tells nothing of a run. */
+/** A refusal counts only if it names this request, as every response of an
+ *  engine does: another one may come from something between host and engine,
+ *  and tells nothing of a run. */
 static sky_outcome_t
 check_refusal(const sky_target_exchange_t *exchange, sky_result_t *detail)
 {
     const char *echoed_id =
         ne_get_response_header(exchange->request, "X-Request-Id");
-    if (echoed_id != NULL &&
-        strcmp(echoed_id, exchange->options.request_id) != 0) {
+    if (echoed_id == NULL) {
+        *detail = SKY_E_UNKNOWN;
+        return SKY_OUTCOME_BROKEN;
+    }
+    if (strcmp(echoed_id, exchange->options.request_id) != 0) {
         *detail = SKY_E_MISMATCH;
         return SKY_OUTCOME_BROKEN;
     }
--- a/tests/test_target_exchange.cc
+++ b/tests/test_target_exchange.cc
@@ -167,6 +167,17 @@
     }
 }
 
+// Guards the same against a status that is not the engine's: engines name the
+// request in every response.
+TEST_F(TargetExchangeTest, ARefusalThatNamesNoRequestIsNoPromise)
+{
+    for (const char *status : REFUSALS) {
+        StandIn engine(MakeResponse(status, "", "busy\n"));
+        EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(engine.address)) << status;
+        EXPECT_EQ(SKY_E_UNKNOWN, detail);
+    }
+}
+
 // Guards callers of plain services: their statuses say nothing of a run.
 TEST_F(TargetExchangeTest, AStatusOfAPlainServiceIsItsAnswer)
 {
