Listener: test that a request which was handed on is not rejected

No test said that the listener's own 408 and 400 are only for requests that the proxy has not seen. The test leaves five requests without a response for several timeouts, with a line end, junk, a part of a request or a request that is too large behind them: nothing is sent.

--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -27,6 +27,7 @@
     int handled_requests = 0;
     bool responds_twice = false;
     bool begins_twice = false;
+    bool never_responds = false;
     uint16_t chunked_status = 0; // of responses that are written in chunks
     std::vector<int> fds;
     std::string address = "127.0.0.1:" + std::to_string(FindFreePort());
@@ -76,6 +77,9 @@
     {
         auto *test = static_cast<ListenerTest *>(context);
         test->handled_requests++;
+        if (test->never_responds) {
+            return;
+        }
         if (test->chunked_status != 0) {
             SkyServerRequest_BeginResponse(request, test->chunked_status, "",
                                            SKY_FRAMING_CHUNKED, 0);
@@ -309,6 +313,25 @@
     EXPECT_EQ(0, handled_requests);
 }
 
+// Guards a request that was handed on, and may run: neither its own time nor
+// what follows it on the connection gets it a rejection.
+TEST_F(ListenerTest, ARequestThatWasHandedOnIsNotRejected)
+{
+    Start(0, 200, 200);
+    never_responds = true;
+    const std::string rest[] = {"", "\r\n", "JUNK\r\n\r\n",
+                                "POST / HTTP/1.1\r\nContent-Length: 9",
+                                "POST / HTTP/1.1\r\nContent-Length: "
+                                "9999999\r\n\r\n"};
+    for (const std::string &bytes : rest) {
+        int fd = Connect((IN_CHUNKS + bytes).c_str());
+        RunFor(700);
+        EXPECT_EQ("", Receive(fd)) << bytes;
+        EXPECT_TRUE(IsOpen(fd)) << bytes;
+    }
+    EXPECT_EQ(5, handled_requests);
+}
+
 // Guards the order of responses: 100 (Continue) to a request that was sent
 // ahead must not come before the rest of the response to the one before.
 TEST_F(ListenerTest, ContinueWaitsForTheResponseBefore)
