Caller request: an idempotency key from the future is refused

Cause: a key is accepted until key_life_ms after its issue time, and its claim is kept for the log's retention, at least twice as long. The issue time is the caller's word: a key issued far in the future (a wrong clock, or a made-up number) counted as new for as long, so that a repeat after the retention time would have found no claim and run again. Numbers beyond 64 bits of milliseconds wrapped around.

Change: SKY_E_BAD_REQUEST if the issue time is more than half of key_life_ms ahead, or cannot be told in milliseconds. The other half is left for differences between the clocks of hosts.

The repeat after the retention time itself was not played.

--- a/lib/serve/caller_request.c
+++ b/lib/serve/caller_request.c
@@ -136,11 +136,20 @@
     }
     unsigned long long issued_s = strtoull(text, &end, 10);
     if (end == text || *end != '.' || end[1] == '\0' ||
-        strlen(text) > IDEMPOTENCY_KEY_BYTES_MAX) {
+        strlen(text) > IDEMPOTENCY_KEY_BYTES_MAX ||
+        issued_s > UINT64_MAX / MS_PER_S) {
         return SKY_E_BAD_REQUEST;
     }
     uint64_t now_ms = SkyClock_WallMs();
     uint64_t issued_ms = issued_s * MS_PER_S;
+    /* A key is accepted until key_life_ms after its issue, and its claim is
+     * kept for at least twice as long. One of the future, beyond differences
+     * of clocks, would be accepted when its claim is gone. */
+    if (issued_ms > now_ms &&
+        issued_ms - now_ms >
+            SkyControl_Settings(request->control)->key_life_ms / 2) {
+        return SKY_E_BAD_REQUEST;
+    }
     request->node_request.at_most_once = true;
     request->node_request.key_age_ms =
         now_ms > issued_ms ? now_ms - issued_ms : 0;
--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -157,12 +157,21 @@
     SKY_E_CLAIMED
 check "expired key" "$(result_code "$(send_booking 1 "1000000.old" slot-3)")" \
     SKY_E_KEY_EXPIRED
+# A key is remembered for a time after its first request. One that was issued
+# far in the future would still be accepted afterwards, and run again.
+for ahead_s in 86400 99999999999999999; do
+    check "key issued $ahead_s s in the future" "$(result_code \
+        "$(send_booking 1 "$(($(date +%s) + ahead_s)).early" slot-4)")" \
+        SKY_E_BAD_REQUEST
+done
+check "key issued a minute in the future" "$(result_code \
+    "$(send_booking 1 "$(($(date +%s) + 60)).early" slot-5)")" SKY_OK
 check "missing key" "$(result_code "$(curl -sS -m 9 -H "$auth" -d x \
     "http://$(host_address 1)/svc/ledger/book")")" SKY_E_KEY_REQUIRED
 check "runs of slot-1 at the service" "$(fake_stat 20 slot-1)" 1
 check "runs of slot-2 at the service" "$(fake_stat 20 slot-2)" 1
 check "different bodies that reached the service" "$(curl -sS -m 5 \
-    "http://127.0.0.1:$((BASE + 20))/stats" | grep -o '":' | wc -l)" 2
+    "http://127.0.0.1:$((BASE + 20))/stats" | grep -o '":' | wc -l)" 3
 
 # A response that carries another request's id or is truncated is never passed
 # on as a success.
