--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -182,7 +182,18 @@
 for n in 1 2 3; do set_fake_fault $n '{"cross": 0, "truncate": 9}'; done
 response=$(request_completion 1 notes1 "truncated")
 check "truncated response" "$(result_code "$response")" SKY_E_TRUNCATED
-for n in 1 2 3; do set_fake_fault $n '{"truncate": 0}'; done
+# A request whose first answer was cut short may have run, although the engines
+# refuse it when it is sent again.
+for n in 1 2 3; do set_fake_fault $n '{"truncate": 9, "late_ms": 2000}'; done
+request_completion 1 notes1 "cut, then refused" >"$DIR/cut" &
+cut_pid=$!
+sleep 1
+for n in 1 2 3; do set_fake_fault $n '{"refuse": 9, "late_ms": 0}'; done
+wait $cut_pid
+check "a refusal after a truncated response is no promise" \
+    "$(result_code "$(cat "$DIR/cut")") $(json_field outcome <"$DIR/cut")" \
+    "SKY_E_UNKNOWN unknown"
+for n in 1 2 3; do set_fake_fault $n '{"truncate": 0, "refuse": 0}'; done
 sleep 1
 
 # A request that crashes its engine is quarantined after two engines at most.
