--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -70,6 +70,7 @@
     uint16_t rejection_status; /**< status of a request that is rejected before
                                   it was read to its end, or 0 */
     bool response_has_begun;   /**< the response's head is in the output */
+    bool response_has_no_body; /**< it ends with its head */
     bool sending_is_shut_down; /**< waiting for the caller to close */
     bool is_counted_open;      /**< included in open_request_count */
     bool is_closed;            /**< freed when the running callback returns */
@@ -313,6 +314,9 @@
                      uint64_t length)
 {
     connection->framing = framing;
+    connection->response_has_no_body =
+        connection->reader.head.method == HTTP_HEAD || status == 204 ||
+        status == 304;
     sky_buffer_t *output = &connection->output;
     SkyBuffer_AppendFormat(output, "HTTP/1.1 %u %s\r\n%s", status,
                            reason_phrase(status), fields);
@@ -324,7 +328,9 @@
         }
         break;
     case SKY_FRAMING_CHUNKED:
-        SkyBuffer_AppendText(output, "Transfer-Encoding: chunked\r\n");
+        if (!connection->response_has_no_body) {
+            SkyBuffer_AppendText(output, "Transfer-Encoding: chunked\r\n");
+        }
         break;
     case SKY_FRAMING_UNTIL_CLOSE:
         break;
@@ -375,13 +381,39 @@
     }
 }
 
+/* Returns whether a response may begin. A second one would be read as the
+ * response to the next request: the connection is closed instead. */
+static bool
+may_begin_response(sky_server_request_t *request, uint16_t status)
+{
+    if (request->state == STATE_SERVING && !request->response_has_begun) {
+        return true;
+    }
+    SkyLog_Write(LOG_ERR, "second_response", "port=%u status=%u requests=%u",
+                 request->listener->port, status, request->request_count);
+    if (request->state == STATE_SERVING) { /* within the first response */
+        request->is_given_up = true;
+        ev_feed_event(request->listener->options.loop, &request->read_watcher,
+                      EV_READ);
+    }
+    else if (request->state != STATE_CLOSING) {
+        set_state(request, STATE_CLOSING);
+        if (SkyBuffer_Size(&request->output) == 0) {
+            end_exchange(request);
+        }
+    }
+    return false;
+}
+
 void
 SkyServerRequest_Respond(sky_server_request_t *request, uint16_t status,
                          const char *fields, const void *body, size_t size)
 {
+    if (!may_begin_response(request, status)) {
+        return;
+    }
     append_response_head(request, status, fields, SKY_FRAMING_LENGTH, size);
-    bool omits_body = request->reader.head.method == HTTP_HEAD;
-    if (!omits_body) {
+    if (!request->response_has_no_body) {
         SkyBuffer_Append(&request->output, body, size);
     }
     finish_response(request);
@@ -392,6 +424,9 @@
                                const char *fields, sky_body_framing_t framing,
                                uint64_t length)
 {
+    if (!may_begin_response(request, status)) {
+        return;
+    }
     append_response_head(request, status, fields, framing, length);
 }
 
@@ -399,7 +434,8 @@
 SkyServerRequest_WriteBody(sky_server_request_t *request, const void *bytes,
                            size_t size)
 {
-    if (size == 0) {
+    if (size == 0 || request->response_has_no_body ||
+        request->state != STATE_SERVING) {
         return;
     }
     if (request->framing == SKY_FRAMING_CHUNKED) {
@@ -424,7 +460,11 @@
 void
 SkyServerRequest_EndResponse(sky_server_request_t *request)
 {
-    if (request->framing == SKY_FRAMING_CHUNKED) {
+    if (request->state != STATE_SERVING) {
+        return;
+    }
+    if (request->framing == SKY_FRAMING_CHUNKED &&
+        !request->response_has_no_body) {
         SkyBuffer_AppendText(&request->output, "0\r\n\r\n");
     }
     finish_response(request);
@@ -530,6 +570,7 @@
 {
     log_rejection(connection, status, reason);
     connection->rejection_status = status;
+    connection->response_has_begun = false;
     set_state(connection, STATE_SERVING);
     SkyServerRequest_Respond(connection, status, "", "", 0);
 }
@@ -638,6 +679,7 @@
 parse_input(sky_server_request_t *connection)
 {
     bool is_idle = connection->state == STATE_IDLE;
+    uint64_t last_activity_ms = connection->last_activity_ms;
     if (SkyBuffer_Size(&connection->input) == 0 ||
         (!is_idle && connection->state != STATE_READING) ||
         (is_idle &&
@@ -657,6 +699,14 @@
         SkyBuffer_Size(&connection->input), &consumed);
     SkyBuffer_Consume(&connection->input, consumed);
     connection->request_bytes += consumed;
+    if (is_idle && progress == SKY_HTTP_INCOMPLETE &&
+        !connection->reader.in_message) {
+        /* Only line ends, which may follow a request (RFC 9112 section 2.2):
+         * no request has begun that could be rejected. */
+        set_state(connection, STATE_IDLE);
+        connection->last_activity_ms = last_activity_ms;
+        return;
+    }
     if (connection->reader.head_is_complete) {
         connection->last_activity_ms = SkyClock_NowMs();
     }
--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -157,12 +157,21 @@
     SKY_E_CLAIMED
 check "expired key" "$(result_code "$(send_booking 1 "1000000.old" slot-3)")" \
     SKY_E_KEY_EXPIRED
+# A key is remembered for a time after its first request. One that was issued
+# far in the future would still be accepted afterwards, and run again.
+for ahead_s in 86400 99999999999999999; do
+    check "key issued $ahead_s s in the future" "$(result_code \
+        "$(send_booking 1 "$(($(date +%s) + ahead_s)).early" slot-4)")" \
+        SKY_E_BAD_REQUEST
+done
+check "key issued a minute in the future" "$(result_code \
+    "$(send_booking 1 "$(($(date +%s) + 60)).early" slot-5)")" SKY_OK
 check "missing key" "$(result_code "$(curl -sS -m 9 -H "$auth" -d x \
     "http://$(host_address 1)/svc/ledger/book")")" SKY_E_KEY_REQUIRED
 check "runs of slot-1 at the service" "$(fake_stat 20 slot-1)" 1
 check "runs of slot-2 at the service" "$(fake_stat 20 slot-2)" 1
 check "different bodies that reached the service" "$(curl -sS -m 5 \
-    "http://127.0.0.1:$((BASE + 20))/stats" | grep -o '":' | wc -l)" 2
+    "http://127.0.0.1:$((BASE + 20))/stats" | grep -o '":' | wc -l)" 3
 
 # A response that carries another request's id or is truncated is never passed
 # on as a success.
@@ -173,7 +182,18 @@
 for n in 1 2 3; do set_fake_fault $n '{"cross": 0, "truncate": 9}'; done
 response=$(request_completion 1 notes1 "truncated")
 check "truncated response" "$(result_code "$response")" SKY_E_TRUNCATED
-for n in 1 2 3; do set_fake_fault $n '{"truncate": 0}'; done
+# A request whose first answer was cut short may have run, although the engines
+# refuse it when it is sent again.
+for n in 1 2 3; do set_fake_fault $n '{"truncate": 9, "late_ms": 2000}'; done
+request_completion 1 notes1 "cut, then refused" >"$DIR/cut" &
+cut_pid=$!
+sleep 1
+for n in 1 2 3; do set_fake_fault $n '{"refuse": 9, "late_ms": 0}'; done
+wait $cut_pid
+check "a refusal after a truncated response is no promise" \
+    "$(result_code "$(cat "$DIR/cut")") $(json_field outcome <"$DIR/cut")" \
+    "SKY_E_UNKNOWN unknown"
+for n in 1 2 3; do set_fake_fault $n '{"truncate": 0, "refuse": 0}'; done
 sleep 1
 
 # A request that crashes its engine is quarantined after two engines at most.
--- a/tests/proc_unproved_refusals.sh
+++ b/tests/proc_unproved_refusals.sh
@@ -5,7 +5,7 @@
 # counts the runs. A host that reaches the targets answers, and one that passes
 # its requests on.
 set -u
-BASE=${BASE:-32600}
+BASE=${BASE:-20200}
 DIR=$(mktemp -d)
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
 trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -25,6 +25,11 @@
     sky_listener_t *listener = nullptr;
     sky_listener_stats_t stats = {};
     std::string response_body;
+    int handled_requests = 0;
+    bool responds_twice = false;
+    bool begins_twice = false;
+    bool never_responds = false;
+    uint16_t chunked_status = 0; // of responses that are written in chunks
     std::vector<int> fds;
     sky_memory_share_t *memory_share = nullptr;
     CapturedLog log{{.lines_per_s = 100000, .evidence_lines_per_s = 100000}};
@@ -45,12 +50,13 @@
     }
 
     void
-    Start(uint32_t max_connections, uint32_t idle_timeout_ms)
+    Start(uint32_t max_connections, uint32_t idle_timeout_ms,
+          uint32_t head_timeout_ms = 30000)
     {
         sky_listener_options_t options = {};
         options.loop = loop;
         options.address = address.c_str();
-        options.limits = {16384, 4194304, 30000, idle_timeout_ms};
+        options.limits = {16384, 4194304, head_timeout_ms, idle_timeout_ms};
         options.events.on_request = OnRequest;
         options.events.on_disconnect = OnDisconnect;
         options.context = this;
@@ -75,8 +81,27 @@
     OnRequest(void *context, sky_server_request_t *request)
     {
         auto *test = static_cast<ListenerTest *>(context);
+        test->handled_requests++;
+        if (test->never_responds) {
+            return;
+        }
+        if (test->chunked_status != 0) {
+            SkyServerRequest_BeginResponse(request, test->chunked_status, "",
+                                           SKY_FRAMING_CHUNKED, 0);
+            SkyServerRequest_EndResponse(request);
+            return;
+        }
+        if (test->begins_twice) {
+            SkyServerRequest_BeginResponse(request, 200, "",
+                                           SKY_FRAMING_CHUNKED, 0);
+            SkyServerRequest_Respond(request, 503, "", "", 0);
+            return;
+        }
         if (test->response_body.empty()) {
             SkyServerRequest_Respond(request, 200, "", "", 0);
+            if (test->responds_twice) {
+                SkyServerRequest_Respond(request, 503, "", "", 0);
+            }
             return;
         }
         // In progress until all is sent, like that of a target.
@@ -134,8 +159,22 @@
         ssize_t size = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
         return std::string(bytes, size > 0 ? (size_t)size : 0);
     }
+
+    static size_t
+    Count(const std::string &text, const std::string &part)
+    {
+        size_t count = 0;
+        for (size_t at = text.find(part); at != std::string::npos;
+             at = text.find(part, at + 1)) {
+            count++;
+        }
+        return count;
+    }
 };
 
+const char IN_CHUNKS[] = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                         "\r\n1\r\nx\r\n0\r\n\r\n";
+
 // Guards new callers against a crowd of slow bodies: they were shut out until
 // the idle timeout, since only idle connections were closed.
 TEST_F(ListenerTest, ASlowBodyIsClosedForANewCaller)
@@ -286,4 +325,200 @@
     EXPECT_EQ(31u, lines.size() + not_logged);
 }
 
+// Guards requests against being run after the connection's caller was told
+// that they were not: what follows a rejected request is never parsed.
+TEST_F(ListenerTest, WhatFollowsARejectedRequestIsNotHandled)
+{
+    Start(0, 15000);
+    const std::string next = IN_CHUNKS;
+    const std::string rejected[][2] = {
+        {"JUNK\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", "413"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "500000\r\n" +
+             std::string(0x500000, 'x') + "\r\n0\r\n\r\n",
+         "413"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nxJUNK\r\n0\r\n\r\n",
+         "400"},
+        {"GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n",
+         "431"},
+    };
+    for (const auto &[text, status] : rejected) {
+        handled_requests = 0;
+        int fd = Connect(IN_CHUNKS);
+        EXPECT_EQ("HTTP/1.1 200", Receive(fd).substr(0, 12));
+        std::string bytes = text + next;
+        for (size_t sent = 0; sent < bytes.size();) {
+            ssize_t size = send(fd, bytes.data() + sent, bytes.size() - sent,
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+            ASSERT_TRUE(size > 0 || errno == EAGAIN);
+            sent += size > 0 ? (size_t)size : 0;
+            RunFor(1);
+        }
+        std::string received;
+        for (int i = 0; i < 500 && received.empty(); i++) {
+            RunFor(20);
+            received = Receive(fd);
+        }
+        EXPECT_EQ("HTTP/1.1 " + status, received.substr(0, 12));
+        EXPECT_EQ(1u, Count(received, "HTTP/1.1"));
+        EXPECT_NE(std::string::npos, received.find("Connection: close"));
+        EXPECT_EQ(1, handled_requests);
+        RunFor(10);
+        send(fd, next.data(), next.size(), MSG_NOSIGNAL);
+        RunFor(50);
+        EXPECT_EQ("", Receive(fd));
+        EXPECT_EQ(1, handled_requests);
+    }
+}
+
+// Guards requests that are sent ahead: each is answered in its place, and none
+// behind a rejected one.
+TEST_F(ListenerTest, RequestsSentAheadAreAnsweredInOrder)
+{
+    Start(0, 15000);
+    int fd = Connect((std::string(IN_CHUNKS) + ORDINARY + "BAD\r\n\r\n" +
+                      IN_CHUNKS + ORDINARY)
+                         .c_str());
+    RunFor(50);
+    std::string received = Receive(fd);
+    EXPECT_EQ(2, handled_requests);
+    EXPECT_EQ(3u, Count(received, "HTTP/1.1"));
+    EXPECT_EQ(2u, Count(received, "HTTP/1.1 200"));
+    EXPECT_GT(received.find("HTTP/1.1 400"), received.rfind("HTTP/1.1 200"));
+}
+
+// Guards trailer fields, which end with the request, against being parsed as
+// the next one.
+TEST_F(ListenerTest, TrailerFieldsBelongToTheirRequest)
+{
+    Start(0, 15000);
+    int fd = Connect("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "1\r\nx\r\n0\r\nSum: 1\r\nOther: 2\r\n\r\n"
+                     "GET / HTTP/1.1\r\n\r\n");
+    RunFor(50);
+    std::string received = Receive(fd);
+    EXPECT_EQ(2, handled_requests);
+    EXPECT_EQ(2u, Count(received, "HTTP/1.1"));
+    EXPECT_EQ(2u, Count(received, "HTTP/1.1 200"));
+}
+
+// Guards a timeout of a request's body: the rest of the request, sent late, is
+// neither its end nor another request.
+TEST_F(ListenerTest, TheRestOfATimedOutRequestIsNotHandled)
+{
+    Start(0, 200, 200);
+    int fd = Connect("POST / HTTP/1.1\r\nContent-Length: 18\r\n\r\n");
+    RunFor(500);
+    EXPECT_EQ("HTTP/1.1 408", Receive(fd).substr(0, 12));
+    send(fd, ORDINARY, strlen(ORDINARY), MSG_NOSIGNAL);
+    send(fd, ORDINARY, strlen(ORDINARY), MSG_NOSIGNAL);
+    RunFor(100);
+    EXPECT_EQ("", Receive(fd));
+    EXPECT_EQ(0, handled_requests);
+}
+
+// Guards a request that was handed on, and may run: neither its own time nor
+// what follows it on the connection gets it a rejection.
+TEST_F(ListenerTest, ARequestThatWasHandedOnIsNotRejected)
+{
+    Start(0, 200, 200);
+    never_responds = true;
+    const std::string rest[] = {"", "\r\n", "JUNK\r\n\r\n",
+                                "POST / HTTP/1.1\r\nContent-Length: 9",
+                                "POST / HTTP/1.1\r\nContent-Length: "
+                                "9999999\r\n\r\n"};
+    for (const std::string &bytes : rest) {
+        int fd = Connect((IN_CHUNKS + bytes).c_str());
+        RunFor(700);
+        EXPECT_EQ("", Receive(fd)) << bytes;
+        EXPECT_TRUE(IsOpen(fd)) << bytes;
+    }
+    EXPECT_EQ(5, handled_requests);
+}
+
+// Guards the order of responses: 100 (Continue) to a request that was sent
+// ahead must not come before the rest of the response to the one before.
+TEST_F(ListenerTest, ContinueWaitsForTheResponseBefore)
+{
+    Start(0, 15000);
+    int fd = Connect((std::string(ORDINARY) +
+                      "POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+                      "Content-Length: 1\r\n\r\n")
+                         .c_str());
+    RunFor(50);
+    std::string received = Receive(fd);
+    EXPECT_EQ(1, handled_requests);
+    EXPECT_EQ(0u, received.find("HTTP/1.1 200"));
+    EXPECT_EQ(received.rfind("HTTP/1.1 "), received.find("HTTP/1.1 100"));
+    send(fd, "x", 1, MSG_NOSIGNAL);
+    RunFor(50);
+    EXPECT_EQ(2, handled_requests);
+    EXPECT_EQ("HTTP/1.1 200", Receive(fd).substr(0, 12));
+}
+
+// Guards a caller that closes its sending half after a whole request: it is
+// told nothing about a request that may have run.
+TEST_F(ListenerTest, ACallerThatClosedItsSendingHalfGetsNoRejection)
+{
+    response_body = "x"; // in progress
+    Start(0, 15000);
+    int fd = Connect(IN_CHUNKS);
+    shutdown(fd, SHUT_WR);
+    RunFor(50);
+    EXPECT_EQ(1u, Count(Receive(fd), "HTTP/1.1"));
+    EXPECT_EQ(1, handled_requests);
+    EXPECT_FALSE(IsOpen(fd));
+}
+
+// Guards the caller's next request against a response that answers none: a
+// line end after a request counted as the begin of another one, which got a
+// 408.
+TEST_F(ListenerTest, ALineEndAfterARequestGetsNoResponse)
+{
+    Start(0, 400, 200);
+    int fd = Connect((std::string(IN_CHUNKS) + "\r\n").c_str());
+    int without_request = Connect("\r\n");
+    std::string received = Receive(fd);
+    EXPECT_EQ("HTTP/1.1 200", received.substr(0, 12));
+    EXPECT_EQ(1u, Count(received, "HTTP/1.1"));
+    RunFor(1200);
+    EXPECT_EQ("", Receive(fd));
+    EXPECT_EQ("", Receive(without_request));
+    EXPECT_FALSE(IsOpen(fd)); // idle
+    EXPECT_EQ(1, handled_requests);
+}
+
+// Guards the next response on a connection: those without a body (to HEAD,
+// 204, 304) were ended with an empty chunk if the target had not stated a
+// length, and the caller took it for the begin of the response to its next
+// request.
+TEST_F(ListenerTest, AResponseWithoutABodyEndsWithItsHead)
+{
+    Start(0, 15000);
+    for (uint16_t status : {200, 204, 304}) {
+        chunked_status = status;
+        int fd = Connect(status == 200 ? "HEAD / HTTP/1.1\r\n\r\n" : ORDINARY);
+        std::string received = Receive(fd);
+        ASSERT_LT(received.find("\r\n\r\n"), received.size()) << status;
+        EXPECT_EQ(received.size(), received.find("\r\n\r\n") + 4) << received;
+    }
+}
+
+// Guards the next request on a connection: a second response to the one before
+// would be read as the answer to it.
+TEST_F(ListenerTest, ASecondResponseIsNotSent)
+{
+    Start(0, 15000);
+    responds_twice = true;
+    int fd = Connect(ORDINARY);
+    EXPECT_EQ(1u, Count(Receive(fd), "HTTP/1.1"));
+    EXPECT_FALSE(IsOpen(fd)); // the host no longer knows what it answers
+    begins_twice = true;
+    fd = Connect(ORDINARY);
+    EXPECT_EQ(std::string::npos, Receive(fd).find("503"));
+    EXPECT_FALSE(IsOpen(fd));
+}
+
 } // namespace
