Client: a connection on which bytes came unread, or that has ended, is not used again

Callers got 502 for requests that were never read, and a store call could take the answer of the call before for its own: bytes or an end that came while the host did not read stayed in the kernel, and the next request went out on that connection. A look (MSG_PEEK) before each reuse finds them; the next idle connection, or a new one, is used.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -545,6 +545,22 @@
     return idle_duration_ms < max_duration_ms;
 }
 
+/* Whether nothing has come on an idle connection that was not read yet. Bytes
+ * answer no request, but would be read as the response to the next one; after
+ * an end or a reset a request would be lost without proof. */
+static bool
+is_quiet(sky_client_request_t *connection)
+{
+    char bytes[READ_CHUNK_BYTES];
+    ssize_t received =
+        recv(connection->fd, bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+    if (received > 0) {
+        connection->client->stats.unsolicited_closes++;
+        log_extra_bytes(connection, "bytes_on_idle", (size_t)received);
+    }
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 static sky_client_request_t *
 acquire_idle_connection(sky_client_t *client,
                         const sky_client_request_options_t *options)
@@ -552,16 +568,21 @@
     idle_pool_t *pool =
         get_pool(client, SkyClient_GetAddressKey(&options->address), false);
     sky_client_request_t *connection = pool ? pool->idle_list : NULL;
-    if (connection == NULL ||
-        !can_reuse(connection, options, client->options.default_keep_alive_ms,
-                   SkyClock_NowMs())) {
-        return NULL;
+    while (connection != NULL &&
+           can_reuse(connection, options,
+                     client->options.default_keep_alive_ms,
+                     SkyClock_NowMs())) {
+        if (is_quiet(connection)) {
+            DL_DELETE(pool->idle_list, connection);
+            pool->idle_count--;
+            connection->is_reused = true;
+            client->stats.connection_reuses++;
+            return connection;
+        }
+        close_connection(connection);
+        connection = pool->idle_list;
     }
-    DL_DELETE(pool->idle_list, connection);
-    pool->idle_count--;
-    connection->is_reused = true;
-    client->stats.connection_reuses++;
-    return connection;
+    return NULL;
 }
 
 /* Makes room for a new connection by closing an idle one of any address. */
