Withdrawing a stream of a cut-off host suspects no crash

Callers of a host that was cut off from the engines got the rest of their streams after 4.1 s or not at all: streams with the same body were silent at two engines, each withdrawal counted as a suspected crash, two of one fingerprint are a quarantine, and the streams that were left waited for another 1.2 s, each time anew. It shows as 4,146 ms in proc_cut_streams, where one adapter is at two engines in some runs under load.

A response that has begun is withdrawn only while the host is known to be cut off, which explains the silence: no crash is suspected then. What keeps a request at a silent target is logged (silence_borne).

--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -102,8 +102,18 @@
         SkyReachSharing_RecordFailure(request->proxy->options.reach_sharing,
                                       request->target);
     }
-    SkyProxyRequest_SuspectCrash(request);
-    if (SkyProxyRequest_GetRetryObstacle(request) != NULL) {
+    if (!request->response_started) {
+        /* A response that has begun is withdrawn only while this host is cut
+         * off, which explains the silence. */
+        SkyProxyRequest_SuspectCrash(request);
+    }
+    const char *obstacle = SkyProxyRequest_GetRetryObstacle(request);
+    if (obstacle != NULL) {
+        SkyLog_Write(LOG_NOTICE, "silence_borne",
+                     "id=%s target=%s obstacle=%s", request->facts.id,
+                     request->target ? request->target->entry.id
+                                     : request->peer,
+                     obstacle);
         request->attempts.failed_count = failed_count_before;
         request->last_activity_ms = SkyClock_NowMs();
         return;
