--- a/lib/core/logging.h
+++ b/lib/core/logging.h
@@ -22,8 +22,7 @@
 /** Events whose dropped lines are counted by name, in the order of their first
  *  dropped line; those of others are counted as "other". */
 #define SKY_LOG_EVENTS_MAX 16
-#define SKY_LOG_EVENT_BYTES 32 /**< of an event's name; longer ones are cut   \
-                                */
+#define SKY_LOG_EVENT_BYTES 32 /**< of a name; longer ones are cut */
 
 typedef enum {
     SKY_LOG_ORDINARY,
