One list of the statuses that promise, and one fault of the stand-in for them

The log had a list of its own of the statuses that say 'not run', and its line about a response that is not passed on said that it is. It asks the account now (how=unproved_refusal). The stand-in had two faults that run a request and answer with a status; proc_evidence uses status_after_run, and checks all 15 requests and that each gets 502 (it expected the target's status, as before the account). proc_evidence, test_send_account and test_log_class pass.

--- a/lib/decide/send_account.c
+++ b/lib/decide/send_account.c
@@ -75,9 +75,16 @@
            !SkySendAccount_MayHaveRun(account);
 }
 
-/* Whether the status tells the caller that the request did not run. */
+bool
+SkySendAccount_IsPromise(uint16_t status)
+{
+    return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED ||
+           status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
+/* Whether the status may go out only if the request did not run. */
 static bool
-is_promise(const sky_send_status_t *status)
+needs_proof(const sky_send_status_t *status)
 {
     if (!status->is_targets) {
         /* Each failure that this host answers with by itself, but these two,
@@ -88,17 +95,14 @@
     /* Callers come back after any failure of a request that may be repeated,
      * so that a target's own status does no harm there. */
     return status->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
-           (status->status == STATUS_REQUEST_TIMEOUT ||
-            status->status == STATUS_MISDIRECTED ||
-            status->status == STATUS_TOO_MANY ||
-            status->status == STATUS_UNAVAILABLE);
+           SkySendAccount_IsPromise(status->status);
 }
 
 uint16_t
 SkySendAccount_CheckStatus(const sky_send_account_t *account,
                            const sky_send_status_t *status)
 {
-    if (!SkySendAccount_MayHaveRun(account) || !is_promise(status)) {
+    if (!SkySendAccount_MayHaveRun(account) || !needs_proof(status)) {
         return status->status;
     }
     return status->is_past_deadline ? STATUS_GATEWAY_TIMEOUT
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -324,10 +324,9 @@
 void SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                         const char *cause);
 
-/** Logs an exchange whose response is passed on although its status says that
- *  the request was not run, which the response does not confirm. Does nothing
- *  for other responses, and for requests that may repeat. */
-void SkyProxyRequest_LogUnconfirmedStatus(const sky_proxy_request_t *request);
+/** Logs an exchange whose response is not passed on, as its status promises
+ * what is not proved. Does nothing for others. */
+void SkyProxyRequest_LogUnprovedRefusal(const sky_proxy_request_t *request);
 
 /** @return the directory's fleet query for this request; it refers to the
  *          request's memory. */
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -428,7 +428,7 @@
         handle_failure(request, "target_error");
         return;
     }
-    SkyProxyRequest_LogUnconfirmedStatus(request);
+    SkyProxyRequest_LogUnprovedRefusal(request);
     if (is_relayed(request)) {
         begin_relay(request);
         finish_relay(request);
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -42,8 +42,6 @@
  * - shed: the request is refused with 503, without being run
  * - lose: the service runs the request, but closes the connection
  * - fail: the service runs the request and responds with 500
- * - unmarked: the service runs the request and responds with unmarked_status,
- *   without saying that it did not run it
  * - refuse_without_id: the service refuses it with 503, without its id
  * - mark_after_run: the service runs it, and marks its success as a refusal
  * - garble_after_mark: the service runs it, sends the head of a refusal and
@@ -1887,10 +1885,6 @@
     if (consume_fault("lose")) {
         SkyServerRequest_Abort(request);
     }
-    else if (consume_fault("unmarked")) {
-        SkyServerRequest_Respond(
-            request, (uint16_t)get_fault("unmarked_status"), fields, "", 0);
-    }
     else if (consume_fault("cut_heads")) {
         send_part_of_head(request, "X-Skylarkspar-Server-Seal: s2\r\n");
         crash_soon(&target->crash_timer);
--- a/tests/proc_evidence.sh
+++ b/tests/proc_evidence.sh
@@ -27,37 +27,25 @@
     check "host $n becomes ready" "$(until_status 200 50 readyz_status $n)" 200
 done
 
-# More lines a second than a host writes.
-flood /look/ 6000 &
+# More lines a second than a host writes, of requests that reach no target.
+flood /none/ 6000 &
 flood_pid=$!
 sleep 0.5
 for status in 429 408 503; do
-    set_fault "{\"unmarked\": 20, \"unmarked_status\": $status}"
+    set_fault "{\"status_after_run\": $status}"
     for i in 1 2 3 4 5; do
-        send_request 0 /book/1 "u$status.$i" -X POST -d x >/dev/null
-    done
-    set_fault '{"unmarked": 0}'
-done
-named=0
-for status in 429 408 503; do
-    for i in 1 2 3 4 5; do
-        [ -n "$(run_count "u$status.$i")" ] || continue
-        # The flood takes some of the faults: count those that met one.
-        [ "$(grep -c "HTTP/1.1 $status" "$DIR/head.u$status.$i")" -eq 1 ] ||
-            continue
-        named=$((named + 1))
-        how=answered_unmarked
+        id="u$status.$i"
+        check "$id: no promise" "$(send_request 0 /book/1 "$id" -X POST -d "$id")" \
+            502
+        how=unproved_refusal
         [ "$status" = 503 ] && how=target_error
-        check "u$status.$i: the end of the exchange says what is known" \
-            "$(lines sending_end "id=u$status.$i .*how=$how status=$status .*not_run=0 .*read_status=$status id_echo=own .*sent=whole")" 1
-        check "u$status.$i: its end is logged" \
-            "$(lines request_end "id=u$status.$i ")" 1
+        check "$id: the end of the exchange says what is known" \
+            "$(lines sending_end "id=$id .*how=$how status=$status .*not_run=0 .*read_status=$status id_echo=own .*sent=whole")" 1
+        check "$id: its end is logged" "$(lines request_end "id=$id ")" 1
     done
 done
 kill "$flood_pid" 2>/dev/null
 wait "$flood_pid" 2>/dev/null
-check "some requests got such a status" \
-    "$([ "$named" -gt 0 ] && echo some || echo none)" some
 sleep 1.5
 check "lines were dropped meanwhile, and are counted by event" \
     "$([ "$(lines log_dropped 'request_end=')" -gt 0 ] && echo counted)" counted
@@ -66,9 +54,9 @@
     "$(curl -sS -m 5 "http://$(ready_address 0)/metrics" |
         grep -c '^sky_log_event_dropped_total{event="request_end"} [1-9]')" 1
 
-set_fault '{"unmarked": 1, "unmarked_status": 429}'
-check "the status of the target is passed on" \
-    "$(send_request 0 /book/1 killed -X POST -d x)" 429
+set_fault '{"status_after_run": 429}'
+check "a last request gets no promise" \
+    "$(send_request 0 /book/1 killed -X POST -d x)" 502
 kill -KILL "$EDGE0"
 check "a host that is killed has written the request's lines" \
     "$(($(lines sending_end 'id=killed ') + $(lines request_end 'id=killed ')))" 2
