Client: a connection is not used for the same id twice in a row

A response is told from one to an earlier request by its id. If a caller comes back with the id of its refused request, and the server writes the refusal once more, the second one has the id of the request that runs: on the same connection it would be read as its answer, with its proof.

A connection whose last request had the same id is passed over; others are used as before. The new test met the first connection again without the change. AConnectionThatTheServerClosedIsNotUsed sent the id 2 in both rounds and takes another one in the second, so that it still checks that the sound connection is used. 32 tests of test_client pass, five times.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -561,6 +561,17 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Whether the connection's last request had the id of this one. A second
+ * response to it would be read as the response to this one. */
+static bool
+had_same_id(const sky_client_request_t *connection,
+            const sky_client_request_options_t *options)
+{
+    return options->echo_field != NULL && options->echo_value[0] != '\0' &&
+           connection->echo_value != NULL &&
+           strcmp(connection->echo_value, options->echo_value) == 0;
+}
+
 static sky_client_request_t *
 acquire_idle_connection(sky_client_t *client,
                         const sky_client_request_options_t *options)
@@ -572,15 +583,18 @@
            can_reuse(connection, options,
                      client->options.default_keep_alive_ms,
                      SkyClock_NowMs())) {
-        if (is_quiet(connection)) {
+        sky_client_request_t *next = connection->next;
+        if (!is_quiet(connection)) {
+            close_connection(connection);
+        }
+        else if (!had_same_id(connection, options)) {
             DL_DELETE(pool->idle_list, connection);
             pool->idle_count--;
             connection->is_reused = true;
             client->stats.connection_reuses++;
             return connection;
         }
-        close_connection(connection);
-        connection = pool->idle_list;
+        connection = next;
     }
     return NULL;
 }
