Client: a connection without memory for its request is closed, not just freed

If there was no memory for the copy of a request, the idle connection that was to carry it was freed while its read event was still watched, and it stayed counted as open. The next byte on it was handled in freed memory.

Such a connection now ends like any other. With AddressSanitizer the new test reported a use after free in on_readable() before the change; 33 tests of test_client pass with it, and in the plain build.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -706,10 +706,10 @@
             SkyBuffer_Size(options->request))) &&
         (options->echo_field == NULL || connection->echo_value != NULL);
     if (!copied) {
-        if (connection->fd >= 0) {
-            close(connection->fd);
-        }
-        free_connection(connection);
+        connection->options.exchange = NULL;
+        connection->is_active = true;
+        DL_APPEND(client->active_list, connection);
+        close_connection(connection);
         return NULL;
     }
     start_request(connection, options);
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -17,6 +17,14 @@
 #include "net/client.h"
 #include "net/socket.h"
 
+// AddressSanitizer returns NULL for an allocation that is too large, as the
+// system does: a test plays the lack of memory so.
+extern "C" const char *
+__asan_default_options()
+{
+    return "allocator_may_return_null=1";
+}
+
 namespace {
 
 // What the server sends when it has received a request, and what it does with
@@ -645,6 +653,32 @@
     EXPECT_EQ(3, accepted_connections);
 }
 
+// Without memory for the copy of a request, the idle connection that it was to
+// use was freed while its events were still watched.
+TEST_F(ClientTest, WithoutMemoryAnIdleConnectionIsClosed)
+{
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest(
+                  "1", {{Response("1", "one"), ScriptedResponse::KEEP_OPEN}}));
+    char byte = 'x';
+    sky_buffer_t endless = {&byte, 0, (size_t)1 << 62, (size_t)1 << 62};
+    sky_client_request_options_t options = {};
+    options.address = address;
+    options.request = &endless;
+    options.echo_field = "X-Id";
+    options.echo_value = "2";
+    options.events = {OnHead, OnBody, OnEnd};
+    options.context = this;
+    EXPECT_EQ(nullptr, SkyClient_Send(client, &options));
+    send(connections.back()->fd, "x", 1, MSG_NOSIGNAL);
+    RunLoop(20);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest("3", {{Response("3", "three"),
+                                 ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_EQ("three", body);
+    EXPECT_EQ(2, accepted_connections);
+}
+
 // Bytes that go on until the client closes must not be read for ever.
 TEST_F(ClientTest, EndsAResponseWhoseHeadHasNoEnd)
 {
