Rig: a run of an id that no client sent is a broken rule

The ledger passed over a run whose id it did not know, so that a host that changed or lost an id could have had work run unseen.

Such runs are counted, printed and make the rig fail.

--- a/tests/rig/promise_rig.c
+++ b/tests/rig/promise_rig.c
@@ -493,7 +493,11 @@
         fprintf(stderr, "rig failed: too few requests were answered\n");
         return 2;
     }
-    return totals.refused > 0 || totals.twice > 0;
+    if (totals.unknown_runs > 0) {
+        fprintf(stderr, "%u runs have an id that no client sent\n",
+                totals.unknown_runs);
+    }
+    return totals.refused > 0 || totals.twice > 0 || totals.unknown_runs > 0;
 }
 
 int
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -166,8 +166,9 @@
     uint32_t answered;
     uint32_t lost;
     uint32_t not_sent;
-    uint32_t refused; /**< REFUSED */
-    uint32_t twice;   /**< TWICE */
+    uint32_t refused;      /**< REFUSED */
+    uint32_t twice;        /**< TWICE */
+    uint32_t unknown_runs; /**< of ids that no client sent */
     uint32_t proved; /**< not served, and each send was refused whole, or there
                         was none: a promise would be true */
     uint32_t false_502; /**< of these, answered 502 or 504 */
--- a/tests/rig/rig_ledger.c
+++ b/tests/rig/rig_ledger.c
@@ -72,6 +72,7 @@
 static attempt_t *attempts;
 static work_t *works;
 static uint64_t first_ms;
+static uint32_t unknown_runs; /* of ids that no client sent */
 
 static bool
 is_promise(int status)
@@ -189,6 +190,9 @@
             }
         }
     }
+    else {
+        unknown_runs++;
+    }
     pthread_mutex_unlock(&lock);
 }
 
@@ -399,7 +403,7 @@
 rig_totals_t
 Ledger_Judge(int host_count, FILE *table, FILE *traces)
 {
-    rig_totals_t totals = {0};
+    rig_totals_t totals = {.unknown_runs = unknown_runs};
     kind_counts_t counts[KIND_COUNT] = {0};
     attempt_t *attempt;
     attempt_t *next_attempt;
