Send account: one list of the statuses that promise

The statuses that say 'not run' stood in the account and once more in the proxy, where the list chooses the lines that are kept as evidence: a status added to one alone would be checked and not logged, or the reverse.

The proxy asks the account. No change of behaviour: 14 tests of test_send_account and 6 of test_log_class pass.

--- a/lib/decide/send_account.c
+++ b/lib/decide/send_account.c
@@ -75,6 +75,13 @@
            !SkySendAccount_MayHaveRun(account);
 }
 
+bool
+SkySendAccount_SaysNotRun(uint16_t status)
+{
+    return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED ||
+           status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
 /* Whether the status tells the caller that the request did not run. */
 static bool
 is_promise(const sky_send_status_t *status)
@@ -88,10 +95,7 @@
     /* Callers come back after any failure of a request that may be repeated,
      * so that a target's own status does no harm there. */
     return status->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
-           (status->status == STATUS_REQUEST_TIMEOUT ||
-            status->status == STATUS_MISDIRECTED ||
-            status->status == STATUS_TOO_MANY ||
-            status->status == STATUS_UNAVAILABLE);
+           SkySendAccount_SaysNotRun(status->status);
 }
 
 uint16_t
--- a/lib/decide/send_account.h
+++ b/lib/decide/send_account.h
@@ -83,6 +83,10 @@
 bool SkySendAccount_MaySendAgain(const sky_send_account_t *account,
                                  sky_retry_policy_t retry_policy);
 
+/** @return whether a target's status tells the caller that its request was not
+ *          run and never will be: 408, 421, 429 or 503. */
+bool SkySendAccount_SaysNotRun(uint16_t status);
+
 /** A status that is about to be sent to the caller. */
 typedef struct {
     uint16_t status;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -238,13 +238,6 @@
     }
 }
 
-/* Whether a status tells a caller that its request was not run. */
-static bool
-says_not_run(uint16_t status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 sky_log_class_t
 SkyProxyRequest_GetLogClass(const sky_proxy_request_t *request,
                             uint16_t status)
@@ -255,9 +248,11 @@
         return SKY_LOG_ORDINARY;
     }
     bool is_sent_again = request->send_count > 1;
-    bool is_refused = request->response.facts.not_run || says_not_run(status);
+    bool is_refused =
+        request->response.facts.not_run || SkySendAccount_SaysNotRun(status);
     bool has_foreign_bytes = request->exchange.foreign_count > 0;
-    bool target_says_not_run = says_not_run(request->exchange.status);
+    bool target_says_not_run =
+        SkySendAccount_SaysNotRun(request->exchange.status);
     return is_sent_again || is_refused || has_foreign_bytes ||
                    target_says_not_run
                ? SKY_LOG_EVIDENCE
@@ -796,7 +791,7 @@
 SkyProxyRequest_LogUnconfirmedStatus(const sky_proxy_request_t *request)
 {
     if (request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
-        says_not_run(request->response.status)) {
+        SkySendAccount_SaysNotRun(request->response.status)) {
         SkyProxyRequest_LogExchangeFailure(request, "answered_unmarked");
     }
 }
