Serve: a service's status does not promise that a request with a key was not run

A plain service that ran a request with an idempotency key and answered 408, 421, 429 or 503 had its status returned to the caller, who takes it for 'not run'.

proc_answers: all four statuses were returned before (got SKY_OK of the response's body), SKY_E_UNKNOWN now, and each ran once.

--- a/lib/decide/send_account.c
+++ b/lib/decide/send_account.c
@@ -1,8 +1,7 @@
 #include "decide/send_account.h"
 
-#define STATUS_REQUEST_TIMEOUT 408
-#define STATUS_MISDIRECTED 421
-#define STATUS_TOO_MANY 429
+#include "decide/promise.h"
+
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -75,13 +74,6 @@
            !SkySendAccount_MayHaveRun(account);
 }
 
-bool
-SkySendAccount_IsPromise(uint16_t status)
-{
-    return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED ||
-           status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
-}
-
 /* Whether the status may go out only if the request did not run. */
 static bool
 needs_proof(const sky_send_status_t *status)
@@ -95,7 +87,7 @@
     /* Callers come back after any failure of a request that may be repeated,
      * so that a target's own status does no harm there. */
     return status->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
-           SkySendAccount_IsPromise(status->status);
+           SkyPromise_IsMadeBy(status->status);
 }
 
 uint16_t
--- a/lib/decide/send_account.h
+++ b/lib/decide/send_account.h
@@ -83,10 +83,6 @@
 bool SkySendAccount_MaySendAgain(const sky_send_account_t *account,
                                  sky_retry_policy_t retry_policy);
 
-/** @return whether a target's status tells the caller that the request did not
- *          run and never will: 408, 421, 429, 503. */
-bool SkySendAccount_IsPromise(uint16_t status);
-
 /** A status that is about to be sent to the caller. */
 typedef struct {
     uint16_t status;
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -9,6 +9,7 @@
 #include "core/clock.h"
 #include "core/invariant.h"
 #include "core/logging.h"
+#include "decide/promise.h"
 
 /** Checks of waiting requests because of free slots are a millisecond apart
  * for so many open requests, as each check takes time for all of them. */
@@ -249,10 +250,9 @@
     }
     bool is_sent_again = request->send_count > 1;
     bool is_refused =
-        request->response.facts.not_run || SkySendAccount_IsPromise(status);
+        request->response.facts.not_run || SkyPromise_IsMadeBy(status);
     bool has_foreign_bytes = request->exchange.foreign_count > 0;
-    bool target_says_not_run =
-        SkySendAccount_IsPromise(request->exchange.status);
+    bool target_says_not_run = SkyPromise_IsMadeBy(request->exchange.status);
     return is_sent_again || is_refused || has_foreign_bytes ||
                    target_says_not_run
                ? SKY_LOG_EVIDENCE
--- a/lib/serve/caller_request.c
+++ b/lib/serve/caller_request.c
@@ -9,6 +9,7 @@
 
 #include "core/clock.h"
 #include "core/invariant.h"
+#include "decide/promise.h"
 
 #define BEARER_PREFIX "Bearer "
 #define BEARER_PREFIX_BYTES 7
@@ -424,6 +425,14 @@
     return request->exchange;
 }
 
+bool
+SkyCallerRequest_MayRelay(const sky_caller_request_t *request)
+{
+    return !request->node_request.at_most_once ||
+           !SkyPromise_IsMadeBy(
+               (uint16_t)SkyTargetExchange_Status(request->exchange));
+}
+
 uint32_t
 SkyCallerRequest_RetryAfterMs(const sky_caller_request_t *request)
 {
--- a/lib/serve/caller_request.h
+++ b/lib/serve/caller_request.h
@@ -45,6 +45,9 @@
 /** @return the exchange that holds the response; only after SKY_OK. */
 sky_target_exchange_t *
 SkyCallerRequest_Exchange(sky_caller_request_t *request);
+/** @return whether the response may go out; only after SKY_OK. That to a
+ * request which must not run twice may not promise that it did not run. */
+bool SkyCallerRequest_MayRelay(const sky_caller_request_t *request);
 /** @return after an error, the delay before the caller may retry; 0 if it
  *          should not retry. */
 uint32_t SkyCallerRequest_RetryAfterMs(const sky_caller_request_t *request);
--- a/lib/serve/http_server.c
+++ b/lib/serve/http_server.c
@@ -223,6 +223,11 @@
         SkyCallerRequest_Free(request);
         return send_error(connection, result, retry_after_ms);
     }
+    if (!SkyCallerRequest_MayRelay(request)) {
+        SkyCallerRequest_Finish(request, SKY_OUTCOME_COMPLETED);
+        SkyCallerRequest_Free(request);
+        return send_error(connection, SKY_E_UNKNOWN, 0);
+    }
     return SkyTargetExchange_IsStream(SkyCallerRequest_Exchange(request))
                ? send_stream(connection, request)
                : send_full_response(connection, request);
--- a/tests/fakes/platform.c
+++ b/tests/fakes/platform.c
@@ -300,7 +300,11 @@
     if (Fake_ConsumeFault("break")) {
         return MHD_NO; /* the request was run; closes the connection */
     }
-    return Fake_ReplyJson(request, 200, json_pack("{s:I}", "run", run_count));
+    uint32_t status = Fake_GetFault("status_after_run") > 0
+                          ? (uint32_t)Fake_GetFault("status_after_run")
+                          : 200;
+    return Fake_ReplyJson(request, status,
+                          json_pack("{s:I}", "run", run_count));
 }
 
 int
--- a/tests/proc_answers.sh
+++ b/tests/proc_answers.sh
@@ -172,6 +172,15 @@
 check "runs of slot-2 at the service" "$(fake_stat 20 slot-2)" 1
 check "different bodies that reached the service" "$(curl -sS -m 5 \
     "http://127.0.0.1:$((BASE + 20))/stats" | grep -o '":' | wc -l)" 3
+# 503 and the like would tell the caller that the request was not run.
+for status in 408 421 429 503; do
+    set_fake_fault 20 "{\"status_after_run\": $status}"
+    check "service runs it and responds with $status: the outcome is unknown" \
+        "$(result_code "$(send_booking 3 "$(date +%s).s$status" "run-$status")")" \
+        SKY_E_UNKNOWN
+    check "runs of it at the service" "$(fake_stat 20 "run-$status")" 1
+done
+set_fake_fault 20 '{"status_after_run": 0}'
 
 # A response that carries another request's id or is truncated is never passed
 # on as a success.
