Requests that must not be sent again fail at once, and peers get them on fresh connections

By the review, by reading: a request that may not be sent again waited for newer records before its 502, and requests to other hosts that must not repeat were sent on connections of any idle time, where the other host's close is likely to cross them.

--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -16,10 +16,6 @@
 /** Sends by a list of targets that is older are logged. */
 #define LIST_AGE_LOGGED_MS 1500
 #define CONNECT_TIMEOUT_MS 400 /**< TCP retransmits lost packets later */
-/** Max idle time of a connection that is reused for a request which must not
- *  run twice. On a connection that was idle for longer, the server's close is
- *  more likely to cross the request. */
-#define NON_IDEMPOTENT_IDLE_MAX_MS 4000
 /** Requests per batch slot from which a target gets no more. Further ones wait
  *  at this host, so that another replica, or a slot that is free earlier, can
  *  serve them. */
@@ -122,9 +118,7 @@
         .address = request->target->entry.address,
         .request = &request_bytes,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-        .max_idle_ms = request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE
-                           ? NON_IDEMPOTENT_IDLE_MAX_MS
-                           : 0,
+        .max_idle_ms = SkyProxyRequest_GetIdleMaxMs(request),
         .is_head_request =
             SkyServerRequest_Head(request->caller_request)->method ==
             HTTP_HEAD,
@@ -732,15 +726,15 @@
     bool has_waited = request->waits_for_turn;
     request->waits_for_path = false;
     request->waits_for_turn = false;
+    if (!SkyProxyRequest_MaySendAgain(request)) {
+        SkyProxyRequest_Fail(request, 0, "not_repeatable");
+        return;
+    }
     request->waits_for_records =
         !SkyFeed_AreRecordsUsable(request->proxy->options.feed);
     if (request->waits_for_records) {
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
     }
-    if (!SkyProxyRequest_MaySendAgain(request)) {
-        SkyProxyRequest_Fail(request, 0, "not_repeatable");
-        return;
-    }
     if (SkyProxyRequest_FailIfStopping(request) || fail_crashing(request) ||
         !SkyProxyRequest_HasAccess(request) ||
         (SkyProxyRequest_IsOutOfReach(request) &&
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -146,6 +146,7 @@
             .address = address,
             .request = &request_bytes,
             .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+            .max_idle_ms = SkyProxyRequest_GetIdleMaxMs(request),
             .is_head_request =
                 SkyServerRequest_Head(request->caller_request)->method ==
                 HTTP_HEAD,
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -14,6 +14,10 @@
 /** Checks of waiting requests because of free slots are a millisecond apart
  * for so many open requests, as each check takes time for all of them. */
 #define OPEN_REQUESTS_PER_CHECK_MS 32
+/** Max idle time of a connection that is reused for a request which must not
+ *  run twice. On a connection that was idle for longer, the server's close is
+ *  more likely to cross the request. */
+#define NON_IDEMPOTENT_IDLE_MAX_MS 4000
 
 #define RETRY_AFTER_JITTER_MS 300 /**< spreads callers' retries */
 #define US_PER_MS 1000
@@ -115,6 +119,14 @@
                                        get_retry_policy(request));
 }
 
+uint32_t
+SkyProxyRequest_GetIdleMaxMs(const sky_proxy_request_t *request)
+{
+    return get_retry_policy(request) == SKY_RETRY_AT_MOST_ONCE
+               ? NON_IDEMPOTENT_IDLE_MAX_MS
+               : 0;
+}
+
 void
 SkyProxyRequest_BeginSend(sky_proxy_request_t *request, uint64_t sent_to)
 {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -211,6 +211,10 @@
 /** @return whether its sends allow another one. */
 bool SkyProxyRequest_MaySendAgain(const sky_proxy_request_t *request);
 
+/** @return the max idle time of a connection on which the request is sent; 0:
+ *          any. */
+uint32_t SkyProxyRequest_GetIdleMaxMs(const sky_proxy_request_t *request);
+
 /** Records that the request is about to be sent, and checks the invariants
  *  that no exchange of it is under way and that it may be sent.
  *  @param sent_to hash that stands for the target or peer in `attempts` */
--- a/tests/proc_unproved_refusals.sh
+++ b/tests/proc_unproved_refusals.sh
@@ -93,6 +93,8 @@
 done
 check "what another host may have had run is not sent" \
     "$(pass_on f1 'Sky-Hop-May-Have-Run: 1')" "503 not_run account "
+check "nor is what it passes on with a list that cannot be read" \
+    "$(pass_on f5 'Sky-Hop-May-Have-Run: zz')" "404 "
 check "what it says has not run is sent" "$(pass_on f2 'Accept: a/b')" \
     "200 target 1"
 set_fault '{"status_after_run": 503}'
