--- a/lib/decide/send_account.c
+++ b/lib/decide/send_account.c
@@ -1,8 +1,7 @@
 #include "decide/send_account.h"
 
-#define STATUS_REQUEST_TIMEOUT 408
-#define STATUS_MISDIRECTED 421
-#define STATUS_TOO_MANY 429
+#include "decide/promise.h"
+
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -75,9 +74,9 @@
            !SkySendAccount_MayHaveRun(account);
 }
 
-/* Whether the status tells the caller that the request did not run. */
+/* Whether the status may go out only if the request did not run. */
 static bool
-is_promise(const sky_send_status_t *status)
+needs_proof(const sky_send_status_t *status)
 {
     if (!status->is_targets) {
         /* Each failure that this host answers with by itself, but these two,
@@ -88,17 +87,14 @@
     /* Callers come back after any failure of a request that may be repeated,
      * so that a target's own status does no harm there. */
     return status->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
-           (status->status == STATUS_REQUEST_TIMEOUT ||
-            status->status == STATUS_MISDIRECTED ||
-            status->status == STATUS_TOO_MANY ||
-            status->status == STATUS_UNAVAILABLE);
+           SkyPromise_IsMadeBy(status->status);
 }
 
 uint16_t
 SkySendAccount_CheckStatus(const sky_send_account_t *account,
                            const sky_send_status_t *status)
 {
-    if (!SkySendAccount_MayHaveRun(account) || !is_promise(status)) {
+    if (!SkySendAccount_MayHaveRun(account) || !needs_proof(status)) {
         return status->status;
     }
     return status->is_past_deadline ? STATUS_GATEWAY_TIMEOUT
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -9,10 +9,15 @@
 #include "core/clock.h"
 #include "core/invariant.h"
 #include "core/logging.h"
+#include "decide/promise.h"
 
 /** Checks of waiting requests because of free slots are a millisecond apart
  * for so many open requests, as each check takes time for all of them. */
 #define OPEN_REQUESTS_PER_CHECK_MS 32
+/** Max idle time of a connection that is reused for a request which must not
+ *  run twice. On a connection that was idle for longer, the server's close is
+ *  more likely to cross the request. */
+#define NON_IDEMPOTENT_IDLE_MAX_MS 4000
 
 #define RETRY_AFTER_JITTER_MS 300 /**< spreads callers' retries */
 #define US_PER_MS 1000
@@ -114,6 +119,14 @@
                                        get_retry_policy(request));
 }
 
+uint32_t
+SkyProxyRequest_GetIdleMaxMs(const sky_proxy_request_t *request)
+{
+    return get_retry_policy(request) == SKY_RETRY_AT_MOST_ONCE
+               ? NON_IDEMPOTENT_IDLE_MAX_MS
+               : 0;
+}
+
 void
 SkyProxyRequest_BeginSend(sky_proxy_request_t *request, uint64_t sent_to)
 {
@@ -238,13 +251,6 @@
     }
 }
 
-/* Whether a status tells a caller that its request was not run. */
-static bool
-says_not_run(uint16_t status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 sky_log_class_t
 SkyProxyRequest_GetLogClass(const sky_proxy_request_t *request,
                             uint16_t status)
@@ -255,9 +261,10 @@
         return SKY_LOG_ORDINARY;
     }
     bool is_sent_again = request->send_count > 1;
-    bool is_refused = request->response.facts.not_run || says_not_run(status);
+    bool is_refused =
+        request->response.facts.not_run || SkyPromise_IsMadeBy(status);
     bool has_foreign_bytes = request->exchange.foreign_count > 0;
-    bool target_says_not_run = says_not_run(request->exchange.status);
+    bool target_says_not_run = SkyPromise_IsMadeBy(request->exchange.status);
     return is_sent_again || is_refused || has_foreign_bytes ||
                    target_says_not_run
                ? SKY_LOG_EVIDENCE
@@ -793,10 +800,10 @@
 }
 
 void
-SkyProxyRequest_LogUnconfirmedStatus(const sky_proxy_request_t *request)
+SkyProxyRequest_LogUnprovedRefusal(const sky_proxy_request_t *request)
 {
-    if (request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE &&
-        says_not_run(request->response.status)) {
-        SkyProxyRequest_LogExchangeFailure(request, "answered_unmarked");
+    if (SkyProxyRequest_CheckTargetStatus(request) !=
+        request->response.status) {
+        SkyProxyRequest_LogExchangeFailure(request, "unproved_refusal");
     }
 }
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -211,6 +211,10 @@
 /** @return whether its sends allow another one. */
 bool SkyProxyRequest_MaySendAgain(const sky_proxy_request_t *request);
 
+/** @return the max idle time of a connection on which the request is sent; 0:
+ *          any. */
+uint32_t SkyProxyRequest_GetIdleMaxMs(const sky_proxy_request_t *request);
+
 /** Records that the request is about to be sent, and checks the invariants
  *  that no exchange of it is under way and that it may be sent.
  *  @param sent_to hash that stands for the target or peer in `attempts` */
@@ -324,10 +328,9 @@
 void SkyProxyRequest_LogExchangeFailure(const sky_proxy_request_t *request,
                                         const char *cause);
 
-/** Logs an exchange whose response is passed on although its status says that
- *  the request was not run, which the response does not confirm. Does nothing
- *  for other responses, and for requests that may repeat. */
-void SkyProxyRequest_LogUnconfirmedStatus(const sky_proxy_request_t *request);
+/** Logs an exchange whose response is not passed on, as its status promises
+ * what is not proved. Does nothing for others. */
+void SkyProxyRequest_LogUnprovedRefusal(const sky_proxy_request_t *request);
 
 /** @return the directory's fleet query for this request; it refers to the
  *          request's memory. */
