--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -31,6 +31,7 @@
     bool never_responds = false;
     uint16_t chunked_status = 0; // of responses that are written in chunks
     std::vector<int> fds;
+    sky_memory_share_t share = {}; // outlives the listener, which gives back
     sky_memory_share_t *memory_share = nullptr;
     CapturedLog log{{.lines_per_s = 100000, .evidence_lines_per_s = 100000}};
     std::string address = "127.0.0.1:" + std::to_string(FindFreePort());
@@ -292,8 +293,7 @@
 
 TEST_F(RejectionTest, WantOfMemoryIsLogged)
 {
-    sky_memory_share_t share = {}; // which small requests may exceed
-    share.limit_bytes = 1;
+    share.limit_bytes = 1; // which small requests may exceed
     memory_share = &share;
     Start(8, 15000);
     std::string text = "POST /book HTTP/1.1\r\nX-Id: 9\r\n"
