--- a/review/8/board.c
+++ b/review/8/board.c
@@ -116,11 +116,11 @@
 crash(int signal_number)
 {
     (void)signal_number;
-    char line[FIELD_BYTES];
-    int size = snprintf(line, sizeof line,
-                        "crash: %d requests for the page were running\n",
-                        atomic_load(&board_count));
-    if (write(STDOUT_FILENO, line, (size_t)size) == size) {
+    char line[] = "crash: 00 requests for the page were running\n";
+    int count = board_count < 99 ? board_count : 99;
+    line[7] = (char)('0' + count / 10);
+    line[8] = (char)('0' + count % 10);
+    if (write(STDOUT_FILENO, line, sizeof line - 1) > 0) {
         kill(getpid(), SIGKILL);
     }
     _exit(1);
