--- a/review/8/board.c
+++ b/review/8/board.c
@@ -9,6 +9,7 @@
  * board load NAME PATH SECONDS THREADS PORT...
  *     each thread reads PATH again and again, from the ports in turn. A "%" at
  *     the end of PATH stands for a number that is new each time. Prints a line
+ *     for each request with its status (0: no answer), and then
  *     "NAME SECOND SENT SERVED REFUSED OTHER" for each second.
  */
 #include <pthread.h>
@@ -80,6 +81,7 @@
         return Rig_Write(connection->fd, out, strlen(out));
     }
     atomic_fetch_add(&board_count, is_board);
+    printf("worker %s: runs %s\n", connection->id, id);
     Rig_SleepMs(RUN_MS);
     atomic_fetch_sub(&board_count, is_board);
     snprintf(out, sizeof out,
@@ -204,7 +206,10 @@
         unsigned number = atomic_fetch_add(&request_count, 1);
         uint64_t second = (Rig_NowMs() - load.begin_ms) / 1000;
         counts_t *count = &counts[second < SECONDS_MAX ? second : SECONDS_MAX];
-        int status = read_page(load.ports[number % load.port_count], number);
+        uint16_t port = load.ports[number % load.port_count];
+        int status = read_page(port, number);
+        printf("request %s-%u in second %u to port %u: %d\n", load.name,
+               number, (unsigned)second, port, status);
         atomic_fetch_add(&count->sent, 1);
         atomic_fetch_add(&count->served, status == 200);
         atomic_fetch_add(&count->refused, status == 503 || status == 429);
@@ -250,6 +255,7 @@
 main(int argc, char **argv)
 {
     signal(SIGPIPE, SIG_IGN);
+    setvbuf(stdout, NULL, _IOLBF, 0);
     if (argc == 4 && strcmp(argv[1], "worker") == 0) {
         return run_worker(argv[2], argv[3]);
     }
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -169,14 +169,15 @@
     echo "TROUBLE=$TROUBLE"
     cat "$DIR/events"
     cat "$DIR"/worker*.log
-    echo "route second sent served refused other"
     cat "$DIR/board" "$DIR/base"
+    echo "these are: route, second, sent, served, refused, other"
     cat "$DIR"/edge*.log | grep -o 'event=request_end.*route=board.*' |
         sed -n 's/.*\(status=[0-9]*\).*\(reason=[a-z_-]*\).*/\1 \2/p' |
         sort | uniq -c
 } >$CASE/record.txt
 judge() { # NAME FROM TO: prints requests sent and served in these seconds
-    awk -v from="$2" -v to="$3" '$2 >= from && $2 < to {sent += $3
+    awk -v name="$1" -v from="$2" -v to="$3" '
+        $1 == name && $2 >= from && $2 < to {sent += $3
         served += $4} END {print sent + 0, served + 0}' "$DIR/$1"
 }
 # shellcheck disable=SC2046  # two numbers each
