--- a/lib/decide/crash_watch.c
+++ b/lib/decide/crash_watch.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /** A target that answers requests is heard from within this time. Other hosts
  *  are told only then. */
@@ -28,6 +29,22 @@
 #define JOINT_LOSSES_MIN 3
 #define LOSSES_MAX 256        /**< remembered; more than a joint loss has */
 #define RUNS_OF_REQUEST_MAX 8 /**< more than are counted for a fingerprint */
+/** Answers that acquit a request of a crash: one, and twice as many for each
+ *  crash of which it was acquitted before. So many in a row are rare for a
+ *  request that crashes every other target. */
+#define ANSWERS_NEEDED_MAX 4
+/** Fingerprints that were answered. The newest one takes the place of another,
+ *  which then counts as never answered. */
+#define ANSWERED_MAX 8192
+/** From the last crash to the first trial, in which targets restart; and the
+ *  factor by which it grows with a second wave of crashes. With a third one
+ *  there are no more trials: targets lost for the request's sake are bounded.
+ */
+#define FIRST_TRIAL_MS 3000
+#define TRIAL_FACTOR 4
+#define TRIAL_WAVES_MAX 2
+#define TRIALS_MAX 64 /**< turns that are remembered as used */
+#define ACQUITTED_SUFFIX " acquitted"
 
 typedef struct {
     sky_rec_crash_t crash;
@@ -48,13 +65,29 @@
     uint64_t lost_ms; /**< 0: free entry */
 } loss_t;
 
+typedef struct {
+    uint64_t fingerprint;
+    uint64_t answered_ms; /**< 0: free entry */
+} answered_t;
+
+/** A turn of a quarantined fingerprint that was used. */
+typedef struct {
+    uint64_t fingerprint;
+    uint64_t begun_ms; /**< 0: free entry */
+} trial_t;
+
 struct sky_crash_watch {
     sky_crash_watch_options_t options;
     sky_suspects_t *suspects;
+    sky_acquitted_crashes_t *acquitted;
+    answered_t answered[ANSWERED_MAX]; /**< by fingerprint */
+    trial_t trials[TRIALS_MAX];
+    uint32_t next_trial; /**< entry to use next, the oldest one */
     suspicion_t suspicions[SUSPICIONS_MAX];
     uint32_t suspicion_count;
     loss_t losses[LOSSES_MAX];
     uint32_t next_loss;  /**< entry to use next, the oldest one */
+    uint64_t ticked_ms;  /**< time of the last tick */
     uint64_t expired_ms; /**< time of the last expiry */
 };
 
@@ -68,8 +101,9 @@
     }
     self->options = *options;
     self->suspects = SkySuspects_Create(options->retention_ms * US_PER_MS);
-    if (self->suspects == NULL) {
-        free(self);
+    self->acquitted = SkyAcquittedCrashes_Create(options->retention_ms);
+    if (self->suspects == NULL || self->acquitted == NULL) {
+        SkyCrashWatch_Free(self);
         return SKY_E_MEMORY;
     }
     *watch = self;
@@ -83,6 +117,7 @@
         return;
     }
     SkySuspects_Free(watch->suspects);
+    SkyAcquittedCrashes_Free(watch->acquitted);
     free(watch);
 }
 
@@ -126,6 +161,166 @@
     }
 }
 
+static answered_t *
+get_answered(const sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    return (answered_t *)&watch->answered[fingerprint % ANSWERED_MAX];
+}
+
+static void
+remember_answer(sky_crash_watch_t *watch, uint64_t fingerprint,
+                uint64_t now_ms)
+{
+    *get_answered(watch, fingerprint) = (answered_t){fingerprint, now_ms};
+}
+
+static bool
+was_answered(const sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    const answered_t *answered = get_answered(watch, fingerprint);
+    return answered->fingerprint == fingerprint && answered->answered_ms > 0 &&
+           watch->ticked_ms <
+               answered->answered_ms + watch->options.retention_ms;
+}
+
+/** The runs that broke exchanges with requests of one fingerprint. */
+typedef struct {
+    uint64_t fingerprint;
+    loss_t runs[RUNS_OF_REQUEST_MAX];
+    uint32_t count;
+} request_runs_t;
+
+static void
+add_run(const sky_rec_crash_t *crash, bool is_confirmed, void *context)
+{
+    request_runs_t *request = context;
+    (void)is_confirmed;
+    if (crash->fingerprint == request->fingerprint &&
+        request->count < RUNS_OF_REQUEST_MAX) {
+        request->runs[request->count++] =
+            (loss_t){crash->target, crash->epoch, 0};
+    }
+}
+
+static bool
+was_sent_there(const request_runs_t *request, const loss_t *loss)
+{
+    for (uint32_t i = 0; i < request->count; i++) {
+        if (request->runs[i].target == loss->target &&
+            request->runs[i].epoch == loss->epoch) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether targets were lost together with this one to which no request of the
+ * fingerprint had been sent. */
+static bool
+is_joint_loss(const sky_crash_watch_t *watch, const request_runs_t *request,
+              const loss_t *own)
+{
+    uint32_t others = 0;
+    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
+        const loss_t *other = &watch->losses[i];
+        others += other->lost_ms > 0 &&
+                  other->lost_ms < own->lost_ms + JOINT_LOSS_MS &&
+                  own->lost_ms < other->lost_ms + JOINT_LOSS_MS &&
+                  !was_sent_there(request, other);
+    }
+    return others >= JOINT_LOSSES_MIN;
+}
+
+/** The runs of a request that another request explains. */
+typedef struct {
+    const sky_crash_watch_t *watch;
+    const request_runs_t *request;
+    bool is_explained[RUNS_OF_REQUEST_MAX];
+} explained_runs_t;
+
+static void
+explain_run(const sky_rec_crash_t *crash, bool is_confirmed, void *context)
+{
+    explained_runs_t *explained = context;
+    const sky_crash_watch_t *watch = explained->watch;
+    const request_runs_t *request = explained->request;
+    (void)is_confirmed;
+    if (crash->fingerprint == request->fingerprint ||
+        was_answered(watch, crash->fingerprint) ||
+        SkySuspects_SuspicionCount(watch->suspects, crash->fingerprint) <
+            SKY_CRASH_LIMIT) {
+        return;
+    }
+    for (uint32_t i = 0; i < request->count; i++) {
+        explained->is_explained[i] =
+            explained->is_explained[i] ||
+            (request->runs[i].target == crash->target &&
+             request->runs[i].epoch == crash->epoch);
+    }
+}
+
+/* Counts the runs that a quarantined request explains that was never answered,
+ * as this one was. At most as many as one such request needs. */
+static uint32_t
+count_explained(const sky_crash_watch_t *watch, const request_runs_t *request)
+{
+    explained_runs_t explained = {.watch = watch, .request = request};
+    uint32_t count = 0;
+    SkySuspects_ForEach(watch->suspects, explain_run, &explained);
+    for (uint32_t i = 0; i < request->count; i++) {
+        count += explained.is_explained[i];
+    }
+    return count < SKY_CRASH_LIMIT ? count : SKY_CRASH_LIMIT;
+}
+
+/* Counts the suspicions and crashes that speak against a fingerprint. */
+static uint32_t
+count_against(const sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    uint32_t count = SkySuspects_SuspicionCount(watch->suspects, fingerprint);
+    request_runs_t request = {.fingerprint = fingerprint};
+    if (count < SKY_CRASH_LIMIT) {
+        return count;
+    }
+    SkySuspects_ForEach(watch->suspects, add_run, &request);
+    if (was_answered(watch, fingerprint)) {
+        count -= count_explained(watch, &request);
+    }
+    if (count != SKY_CRASH_LIMIT) {
+        return count; /* too few, or too many even without one */
+    }
+    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
+        const loss_t *loss = &watch->losses[i];
+        if (loss->lost_ms > 0 && was_sent_there(&request, loss) &&
+            is_joint_loss(watch, &request, loss)) {
+            return count - 1;
+        }
+    }
+    return count;
+}
+
+static bool
+is_quarantined(const sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    return count_against(watch, fingerprint) >= SKY_CRASH_LIMIT;
+}
+
+/* Reports whether a change of what is counted began or ended a quarantine. */
+static void
+report_quarantine(const sky_crash_watch_t *watch, const sky_rec_crash_t *crash,
+                  bool was_quarantined)
+{
+    const sky_crash_watch_options_t *options = &watch->options;
+    sky_quarantine_change_t change = {
+        .has_begun = is_quarantined(watch, crash->fingerprint),
+        .crash = *crash,
+        .crash_count = count_against(watch, crash->fingerprint)};
+    if (change.has_begun != was_quarantined &&
+        options->on_quarantine != NULL) {
+        options->on_quarantine(options->context, &change);
+    }
+}
+
 static bool
 record_suspicion(sky_crash_watch_t *watch, const sky_rec_crash_t *crash,
                  bool is_shared, uint64_t now_ms)
@@ -138,12 +333,21 @@
     if (SkySuspects_IsCrash(watch->suspects, crash)) {
         return true;
     }
+    if (SkyAcquittedCrashes_Has(watch->acquitted, crash)) {
+        if (is_shared) {
+            watch->options.on_event(watch->options.context,
+                                    SKY_CRASH_ACQUITTED, crash);
+        }
+        return true;
+    }
     if (watch->suspicion_count == SUSPICIONS_MAX) {
         return false;
     }
+    bool was_quarantined = is_quarantined(watch, crash->fingerprint);
     record_loss(watch, crash, now_ms);
     SkySuspects_RecordUnconfirmedCrash(watch->suspects, crash,
                                        now_ms * US_PER_MS);
+    report_quarantine(watch, crash, was_quarantined);
     watch->suspicions[watch->suspicion_count++] =
         (suspicion_t){.crash = *crash,
                       .recorded_ms = now_ms,
@@ -172,9 +376,163 @@
 
 void
 SkyCrashWatch_RecordCrash(sky_crash_watch_t *watch,
-                          const sky_rec_crash_t *crash, uint64_t confirmed_ms)
+                          const sky_rec_crash_t *crash, uint64_t confirmed_ms,
+                          uint64_t now_ms)
 {
+    if (SkyAcquittedCrashes_Has(watch->acquitted, crash)) {
+        watch->options.on_event(watch->options.context, SKY_CRASH_ACQUITTED,
+                                crash);
+        return;
+    }
+    bool was_quarantined = is_quarantined(watch, crash->fingerprint);
+    /* Only answers to what is sent from now on acquit it: clocks differ. */
+    SkySuspects_RecordUnconfirmedCrash(watch->suspects, crash,
+                                       now_ms * US_PER_MS);
     SkySuspects_RecordCrash(watch->suspects, crash, confirmed_ms * US_PER_MS);
+    report_quarantine(watch, crash, was_quarantined);
+}
+
+/* Removes the suspicion of a crash, if it is open. @return whether other hosts
+ * know it */
+static bool
+remove_suspicion(sky_crash_watch_t *watch, const sky_rec_crash_t *crash)
+{
+    for (uint32_t i = 0; i < watch->suspicion_count; i++) {
+        suspicion_t *suspicion = &watch->suspicions[i];
+        if (is_same_crash(&suspicion->crash, crash)) {
+            bool is_shared = suspicion->is_shared;
+            *suspicion = watch->suspicions[--watch->suspicion_count];
+            return is_shared;
+        }
+    }
+    return false;
+}
+
+/* @return whether other hosts count the crash. */
+static bool
+drop_acquitted(sky_crash_watch_t *watch, const sky_rec_crash_t *crash,
+               uint64_t now_ms)
+{
+    bool was_quarantined = is_quarantined(watch, crash->fingerprint);
+    bool is_confirmed = SkySuspects_IsCrash(watch->suspects, crash);
+    bool is_shared = remove_suspicion(watch, crash);
+    SkySuspects_DropCrash(watch->suspects, crash);
+    SkyAcquittedCrashes_Add(watch->acquitted, crash, now_ms);
+    report_quarantine(watch, crash, was_quarantined);
+    return is_confirmed || is_shared;
+}
+
+void
+SkyCrashWatch_ApplyAcquittal(sky_crash_watch_t *watch,
+                             const sky_rec_crash_t *crash, uint64_t now_ms)
+{
+    remember_answer(watch, crash->fingerprint, now_ms);
+    drop_acquitted(watch, crash, now_ms);
+}
+
+/** An answer that acquits. */
+typedef struct {
+    sky_crash_watch_t *watch;
+    uint64_t now_ms;
+    uint32_t acquitted_count;
+} acquittal_t;
+
+static void
+acquit(const sky_rec_crash_t *crash, void *context)
+{
+    acquittal_t *acquittal = context;
+    const sky_crash_watch_options_t *options = &acquittal->watch->options;
+    acquittal->acquitted_count++;
+    if (drop_acquitted(acquittal->watch, crash, acquittal->now_ms)) {
+        options->on_event(options->context, SKY_CRASH_ACQUITTED, crash);
+    }
+}
+
+/* Acquits of suspicions that were not counted, as enough others were. */
+static void
+acquit_uncounted(acquittal_t *acquittal, uint64_t fingerprint,
+                 uint64_t sent_ms)
+{
+    sky_crash_watch_t *watch = acquittal->watch;
+    uint32_t i = 0;
+    while (i < watch->suspicion_count) {
+        const suspicion_t *suspicion = &watch->suspicions[i];
+        if (suspicion->crash.fingerprint == fingerprint &&
+            suspicion->recorded_ms < sent_ms) {
+            sky_rec_crash_t crash = suspicion->crash;
+            acquit(&crash, acquittal); /* another one takes its entry */
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+static uint32_t
+get_answers_needed(const sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    uint32_t acquitted =
+        SkyAcquittedCrashes_Count(watch->acquitted, fingerprint);
+    uint32_t needed = 1;
+    for (uint32_t i = 0; i < acquitted && needed < ANSWERS_NEEDED_MAX; i++) {
+        needed *= 2;
+    }
+    return needed;
+}
+
+/* A trial that was answered makes room for the next one in the same turn. */
+static void
+reopen_turn(sky_crash_watch_t *watch, uint64_t fingerprint)
+{
+    for (uint32_t i = 0; i < TRIALS_MAX; i++) {
+        if (watch->trials[i].fingerprint == fingerprint) {
+            watch->trials[i] = (trial_t){0};
+        }
+    }
+}
+
+static void
+record_answer(sky_crash_watch_t *watch, uint64_t fingerprint, uint64_t sent_ms,
+              uint64_t now_ms)
+{
+    acquittal_t acquittal = {.watch = watch, .now_ms = now_ms};
+    remember_answer(watch, fingerprint, now_ms);
+    if (SkySuspects_SuspicionCount(watch->suspects, fingerprint) == 0) {
+        return;
+    }
+    reopen_turn(watch, fingerprint);
+    SkySuspects_RecordAnswer(watch->suspects, fingerprint, sent_ms * US_PER_MS,
+                             get_answers_needed(watch, fingerprint), acquit,
+                             &acquittal);
+    if (acquittal.acquitted_count > 0) {
+        acquit_uncounted(&acquittal, fingerprint, sent_ms);
+    }
+}
+
+bool
+SkyCrashWatch_RecordExchange(sky_crash_watch_t *watch,
+                             const sky_crash_exchange_t *exchange,
+                             uint64_t now_ms)
+{
+    const sky_request_identity_t *identity = exchange->identity;
+    sky_rec_crash_t crash = {identity->request, exchange->epoch,
+                             exchange->target};
+    switch (exchange->evidence) {
+    case SKY_CRASH_EVIDENCE_NONE:
+        return true;
+    case SKY_CRASH_EVIDENCE_FOR:
+        record_answer(watch, identity->request, exchange->sent_ms, now_ms);
+        record_answer(watch, identity->variant, exchange->sent_ms, now_ms);
+        return true;
+    case SKY_CRASH_EVIDENCE_AGAINST:
+        break;
+    }
+    bool is_kept = record_suspicion(watch, &crash, false, now_ms);
+    if (was_answered(watch, identity->request)) {
+        crash.fingerprint = identity->variant;
+        is_kept = record_suspicion(watch, &crash, false, now_ms) && is_kept;
+    }
+    return is_kept;
 }
 
 void
@@ -290,6 +648,7 @@
 SkyCrashWatch_Tick(sky_crash_watch_t *watch, uint64_t now_ms)
 {
     uint32_t kept = 0;
+    watch->ticked_ms = now_ms;
     for (uint32_t i = 0; i < watch->suspicion_count; i++) {
         suspicion_t suspicion = watch->suspicions[i];
         if (update_suspicion(watch, &suspicion, now_ms)) {
@@ -300,82 +659,142 @@
     if (now_ms >= watch->expired_ms + EXPIRY_INTERVAL_MS) {
         watch->expired_ms = now_ms;
         SkySuspects_Expire(watch->suspects, now_ms * US_PER_MS);
+        SkyAcquittedCrashes_Expire(watch->acquitted, now_ms);
     }
 }
 
-/** The runs that broke exchanges with requests of one fingerprint. */
+bool
+SkyCrashWatch_IsQuarantined(const sky_crash_watch_t *watch,
+                            const sky_request_identity_t *identity)
+{
+    return is_quarantined(watch, identity->request) ||
+           is_quarantined(watch, identity->variant);
+}
+
+/* Crashes at about the same time are one wave: counts those that follow no
+ * other one closely. */
+static uint32_t
+count_waves(const uint64_t *times_us, uint32_t count)
+{
+    uint32_t waves = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        bool follows = false;
+        for (uint32_t j = 0; j < count; j++) {
+            bool is_earlier = times_us[j] < times_us[i] ||
+                              (times_us[j] == times_us[i] && j < i);
+            follows = follows || (is_earlier && times_us[i] - times_us[j] <=
+                                                    JOINT_LOSS_MS * US_PER_MS);
+        }
+        waves += !follows;
+    }
+    return waves;
+}
+
+/** When a request of a quarantined fingerprint may be let through. */
 typedef struct {
     uint64_t fingerprint;
-    loss_t runs[RUNS_OF_REQUEST_MAX];
-    uint32_t count;
-} request_runs_t;
-
-static void
-add_run(const sky_rec_crash_t *crash, bool is_confirmed, void *context)
+    uint64_t begun_ms; /**< of the current turn; 0: none yet */
+    uint64_t next_ms;  /**< begin of the next one; 0: never */
+    uint64_t turn;     /**< number of the current one */
+} trial_turn_t;
+
+static trial_turn_t
+get_trial_turn(const sky_crash_watch_t *watch, uint64_t fingerprint,
+               uint64_t now_ms)
 {
-    request_runs_t *request = context;
-    (void)is_confirmed;
-    if (crash->fingerprint == request->fingerprint &&
-        request->count < RUNS_OF_REQUEST_MAX) {
-        request->runs[request->count++] =
-            (loss_t){crash->target, crash->epoch, 0};
+    trial_turn_t turn = {.fingerprint = fingerprint};
+    uint64_t times_us[SKY_SUSPECT_CRASHES_MAX];
+    uint32_t count =
+        SkySuspects_ListTimes(watch->suspects, fingerprint, times_us);
+    uint32_t waves = count_waves(times_us, count);
+    if (!was_answered(watch, fingerprint) || waves > TRIAL_WAVES_MAX) {
+        return turn;
     }
+    uint64_t last_ms = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t time_ms = times_us[i] / US_PER_MS;
+        last_ms = time_ms > last_ms ? time_ms : last_ms;
+    }
+    uint64_t turn_ms =
+        waves > 1 ? FIRST_TRIAL_MS * TRIAL_FACTOR : FIRST_TRIAL_MS;
+    turn.turn = now_ms > last_ms ? (now_ms - last_ms) / turn_ms : 0;
+    turn.next_ms = last_ms + (turn.turn + 1) * turn_ms;
+    turn.begun_ms = turn.turn > 0 ? last_ms + turn.turn * turn_ms : 0;
+    return turn;
 }
 
 static bool
-was_sent_there(const request_runs_t *request, const loss_t *loss)
+is_turn_used(const sky_crash_watch_t *watch, const trial_turn_t *turn)
 {
-    for (uint32_t i = 0; i < request->count; i++) {
-        if (request->runs[i].target == loss->target &&
-            request->runs[i].epoch == loss->epoch) {
+    for (uint32_t i = 0; i < TRIALS_MAX; i++) {
+        const trial_t *trial = &watch->trials[i];
+        if (trial->begun_ms >= turn->begun_ms &&
+            trial->fingerprint == turn->fingerprint) {
             return true;
         }
     }
     return false;
 }
 
-/* Whether targets were lost together with this one to which no request of the
- * fingerprint had been sent. */
 static bool
-is_joint_loss(const sky_crash_watch_t *watch, const request_runs_t *request,
-              const loss_t *own)
+can_try(const sky_crash_watch_t *watch, const trial_turn_t *turn)
 {
-    uint32_t others = 0;
-    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
-        const loss_t *other = &watch->losses[i];
-        others += other->lost_ms > 0 &&
-                  other->lost_ms < own->lost_ms + JOINT_LOSS_MS &&
-                  own->lost_ms < other->lost_ms + JOINT_LOSS_MS &&
-                  !was_sent_there(request, other);
-    }
-    return others >= JOINT_LOSSES_MIN;
+    const sky_crash_watch_options_t *options = &watch->options;
+    return turn->begun_ms > 0 && !is_turn_used(watch, turn) &&
+           (options->is_tester == NULL ||
+            options->is_tester(options->context, turn->fingerprint,
+                               turn->turn));
 }
 
-/* Counts the suspicions and crashes that speak against a fingerprint. */
-static uint32_t
-count_against(const sky_crash_watch_t *watch, uint64_t fingerprint)
+static uint64_t
+get_retry_after_ms(const sky_crash_watch_t *watch, const trial_turn_t *turn,
+                   uint64_t now_ms)
 {
-    uint32_t count = SkySuspects_SuspicionCount(watch->suspects, fingerprint);
-    request_runs_t request = {.fingerprint = fingerprint};
-    if (count != SKY_CRASH_LIMIT) {
-        return count; /* too few, or too many even without one */
-    }
-    SkySuspects_ForEach(watch->suspects, add_run, &request);
-    for (uint32_t i = 0; i < LOSSES_MAX; i++) {
-        const loss_t *loss = &watch->losses[i];
-        if (loss->lost_ms > 0 && was_sent_there(&request, loss) &&
-            is_joint_loss(watch, &request, loss)) {
-            return count - 1;
+    uint64_t quarantine_ms =
+        SkyCrashWatch_GetQuarantineMs(watch, turn->fingerprint, now_ms);
+    uint64_t until_turn_ms =
+        turn->next_ms > now_ms ? turn->next_ms - now_ms : 0;
+    return until_turn_ms > 0 && until_turn_ms < quarantine_ms ? until_turn_ms
+                                                              : quarantine_ms;
+}
+
+sky_crash_verdict_t
+SkyCrashWatch_Admit(sky_crash_watch_t *watch,
+                    const sky_request_identity_t *identity, uint64_t now_ms,
+                    uint32_t *retry_after_ms)
+{
+    const uint64_t fingerprints[] = {identity->request, identity->variant};
+    trial_turn_t turns[2];
+    uint32_t quarantined = 0;
+    uint64_t wait_ms = 0;
+    for (uint32_t i = 0; i < 2; i++) {
+        if (!is_quarantined(watch, fingerprints[i])) {
+            continue;
+        }
+        trial_turn_t turn = get_trial_turn(watch, fingerprints[i], now_ms);
+        turns[quarantined++] = turn;
+        if (!can_try(watch, &turn)) {
+            uint64_t turn_wait_ms = get_retry_after_ms(watch, &turn, now_ms);
+            wait_ms = turn_wait_ms > wait_ms ? turn_wait_ms : wait_ms;
         }
     }
-    return count;
+    if (wait_ms > 0) {
+        *retry_after_ms = (uint32_t)wait_ms;
+        return SKY_CRASH_REFUSED;
+    }
+    for (uint32_t i = 0; i < quarantined; i++) {
+        watch->trials[watch->next_trial] =
+            (trial_t){turns[i].fingerprint, now_ms};
+        watch->next_trial = (watch->next_trial + 1) % TRIALS_MAX;
+    }
+    return quarantined > 0 ? SKY_CRASH_TRIAL : SKY_CRASH_ALLOWED;
 }
 
 uint64_t
 SkyCrashWatch_GetQuarantineMs(const sky_crash_watch_t *watch,
                               uint64_t fingerprint, uint64_t now_ms)
 {
-    if (count_against(watch, fingerprint) < SKY_CRASH_LIMIT) {
+    if (!is_quarantined(watch, fingerprint)) {
         return 0;
     }
     uint64_t end_ms =
@@ -397,6 +816,13 @@
     SkySuspects_ForEach(watch->suspects, visit, context);
 }
 
+void
+SkyCrashWatch_ForEachAcquitted(const sky_crash_watch_t *watch,
+                               sky_acquitted_visitor_t visit, void *context)
+{
+    SkyAcquittedCrashes_ForEach(watch->acquitted, visit, context);
+}
+
 void
 SkyCrash_FormatKey(const sky_rec_crash_t *crash, char key[SKY_CRASH_KEY_BYTES])
 {
@@ -410,3 +836,20 @@
     return sscanf(key, "%16" SCNx64 ".%8x.%16" SCNx64, &crash->fingerprint,
                   &crash->target, &crash->epoch) == 3;
 }
+
+void
+SkyCrash_FormatValue(const sky_crash_value_t *value,
+                     char text[SKY_CRASH_VALUE_BYTES])
+{
+    snprintf(text, SKY_CRASH_VALUE_BYTES, "%" PRIu64 "%s",
+             value->confirmed_wall_ms,
+             value->is_acquitted ? ACQUITTED_SUFFIX : "");
+}
+
+sky_crash_value_t
+SkyCrash_ParseValue(const char *text)
+{
+    char *end = NULL;
+    uint64_t wall_ms = strtoull(text, &end, 10);
+    return (sky_crash_value_t){wall_ms, strcmp(end, ACQUITTED_SUFFIX) == 0};
+}
--- a/lib/decide/request_facts.h
+++ b/lib/decide/request_facts.h
@@ -43,6 +43,15 @@
     uint64_t resume_after; /**< number of the last event received */
 } sky_request_facts_t;
 
+/** Hashes by which a request is known again when its caller repeats it. Both
+ *  are the same on all hosts. */
+typedef struct {
+    uint64_t request; /**< method, host, path without query, and body */
+    /** Also what else a target sees of it: query and header fields, but for
+     *  those that are new with each attempt. */
+    uint64_t variant;
+} sky_request_identity_t;
+
 /** @return number of prompt parts, from the first one on, that other requests
  *          may share: the last part of a prompt is the request's own. */
 static inline uint32_t
--- a/lib/decide/suspects.c
+++ b/lib/decide/suspects.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <uthash.h>
 
-#define BROKEN_EXCHANGES_MAX 4 /* for each fingerprint */
-
 typedef enum {
     EXCHANGE_UNUSED,      /* a free entry */
     EXCHANGE_UNCONFIRMED, /* not known yet whether the target crashed */
@@ -17,12 +15,13 @@
     uint32_t target;
     uint64_t epoch;
     uint64_t recorded_us;
+    uint32_t answer_count; /* to requests that were sent since then */
 } exchange_t;
 
 typedef struct suspect {
     uint64_t fingerprint;
     uint64_t updated_us;
-    exchange_t exchanges[BROKEN_EXCHANGES_MAX];
+    exchange_t exchanges[SKY_SUSPECT_CRASHES_MAX];
     UT_hash_handle hh;
 } suspect_t;
 
@@ -92,7 +91,7 @@
 count_exchanges(const suspect_t *suspect, exchange_state_t state)
 {
     uint32_t count = 0;
-    for (uint32_t i = 0; suspect != NULL && i < BROKEN_EXCHANGES_MAX; i++) {
+    for (uint32_t i = 0; suspect != NULL && i < SKY_SUSPECT_CRASHES_MAX; i++) {
         count += suspect->exchanges[i].state == state;
     }
     return count;
@@ -104,7 +103,7 @@
 find_or_choose_exchange(suspect_t *suspect, const sky_rec_crash_t *crash)
 {
     exchange_t *unused = NULL;
-    for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+    for (uint32_t i = 0; i < SKY_SUSPECT_CRASHES_MAX; i++) {
         exchange_t *exchange = &suspect->exchanges[i];
         if (exchange->state == EXCHANGE_UNUSED) {
             unused = exchange;
@@ -126,9 +125,12 @@
     if (exchange == NULL || exchange->state == EXCHANGE_CRASHED) {
         return false;
     }
+    if (exchange->state == EXCHANGE_UNUSED) {
+        *exchange = (exchange_t){.target = crash->target,
+                                 .epoch = crash->epoch,
+                                 .recorded_us = now_us};
+    }
     exchange->state = EXCHANGE_CRASHED;
-    exchange->target = crash->target;
-    exchange->epoch = crash->epoch;
     suspect->updated_us = now_us;
     return true;
 }
@@ -143,17 +145,17 @@
     if (exchange == NULL || exchange->state != EXCHANGE_UNUSED) {
         return;
     }
-    exchange->state = EXCHANGE_UNCONFIRMED;
-    exchange->target = crash->target;
-    exchange->epoch = crash->epoch;
-    exchange->recorded_us = now_us;
+    *exchange = (exchange_t){.state = EXCHANGE_UNCONFIRMED,
+                             .target = crash->target,
+                             .epoch = crash->epoch,
+                             .recorded_us = now_us};
     suspect->updated_us = now_us;
 }
 
 static const exchange_t *
 find_exchange(const suspect_t *suspect, const sky_rec_crash_t *crash)
 {
-    for (uint32_t i = 0; suspect != NULL && i < BROKEN_EXCHANGES_MAX; i++) {
+    for (uint32_t i = 0; suspect != NULL && i < SKY_SUSPECT_CRASHES_MAX; i++) {
         const exchange_t *exchange = &suspect->exchanges[i];
         if (exchange->state != EXCHANGE_UNUSED &&
             exchange->target == crash->target &&
@@ -164,21 +166,73 @@
     return NULL;
 }
 
+static void
+drop_exchange(sky_suspects_t *suspects, suspect_t *suspect,
+              exchange_t *exchange)
+{
+    exchange->state = EXCHANGE_UNUSED;
+    if (count_exchanges(suspect, EXCHANGE_UNUSED) == SKY_SUSPECT_CRASHES_MAX) {
+        remove_suspect(suspects, suspect);
+    }
+}
+
 void
 SkySuspects_DropUnconfirmedCrash(sky_suspects_t *suspects,
                                  const sky_rec_crash_t *crash)
 {
     suspect_t *suspect = find_suspect(suspects, crash->fingerprint);
     exchange_t *exchange = (exchange_t *)find_exchange(suspect, crash);
-    if (exchange == NULL || exchange->state != EXCHANGE_UNCONFIRMED) {
-        return;
+    if (exchange != NULL && exchange->state == EXCHANGE_UNCONFIRMED) {
+        drop_exchange(suspects, suspect, exchange);
     }
-    exchange->state = EXCHANGE_UNUSED;
-    if (count_exchanges(suspect, EXCHANGE_UNUSED) == BROKEN_EXCHANGES_MAX) {
-        remove_suspect(suspects, suspect);
+}
+
+void
+SkySuspects_DropCrash(sky_suspects_t *suspects, const sky_rec_crash_t *crash)
+{
+    suspect_t *suspect = find_suspect(suspects, crash->fingerprint);
+    exchange_t *exchange = (exchange_t *)find_exchange(suspect, crash);
+    if (exchange != NULL) {
+        drop_exchange(suspects, suspect, exchange);
     }
 }
 
+void
+SkySuspects_RecordAnswer(sky_suspects_t *suspects, uint64_t fingerprint,
+                         uint64_t sent_us, uint32_t answers_needed,
+                         sky_crash_callback_t on_acquitted, void *context)
+{
+    sky_rec_crash_t acquitted[SKY_SUSPECT_CRASHES_MAX];
+    uint32_t acquitted_count = 0;
+    suspect_t *suspect = find_suspect(suspects, fingerprint);
+    for (uint32_t i = 0; suspect != NULL && i < SKY_SUSPECT_CRASHES_MAX; i++) {
+        exchange_t *exchange = &suspect->exchanges[i];
+        if (exchange->state != EXCHANGE_UNUSED &&
+            exchange->recorded_us < sent_us &&
+            ++exchange->answer_count >= answers_needed) {
+            acquitted[acquitted_count++] = (sky_rec_crash_t){
+                fingerprint, exchange->epoch, exchange->target};
+        }
+    }
+    for (uint32_t i = 0; i < acquitted_count; i++) {
+        on_acquitted(&acquitted[i], context);
+    }
+}
+
+uint32_t
+SkySuspects_ListTimes(const sky_suspects_t *suspects, uint64_t fingerprint,
+                      uint64_t times_us[SKY_SUSPECT_CRASHES_MAX])
+{
+    uint32_t count = 0;
+    const suspect_t *suspect = find_suspect(suspects, fingerprint);
+    for (uint32_t i = 0; suspect != NULL && i < SKY_SUSPECT_CRASHES_MAX; i++) {
+        if (suspect->exchanges[i].state != EXCHANGE_UNUSED) {
+            times_us[count++] = suspect->exchanges[i].recorded_us;
+        }
+    }
+    return count;
+}
+
 void
 SkySuspects_DropRun(sky_suspects_t *suspects, uint32_t target, uint64_t epoch)
 {
@@ -186,14 +240,14 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->by_fingerprint, suspect, next)
     {
-        for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+        for (uint32_t i = 0; i < SKY_SUSPECT_CRASHES_MAX; i++) {
             exchange_t *exchange = &suspect->exchanges[i];
             if (exchange->target == target && exchange->epoch == epoch) {
                 exchange->state = EXCHANGE_UNUSED;
             }
         }
         if (count_exchanges(suspect, EXCHANGE_UNUSED) ==
-            BROKEN_EXCHANGES_MAX) {
+            SKY_SUSPECT_CRASHES_MAX) {
             remove_suspect(suspects, suspect);
         }
     }
@@ -215,7 +269,7 @@
     const suspect_t *suspect;
     for (suspect = suspects->by_fingerprint; suspect != NULL;
          suspect = suspect->hh.next) {
-        for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+        for (uint32_t i = 0; i < SKY_SUSPECT_CRASHES_MAX; i++) {
             const exchange_t *exchange = &suspect->exchanges[i];
             if (exchange->state != EXCHANGE_UNUSED) {
                 sky_rec_crash_t crash = {suspect->fingerprint, exchange->epoch,
@@ -244,7 +298,7 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->by_fingerprint, suspect, next)
     {
-        for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+        for (uint32_t i = 0; i < SKY_SUSPECT_CRASHES_MAX; i++) {
             exchange_t *exchange = &suspect->exchanges[i];
             if (exchange->state != EXCHANGE_UNCONFIRMED ||
                 exchange->target != target) {
@@ -268,7 +322,7 @@
     suspect_t *next;
     HASH_ITER(hh, suspects->by_fingerprint, suspect, next)
     {
-        for (uint32_t i = 0; i < BROKEN_EXCHANGES_MAX; i++) {
+        for (uint32_t i = 0; i < SKY_SUSPECT_CRASHES_MAX; i++) {
             const exchange_t *exchange = &suspect->exchanges[i];
             if (exchange->state == EXCHANGE_UNCONFIRMED &&
                 exchange->target == target) {
--- a/lib/decide/suspects.h
+++ b/lib/decide/suspects.h
@@ -18,6 +18,8 @@
 
 /** Number of crashes after which a fingerprint is quarantined. */
 #define SKY_CRASH_LIMIT 2
+/** Crashes that are kept of one fingerprint; further ones are not counted. */
+#define SKY_SUSPECT_CRASHES_MAX 4
 
 typedef struct sky_suspects sky_suspects_t;
 
@@ -63,6 +65,20 @@
 void SkySuspects_DropUnconfirmedCrash(sky_suspects_t *suspects,
                                       const sky_rec_crash_t *crash);
 
+/** Removes a crash, confirmed or not. */
+void SkySuspects_DropCrash(sky_suspects_t *suspects,
+                           const sky_rec_crash_t *crash);
+
+/**
+ * Counts an answer to a request of the fingerprint that was sent at
+ * @p sent_us, for each crash that was recorded before. @p on_acquitted is
+ * called for those with @p answers_needed answers; it may drop the crash.
+ */
+void SkySuspects_RecordAnswer(sky_suspects_t *suspects, uint64_t fingerprint,
+                              uint64_t sent_us, uint32_t answers_needed,
+                              sky_crash_callback_t on_acquitted,
+                              void *context);
+
 /** Removes what was recorded of a target in one epoch, confirmed or not. */
 void SkySuspects_DropRun(sky_suspects_t *suspects, uint32_t target,
                          uint64_t epoch);
@@ -82,6 +98,11 @@
 /** @return confirmed crashes of a fingerprint. */
 uint32_t SkySuspects_CrashCount(const sky_suspects_t *suspects,
                                 uint64_t fingerprint);
+/** Lists when the crashes of a fingerprint were recorded, confirmed or not.
+ *  @return their number */
+uint32_t SkySuspects_ListTimes(const sky_suspects_t *suspects,
+                               uint64_t fingerprint,
+                               uint64_t times_us[SKY_SUSPECT_CRASHES_MAX]);
 /** @return true while it is not known whether the fingerprint crashed a
  *          target. */
 bool SkySuspects_HasUnconfirmedCrash(const sky_suspects_t *suspects,
--- a/lib/edge/crash_sharing.c
+++ b/lib/edge/crash_sharing.c
@@ -32,6 +32,7 @@
     ev_timer tick;
     json_t *suspicions; /**< found by the current tick, to be sent */
     json_t *heard_runs; /**< that others suspect; the same */
+    json_t *acquitted;  /**< crashes that others count; the same */
     sky_part_sharing_t *part_sharing;
     sky_host_call_t *ask; /**< call to a peer for all it knows; or NULL */
     uint32_t asks_left;
@@ -114,6 +115,13 @@
                      is_confirmed);
 }
 
+static json_t *
+encode_acquitted_crash(const sky_rec_crash_t *crash)
+{
+    return json_pack("[I,I,I]", (json_int_t)crash->fingerprint,
+                     (json_int_t)crash->target, (json_int_t)crash->epoch);
+}
+
 static json_t *
 encode_heard_run(const sky_crash_sharing_t *sharing,
                  const sky_rec_crash_t *crash)
@@ -127,12 +135,13 @@
 on_crash_event(void *context, sky_crash_event_t event,
                const sky_rec_crash_t *crash)
 {
-    static const char *const NAMES[] = {"suspected", "cleared", "confirmed",
-                                        "unheard", "run_heard"};
+    static const char *const NAMES[] = {"suspected", "cleared",   "confirmed",
+                                        "unheard",   "run_heard", "acquitted"};
     sky_crash_sharing_t *sharing = context;
-    SkyLog_Write(event == SKY_CRASH_CLEARED ? LOG_INFO : LOG_NOTICE, "crash",
-                 "state=%s fingerprint=%016" PRIx64 " target=%08x",
-                 NAMES[event], crash->fingerprint, crash->target);
+    SkyLog_Write(
+        event == SKY_CRASH_CLEARED ? LOG_INFO : LOG_NOTICE, "crash",
+        "state=%s fingerprint=%016" PRIx64 " target=%08x born=%" PRIu64,
+        NAMES[event], crash->fingerprint, crash->target, crash->epoch);
     sky_target_run_t run = {crash->target, crash->epoch};
     switch (event) {
     case SKY_CRASH_SUSPECTED:
@@ -149,11 +158,38 @@
         json_array_append_new(sharing->heard_runs,
                               encode_heard_run(sharing, crash));
         break;
+    case SKY_CRASH_ACQUITTED:
+        json_array_append_new(sharing->acquitted,
+                              encode_acquitted_crash(crash));
+        break;
     case SKY_CRASH_CONFIRMED:
         break;
     }
 }
 
+static void
+on_quarantine(void *context, const sky_quarantine_change_t *change)
+{
+    (void)context;
+    const sky_rec_crash_t *crash = &change->crash;
+    SkyLog_WriteClass(SKY_LOG_EVIDENCE, LOG_NOTICE, "quarantine",
+                      "state=%s fingerprint=%016" PRIx64
+                      " crashes=%u target=%08x born=%" PRIu64,
+                      change->has_begun ? "begun" : "ended",
+                      crash->fingerprint, change->crash_count, crash->target,
+                      crash->epoch);
+}
+
+/* Chosen like the tester of a blamed prompt part. */
+static bool
+is_tester(void *context, uint64_t fingerprint, uint64_t turn)
+{
+    const sky_crash_sharing_t *sharing = context;
+    return SkyOwnership_IsChosen(sharing->options.ownership,
+                                 sharing->options.settings->control,
+                                 fingerprint + turn);
+}
+
 static void
 on_told(void *context, const json_t *body)
 {
@@ -167,7 +203,8 @@
 {
     json_t *part_news = SkyPartSharing_TakeNews(sharing->part_sharing);
     if (json_array_size(sharing->suspicions) == 0 &&
-        json_array_size(sharing->heard_runs) == 0 && part_news == NULL) {
+        json_array_size(sharing->heard_runs) == 0 &&
+        json_array_size(sharing->acquitted) == 0 && part_news == NULL) {
         return;
     }
     const sky_crash_sharing_options_t *options = &sharing->options;
@@ -178,16 +215,39 @@
         if (strcmp(members[i].address, options->settings->control) != 0) {
             SkyHostCalls_SendCall(
                 options->host_calls, members[i].address, CALL_PATH,
-                json_pack("{s:O, s:O, s:O*}", "crashes", sharing->suspicions,
-                          "heard", sharing->heard_runs, "parts", part_news),
+                json_pack("{s:O, s:O, s:O, s:O*}", "crashes",
+                          sharing->suspicions, "heard", sharing->heard_runs,
+                          "acquitted", sharing->acquitted, "parts", part_news),
                 CALL_TIMEOUT_MS, on_told, sharing);
         }
     }
     json_array_clear(sharing->suspicions);
     json_array_clear(sharing->heard_runs);
+    json_array_clear(sharing->acquitted);
     json_decref(part_news);
 }
 
+static void
+apply_acquittals(sky_crash_watch_t *crashes, const json_t *rows,
+                 uint64_t now_ms)
+{
+    size_t index;
+    json_t *row;
+    json_array_foreach(rows, index, row)
+    {
+        json_int_t fingerprint;
+        json_int_t target;
+        json_int_t epoch;
+        if (json_unpack(row, "[I,I,I]", &fingerprint, &target, &epoch) != 0) {
+            SkyLog_Write(LOG_WARNING, "acquittal_ignored", "row=%zu", index);
+            continue;
+        }
+        sky_rec_crash_t crash = {(uint64_t)fingerprint, (uint64_t)epoch,
+                                 (uint32_t)target};
+        SkyCrashWatch_ApplyAcquittal(crashes, &crash, now_ms);
+    }
+}
+
 static void
 apply_crashes(const sky_crash_sharing_t *sharing, const json_t *body)
 {
@@ -195,6 +255,8 @@
     uint64_t now_ms = SkyClock_NowMs();
     size_t index;
     json_t *row;
+    /* First, so that no crash of which the message acquits counts. */
+    apply_acquittals(crashes, json_object_get(body, "acquitted"), now_ms);
     json_array_foreach(json_object_get(body, "crashes"), index, row)
     {
         json_int_t fingerprint;
@@ -209,7 +271,7 @@
         sky_rec_crash_t crash = {(uint64_t)fingerprint, (uint64_t)epoch,
                                  (uint32_t)target};
         if (is_confirmed) {
-            SkyCrashWatch_RecordCrash(crashes, &crash, now_ms);
+            SkyCrashWatch_RecordCrash(crashes, &crash, now_ms, now_ms);
         }
         else if (!SkyCrashWatch_RecordSharedSuspicion(crashes, &crash,
                                                       now_ms)) {
@@ -228,21 +290,31 @@
     json_array_append_new(context, encode_crash(crash, is_confirmed));
 }
 
+static void
+add_acquitted_row(const sky_rec_crash_t *crash, void *context)
+{
+    json_array_append_new(context, encode_acquitted_crash(crash));
+}
+
 static void
 on_call(void *context, sky_server_request_t *server_request,
         const json_t *body)
 {
     const sky_crash_sharing_t *sharing = context;
     json_t *rows = json_array();
+    json_t *acquitted = json_array();
     json_t *parts = NULL;
     apply_crashes(sharing, body);
     if (json_is_true(json_object_get(body, "send_all"))) {
         SkyCrashWatch_ForEach(sharing->options.directory->crashes, add_row,
                               rows);
+        SkyCrashWatch_ForEachAcquitted(sharing->options.directory->crashes,
+                                       add_acquitted_row, acquitted);
         parts = SkyPartSharing_EncodeAll(sharing->part_sharing);
     }
-    SkyHostCalls_Respond(server_request, json_pack("{s:o, s:o*}", "crashes",
-                                                   rows, "parts", parts));
+    SkyHostCalls_Respond(server_request,
+                         json_pack("{s:o, s:o, s:o*}", "crashes", rows,
+                                   "acquitted", acquitted, "parts", parts));
 }
 
 static void
@@ -297,12 +369,35 @@
 {
     batch_t *batch = context;
     char key[SKY_CRASH_KEY_BYTES];
-    char value[24];
+    char text[SKY_CRASH_VALUE_BYTES];
     SkyCrash_FormatKey(crash, key);
     if (is_confirmed && SkyFeed_FindValue(batch->sharing->options.feed,
                                           SKY_FEED_CRASHES, key) == NULL) {
-        snprintf(value, sizeof value, "%" PRIu64, SkyClock_WallMs());
-        add_record(batch, key, value);
+        sky_crash_value_t value = {.confirmed_wall_ms = SkyClock_WallMs()};
+        SkyCrash_FormatValue(&value, text);
+        add_record(batch, key, text);
+    }
+}
+
+/* Marks the record of an acquitted crash. Hosts of earlier builds keep it as
+ * it is, and would write it again if it were deleted. */
+static void
+add_missing_acquittal(const sky_rec_crash_t *crash, void *context)
+{
+    batch_t *batch = context;
+    char key[SKY_CRASH_KEY_BYTES];
+    char text[SKY_CRASH_VALUE_BYTES];
+    SkyCrash_FormatKey(crash, key);
+    const char *stored =
+        SkyFeed_FindValue(batch->sharing->options.feed, SKY_FEED_CRASHES, key);
+    if (stored == NULL || stored[0] == '\0') {
+        return;
+    }
+    sky_crash_value_t value = SkyCrash_ParseValue(stored);
+    if (!value.is_acquitted) {
+        value.is_acquitted = true;
+        SkyCrash_FormatValue(&value, text);
+        add_record(batch, key, text);
     }
 }
 
@@ -328,7 +423,7 @@
     const sky_directory_t *directory = batch->sharing->options.directory;
     sky_rec_crash_t crash;
     uint64_t part;
-    uint64_t confirmed_wall_ms = strtoull(value, NULL, 10);
+    uint64_t confirmed_wall_ms = SkyCrash_ParseValue(value).confirmed_wall_ms;
     bool is_expired = SkyClock_WallMs() > confirmed_wall_ms +
                                               SKY_CRASH_RETENTION_MS +
                                               DELETE_MARGIN_MS;
@@ -377,6 +472,8 @@
     batch.count = 0;
     SkyCrashWatch_ForEach(options->directory->crashes, add_missing_crash,
                           &batch);
+    SkyCrashWatch_ForEachAcquitted(options->directory->crashes,
+                                   add_missing_acquittal, &batch);
     SkyPartWatch_ForEachBlame(options->directory->parts, add_missing_blame,
                               &batch);
     SkyFeed_ForEachRecord(options->feed, SKY_FEED_CRASHES, add_expired_record,
@@ -421,10 +518,13 @@
     self->asks_left = PEERS_ASKED;
     self->suspicions = json_array();
     self->heard_runs = json_array();
+    self->acquitted = json_array();
     sky_crash_watch_options_t watch_options = {
         .retention_ms = SKY_CRASH_RETENTION_MS,
         .get_target_state = get_target_state,
         .on_event = on_crash_event,
+        .on_quarantine = on_quarantine,
+        .is_tester = is_tester,
         .context = self,
     };
     sky_part_sharing_options_t part_options = {
@@ -433,6 +533,7 @@
         .ownership = options->ownership,
     };
     if (self->suspicions == NULL || self->heard_runs == NULL ||
+        self->acquitted == NULL ||
         SkyResult_IsError(SkyCrashWatch_Create(
             &watch_options, &options->directory->crashes)) ||
         SkyResult_IsError(
@@ -441,6 +542,7 @@
         options->directory->crashes = NULL;
         json_decref(self->suspicions);
         json_decref(self->heard_runs);
+        json_decref(self->acquitted);
         free(self);
         return SKY_E_MEMORY;
     }
@@ -468,5 +570,6 @@
     sharing->options.directory->crashes = NULL;
     json_decref(sharing->suspicions);
     json_decref(sharing->heard_runs);
+    json_decref(sharing->acquitted);
     free(sharing);
 }
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -577,16 +577,29 @@
 {
     const sky_directory_t *directory = request->proxy->options.directory;
     uint64_t now = SkyClock_NowMs();
-    uint64_t quarantine_ms = SkyCrashWatch_GetQuarantineMs(
-        directory->crashes, request->fingerprint, now);
-    if (quarantine_ms > 0) {
-        SkyProxyRequest_Fail(request, (uint32_t)quarantine_ms, "quarantined");
-        return true;
+    uint32_t retry_after_ms = 0;
+    if (!request->is_crash_trial) {
+        switch (SkyCrashWatch_Admit(directory->crashes, &request->identity,
+                                    now, &retry_after_ms)) {
+        case SKY_CRASH_ALLOWED:
+            break;
+        case SKY_CRASH_TRIAL:
+            request->is_crash_trial = true;
+            SkyLog_WriteClass(
+                SKY_LOG_EVIDENCE, LOG_NOTICE, "quarantine",
+                "state=trial fingerprint=%016llx variant=%016llx id=%s",
+                (unsigned long long)request->identity.request,
+                (unsigned long long)request->identity.variant,
+                request->facts.id);
+            break;
+        case SKY_CRASH_REFUSED:
+            SkyProxyRequest_Fail(request, retry_after_ms, "quarantined");
+            return true;
+        }
     }
     if (request->is_part_trial) {
         return false;
     }
-    uint32_t retry_after_ms = 0;
     switch (SkyPartWatch_Admit(directory->parts, &request->facts, now,
                                &retry_after_ms)) {
     case SKY_PART_ALLOWED:
--- a/lib/edge/feed_records.c
+++ b/lib/edge/feed_records.c
@@ -170,11 +170,15 @@
     }
     uint64_t wall_ms = SkyClock_WallMs();
     uint64_t now_ms = SkyClock_NowMs();
-    uint64_t confirmed_wall_ms = strtoull(record->value, NULL, 10);
-    uint64_t age_ms =
-        wall_ms > confirmed_wall_ms ? wall_ms - confirmed_wall_ms : 0;
-    if (age_ms < now_ms) {
-        SkyCrashWatch_RecordCrash(crashes, &crash, now_ms - age_ms);
+    sky_crash_value_t value = SkyCrash_ParseValue(record->value);
+    uint64_t age_ms = wall_ms > value.confirmed_wall_ms
+                          ? wall_ms - value.confirmed_wall_ms
+                          : 0;
+    if (value.is_acquitted) {
+        SkyCrashWatch_ApplyAcquittal(crashes, &crash, now_ms);
+    }
+    else if (age_ms < now_ms) {
+        SkyCrashWatch_RecordCrash(crashes, &crash, now_ms - age_ms, now_ms);
     }
 }
 
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -707,6 +707,23 @@
     return count;
 }
 
+bool
+SkyOwnership_IsChosen(const sky_ownership_t *ownership, const char *address,
+                      uint64_t seed)
+{
+    const char *chosen = "";
+    uint64_t highest = 0;
+    for (uint32_t i = 0; i < ownership->member_count; i++) {
+        const char *member = ownership->members[i].address;
+        uint64_t weight = XXH3_64bits_withSeed(member, strlen(member), seed);
+        if (member[0] != '\0' && weight >= highest) {
+            highest = weight;
+            chosen = member;
+        }
+    }
+    return strcmp(chosen, address) == 0;
+}
+
 uint32_t
 SkyOwnership_ListHosts(const sky_ownership_t *ownership,
                        sky_fanout_host_t *hosts, uint32_t max_count)
--- a/lib/edge/ownership.h
+++ b/lib/edge/ownership.h
@@ -93,6 +93,11 @@
 uint32_t SkyOwnership_ListMembers(const sky_ownership_t *ownership,
                                   sky_fanout_host_t *members,
                                   uint32_t max_count);
+/** Chooses one of the known members by rendezvous hashing: all hosts that know
+ *  the same members choose the same one.
+ *  @return whether it is the host with this address */
+bool SkyOwnership_IsChosen(const sky_ownership_t *ownership,
+                           const char *address, uint64_t seed);
 /** Lists the known members, and those that left the group a while ago: they
  *  may be away only. @return as above */
 uint32_t SkyOwnership_ListHosts(const sky_ownership_t *ownership,
--- a/lib/edge/part_sharing.c
+++ b/lib/edge/part_sharing.c
@@ -4,7 +4,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "core/clock.h"
 #include "core/logging.h"
@@ -95,27 +94,14 @@
                           run->epoch);
 }
 
-/* Rendezvous hashing: all hosts with the same members choose the same one,
- * another for each trial. */
+/* Another host for each trial. */
 static bool
 is_tester(void *context, const sky_part_blame_t *blame)
 {
     const sky_part_sharing_t *sharing = context;
-    sky_fanout_host_t members[SKY_GROUP_MEMBERS_MAX];
-    uint32_t count = SkyOwnership_ListMembers(sharing->options.ownership,
-                                              members, SKY_GROUP_MEMBERS_MAX);
-    const char *chosen = "";
-    uint64_t highest = 0;
-    for (uint32_t i = 0; i < count; i++) {
-        const char *address = members[i].address;
-        uint64_t weight = XXH3_64bits_withSeed(
-            address, strlen(address), blame->part + blame->trial_count);
-        if (weight >= highest) {
-            highest = weight;
-            chosen = address;
-        }
-    }
-    return strcmp(chosen, sharing->options.settings->control) == 0;
+    return SkyOwnership_IsChosen(sharing->options.ownership,
+                                 sharing->options.settings->control,
+                                 blame->part + blame->trial_count);
 }
 
 json_t *
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -117,6 +117,7 @@
            sizeof request->peer);
     request->hop_response = (sky_hop_response_t){.outcome = SKY_HOP_UNKNOWN};
     request->last_activity_ms = now;
+    request->sent_ms = now;
     request->first_sent_ms =
         request->first_sent_ms ? request->first_sent_ms : now;
     request->capacity_wait_since_ms = 0;
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -40,7 +40,7 @@
     sky_proxy_request_t *request = watcher->data;
     if (request->target_request != NULL &&
         SkyClientRequest_HasSentBytes(request->target_request)) {
-        SkyProxyRequest_SuspectCrash(request);
+        SkyProxyRequest_RecordCrashEvidence(request, SKY_EXCHANGE_END_SILENT);
     }
     end_request(request, RETRY_AFTER_FULL_MS, "deadline");
 }
@@ -53,9 +53,14 @@
     SkyProxyRequest_RespondError(request, status, retry_after_ms, reason);
 }
 
-static uint64_t
-hash_request(sky_server_request_t *caller_request)
+/* The key of a caller is a secret: the workspace that it opens stands for it.
+ */
+static sky_request_identity_t
+identify_request(const sky_proxy_request_t *request)
 {
+    sky_server_request_t *caller_request = request->caller_request;
+    const char *workspace =
+        request->workspace != NULL ? request->workspace->name : "";
     const sky_http_head_t *head = SkyServerRequest_Head(caller_request);
     const char *host = SkyHttpHead_FindField(head, "Host");
     const char *url = SkyHttpHead_Url(head);
@@ -66,7 +71,10 @@
     if (host != NULL) {
         hash = XXH3_64bits_withSeed(host, strlen(host), hash);
     }
-    return XXH3_64bits_withSeed(&head->method, sizeof head->method, hash);
+    hash = XXH3_64bits_withSeed(&head->method, sizeof head->method, hash);
+    uint64_t variant =
+        XXH3_64bits_withSeed(workspace, strlen(workspace), hash);
+    return (sky_request_identity_t){hash, SkyWire_HashVariant(head, variant)};
 }
 
 /* Takes over what the host that passed the request on says of it. @return
@@ -149,7 +157,6 @@
         reject_unrouted(request, 404, 0, "no_route");
         return;
     }
-    request->fingerprint = hash_request(request->caller_request);
     uint32_t limit_ms = request->route->timeout_ms < request->facts.deadline_ms
                             ? request->route->timeout_ms
                             : request->facts.deadline_ms;
@@ -158,6 +165,7 @@
         SkyProxyRequest_FailIfStopping(request)) {
         return;
     }
+    request->identity = identify_request(request);
     uint64_t waited_ms = SkyClock_NowMs() - request->received_ms;
     ev_timer_set(&request->deadline_timer,
                  waited_ms < limit_ms ? (double)(limit_ms - waited_ms) / 1000.0
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -302,7 +302,7 @@
         request->send_count, request->placement_count,
         (unsigned long long)(request->deployment ? request->deployment->version
                                                  : 0),
-        (unsigned long long)request->fingerprint,
+        (unsigned long long)request->identity.request,
         request->has_stream_software ? request->stream_software : "-",
         request->sent_software[0] ? request->sent_software : "-",
         request->facts.resumes, (unsigned long long)request->list_age_ms,
@@ -575,8 +575,8 @@
     if (request->send_count >= SENDS_PER_REQUEST_MAX) {
         return "sends";
     }
-    if (SkyCrashWatch_GetQuarantineMs(proxy->options.directory->crashes,
-                                      request->fingerprint, now) > 0) {
+    if (SkyCrashWatch_IsQuarantined(proxy->options.directory->crashes,
+                                    &request->identity)) {
         return "quarantined";
     }
     if (SkyPartWatch_IsBlamed(proxy->options.directory->parts,
@@ -633,19 +633,47 @@
     }
 }
 
-void
-SkyProxyRequest_SuspectCrash(const sky_proxy_request_t *request)
+bool
+SkyProxyRequest_LacksBody(const sky_proxy_request_t *request)
 {
-    if (request->target == NULL) {
-        return; /* the peer knows what its target did */
-    }
-    sky_rec_crash_t crash = {
-        .fingerprint = request->fingerprint,
-        .epoch = request->target->entry.started_unix_ms,
-        .target = (uint32_t)request->target->hash,
+    const sky_proxy_response_t *response = &request->response;
+    bool may_have_body =
+        response->status != 204 && response->status != 304 &&
+        SkyServerRequest_Head(request->caller_request)->method != HTTP_HEAD;
+    return may_have_body && !response->is_framed && response->status < 400 &&
+           response->body_bytes == 0;
+}
+
+void
+SkyProxyRequest_RecordCrashEvidence(const sky_proxy_request_t *request,
+                                    sky_exchange_end_kind_t kind)
+{
+    const sky_proxy_response_t *response = &request->response;
+    const sky_fleet_target_t *target = request->target;
+    sky_exchange_end_t end = {
+        .kind = kind,
+        .has_target = target != NULL,
+        .response = {
+            .status = response->status,
+            .is_targets = target != NULL ||
+                          request->hop_response.outcome == SKY_HOP_TARGET,
+            .is_refusal =
+                response->facts.not_run || response->facts.wrong_target,
+            .is_sealed = response->facts.sealed,
+            .is_framed = response->is_framed,
+            .lacks_body = SkyProxyRequest_LacksBody(request),
+            .ends_in_event =
+                SkyBuffer_Size(&request->event_stream.partial_event) > 0,
+        }};
+    sky_crash_exchange_t exchange = {
+        .identity = &request->identity,
+        .target = target != NULL ? (uint32_t)target->hash : 0,
+        .epoch = target != NULL ? target->entry.started_unix_ms : 0,
+        .sent_ms = request->sent_ms,
+        .evidence = SkyCrashEvidence_Judge(&end),
     };
-    if (!SkyCrashWatch_RecordBrokenExchange(
-            request->proxy->options.directory->crashes, &crash,
+    if (!SkyCrashWatch_RecordExchange(
+            request->proxy->options.directory->crashes, &exchange,
             SkyClock_NowMs())) {
         SkyLog_Write(LOG_WARNING, "crash_ignored", "id=%s reason=full",
                      request->facts.id);
@@ -786,9 +814,9 @@
         "events=%llu not_run=%d bad=%d failure=%.2f in_flight=%u "
         "read_status=%u id_echo=%s reused=%d served=%u sent=%s "
         "sent_bytes=%llu foreign=%u sends=%u",
-        request->facts.id, (unsigned long long)request->fingerprint, parts,
-        request->target ? request->target->entry.id : request->peer, cause,
-        request->response.status,
+        request->facts.id, (unsigned long long)request->identity.request,
+        parts, request->target ? request->target->entry.id : request->peer,
+        cause, request->response.status,
         (unsigned long long)SkyProxyRequest_EventCount(request),
         request->response.facts.not_run, request->response.is_invalid,
         request->target ? request->target->failure : 0.0,
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -65,9 +65,7 @@
     bool needs_key;                   /**< by `access` */
     const sky_workspace_t *workspace; /**< of `access`; NULL: none */
     sky_urgency_t urgency;
-    /** Hash of the method, host, path without query, and body. The same in all
-     *  requests by which a caller repeats one. */
-    uint64_t fingerprint;
+    sky_request_identity_t identity;
     uint64_t received_ms;
     uint64_t deadline_at_ms;   /**< of the final response to the caller */
     uint64_t first_sent_ms;    /**< to any target; 0: not sent yet */
@@ -138,7 +136,8 @@
     bool may_resume; /**< it is settled where the caller's stream may go on */
     sky_stream_ask_t *stream_ask; /**< pending, or NULL */
     sky_resume_answers_t resume_answers;
-    bool is_part_trial; /**< sent although it has a blamed prompt part */
+    bool is_part_trial;  /**< sent although it has a blamed prompt part */
+    bool is_crash_trial; /**< sent although it is quarantined */
     struct sky_proxy_request *prev;
     struct sky_proxy_request *next;
 } sky_proxy_request_t;
@@ -312,9 +311,13 @@
  *  part of the prompt may have crashed the target. */
 void SkyProxyRequest_SuspectParts(const sky_proxy_request_t *request);
 
-/** Records that the current exchange broke after the request was sent: the
- *  target may have crashed while it ran the request. */
-void SkyProxyRequest_SuspectCrash(const sky_proxy_request_t *request);
+/** Records what the end of the current exchange says of the request: whether
+ *  it may crash targets. To be called before SkyProxyRequest_EndExchange(). */
+void SkyProxyRequest_RecordCrashEvidence(const sky_proxy_request_t *request,
+                                         sky_exchange_end_kind_t kind);
+/** @return whether the response ends where a body is due. Without a length
+ *          this looks like an empty body, but no target means to send one. */
+bool SkyProxyRequest_LacksBody(const sky_proxy_request_t *request);
 
 /** @return how the request's lines are logged. They are evidence if the
  *          request must not repeat and was sent more than once, was refused
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -371,7 +371,6 @@
 {
     if (SkyBuffer_Size(&request->event_stream.partial_event) > 0) {
         /* The HTTP framing is complete, but the last event is not. */
-        SkyProxyRequest_SuspectCrash(request);
         SkyProxyRequest_SuspectParts(request);
         handle_failure(request, "cut_event");
         return;
@@ -384,19 +383,6 @@
     SkyProxyRequest_Free(request);
 }
 
-/* Whether the connection ended where the body was to begin. Without a length
- * this looks like an empty body, but no target means to send one. */
-static bool
-is_body_missing(const sky_proxy_request_t *request)
-{
-    const sky_proxy_response_t *response = &request->response;
-    bool may_have_body =
-        response->status != 204 && response->status != 304 &&
-        SkyServerRequest_Head(request->caller_request)->method != HTTP_HEAD;
-    return may_have_body && !response->is_framed && response->status < 400 &&
-           response->body_bytes == 0;
-}
-
 static void
 handle_complete_response(sky_proxy_request_t *request)
 {
@@ -410,8 +396,8 @@
         handle_refusal(request, &evidence);
         return;
     }
-    if (is_body_missing(request)) {
-        SkyProxyRequest_SuspectCrash(request);
+    SkyProxyRequest_RecordCrashEvidence(request, SKY_EXCHANGE_END_COMPLETE);
+    if (SkyProxyRequest_LacksBody(request)) {
         SkyProxyRequest_SuspectParts(request);
         handle_failure(request, "no_body");
         return;
@@ -491,7 +477,7 @@
         SkyProxyRequest_HoldSlot(request);
         request->response.status =
             request->response_started ? request->response.status : 0;
-        SkyProxyRequest_SuspectCrash(request);
+        SkyProxyRequest_RecordCrashEvidence(request, SKY_EXCHANGE_END_BROKEN);
         SkyProxyRequest_SuspectParts(request);
         handle_failure(request, SkyClientRequest_OutcomeName(outcome));
         break;
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -105,7 +105,7 @@
     if (!request->response_started) {
         /* A response that has begun is withdrawn only while this host is cut
          * off, which explains the silence. */
-        SkyProxyRequest_SuspectCrash(request);
+        SkyProxyRequest_RecordCrashEvidence(request, SKY_EXCHANGE_END_SILENT);
     }
     const char *obstacle = SkyProxyRequest_GetRetryObstacle(request);
     if (obstacle != NULL) {
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -23,6 +23,8 @@
  * target serves on; `late_sends` counts the requests that reach it later than
  * VANISHED_SEND_MAX_MS after. /appear?n=TARGET writes the entry again.
  *
+ * /crash?n=NUMBER&service=SERVICE crashes an engine, or a target of "app".
+ *
  * After /go-back?n=SECONDS the store has lost what it got in that time, and
  * its era, in all its responses, is one higher.
  *
@@ -2094,7 +2096,13 @@
         publish_engine_entry(&engines[number]);
     }
     else if (strncmp(url, "/crash", 6) == 0) {
-        crash_engine(&engines[number]);
+        if (strcmp(get_query_parameter(url, "service", key, sizeof key),
+                   "app") == 0) {
+            ev_feed_event(loop, &plain_targets[number].crash_timer, EV_TIMER);
+        }
+        else {
+            crash_engine(&engines[number]);
+        }
     }
     else if (strncmp(url, "/entry", 6) == 0) {
         char entry_key[128];
