Requests without a route are out of reach of code that reads one

Cause: the check of open requests asks once whether the records are usable, then routes the requests that wait for them; each asks again, and stays without a route if the age passes its limit in between. The same check then reads the route of all open requests to find silent targets.

Change: requests without a route are in a list of their own, so that no loop that needs a route meets them. What a request is matched to is set at once and read by accessors with an invariant; a breach goes on with a match that allows no repeat. All other uses of the target of an exchange were read: each checks for NULL or follows its choice.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,10 @@
 LIB_CXX := $(wildcard lib/*/*.cpp)
 LIB_O := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
 PROG_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/*.c))
-FAKE_O := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/fakes/connect_via.c,$(wildcard tests/fakes/*.c)))
+# Linked into the host that tests run, in place of functions of its own.
+CHECK_C := tests/fakes/connect_via.c tests/fakes/record_age.c
+CHECK_O := $(CHECK_C:%.c=$(BUILD)/%.o)
+FAKE_O := $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(CHECK_C),$(wildcard tests/fakes/*.c)))
 RIG_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/rig/*.c))
 DRIVER_O := $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/driver*.c) bench/oracle.c bench/stats.c)
 TESTS := $(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/test_*.cc))
@@ -41,8 +44,8 @@
 
 $(BUILD)/skylarkspar: $(PROG_O) $(LIB_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(DEP_LIBS)
-$(BUILD)/skylarkspar-check: $(PROG_O) $(TEST_LIB_O) $(BUILD)/tests/fakes/connect_via.o
-	$(CXX) $(LDFLAGS) -Wl,--wrap=connect -o $@ $^ $(DEP_LIBS)
+$(BUILD)/skylarkspar-check: $(PROG_O) $(TEST_LIB_O) $(CHECK_O)
+	$(CXX) $(LDFLAGS) -Wl,--wrap=connect -Wl,--wrap=SkyFeed_AreRecordsUsable -o $@ $^ $(DEP_LIBS)
 $(BUILD)/skyfake: $(FAKE_O) $(TEST_LIB_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(DEP_LIBS)
 # The judge of promises links none of the product's code.
--- a/lib/core/invariant.h
+++ b/lib/core/invariant.h
@@ -29,7 +29,8 @@
     X(SKY_INV_LOAD_HAS_ROOM, "load_has_room")                                 \
     X(SKY_INV_ONE_EXCHANGE, "one_exchange_per_request")                       \
     X(SKY_INV_PROMISE_IS_PROVED, "promise_is_proved")                         \
-    X(SKY_INV_NO_SEND_AFTER_RUN, "no_send_after_a_run")
+    X(SKY_INV_NO_SEND_AFTER_RUN, "no_send_after_a_run")                       \
+    X(SKY_INV_REQUEST_IS_ROUTED, "route_is_read_after_routing")
 
 typedef enum {
 #define X(symbol, name) symbol,
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -50,7 +50,7 @@
         .deadline_ms = (uint32_t)(request->deadline_at_ms - now),
         .target_id = request->target->entry.id,
         .version = request->adapter_version,
-        .urgency = request->service->engine.present
+        .urgency = SkyProxyRequest_GetService(request)->engine.present
                        ? scale_urgency(request->urgency)
                        : NO_URGENCY,
         .has_workspaces = SkyProxyRequest_HidesCredential(request),
@@ -69,7 +69,8 @@
     const sky_proxy_options_t *options = &request->proxy->options;
     uint64_t read_ms = options->directory->targets_read_ms;
     request->list_age_ms = request->last_activity_ms - read_ms;
-    SkyMetrics_Observe(options->metrics, request->service->name,
+    SkyMetrics_Observe(options->metrics,
+                       SkyProxyRequest_GetService(request)->name,
                        SKY_HIST_LIST_AGE, request->list_age_ms);
     if (request->list_age_ms > LIST_AGE_LOGGED_MS) {
         SkyLog_Write(LOG_NOTICE, "sent_by_old_list",
@@ -110,7 +111,7 @@
            sizeof request->sent_software);
     SkyFleet_BeginRequest(request->target);
     SkyReachability_RecordSend(proxy->options.directory->reachability,
-                               request->service->name,
+                               SkyProxyRequest_GetService(request)->name,
                                request->last_activity_ms);
     SkyProxyRequest_Count(request);
     write_request(request, &request_bytes);
@@ -138,7 +139,7 @@
         SkyProxyRequest_Fail(request, RETRY_AFTER_FULL_MS, "memory");
         return;
     }
-    if (request->service->engine.present) {
+    if (SkyProxyRequest_GetService(request)->engine.present) {
         SkyPlacement_RecordRequestStart(proxy->options.placement,
                                         request->target,
                                         SkyProxyRequest_AdapterKey(request));
@@ -219,15 +220,16 @@
 {
     sky_target_query_options_t options = {
         .directory = request->proxy->options.directory,
-        .route = request->route,
-        .service = request->service,
+        .route = SkyProxyRequest_GetRoute(request),
+        .service = SkyProxyRequest_GetService(request),
         .facts = &request->facts,
         .software =
             request->has_stream_software ? request->stream_software : NULL,
         .tie_breaker = SkyProxyRequest_IdHash(request),
     };
     sky_fleet_query_t query = SkyTargetQuery_Make(&options);
-    SkyAttempts_RestrictQuery(&request->attempts, request->route->targets_max,
+    SkyAttempts_RestrictQuery(&request->attempts,
+                              SkyProxyRequest_GetRoute(request)->targets_max,
                               &query);
     return query;
 }
@@ -269,7 +271,7 @@
                    const sky_fleet_choice_t *choice)
 {
     return choice->target != NULL && request->facts.adapter[0] != '\0' &&
-           request->service->engine.present &&
+           SkyProxyRequest_GetService(request)->engine.present &&
            request->owner_report_count < OWNER_REPORTS_PER_REQUEST_MAX &&
            !SkyFleet_HasRecentOwnerReport(choice->target, SkyClock_NowMs());
 }
@@ -287,7 +289,8 @@
 {
     uint64_t now = SkyClock_NowMs();
     uint64_t spent_ms = now - request->received_ms + read_ms;
-    uint64_t allowed_ms = request->route->latency_objective_ms / 2;
+    uint64_t allowed_ms =
+        SkyProxyRequest_GetRoute(request)->latency_objective_ms / 2;
     uint64_t left_ms =
         request->deadline_at_ms > now ? request->deadline_at_ms - now : 0;
     return spent_ms < allowed_ms
@@ -302,15 +305,18 @@
 needs_prompt_turn(const sky_proxy_request_t *request,
                   const sky_fleet_target_t *target, sky_prompt_turn_t *turn)
 {
-    if (target == NULL || !request->service->engine.present ||
-        !request->route->streaming || request->turn_target == target->hash ||
+    if (target == NULL ||
+        !SkyProxyRequest_GetService(request)->engine.present ||
+        !SkyProxyRequest_GetRoute(request)->streaming ||
+        request->turn_target == target->hash ||
         request->owner_report_count >= OWNER_REPORTS_PER_REQUEST_MAX) {
         return false;
     }
-    const sky_prompt_times_t *times =
-        SkyProxy_GetPromptTimes(request->proxy, request->service->name);
-    turn->interval_ms = SkyDeployment_GetEventIntervalMs(request->deployment,
-                                                         request->service);
+    const sky_prompt_times_t *times = SkyProxy_GetPromptTimes(
+        request->proxy, SkyProxyRequest_GetService(request)->name);
+    turn->interval_ms = SkyDeployment_GetEventIntervalMs(
+        SkyProxyRequest_GetDeployment(request),
+        SkyProxyRequest_GetService(request));
     turn->read_ms = times != NULL
                         ? min_ms(SkyPromptTimes_EstimateMs(
                                      times, request->facts.prompt_tokens),
@@ -377,9 +383,10 @@
 bool
 SkyProxyRequest_TakesTurns(const sky_proxy_request_t *request)
 {
-    return !request->service->engine.present &&
-           SkyServiceTurns_AreNeeded(request->proxy->options.service_turns,
-                                     request->service->name);
+    return !SkyProxyRequest_GetService(request)->engine.present &&
+           SkyServiceTurns_AreNeeded(
+               request->proxy->options.service_turns,
+               SkyProxyRequest_GetService(request)->name);
 }
 
 static uint32_t
@@ -435,20 +442,24 @@
     }
     request->service_turn_count++;
     request->capacity_wait_since_ms = 0;
-    const char *group = request->workspace != NULL ? request->workspace->name
-                                                   : request->route->name;
+    const char *group = request->workspace != NULL
+                            ? request->workspace->name
+                            : SkyProxyRequest_GetRoute(request)->name;
     sky_turn_request_t spec = {
         .urgency = request->urgency.rank,
         .group = XXH3_64bits(group, strlen(group)),
         .objective_ms = ms_until(
-            request->received_ms + request->route->latency_objective_ms, now),
+            request->received_ms +
+                SkyProxyRequest_GetRoute(request)->latency_objective_ms,
+            now),
         .deadline_ms = ms_until(request->deadline_at_ms, now),
         .excluded = request->attempts.failed,
         .excluded_count = request->attempts.failed_count,
     };
-    request->service_turn = SkyServiceTurns_Take(
-        request->proxy->options.service_turns, request->service->name, &spec,
-        on_service_turn, request, &turn);
+    request->service_turn =
+        SkyServiceTurns_Take(request->proxy->options.service_turns,
+                             SkyProxyRequest_GetService(request)->name, &spec,
+                             on_service_turn, request, &turn);
     return request->service_turn == NULL && apply_service_turn(request, &turn);
 }
 
@@ -643,7 +654,8 @@
         (unsigned long long)SkyStreamSharing_HashId(request->facts.stream_id),
         DECISIONS[resume->kind],
         resume->kind == SKY_RESUME_AT_SOFTWARE ? resume->software : "-",
-        SkyStreamVersions_IsMixed(directory->streams, request->service->name,
+        SkyStreamVersions_IsMixed(directory->streams,
+                                  SkyProxyRequest_GetService(request)->name,
                                   SkyClock_BootMs()),
         answers->know_mixed, answers->has_heard,
         (unsigned long long)(SkyClock_NowMs() - directory->targets_read_ms));
@@ -656,11 +668,11 @@
 settle_resume(sky_proxy_request_t *request)
 {
     if (request->may_resume || !request->facts.resumes ||
-        !request->route->streaming) {
+        !SkyProxyRequest_GetRoute(request)->streaming) {
         return true;
     }
     const sky_proxy_options_t *options = &request->proxy->options;
-    const char *service = request->service->name;
+    const char *service = SkyProxyRequest_GetService(request)->name;
     uint64_t stream = SkyStreamSharing_HashId(request->facts.stream_id);
     request->resume_answers.has_newer_list =
         options->directory->targets_read_ms > request->received_ms;
@@ -714,7 +726,8 @@
 must_queue(const sky_proxy_request_t *request)
 {
     const sky_proxy_t *proxy = request->proxy;
-    if (!proxy->has_capacity_waiters || request->service->engine.present ||
+    if (!proxy->has_capacity_waiters ||
+        SkyProxyRequest_GetService(request)->engine.present ||
         request->capacity_wait_since_ms > 0 ||
         SkyProxyRequest_IsUnderWay(request)) {
         return false;
@@ -722,7 +735,8 @@
     const sky_proxy_request_t *other;
     DL_FOREACH(proxy->requests, other)
     {
-        if (other->service == request->service &&
+        if (SkyProxyRequest_GetService(other) ==
+                SkyProxyRequest_GetService(request) &&
             other->capacity_wait_since_ms > 0 &&
             other->urgency.rank <= request->urgency.rank) {
             return true;
@@ -785,7 +799,7 @@
         request_replicas(request, &query, choice.extra_replicas);
     }
     if (request->capacity_wait_since_ms > 0) {
-        if (!request->service->engine.present) {
+        if (!SkyProxyRequest_GetService(request)->engine.present) {
             request->proxy->has_capacity_waiters = true;
         }
         return; /* SkyProxy_CheckOpenRequests() dispatches it again */
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -57,7 +57,8 @@
         }
     }
     return attempts->may_have_run_count == 0 ||
-           attempts->may_have_run_count < request->route->targets_max;
+           attempts->may_have_run_count <
+               SkyProxyRequest_GetRoute(request)->targets_max;
 }
 
 bool
@@ -126,7 +127,7 @@
     SkyProxyRequest_Uncount(request);
     SkyReachability_RecordPeerSend(
         request->proxy->options.directory->reachability,
-        request->service->name, peer);
+        SkyProxyRequest_GetService(request)->name, peer);
     request->proxy->stats.sent_to_peers++;
     SkyLog_Write(LOG_INFO, "forward", "id=%s peer=%s sends=%u left_ms=%lld",
                  request->facts.id, peer, request->send_count,
@@ -188,7 +189,7 @@
         return false;
     }
     sky_path_query_t query = {
-        .service = request->service->name,
+        .service = SkyProxyRequest_GetService(request)->name,
         .has_target = SkyProxyRequest_HasEligibleTarget(request),
         .excluded = request->tried_peers,
         .excluded_count = request->tried_peer_count,
--- a/lib/edge/proxy.c
+++ b/lib/edge/proxy.c
@@ -101,7 +101,8 @@
     SkyLog_Write(LOG_INFO, "forwarded", "id=%s from=%s may_have_run=%u",
                  request->facts.id, hop.from, hop.may_have_run_count);
     if (hop.may_have_run_count > 0 &&
-        request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE) {
+        SkyProxyRequest_GetRoute(request)->retry_policy ==
+            SKY_RETRY_AT_MOST_ONCE) {
         /* By this host it has not run: the other one knows the rest. */
         SkyProxyRequest_Fail(request, 0, "not_repeatable");
         return false;
@@ -140,25 +141,30 @@
                         "not_configured");
         return;
     }
-    request->deployment =
-        SkyDeployment_Acquire(proxy->options.directory->deployment);
+    sky_request_match_t match = {.deployment = SkyDeployment_Acquire(
+                                     proxy->options.directory->deployment)};
+    request->match.deployment = match.deployment;
     if (SkyResult_IsError(SkyWire_ParseRequest(head, &request->facts))) {
         reject_unrouted(request, 400, 0, "bad_request");
         return;
     }
-    request->route = SkyDeployment_FindRoute(
-        request->deployment, host ? host : "", SkyHttpHead_Url(head));
-    request->service =
-        request->route
-            ? SkyDeployment_ChooseService(request->deployment, request->route,
+    match.route = SkyDeployment_FindRoute(match.deployment, host ? host : "",
+                                          SkyHttpHead_Url(head));
+    match.service =
+        match.route
+            ? SkyDeployment_ChooseService(match.deployment, match.route,
                                           get_service_hash(request))
             : NULL;
-    if (request->service == NULL) {
+    if (match.service == NULL) {
         reject_unrouted(request, 404, 0, "no_route");
         return;
     }
-    uint32_t limit_ms = request->route->timeout_ms < request->facts.deadline_ms
-                            ? request->route->timeout_ms
+    DL_DELETE(proxy->unrouted, request);
+    request->match = match;
+    DL_APPEND(proxy->requests, request);
+    uint32_t limit_ms = SkyProxyRequest_GetRoute(request)->timeout_ms <
+                                request->facts.deadline_ms
+                            ? SkyProxyRequest_GetRoute(request)->timeout_ms
                             : request->facts.deadline_ms;
     request->deadline_at_ms = request->received_ms + limit_ms;
     if (!SkyProxyRequest_HasAccess(request) ||
@@ -218,7 +224,7 @@
     request->facts.id = "";
     ev_init(&request->deadline_timer, on_deadline);
     request->deadline_timer.data = request;
-    DL_APPEND(proxy->requests, request);
+    DL_APPEND(proxy->unrouted, request);
     proxy->open_count++;
     SkyServerRequest_SetUserData(caller_request, request);
     SkyProxyRequest_Route(request);
@@ -309,18 +315,25 @@
     return SKY_OK;
 }
 
-void
-SkyProxy_Free(sky_proxy_t *proxy)
+static void
+free_requests(sky_proxy_request_t *list)
 {
-    if (proxy == NULL) {
-        return;
-    }
     sky_proxy_request_t *request;
     sky_proxy_request_t *next;
-    DL_FOREACH_SAFE(proxy->requests, request, next)
+    DL_FOREACH_SAFE(list, request, next)
     {
         SkyProxyRequest_Free(request);
     }
+}
+
+void
+SkyProxy_Free(sky_proxy_t *proxy)
+{
+    if (proxy == NULL) {
+        return;
+    }
+    free_requests(proxy->unrouted);
+    free_requests(proxy->requests);
     ev_timer_stop(proxy->options.loop, &proxy->check_timer);
     sky_service_record_t *record;
     sky_service_record_t *next_record;
@@ -339,12 +352,12 @@
     proxy->is_stopping = true;
 }
 
-void
-SkyProxy_AnswerOpenRequests(sky_proxy_t *proxy)
+static void
+answer_requests(sky_proxy_request_t *list)
 {
     sky_proxy_request_t *request;
     sky_proxy_request_t *next;
-    DL_FOREACH_SAFE(proxy->requests, request, next)
+    DL_FOREACH_SAFE(list, request, next)
     {
         if (!request->response_started) {
             end_request(request, RETRY_AFTER_STOPPING_MS, "stopping");
@@ -352,6 +365,13 @@
     }
 }
 
+void
+SkyProxy_AnswerOpenRequests(sky_proxy_t *proxy)
+{
+    answer_requests(proxy->unrouted);
+    answer_requests(proxy->requests);
+}
+
 uint32_t
 SkyProxy_OpenRequestCount(const sky_proxy_t *proxy)
 {
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -10,10 +10,11 @@
 static void
 refuse_unproven(sky_proxy_request_t *request)
 {
-    SkyLog_Write(LOG_NOTICE, "access_unproven",
-                 "id=%s config=%llu bound_ms=%u", request->facts.id,
-                 (unsigned long long)request->deployment->version,
-                 request->proxy->options.settings->bounds.revocation_ms);
+    SkyLog_Write(
+        LOG_NOTICE, "access_unproven", "id=%s config=%llu bound_ms=%u",
+        request->facts.id,
+        (unsigned long long)SkyProxyRequest_GetDeployment(request)->version,
+        request->proxy->options.settings->bounds.revocation_ms);
     SkyProxyRequest_Fail(request, RETRY_AFTER_UNPROVEN_MS, "access_unproven");
 }
 
@@ -61,15 +62,16 @@
     request->needs_key = false;
     request->workspace = NULL;
     if (newest->workspaces == NULL) {
-        request->urgency = SkyDeployment_GetUrgency(request->deployment,
-                                                    request->route, NULL);
+        request->urgency =
+            SkyDeployment_GetUrgency(SkyProxyRequest_GetDeployment(request),
+                                     SkyProxyRequest_GetRoute(request), NULL);
         return;
     }
     /* A route that is gone keeps its urgency: the configuration that ranks it
      * is another one. */
-    const sky_route_t *route = request->route;
+    const sky_route_t *route = SkyProxyRequest_GetRoute(request);
     bool is_ranked = true;
-    if (newest != request->deployment) {
+    if (newest != SkyProxyRequest_GetDeployment(request)) {
         const sky_route_t *found = find_route_in(request, newest);
         is_ranked = found != NULL;
         route = is_ranked ? found : route;
@@ -109,7 +111,7 @@
 bool
 SkyProxyRequest_HidesCredential(const sky_proxy_request_t *request)
 {
-    return request->deployment->workspaces != NULL ||
+    return SkyProxyRequest_GetDeployment(request)->workspaces != NULL ||
            request->access->workspaces != NULL;
 }
 
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -23,6 +23,21 @@
 #define US_PER_MS 1000
 #define RESPONSE_MIN_MS 20 /**< no target responds in less time */
 
+const sky_request_match_t *
+SkyProxyRequest_GetMatch(const sky_proxy_request_t *request)
+{
+    /* Allows the least that a request can be allowed. */
+    static const sky_route_t NO_ROUTE = {.retry_policy =
+                                             SKY_RETRY_AT_MOST_ONCE};
+    static const sky_service_t NO_SERVICE = {.name = ""};
+    static sky_deployment_t NO_DEPLOYMENT;
+    static const sky_request_match_t NO_MATCH = {&NO_DEPLOYMENT, &NO_ROUTE,
+                                                 &NO_SERVICE};
+    bool is_routed = SkyProxyRequest_IsRouted(request);
+    SKY_INVARIANT(SKY_INV_REQUEST_IS_ROUTED, is_routed);
+    return is_routed ? &request->match : &NO_MATCH;
+}
+
 static sky_service_record_t *
 find_or_add_record(sky_proxy_t *proxy, const char *service)
 {
@@ -64,7 +79,7 @@
 uint64_t
 SkyProxyRequest_RouteHash(const sky_proxy_request_t *request)
 {
-    const char *name = request->route->name;
+    const char *name = SkyProxyRequest_GetRoute(request)->name;
     return XXH3_64bits(name, strlen(name));
 }
 
@@ -102,8 +117,9 @@
 static sky_retry_policy_t
 get_retry_policy(const sky_proxy_request_t *request)
 {
-    return request->route != NULL ? request->route->retry_policy
-                                  : SKY_RETRY_AT_MOST_ONCE;
+    return SkyProxyRequest_IsRouted(request)
+               ? SkyProxyRequest_GetRoute(request)->retry_policy
+               : SKY_RETRY_AT_MOST_ONCE;
 }
 
 bool
@@ -173,13 +189,14 @@
         SkyAttempts_RecordUnsent(&request->attempts);
     }
     if (request->peer[0] != '\0') {
-        SkyReachability_RecordPeerEnd(proxy->options.directory->reachability,
-                                      request->service->name, request->peer,
-                                      result != SKY_EXCHANGE_UNREACHABLE);
+        SkyReachability_RecordPeerEnd(
+            proxy->options.directory->reachability,
+            SkyProxyRequest_GetService(request)->name, request->peer,
+            result != SKY_EXCHANGE_UNREACHABLE);
         request->peer[0] = '\0';
     }
     if (request->target != NULL) {
-        if (request->service->engine.present) {
+        if (SkyProxyRequest_GetService(request)->engine.present) {
             SkyPlacement_RecordRequestEnd(proxy->options.placement,
                                           request->target,
                                           SkyProxyRequest_AdapterKey(request));
@@ -190,7 +207,8 @@
                 (uint32_t)(SkyClock_NowMs() - request->sent_ms));
         }
         SkyReachability_RecordEnd(proxy->options.directory->reachability,
-                                  request->service->name, SkyClock_NowMs());
+                                  SkyProxyRequest_GetService(request)->name,
+                                  SkyClock_NowMs());
         SkyFleet_EndRequest(proxy->options.directory->fleet, request->target,
                             result, SkyClock_NowMs());
         request->target = NULL;
@@ -255,8 +273,9 @@
 SkyProxyRequest_GetLogClass(const sky_proxy_request_t *request,
                             uint16_t status)
 {
-    if (request->route == NULL ||
-        request->route->retry_policy != SKY_RETRY_AT_MOST_ONCE ||
+    if (!SkyProxyRequest_IsRouted(request) ||
+        SkyProxyRequest_GetRoute(request)->retry_policy !=
+            SKY_RETRY_AT_MOST_ONCE ||
         request->send_count == 0) {
         return SKY_LOG_ORDINARY;
     }
@@ -283,6 +302,7 @@
                        uint16_t status, const char *outcome,
                        const char *reason)
 {
+    const sky_request_match_t *match = &request->match;
     SkyLog_WriteClass(
         SkyProxyRequest_GetLogClass(request, status), priority, "request_end",
         "id=%s route=%s service=%s adapter=%s/%s target=%s status=%u "
@@ -290,8 +310,8 @@
         "reason=%s ms=%llu sent_ms=%lld first_ms=%lld sends=%u asks=%u "
         "config=%llu fingerprint=%016llx software=%s sent_software=%s "
         "resumes=%d list_age_ms=%llu workspace=%s urgency=%u",
-        request->facts.id, request->route ? request->route->name : "-",
-        request->service ? request->service->name : "-",
+        request->facts.id, match->route ? match->route->name : "-",
+        match->service ? match->service->name : "-",
         request->facts.model[0] ? request->facts.model : "-",
         request->facts.adapter[0] ? request->facts.adapter : "-",
         request->last_target_id[0] ? request->last_target_id : "-", status,
@@ -300,8 +320,8 @@
         ms_since_received(request, request->first_sent_ms),
         ms_since_received(request, request->relay_started_ms),
         request->send_count, request->placement_count,
-        (unsigned long long)(request->deployment ? request->deployment->version
-                                                 : 0),
+        (unsigned long long)(match->deployment ? match->deployment->version
+                                               : 0),
         (unsigned long long)request->identity.request,
         request->has_stream_software ? request->stream_software : "-",
         request->sent_software[0] ? request->sent_software : "-",
@@ -315,7 +335,8 @@
 {
     sky_metrics_t *metrics = request->proxy->options.metrics;
     SkyMetrics_CountResponse(
-        metrics, request->service ? request->service->name : "-", code);
+        metrics, request->match.service ? request->match.service->name : "-",
+        code);
     if (request->workspace != NULL) {
         SkyMetrics_CountResponse(metrics, request->workspace->name, code);
     }
@@ -330,24 +351,29 @@
         SkyProxyRequest_RefundQuota(request);
     }
     ev_timer_stop(proxy->options.loop, &request->deadline_timer);
-    DL_DELETE(proxy->requests, request);
+    if (SkyProxyRequest_IsRouted(request)) {
+        DL_DELETE(proxy->requests, request);
+    }
+    else {
+        DL_DELETE(proxy->unrouted, request);
+    }
     proxy->open_count--;
     SkyProxyResponse_Clear(&request->response);
     SkyEventStream_Clear(&request->event_stream);
     SkyProxyRequest_UpdateMemoryShare(request);
     SkyDeployment_Release(request->access);
     SkyDeployment_Release(request->charged);
-    SkyDeployment_Release(request->deployment);
+    SkyDeployment_Release(request->match.deployment);
     free(request);
 }
 
 bool
 SkyProxyRequest_IsOutOfReach(const sky_proxy_request_t *request)
 {
-    return request->service != NULL &&
+    return SkyProxyRequest_IsRouted(request) &&
            SkyReachability_IsDoubted(
                request->proxy->options.directory->reachability,
-               request->service->name, SkyClock_NowMs());
+               SkyProxyRequest_GetService(request)->name, SkyClock_NowMs());
 }
 
 /* Returns what a response of this host's own says to the host that passed the
@@ -460,7 +486,7 @@
     }
     sky_stop_request_t stopped = {
         .route = SkyProxyRequest_RouteHash(request),
-        .kind = get_stop_kind(request->route),
+        .kind = get_stop_kind(SkyProxyRequest_GetRoute(request)),
         .limit_ms = request->deadline_at_ms - request->received_ms,
         .ends_at_ms = request->deadline_at_ms,
     };
@@ -482,8 +508,8 @@
     count_response(request, status < 400 ? "ok" : "target_failure");
     uint64_t now_ms = SkyClock_NowMs();
     uint64_t duration_ms = now_ms - request->received_ms;
-    SkyMetrics_Observe(metrics, request->service->name, SKY_HIST_TOTAL,
-                       duration_ms);
+    SkyMetrics_Observe(metrics, SkyProxyRequest_GetService(request)->name,
+                       SKY_HIST_TOTAL, duration_ms);
     if (request->workspace != NULL) {
         SkyMetrics_Observe(metrics, request->workspace->name, SKY_HIST_TOTAL,
                            duration_ms);
@@ -513,8 +539,8 @@
 void
 SkyProxyRequest_Count(sky_proxy_request_t *request)
 {
-    sky_retry_budget_t *budget =
-        SkyProxy_GetRetryBudget(request->proxy, request->service->name);
+    sky_retry_budget_t *budget = SkyProxy_GetRetryBudget(
+        request->proxy, SkyProxyRequest_GetService(request)->name);
     if (budget != NULL && !request->is_counted) {
         SkyRetryBudget_RecordRequest(budget, &request->proxy->retry_options,
                                      SkyClock_NowMs());
@@ -527,7 +553,8 @@
 {
     if (request->is_counted) {
         SkyRetryBudget_RemoveRequest(
-            SkyProxy_GetRetryBudget(request->proxy, request->service->name),
+            SkyProxy_GetRetryBudget(request->proxy,
+                                    SkyProxyRequest_GetService(request)->name),
             &request->proxy->retry_options, SkyClock_NowMs());
         request->is_counted = false;
     }
@@ -548,8 +575,8 @@
 has_retry_left(const sky_proxy_request_t *request, uint64_t now)
 {
     sky_proxy_t *proxy = request->proxy;
-    sky_retry_budget_t *budget =
-        SkyProxy_GetRetryBudget(proxy, request->service->name);
+    sky_retry_budget_t *budget = SkyProxy_GetRetryBudget(
+        proxy, SkyProxyRequest_GetService(request)->name);
     uint32_t hosts = proxy->options.directory->host_count;
     if (budget == NULL) {
         return false;
@@ -611,7 +638,8 @@
     if (obstacle == NULL) {
         if (request->attempts.last_send_arrived) {
             SkyRetryBudget_AcquireRetry(
-                SkyProxy_GetRetryBudget(proxy, request->service->name),
+                SkyProxy_GetRetryBudget(
+                    proxy, SkyProxyRequest_GetService(request)->name),
                 &proxy->retry_options, proxy->options.directory->host_count,
                 now);
         }
@@ -685,15 +713,16 @@
 {
     uint64_t first_event_ms = SkyClock_NowMs() - request->sent_ms;
     /* Slower ones waited for something else than their prompts. */
-    bool is_typical = first_event_ms <= request->route->latency_objective_ms;
+    bool is_typical = first_event_ms <=
+                      SkyProxyRequest_GetRoute(request)->latency_objective_ms;
     if (request->prompt_time_recorded || request->target == NULL ||
-        !request->service->engine.present || request->facts.resumes ||
-        request->events_before > 0 || !is_typical) {
+        !SkyProxyRequest_GetService(request)->engine.present ||
+        request->facts.resumes || request->events_before > 0 || !is_typical) {
         return;
     }
     request->prompt_time_recorded = true;
-    sky_prompt_times_t *times =
-        SkyProxy_GetPromptTimes(request->proxy, request->service->name);
+    sky_prompt_times_t *times = SkyProxy_GetPromptTimes(
+        request->proxy, SkyProxyRequest_GetService(request)->name);
     if (times != NULL) {
         sky_prompt_sample_t sample = {request->facts.prompt_tokens,
                                       (uint32_t)first_event_ms};
@@ -706,7 +735,8 @@
                              uint64_t event_count)
 {
     sky_fleet_target_t *target = request->target;
-    if (target == NULL || !request->service->engine.present ||
+    if (target == NULL ||
+        !SkyProxyRequest_GetService(request)->engine.present ||
         event_count == 0) {
         return;
     }
@@ -727,7 +757,8 @@
 void
 SkyProxyRequest_RecordDuration(const sky_proxy_request_t *request)
 {
-    if (request->target == NULL || request->service->engine.present ||
+    if (request->target == NULL ||
+        SkyProxyRequest_GetService(request)->engine.present ||
         request->response.status >= 400) {
         return;
     }
@@ -746,7 +777,7 @@
     memcpy(request->stream_software, request->sent_software,
            sizeof request->stream_software);
     if (request->facts.stream_id[0] == '\0' ||
-        request->route->retry_policy != SKY_RETRY_RESUME) {
+        SkyProxyRequest_GetRoute(request)->retry_policy != SKY_RETRY_RESUME) {
         return; /* nobody can take it up */
     }
     if (request->peer[0] != '\0' && request->sent_software[0] == '\0') {
@@ -755,7 +786,7 @@
     sky_stream_version_t stream = {
         .stream = SkyStreamSharing_HashId(request->facts.stream_id)};
     snprintf(stream.service, sizeof stream.service, "%s",
-             request->service->name);
+             SkyProxyRequest_GetService(request)->name);
     memcpy(stream.software, request->stream_software, sizeof stream.software);
     SkyStreamVersions_RecordStream(request->proxy->options.directory->streams,
                                    &stream, true, SkyClock_BootMs());
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -52,13 +52,20 @@
     bool is_invalid;
 } sky_proxy_response_t;
 
+/** What a request is matched to, once, when it is routed. */
+typedef struct {
+    sky_deployment_t *deployment; /**< NULL: not looked up yet */
+    const sky_route_t *route;
+    const sky_service_t *service; /**< NULL: the request is not routed */
+} sky_request_match_t;
+
 typedef struct sky_proxy_request {
     sky_proxy_t *proxy;
     sky_server_request_t *caller_request;
     uint64_t held_bytes; /**< of the memory share, for what is buffered */
-    sky_deployment_t *deployment;
-    const sky_route_t *route;
-    const sky_service_t *service;
+    /** Read by SkyProxyRequest_GetRoute(), _GetService() and _GetDeployment()
+     *  alone: a request may wait for long before it is routed. */
+    sky_request_match_t match;
     sky_request_facts_t facts;
     /** Newest configuration by which the access was checked. */
     sky_deployment_t *access;
@@ -154,7 +161,8 @@
     sky_proxy_options_t options;
     sky_retry_budget_options_t retry_options;
     sky_service_record_t *service_records;
-    sky_proxy_request_t *requests;
+    sky_proxy_request_t *requests; /**< that are routed */
+    sky_proxy_request_t *unrouted; /**< that wait for records, or are new */
     uint32_t open_count;
     sky_proxy_stats_t stats;
     /** Some request waits for capacity of a plain service, see
@@ -168,6 +176,35 @@
     sky_stop_admission_t *stop_admission;
 };
 
+static inline bool
+SkyProxyRequest_IsRouted(const sky_proxy_request_t *request)
+{
+    return request->match.service != NULL;
+}
+
+/** The match of a request that is routed: it is a broken invariant to ask for
+ *  that of another one, which has a match without meaning. */
+const sky_request_match_t *
+SkyProxyRequest_GetMatch(const sky_proxy_request_t *request);
+
+static inline const sky_route_t *
+SkyProxyRequest_GetRoute(const sky_proxy_request_t *request)
+{
+    return SkyProxyRequest_GetMatch(request)->route;
+}
+
+static inline const sky_service_t *
+SkyProxyRequest_GetService(const sky_proxy_request_t *request)
+{
+    return SkyProxyRequest_GetMatch(request)->service;
+}
+
+static inline sky_deployment_t *
+SkyProxyRequest_GetDeployment(const sky_proxy_request_t *request)
+{
+    return SkyProxyRequest_GetMatch(request)->deployment;
+}
+
 /** @return the retry budget of a service, created at its first use; NULL: out
  *  of memory. */
 sky_retry_budget_t *SkyProxy_GetRetryBudget(sky_proxy_t *proxy,
@@ -193,7 +230,7 @@
 static inline bool
 SkyProxyRequest_IsUnderWay(const sky_proxy_request_t *request)
 {
-    return request->route->streaming &&
+    return SkyProxyRequest_GetRoute(request)->streaming &&
            (request->facts.resumes || request->event_stream.event_count > 0);
 }
 
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -146,7 +146,8 @@
     const sky_proxy_response_t *response = &request->response;
     return response->status < 400 && !response->is_invalid &&
            !is_refusal(response) &&
-           (request->route->streaming || response->facts.events ||
+           (SkyProxyRequest_GetRoute(request)->streaming ||
+            response->facts.events ||
             response->content_length > BUFFERED_RESPONSE_MAX_BYTES ||
             SkyBuffer_Size(&response->body) > BUFFERED_RESPONSE_MAX_BYTES);
 }
@@ -171,7 +172,8 @@
         SkyProxyRequest_RecordFirstEvent(request);
     }
     request->relay_started_ms = SkyClock_NowMs();
-    SkyMetrics_Observe(request->proxy->options.metrics, request->service->name,
+    SkyMetrics_Observe(request->proxy->options.metrics,
+                       SkyProxyRequest_GetService(request)->name,
                        SKY_HIST_FIRST_TOKEN,
                        request->relay_started_ms - request->received_ms);
 }
@@ -252,7 +254,8 @@
     bool is_wrong_target = request->response.facts.wrong_target;
     bool is_own_target = request->target != NULL;
     uint64_t target_hash = request->sent_to;
-    bool lacks_adapter = is_wrong_target && request->service->engine.present;
+    bool lacks_adapter =
+        is_wrong_target && SkyProxyRequest_GetService(request)->engine.present;
     SkyProxyRequest_LogExchangeFailure(request, "refused");
     if (lacks_adapter && is_own_target) {
         sky_residency_t absent = {.adapter =
--- a/lib/edge/proxy_timer.c
+++ b/lib/edge/proxy_timer.c
@@ -39,8 +39,7 @@
     sky_proxy_request_t *request;
     DL_FOREACH(proxy->requests, request)
     {
-        if (request->route != NULL &&
-            (request->capacity_wait_since_ms > 0 || request->waits_for_path ||
+        if ((request->capacity_wait_since_ms > 0 || request->waits_for_path ||
              request->waits_for_turn || request->waits_for_records) &&
             request->placement_request == NULL &&
             request->permit_request == NULL &&
@@ -56,8 +55,8 @@
 static uint64_t
 max_silence_ms(const sky_proxy_request_t *request)
 {
-    double max_ms =
-        request->route->latency_objective_ms * SILENCE_OBJECTIVE_FACTOR;
+    double max_ms = SkyProxyRequest_GetRoute(request)->latency_objective_ms *
+                    SILENCE_OBJECTIVE_FACTOR;
     return max_ms > SILENCE_MIN_MS ? (uint64_t)max_ms : SILENCE_MIN_MS;
 }
 
@@ -70,7 +69,7 @@
     return request->target != NULL &&
            SkyReachability_IsCutOff(
                request->proxy->options.directory->reachability,
-               request->service->name, CUT_OFF_MIN_MS, now);
+               SkyProxyRequest_GetService(request)->name, CUT_OFF_MIN_MS, now);
 }
 
 /* Whether neither this request nor another one of this host receives anything
@@ -80,7 +79,8 @@
 {
     uint64_t max_ms = max_silence_ms(request);
     if (request->target_request == NULL ||
-        request->route->retry_policy == SKY_RETRY_AT_MOST_ONCE ||
+        SkyProxyRequest_GetRoute(request)->retry_policy ==
+            SKY_RETRY_AT_MOST_ONCE ||
         (request->response_started && !may_withdraw_response(request, now))) {
         return false;
     }
@@ -160,11 +160,9 @@
 {
     sky_proxy_request_t *request;
     sky_proxy_request_t *next;
-    DL_FOREACH_SAFE(proxy->requests, request, next)
+    DL_FOREACH_SAFE(proxy->unrouted, request, next)
     {
-        if (request->route == NULL && request->waits_for_records) {
-            SkyProxyRequest_Route(request);
-        }
+        SkyProxyRequest_Route(request);
     }
 }
 
@@ -177,9 +175,7 @@
     sky_proxy_request_t *next;
     DL_FOREACH_SAFE(proxy->requests, request, next)
     {
-        if (request->route != NULL) {
-            SkyProxyRequest_FailIfStopping(request);
-        }
+        SkyProxyRequest_FailIfStopping(request);
     }
 }
 
