A target's large error is passed on whole, or broken off

Cause: errors are held back for a retry up to 256 KiB. Beyond that the exchange is broken off, and what had arrived was taken for the target's whole response, as it had status 500 and a seal. An error in which a target fell silent, one with a content encoding, and one given up for want of memory took the same way.

Change: a response knows whether it was read to its end, and only such a one is passed on as a whole. An error that is too large to hold back goes to the caller as it arrives, with its own framing, unless it has none or makes a promise that is not proved.

--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -651,9 +651,9 @@
         SkyProxyRequest_Dispatch(request);
     }
     else if (!request->response_started && request->response.status >= 500 &&
-             request->response.facts.sealed &&
+             request->response.is_whole && request->response.facts.sealed &&
              !request->response.facts.not_run) {
-        /* A whole error response that the target itself sent. */
+        /* An error response that the target itself sent. */
         SkyProxyRequest_ForwardResponse(request);
     }
     else {
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -47,6 +47,8 @@
     /** The body has a length or chunks; else it ends with its connection. */
     bool is_framed;
     uint64_t body_bytes; /**< received in the current exchange */
+    /** Read to its end: a part of a response must not be passed on as one. */
+    bool is_whole;
     /** Altered on its way, a success without the target's seal, or not the
      *  continuation of the stream that was to be resumed. */
     bool is_invalid;
--- a/lib/edge/proxy_response.c
+++ b/lib/edge/proxy_response.c
@@ -8,6 +8,8 @@
 /** Responses up to this size are buffered whole before any byte is passed on,
  *  so that the request can still be retried if the response is cut short. */
 #define BUFFERED_RESPONSE_MAX_BYTES (256u * 1024u)
+#define STATUS_FIRST_ERROR 400
+#define STATUS_FIRST_TARGET_ERROR 500
 /** Larger events are taken for bytes without end. */
 #define EVENT_MAX_BYTES (1024u * 1024u)
 
@@ -117,6 +119,7 @@
     response->stated = stated;
     response->is_framed = head->has_length;
     response->body_bytes = 0;
+    response->is_whole = false;
     if (request->response_started) {
         /* The caller already has the head of the stream that is resumed. */
         bool continues_stream = head->status == 200 && facts.sealed &&
@@ -139,7 +142,8 @@
     return needs_body(response);
 }
 
-/* Whether the response is passed on as it arrives; others are buffered. */
+/* Whether the response is passed on as it arrives; others are buffered whole,
+ * unless they turn out to be too large: handle_full_buffer(). */
 static bool
 is_relayed(const sky_proxy_request_t *request)
 {
@@ -156,7 +160,8 @@
 begin_relay(sky_proxy_request_t *request)
 {
     sky_proxy_response_t *response = &request->response;
-    response->is_event_stream = response->facts.events;
+    response->is_event_stream =
+        response->facts.events && response->status < STATUS_FIRST_ERROR;
     sky_body_framing_t framing = response->is_event_stream ||
                                          !response->has_content_length ||
                                          !response->content_length
@@ -331,6 +336,24 @@
                                      request->held_bytes);
 }
 
+/* Goes on with a response of which no more may be buffered; may free the
+ * request. An error is passed on as it arrives: it is too late to hold it back
+ * for a retry. Without a length or chunks it may have no end, and is broken
+ * off. */
+static void
+handle_full_buffer(sky_proxy_request_t *request, const char *cause)
+{
+    const sky_proxy_response_t *response = &request->response;
+    if (!request->response_started && response->status >= STATUS_FIRST_ERROR &&
+        !response->is_invalid && response->is_framed &&
+        SkyProxyRequest_CheckTargetStatus(request) == response->status) {
+        SkyProxyRequest_LogExchangeFailure(request, "large_error");
+        begin_relay_of_buffered(request);
+        return;
+    }
+    break_off(request, cause);
+}
+
 static void
 on_response_body(void *context, const char *bytes, size_t size)
 {
@@ -358,14 +381,14 @@
         }
     }
     if (SkyBuffer_Size(&response->body) > BUFFERED_RESPONSE_MAX_BYTES) {
-        break_off(request, "too_large");
+        handle_full_buffer(request, "too_large");
     }
     else if (SkyBuffer_Size(&request->event_stream.partial_event) >
              EVENT_MAX_BYTES) {
         break_off(request, "endless_event");
     }
     else if (is_memory_short(request)) {
-        break_off(request, "memory_share");
+        handle_full_buffer(request, "memory_share");
     }
 }
 
@@ -379,8 +402,11 @@
         return;
     }
     sky_send_evidence_t evidence = get_evidence(request);
+    bool is_error = request->response.status >= STATUS_FIRST_TARGET_ERROR &&
+                    request->peer[0] == '\0';
     SkyProxyRequest_RecordDuration(request);
-    SkyProxyRequest_EndExchange(request, SKY_EXCHANGE_OK, &evidence);
+    SkyProxyRequest_EndExchange(
+        request, is_error ? SKY_EXCHANGE_FAILED : SKY_EXCHANGE_OK, &evidence);
     SkyProxyRequest_RecordResponse(request);
     SkyServerRequest_EndResponse(request->caller_request);
     SkyProxyRequest_Free(request);
@@ -391,6 +417,7 @@
 {
     sky_proxy_response_t *response = &request->response;
     sky_send_evidence_t evidence = get_evidence(request);
+    response->is_whole = true;
     if (is_peers_own(request)) {
         SkyProxyRequest_HandlePeerRefusal(request, &evidence);
         return;
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -75,6 +75,8 @@
  * - large_kb: size of the service's responses, which consist of one letter for
  *   each target; 0: they are small
  * - large_chunked: large responses have no length
+ * - large_until_close: they have neither a length nor chunks
+ * - large_status: their status; 0: 200
  * - events_without_ids: no event of a stream has an id
  * - event_ms: time between the events of a stream, if not EVENT_INTERVAL_MS
  * - prompt_us_per_token: time that an engine takes to read a prompt; its
@@ -1779,9 +1781,12 @@
     bool is_cut = consume_fault("cut_large");
     char *bytes = malloc(size);
     memset(bytes, 'a' + target->number, size);
+    int64_t status = get_fault("large_status");
     SkyServerRequest_BeginResponse(
-        request, 200, fields,
-        get_fault("large_chunked") ? SKY_FRAMING_CHUNKED : SKY_FRAMING_LENGTH,
+        request, status > 0 ? (uint16_t)status : 200, fields,
+        get_fault("large_until_close") ? SKY_FRAMING_UNTIL_CLOSE
+        : get_fault("large_chunked")   ? SKY_FRAMING_CHUNKED
+                                       : SKY_FRAMING_LENGTH,
         size);
     SkyServerRequest_WriteBody(request, bytes, is_cut ? size / 2 : size);
     free(bytes);
