The test of streams at several engines has adapters at several engines

Which engine an adapter prefers is a hash of the engine's id, which holds its start time in ms: at 11,211 of 100,000 start times all three prefer one engine, and the check "they hung at several engines" fails though the host did nothing wrong. So the check's set-up was wrong, not the product.

Change: adapters are added, up to nine, until two of them are served by different engines; the streams use these. The check itself stands as it was, as do all others. By the same figure nine adapters are at one engine at about one in 6,000 start times, and the check then still fails.

--- a/tests/proc_cut_streams.sh
+++ b/tests/proc_cut_streams.sh
@@ -3,7 +3,9 @@
 # are under way when their host's connections to engines begin to hang go on by way
 # of another host, and not until their deadline. ADAPTERS, 1 by default, is the
 # number of adapters of the streams, which engines share: with several, requests
-# with the same body are silent at several engines at once.
+# with the same body are silent at several engines at once. Which engine an adapter
+# prefers depends on when the engines started: adapters are added until two are at
+# different ones.
 set -u
 BASE=${BASE:-27400}
 DIR=$(mktemp -d)
@@ -12,6 +14,37 @@
 . tests/proc_check.sh
 . tests/edge_site.sh
 
+# nth N WORD...: prints the Nth word
+nth() {
+    shift "$1"
+    echo "$1"
+}
+# engine_of ADAPTER: prints the engine that served its first request at host 0
+engine_of() {
+    sed -n "s/.*event=request_end id=first0$1 .* target=\([^ ]*\) .*status=200.*/\1/p" \
+        "$DIR/edge0.log" | tail -n 1
+}
+# choose_adapters COUNT: has so many adapters loaded, or more, until two of them are
+# at different engines; the names of COUNT of them are in `adapters`
+choose_adapters() {
+    adapters="" engines=""
+    for a in $(seq 9); do
+        for n in 0 1 2; do
+            until_status 200 40 send_generation $n /gen/1 "a$a" "first${n}a$a" \
+                >/dev/null
+        done
+        engines="$engines $(engine_of "a$a")"
+        if [ "$a" -lt "$1" ]; then
+            adapters="$adapters a$a"
+            continue
+        fi
+        # shellcheck disable=SC2086  # a list
+        [ "$1" -eq 1 ] || [ "$(printf '%s\n' $engines | sort -u | wc -l)" -ge 2 ] &&
+            break
+    done
+    adapters="$adapters a$a"
+}
+
 # play_streams NAME SECONDS HOST...: starts six streams of 2.4 s at host 0, cuts
 # the hosts off after 0.7 s, for SECONDS, and waits for all streams; the time from
 # the cut to the last end is in took_ms, the status of each in out.NAME.N
@@ -20,8 +53,9 @@
     shift 2
     pids=""
     for i in 1 2 3 4 5 6; do
-        send_generation 0 /gen/1 "a$((i % ${ADAPTERS:-1} + 1))" "$name$i" \
-            >"$DIR/out.$name.$i" &
+        # shellcheck disable=SC2086  # a list
+        send_generation 0 /gen/1 "$(nth $((i % ${ADAPTERS:-1} + 1)) $adapters)" \
+            "$name$i" >"$DIR/out.$name.$i" &
         pids="$pids $!"
     done
     sleep 0.7
@@ -51,11 +85,7 @@
 for n in 0 1 2; do
     check "host $n becomes ready" "$(until_status 200 50 readyz_status $n)" 200
 done
-for n in 0 1 2; do
-    for a in $(seq "${ADAPTERS:-1}"); do
-        until_status 200 40 send_generation $n /gen/1 "a$a" "first$n$a" >/dev/null
-    done
-done
+choose_adapters "${ADAPTERS:-1}"
 set_fault '{"event_ms": 300}'
 play_streams hung 6 0
 hung_cut_ms=$began_ms
