Time that is left saturates, and a group's generation is sent back as it is

Two faults of arithmetic, found by reading; no caller is known to have met them.

SkyStore_JoinGroup() took the era from the upper bits of a combined generation. Beyond 2^32 they are the generation's own, no era matches, and the member joins with generation 0 each time. The store's count and its era are kept apart now. tests/test_store.cc, with the former expression in the place of the new one: "generation": is not sent back; now it is.

The send of a request whose deadline has passed has no test of its own.

--- a/lib/decide/crash_watch.c
+++ b/lib/decide/crash_watch.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/time_left.h"
+
 /** A target that answers requests is heard from within this time. Other hosts
  *  are told only then. */
 #define SETTLE_MS 250
@@ -752,8 +754,7 @@
 {
     uint64_t quarantine_ms =
         SkyCrashWatch_GetQuarantineMs(watch, turn->fingerprint, now_ms);
-    uint64_t until_turn_ms =
-        turn->next_ms > now_ms ? turn->next_ms - now_ms : 0;
+    uint64_t until_turn_ms = SkyTime_LeftMs(turn->next_ms, now_ms);
     return until_turn_ms > 0 && until_turn_ms < quarantine_ms ? until_turn_ms
                                                               : quarantine_ms;
 }
@@ -799,7 +800,8 @@
     }
     uint64_t end_ms =
         SkySuspects_QuarantineEnd(watch->suspects, fingerprint) / US_PER_MS;
-    return end_ms > now_ms ? end_ms - now_ms : SUSPICION_CLEARED_MS;
+    uint64_t left_ms = SkyTime_LeftMs(end_ms, now_ms);
+    return left_ms > 0 ? left_ms : SUSPICION_CLEARED_MS;
 }
 
 bool
--- a/lib/decide/part_watch.c
+++ b/lib/decide/part_watch.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/time_left.h"
 #include "decide/part_cover.h"
 
 /** Time after which a blame is final, but for an answer. */
@@ -432,7 +433,7 @@
         return SKY_PART_TRIAL;
     }
     *retry_after_ms = now_ms + RETRY_AFTER_MIN_MS < trial_ms
-                          ? (uint32_t)(trial_ms - now_ms)
+                          ? SkyTime_LeftMs32(trial_ms, now_ms)
                           : RETRY_AFTER_MIN_MS;
     return SKY_PART_REFUSED;
 }
--- a/lib/decide/prompt_pacer.c
+++ b/lib/decide/prompt_pacer.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "core/time_left.h"
+
 /** Part of an interval that may go to prompts. The rest is for the steps of
  *  the streams themselves. */
 #define PROMPT_FRACTION 0.8
@@ -123,5 +125,5 @@
     add_prompt(pacer, &prompt);
     pacer->recent_read_ms = decayed_read_ms(pacer, now_ms) + turn->read_ms;
     pacer->updated_ms = now_ms;
-    return (uint32_t)(send_ms - now_ms);
+    return SkyTime_LeftMs32(send_ms, now_ms);
 }
--- a/lib/decide/quota_credit.c
+++ b/lib/decide/quota_credit.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "core/time_left.h"
+
 #define MS_PER_S 1000.0
 /** Credit to hold, as the demand of this time: until the next call. */
 #define HOLD_S 0.5
@@ -91,7 +93,7 @@
     }
     if (now_ms < credit->refused_until_ms &&
         (double)cost >= credit->refused_cost) {
-        *wait_ms = (uint32_t)(credit->refused_wait_until_ms - now_ms);
+        *wait_ms = SkyTime_LeftMs32(credit->refused_wait_until_ms, now_ms);
         return SKY_QUOTA_DENIED;
     }
     return SKY_QUOTA_ASK;
--- a/lib/decide/quota_owner.c
+++ b/lib/decide/quota_owner.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "core/time_left.h"
+
 #define MS_PER_S 1000.0
 /** Credit that all hosts together may hold, as a part of the room. */
 #define HELD_ROOM_FRACTION 0.4
@@ -234,9 +236,7 @@
     double missing = owner->promised_until_ms > now_ms
                          ? needed
                          : fmin(needed, get_size(owner)) - owner->level;
-    double start_ms = owner->promised_until_ms > now_ms
-                          ? (double)(owner->promised_until_ms - now_ms)
-                          : 0.0;
+    double start_ms = (double)SkyTime_LeftMs(owner->promised_until_ms, now_ms);
     double wait_ms = fmin(start_ms + missing / rate * MS_PER_S, WAIT_MAX_MS);
     wait_ms = fmax(ceil(wait_ms), 1.0);
     if (now_ms >= host->since_ms + SKY_QUOTA_SETTLE_MS) {
--- a/lib/decide/stop_admission.c
+++ b/lib/decide/stop_admission.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "core/time_left.h"
+
 /** A response may take longer than all recent ones of its route by this
  *  factor: the hosts that stay get the load of the one that stops. */
 #define GROWTH_MAX 1.25
@@ -166,8 +168,7 @@
     if (!is_guess_allowed(times, request, now_ms)) {
         return false;
     }
-    uint64_t left_ms =
-        times->exits_at_ms > now_ms ? times->exits_at_ms - now_ms : 0;
+    uint64_t left_ms = SkyTime_LeftMs(times->exits_at_ms, now_ms);
     uint64_t longest_ms =
         get_longest_ms(admission, request->route, request->limit_ms, now_ms);
     return longest_ms > 0 &&
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -8,6 +8,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "core/time_left.h"
 
 /** Owner's reports that one request may cause: an adapter has few replicas. */
 #define OWNER_REPORTS_PER_REQUEST_MAX 3
@@ -47,7 +48,7 @@
     size_t size;
     const char *body = SkyServerRequest_Body(request->caller_request, &size);
     sky_forward_options_t forward = {
-        .deadline_ms = (uint32_t)(request->deadline_at_ms - now),
+        .deadline_ms = SkyTime_LeftMs32(request->deadline_at_ms, now),
         .target_id = request->target->entry.id,
         .version = request->adapter_version,
         .urgency = SkyProxyRequest_GetService(request)->engine.present
@@ -259,8 +260,8 @@
     query.allowed_count = 0;
     SkyFleet_ChooseTarget(request->proxy->options.directory->fleet, &query,
                           now, &choice);
-    return choice.target == NULL && choice.limit_wait_until_ms > now
-               ? (uint32_t)(choice.limit_wait_until_ms - now)
+    return choice.target == NULL
+               ? SkyTime_LeftMs32(choice.limit_wait_until_ms, now)
                : 0;
 }
 
@@ -291,8 +292,7 @@
     uint64_t spent_ms = now - request->received_ms + read_ms;
     uint64_t allowed_ms =
         SkyProxyRequest_GetRoute(request)->latency_objective_ms / 2;
-    uint64_t left_ms =
-        request->deadline_at_ms > now ? request->deadline_at_ms - now : 0;
+    uint64_t left_ms = SkyTime_LeftMs(request->deadline_at_ms, now);
     return spent_ms < allowed_ms
                ? min_ms(min_ms(allowed_ms - spent_ms, left_ms / 2),
                         PROMPT_WAIT_MAX_MS)
@@ -389,12 +389,6 @@
                SkyProxyRequest_GetService(request)->name);
 }
 
-static uint32_t
-ms_until(uint64_t at_ms, uint64_t now_ms)
-{
-    return at_ms > now_ms ? (uint32_t)(at_ms - now_ms) : 0;
-}
-
 /* Applies a turn that has come. @return whether the request goes on; else it
  * was refused and freed */
 static bool
@@ -448,11 +442,11 @@
     sky_turn_request_t spec = {
         .urgency = request->urgency.rank,
         .group = XXH3_64bits(group, strlen(group)),
-        .objective_ms = ms_until(
+        .objective_ms = SkyTime_LeftMs32(
             request->received_ms +
                 SkyProxyRequest_GetRoute(request)->latency_objective_ms,
             now),
-        .deadline_ms = ms_until(request->deadline_at_ms, now),
+        .deadline_ms = SkyTime_LeftMs32(request->deadline_at_ms, now),
         .excluded = request->attempts.failed,
         .excluded_count = request->attempts.failed_count,
     };
@@ -575,8 +569,7 @@
 fail_limited(sky_proxy_request_t *request, uint64_t wait_until_ms)
 {
     uint64_t now = SkyClock_NowMs();
-    uint32_t wait_ms =
-        wait_until_ms > now ? (uint32_t)(wait_until_ms - now) : 0;
+    uint32_t wait_ms = SkyTime_LeftMs32(wait_until_ms, now);
     SkyProxyRequest_Fail(
         request, wait_ms > RETRY_AFTER_FULL_MS ? wait_ms : RETRY_AFTER_FULL_MS,
         "target_limited");
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "core/clock.h"
+#include "core/time_left.h"
 #include "edge/target_query.h"
 
 #define PREFERRED_MAX 8 /**< targets named for a load */
@@ -311,9 +312,7 @@
 static json_int_t
 get_left_ms(const explanation_t *explanation, uint64_t until_ms)
 {
-    return until_ms > explanation->now_ms
-               ? (json_int_t)(until_ms - explanation->now_ms)
-               : 0;
+    return (json_int_t)SkyTime_LeftMs(until_ms, explanation->now_ms);
 }
 
 static void
--- a/lib/edge/feed_records.c
+++ b/lib/edge/feed_records.c
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "core/time_left.h"
 #include "edge/feed_internal.h"
 #include "edge/part_sharing.h"
 #include "platform/documents.h"
@@ -115,10 +116,11 @@
             uint64_t now_ms = SkyClock_NowMs();
             uint64_t gone_at_ms =
                 SkyFreshness_GetRemovalMs(&topic->freshness, now_ms);
-            SkyLog_Write(LOG_NOTICE, "target_missing",
-                         "target=%s gone_in_ms=%llu age_ms=%llu", record->key,
-                         (unsigned long long)(gone_at_ms - now_ms),
-                         SkyFeedState_GetAgeMs(topic));
+            SkyLog_Write(
+                LOG_NOTICE, "target_missing",
+                "target=%s gone_in_ms=%llu age_ms=%llu", record->key,
+                (unsigned long long)SkyTime_LeftMs(gone_at_ms, now_ms),
+                SkyFeedState_GetAgeMs(topic));
             SkyFleet_ScheduleRemoval(fleet, record->key, gone_at_ms);
             SkyFleet_Tick(fleet, now_ms);
         }
--- a/lib/edge/ownership.c
+++ b/lib/edge/ownership.c
@@ -67,6 +67,8 @@
     char member_name[MEMBER_NAME_BYTES]; /**< this host's name in the group */
     uint32_t ttl_ms;
     uint64_t generation;        /**< of the group, from the last join */
+    uint64_t group_generation;  /**< the same as the store counts it */
+    uint64_t group_era;         /**< era of that */
     uint64_t owners_generation; /**< of the group when the owners were read */
     bool join_pending;
     bool owners_read_pending;
@@ -266,6 +268,8 @@
                           ? response->generation - ownership->generation
                           : 0;
     ownership->generation = response->generation;
+    ownership->group_generation = response->group_generation;
+    ownership->group_era = response->era;
     record_start_join(ownership, response, passed);
     apply_assigned_shards(ownership, response);
     if (generation_changed) {
@@ -300,7 +304,8 @@
         .topic_prefix = SHARD_TOPIC_PREFIX,
         .topic_count = SHARD_TOPIC_COUNT,
         .ttl_ms = ownership->ttl_ms,
-        .generation = ownership->generation,
+        .group_generation = ownership->group_generation,
+        .era = ownership->group_era,
     };
     SkyStore_JoinGroup(ownership->options.store, &join, on_join_response,
                        ownership);
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "core/time_left.h"
 #include "edge/proxy_request.h"
 #include "net/socket.h"
 
@@ -79,7 +80,8 @@
     sky_hop_request_t hop = {.may_have_run_count =
                                  request->attempts.may_have_run_count};
     sky_buffer_t hop_fields = {0};
-    uint64_t left_ms = request->deadline_at_ms - SkyClock_NowMs();
+    uint32_t left_ms =
+        SkyTime_LeftMs32(request->deadline_at_ms, SkyClock_NowMs());
     size_t size;
     const char *body = SkyServerRequest_Body(request->caller_request, &size);
     snprintf(hop.from, sizeof hop.from, "%s",
@@ -92,9 +94,7 @@
     SkyHopFields_WriteRequest(&hop_fields, &hop);
     SkyBuffer_Append(&hop_fields, "", 1);
     sky_forward_options_t forward = {
-        .deadline_ms = left_ms > HOP_TRANSIT_MS
-                           ? (uint32_t)(left_ms - HOP_TRANSIT_MS)
-                           : 1,
+        .deadline_ms = left_ms > HOP_TRANSIT_MS ? left_ms - HOP_TRANSIT_MS : 1,
         .urgency = NO_URGENCY,
         .has_workspaces = SkyProxyRequest_HidesCredential(request),
         .keeps_credential = true,
@@ -129,9 +129,9 @@
         request->proxy->options.directory->reachability,
         SkyProxyRequest_GetService(request)->name, peer);
     request->proxy->stats.sent_to_peers++;
-    SkyLog_Write(LOG_INFO, "forward", "id=%s peer=%s sends=%u left_ms=%lld",
+    SkyLog_Write(LOG_INFO, "forward", "id=%s peer=%s sends=%u left_ms=%u",
                  request->facts.id, peer, request->send_count,
-                 (long long)(request->deadline_at_ms - now));
+                 SkyTime_LeftMs32(request->deadline_at_ms, now));
 }
 
 static void
--- a/lib/edge/placement.c
+++ b/lib/edge/placement.c
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "core/time_left.h"
 #include "edge/placement_internal.h"
 
 #define OWNER_REPORT_TIMEOUT_MS 80 /**< owners respond within a few ms */
@@ -145,7 +146,8 @@
         strcmp(owner, placement->options.settings->control) == 0) {
         return false;
     }
-    uint64_t left_ms = request->due_ms - now - RESPONSE_TRANSIT_MS;
+    uint64_t left_ms =
+        SkyTime_LeftMs(request->due_ms, now + RESPONSE_TRANSIT_MS);
     uint32_t limit_ms =
         left_ms < OWNER_TIMEOUT_MS ? (uint32_t)left_ms : OWNER_TIMEOUT_MS;
     json_t *body = json_pack(
@@ -279,8 +281,7 @@
     }
     if (request->current == NULL) {
         uint64_t now = SkyClock_NowMs();
-        double left_ms =
-            request->due_ms > now ? (double)(request->due_ms - now) : 0;
+        double left_ms = (double)SkyTime_LeftMs(request->due_ms, now);
         ev_timer_set(watcher, left_ms / 1000.0 + 0.001, 0.0);
         ev_timer_start(loop, watcher);
         advance_to_next_candidate(request);
@@ -471,7 +472,8 @@
     request->urgency = (uint32_t)urgency;
     /* Hosts of an earlier build do not say it. */
     request->is_under_way = json_is_true(json_object_get(body, "under_way"));
-    request->due_ms = SkyClock_NowMs() + (uint64_t)left_ms;
+    request->due_ms =
+        SkyTime_AfterMs(SkyClock_NowMs(), left_ms > 0 ? (uint64_t)left_ms : 0);
     /* Only a target owned here is tried: a request that came from another
      * host is never forwarded to a third. */
     if (SkyOwnedTarget_Find(placement, target) != NULL) {
--- a/lib/edge/proxy_request.c
+++ b/lib/edge/proxy_request.c
@@ -9,6 +9,7 @@
 #include "core/clock.h"
 #include "core/invariant.h"
 #include "core/logging.h"
+#include "core/time_left.h"
 #include "decide/promise.h"
 
 /** Checks of waiting requests because of free slots are a millisecond apart
@@ -632,9 +633,9 @@
     const char *obstacle = SkyProxyRequest_GetRetryObstacle(request);
     SkyLog_WriteClass(
         SkyProxyRequest_GetLogClass(request, 0), LOG_NOTICE, "repeat",
-        "id=%s reason=%s allowed=%s sends=%u left_ms=%lld", request->facts.id,
+        "id=%s reason=%s allowed=%s sends=%u left_ms=%u", request->facts.id,
         reason, obstacle ? obstacle : "yes", request->send_count,
-        (long long)(request->deadline_at_ms - now));
+        SkyTime_LeftMs32(request->deadline_at_ms, now));
     if (obstacle == NULL) {
         if (request->attempts.last_send_arrived) {
             SkyRetryBudget_AcquireRetry(
--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -9,6 +9,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "core/time_left.h"
 
 #define CALL_PATH "/quota"
 #define CALL_INTERVAL_S (SKY_QUOTA_CALL_INTERVAL_MS / 1000.0)
@@ -863,8 +864,7 @@
         &sharing->hosts, get_member_count(sharing), 0, now_ms);
     bool is_valid = now_ms < credit.valid_until_ms;
     view->left = is_valid ? credit.left : 0.0;
-    view->credit_valid_ms =
-        is_valid ? (uint32_t)(credit.valid_until_ms - now_ms) : 0;
+    view->credit_valid_ms = SkyTime_LeftMs32(credit.valid_until_ms, now_ms);
     view->demand_per_s = credit.demand_per_s;
     view->host_count = credit.host_count;
     view->equal_share_per_s = credit.terms.rate_per_s / credit.host_count;
--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -95,10 +95,12 @@
     {
         auto *test = static_cast<StoreTest *>(watcher->data);
         char bytes[4096];
-        if (recv(watcher->fd, bytes, sizeof bytes, 0) <= 0) {
+        ssize_t size = recv(watcher->fd, bytes, sizeof bytes, 0);
+        if (size <= 0) {
             test->CloseConnection(watcher);
             return;
         }
+        test->last_request.assign(bytes, (size_t)size);
         test->received_calls++;
         if (test->answers.empty()) { // neither answers nor closes
             return;
@@ -119,6 +121,9 @@
         test->outcome = response->outcome;
         test->end_offset = response->end_offset;
         test->record_count = response->record_count;
+        test->generation = response->generation;
+        test->group_generation = response->group_generation;
+        test->era = response->era;
     }
 
     void
@@ -154,6 +159,21 @@
         WaitForEnd();
     }
 
+    void
+    Join()
+    {
+        sky_store_join_options_t join = {};
+        join.group = "owners";
+        join.member = "m";
+        join.topic_prefix = "t";
+        join.topic_count = 1;
+        join.group_generation = group_generation;
+        join.era = era;
+        has_ended = false;
+        SkyStore_JoinGroup(store, &join, OnDone, this);
+        WaitForEnd();
+    }
+
     static std::string
     Answer(int status, const std::string &era, const std::string &body)
     {
@@ -181,6 +201,10 @@
     ev_io accept_watcher = {};
     std::vector<ev_io *> connections;
     std::vector<std::string> answers;
+    std::string last_request;
+    uint64_t generation = 0;
+    uint64_t group_generation = 0;
+    uint64_t era = 0;
     int received_calls = 0;
     bool has_ended = false;
     sky_store_outcome_t outcome = SKY_STORE_DONE;
@@ -188,6 +212,31 @@
     size_t record_count = 0;
 };
 
+// Guards against a member that joins anew each time, as the store counts more
+// generations of its group than fit into 32 bits.
+TEST_F(StoreTest, AGroupsGenerationIsSentBackAsTheStoreCountsIt)
+{
+    uint64_t last_generation = 0;
+    for (uint64_t counted :
+         {UINT64_C(1), (UINT64_C(1) << 32) - 1, (UINT64_C(1) << 32),
+          (UINT64_C(1) << 32) + 5, UINT64_C(1) << 52}) {
+        std::string text = "\"generation\":" + std::to_string(counted);
+        answers = {Answer(200, "3", "{" + text + "}"),
+                   Answer(200, "3", "{" + text + "}")};
+        Join();
+        EXPECT_EQ(counted, group_generation);
+        EXPECT_GT(generation, last_generation);
+        last_generation = generation;
+        Join();
+        EXPECT_NE(std::string::npos, last_request.find(text)) << last_request;
+    }
+    answers = {Answer(200, "4", "{\"generation\":1}"),
+               Answer(200, "4", "{\"generation\":1}")};
+    Join();
+    Join();
+    EXPECT_NE(std::string::npos, last_request.find("\"generation\":1"));
+}
+
 TEST_F(StoreTest, AnAppendReportsWhatItsAnswerSays)
 {
     const struct {
