A reload takes the file of the start, whole or not at all

Cause: the reload read the path from the environment, which is unset if the file was named; the signals have their default action until the watchers start; a file that is cut at the end of a line is valid TOML.

Change: the path and the fields of the file that was taken last are kept. A reload that lacks one of them, or has it with another type, is refused with one line that names file and field, as is one that cannot be read; the settings stay as they are. SIGHUP and SIGTERM are held from the first line of the program until they can be handled. The host with its own interface ignores SIGHUP and says so; before, it ended.

Before main() runs, a signal still has its default action.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -97,6 +97,7 @@
     sky_listener_t *probe_listener;
     sky_listener_t *metrics_listener;
     sky_listener_t *front_listener;
+    sky_settings_file_t *settings_file;
     ev_signal term_signal;
     ev_signal hup_signal;
     ev_timer tick_timer;
@@ -350,10 +351,11 @@
     char error[SKY_ERROR_TEXT_BYTES] = "";
     sky_host_settings_t settings;
     sky_result_t result =
-        SkyHostSettings_Load(SkyHostSettings_GetPath(), &settings, error);
-    SkyLog_Write(LOG_NOTICE, "reload", "result=%s error=\"%s\"",
-                 SkyResult_Symbol(result), error);
-    if (!SkyResult_IsError(result)) {
+        SkySettingsFile_Reload(edge->settings_file, &settings, error);
+    bool is_refused = SkyResult_IsError(result);
+    SkyLog_Write(is_refused ? LOG_ERR : LOG_NOTICE, "reload",
+                 "result=%s error=\"%s\"", SkyResult_Symbol(result), error);
+    if (!is_refused) {
         edge->settings.bounds = settings.bounds;
         edge->settings.seed_count = settings.seed_count;
         memcpy(edge->settings.seeds, settings.seeds, sizeof settings.seeds);
@@ -763,6 +765,17 @@
     SkyMetrics_Free(edge->metrics);
 }
 
+/* Signals that come before their watchers wait. */
+static void
+hold_signals(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(how, &signals, NULL);
+}
+
 sky_result_t
 SkyEdge_Run(const char *settings_path)
 {
@@ -771,13 +784,14 @@
     if (edge == NULL) {
         return SKY_E_MEMORY;
     }
+    hold_signals(SIG_BLOCK);
     signal(SIGPIPE, SIG_IGN);
     sky_log_options_t log_options = {.lines_per_s = LOG_LINES_PER_S_MAX,
                                      .evidence_lines_per_s =
                                          LOG_EVIDENCE_LINES_PER_S_MAX};
     SkyLog_UseStandardOutput(&log_options);
-    sky_result_t result =
-        SkyHostSettings_Load(settings_path, &edge->settings, error);
+    sky_result_t result = SkySettingsFile_Open(settings_path, &edge->settings,
+                                               &edge->settings_file, error);
     if (SkyResult_IsError(result)) {
         SkyLog_Write(LOG_ERR, "settings_refused", "error=\"%s\"", error);
         goto out;
@@ -800,6 +814,7 @@
     }
     if (!SkyResult_IsError(result)) {
         start_watchers(edge);
+        hold_signals(SIG_UNBLOCK);
         ev_run(edge->loop, 0);
     }
     free_modules(edge);
@@ -809,6 +824,7 @@
                      SkyResult_Symbol(result));
     }
     SkyLog_Flush();
+    SkySettingsFile_Close(edge->settings_file);
     free(edge);
     return result;
 }
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -115,14 +115,20 @@
     kill(getpid(), SIGTERM);
 }
 
-/** @return true on a signal, false if the log has dropped records that this
- *          host has not read. */
+/** @return true on a signal to stop, false if the log has dropped records that
+ *          this host has not read. */
 static bool
 wait_for_stop_signal(const sky_control_t *control, const sigset_t *signals)
 {
     struct timespec timeout = {0, (long)MISSED_RECORDS_POLL_MS * NS_PER_MS};
     while (!SkyControl_HasMissedRecords(control)) {
-        if (sigtimedwait(signals, NULL, &timeout) > 0) {
+        int signal_number = sigtimedwait(signals, NULL, &timeout);
+        if (signal_number == SIGHUP) {
+            SkyLog_Write(LOG_WARNING, "reload",
+                         "result=ignored error=\"settings are read at the "
+                         "start alone\"");
+        }
+        else if (signal_number > 0) {
             return true;
         }
     }
@@ -151,6 +157,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, NULL);
     signal(SIGPIPE, SIG_IGN);
     if (sodium_init() < 0 || SkyResult_IsError(SkyHttpCall_InitLibrary())) {
