The fake platform outlives a crash in a response without end

Seen: the fake platform used freed memory, and ended under AddressSanitizer, when a target crashed while it sent a response without end; tests that follow then have nothing to test.

Cause: a crash frees the listener and its connections without a callback, and the timer of the response went on to write to one of them.

Change: such a response knows its target, and is dropped before the listener.

Evidence: proc_endless_response has a check for it. Without sanitizers the check can pass by luck.

--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1261,6 +1261,7 @@
 
 /** A response body that goes on until the caller closes. */
 typedef struct endless {
+    const void *target; /* engine or plain target that sends it */
     sky_server_request_t *request;
     ev_timer timer;
     size_t bytes_left; /* sent before it stalls */
@@ -1288,11 +1289,12 @@
 
 /* Sends @p bytes more after the first ones, and never ends. */
 static void
-start_stalled_response(sky_server_request_t *request, uint16_t status,
-                       const char *fields, const char *first_bytes,
-                       size_t bytes)
+start_stalled_response(const void *target, sky_server_request_t *request,
+                       uint16_t status, const char *fields,
+                       const char *first_bytes, size_t bytes)
 {
     endless_t *endless = calloc(1, sizeof *endless);
+    endless->target = target;
     endless->bytes_left = bytes;
     endless->request = request;
     endless_open++;
@@ -1307,10 +1309,21 @@
 }
 
 static void
-start_endless_response(sky_server_request_t *request, uint16_t status,
-                       const char *fields, const char *first_bytes)
+start_endless_response(const void *target, sky_server_request_t *request,
+                       uint16_t status, const char *fields,
+                       const char *first_bytes)
 {
-    start_stalled_response(request, status, fields, first_bytes, SIZE_MAX);
+    start_stalled_response(target, request, status, fields, first_bytes,
+                           SIZE_MAX);
+}
+
+static void
+free_endless(endless_t *endless)
+{
+    ev_timer_stop(loop, &endless->timer);
+    DL_DELETE(endless_responses, endless);
+    endless_open--;
+    free(endless);
 }
 
 static void
@@ -1321,10 +1334,21 @@
     DL_FOREACH_SAFE(endless_responses, endless, next)
     {
         if (endless->request == request) {
-            ev_timer_stop(loop, &endless->timer);
-            DL_DELETE(endless_responses, endless);
-            endless_open--;
-            free(endless);
+            free_endless(endless);
+        }
+    }
+}
+
+/* Those of a target that crashes: its connections end without a callback. */
+static void
+drop_endless_responses(const void *target)
+{
+    endless_t *endless;
+    endless_t *next;
+    DL_FOREACH_SAFE(endless_responses, endless, next)
+    {
+        if (endless->target == target) {
+            free_endless(endless);
         }
     }
 }
@@ -1472,7 +1496,7 @@
                                   "X-Skylarkspar-Server-Seal: s1\r\n"
                                   "Content-Type: text/event-stream\r\n");
             start_stalled_response(
-                request, 200, fields,
+                engine, request, 200, fields,
                 "id: 1\ndata: ", is_stalled ? STALLED_EVENT_BYTES : SIZE_MAX);
             return;
         }
@@ -1625,7 +1649,7 @@
     finish_pending_unload(engine);
     finish_replacements(engine);
     if (consume_fault("endless_report")) {
-        start_endless_response(request, 200,
+        start_endless_response(engine, request, 200,
                                "Content-Type: application/json\r\n", "{");
         return;
     }
@@ -1860,7 +1884,7 @@
         write_response_fields(request, SERVICE_LIMIT_NAME, fields,
                               sizeof fields,
                               "X-Skylarkspar-Not-Executed: 1\r\n");
-        start_endless_response(request, 503, fields, "");
+        start_endless_response(target, request, 503, fields, "");
         return;
     }
     if (consume_fault("refuse_without_id")) {
@@ -1900,13 +1924,13 @@
         send_large_response(target, request, fields);
     }
     else if (consume_fault("endless_success")) {
-        start_endless_response(request, 200, fields, "");
+        start_endless_response(target, request, 200, fields, "");
     }
     else if (consume_fault("endless_unsealed")) {
-        start_endless_response(request, 200, "", "");
+        start_endless_response(target, request, 200, "", "");
     }
     else if (consume_fault("endless_error")) {
-        start_endless_response(request, 500, fields, "");
+        start_endless_response(target, request, 500, fields, "");
     }
     else if (consume_fault("fail")) {
         SkyServerRequest_Respond(request, 500, fields, "failed", 6);
@@ -2027,6 +2051,7 @@
         return;
     }
     abort_streams(engine);
+    drop_endless_responses(engine);
     SkyListener_Free(engine->listener);
     engine->is_down = true;
     ev_timer_set(&engine->restart_timer, CRASH_DOWN_MS / 1000.0, 0.0);
@@ -2214,6 +2239,7 @@
         return;
     }
     drop_plain_runs(target, NULL);
+    drop_endless_responses(target);
     SkyListener_Free(target->listener);
     target->is_down = true;
     ev_timer_set(&target->restart_timer, CRASH_DOWN_MS / 1000.0, 0.0);
--- a/tests/proc_endless_response.sh
+++ b/tests/proc_endless_response.sh
@@ -111,5 +111,21 @@
 kill $CALLERS 2>/dev/null
 check "all is served at the end" "$(look f1) $(book f2) $(generate f3)" \
     "200 200 200"
+# Guards against a fake that ends itself, so that nothing was tested after it.
+set_fault '{"endless_success": 2, "endless_event": 2}'
+for n in 0 1; do
+    send_request 0 /look/1 "crash$n" -m 3 >/dev/null &
+    CALLERS="${CALLERS:-} $!"
+    generate "crash$n" >/dev/null &
+    CALLERS="$CALLERS $!"
+done
+sleep 0.5
+curl -fsS -m 5 -d '' "$control_url/crash?n=0&service=app" >/dev/null
+send_request 1 /gen/crash-1 crash2 -X POST -d x -H 'X-Skylarkspar-Model: m1' \
+    -m 3 >/dev/null
+sleep 2
+check "the fake goes on when targets crash in responses without end" \
+    "$(curl -sS -m 5 -o /dev/null -w '%{http_code}' "$control_url/state")" 200
+set_fault '{"endless_success": 0, "endless_event": 0}'
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
