--- a/lib/decide/crash_watch.c
+++ b/lib/decide/crash_watch.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #include "core/time_left.h"
+#include "decide/answered_requests.h"
+#include "decide/crash_trials.h"
 
 /** A target that answers requests is heard from within this time. Other hosts
  *  are told only then. */
@@ -25,7 +27,7 @@
 #define US_PER_MS 1000
 /** Losses within this time have one cause, as of a machine or a link. Those
  *  that other hosts tell are known later, by SETTLE_MS at least. */
-#define JOINT_LOSS_MS (2 * SETTLE_MS)
+#define JOINT_LOSS_MS SKY_CRASH_WAVE_MS
 /** Other targets that are lost together with one: a single request or two
  *  that crash targets lose fewer. */
 #define JOINT_LOSSES_MIN 3
@@ -35,17 +37,6 @@
  *  crash of which it was acquitted before. So many in a row are rare for a
  *  request that crashes every other target. */
 #define ANSWERS_NEEDED_MAX 4
-/** Fingerprints that were answered. The newest one takes the place of another,
- *  which then counts as never answered. */
-#define ANSWERED_MAX 8192
-/** From the last crash to the first trial, in which targets restart; and the
- *  factor by which it grows with a second wave of crashes. With a third one
- *  there are no more trials: targets lost for the request's sake are bounded.
- */
-#define FIRST_TRIAL_MS 3000
-#define TRIAL_FACTOR 4
-#define TRIAL_WAVES_MAX 2
-#define TRIALS_MAX 64 /**< turns that are remembered as used */
 #define ACQUITTED_SUFFIX " acquitted"
 
 typedef struct {
@@ -67,24 +58,12 @@
     uint64_t lost_ms; /**< 0: free entry */
 } loss_t;
 
-typedef struct {
-    uint64_t fingerprint;
-    uint64_t answered_ms; /**< 0: free entry */
-} answered_t;
-
-/** A turn of a quarantined fingerprint that was used. */
-typedef struct {
-    uint64_t fingerprint;
-    uint64_t begun_ms; /**< 0: free entry */
-} trial_t;
-
 struct sky_crash_watch {
     sky_crash_watch_options_t options;
     sky_suspects_t *suspects;
     sky_acquitted_crashes_t *acquitted;
-    answered_t answered[ANSWERED_MAX]; /**< by fingerprint */
-    trial_t trials[TRIALS_MAX];
-    uint32_t next_trial; /**< entry to use next, the oldest one */
+    sky_answered_requests_t *answered;
+    sky_crash_trials_t trials;
     suspicion_t suspicions[SUSPICIONS_MAX];
     uint32_t suspicion_count;
     loss_t losses[LOSSES_MAX];
@@ -104,7 +83,9 @@
     self->options = *options;
     self->suspects = SkySuspects_Create(options->retention_ms * US_PER_MS);
     self->acquitted = SkyAcquittedCrashes_Create(options->retention_ms);
-    if (self->suspects == NULL || self->acquitted == NULL) {
+    self->answered = SkyAnsweredRequests_Create(options->retention_ms);
+    if (self->suspects == NULL || self->acquitted == NULL ||
+        self->answered == NULL) {
         SkyCrashWatch_Free(self);
         return SKY_E_MEMORY;
     }
@@ -120,6 +101,7 @@
     }
     SkySuspects_Free(watch->suspects);
     SkyAcquittedCrashes_Free(watch->acquitted);
+    SkyAnsweredRequests_Free(watch->answered);
     free(watch);
 }
 
@@ -163,26 +145,11 @@
     }
 }
 
-static answered_t *
-get_answered(const sky_crash_watch_t *watch, uint64_t fingerprint)
-{
-    return (answered_t *)&watch->answered[fingerprint % ANSWERED_MAX];
-}
-
-static void
-remember_answer(sky_crash_watch_t *watch, uint64_t fingerprint,
-                uint64_t now_ms)
-{
-    *get_answered(watch, fingerprint) = (answered_t){fingerprint, now_ms};
-}
-
 static bool
 was_answered(const sky_crash_watch_t *watch, uint64_t fingerprint)
 {
-    const answered_t *answered = get_answered(watch, fingerprint);
-    return answered->fingerprint == fingerprint && answered->answered_ms > 0 &&
-           watch->ticked_ms <
-               answered->answered_ms + watch->options.retention_ms;
+    return SkyAnsweredRequests_Has(watch->answered, fingerprint,
+                                   watch->ticked_ms);
 }
 
 /** The runs that broke exchanges with requests of one fingerprint. */
@@ -428,7 +395,7 @@
 SkyCrashWatch_ApplyAcquittal(sky_crash_watch_t *watch,
                              const sky_rec_crash_t *crash, uint64_t now_ms)
 {
-    remember_answer(watch, crash->fingerprint, now_ms);
+    SkyAnsweredRequests_Add(watch->answered, crash->fingerprint, now_ms);
     drop_acquitted(watch, crash, now_ms);
 }
 
@@ -482,27 +449,16 @@
     return needed;
 }
 
-/* A trial that was answered makes room for the next one in the same turn. */
-static void
-reopen_turn(sky_crash_watch_t *watch, uint64_t fingerprint)
-{
-    for (uint32_t i = 0; i < TRIALS_MAX; i++) {
-        if (watch->trials[i].fingerprint == fingerprint) {
-            watch->trials[i] = (trial_t){0};
-        }
-    }
-}
-
 static void
 record_answer(sky_crash_watch_t *watch, uint64_t fingerprint, uint64_t sent_ms,
               uint64_t now_ms)
 {
     acquittal_t acquittal = {.watch = watch, .now_ms = now_ms};
-    remember_answer(watch, fingerprint, now_ms);
+    SkyAnsweredRequests_Add(watch->answered, fingerprint, now_ms);
     if (SkySuspects_SuspicionCount(watch->suspects, fingerprint) == 0) {
         return;
     }
-    reopen_turn(watch, fingerprint);
+    SkyCrashTrials_RecordAnswer(&watch->trials, fingerprint);
     SkySuspects_RecordAnswer(watch->suspects, fingerprint, sent_ms * US_PER_MS,
                              get_answers_needed(watch, fingerprint), acquit,
                              &acquittal);
@@ -673,84 +629,32 @@
            is_quarantined(watch, identity->variant);
 }
 
-/* Crashes at about the same time are one wave: counts those that follow no
- * other one closely. */
-static uint32_t
-count_waves(const uint64_t *times_us, uint32_t count)
-{
-    uint32_t waves = 0;
-    for (uint32_t i = 0; i < count; i++) {
-        bool follows = false;
-        for (uint32_t j = 0; j < count; j++) {
-            bool is_earlier = times_us[j] < times_us[i] ||
-                              (times_us[j] == times_us[i] && j < i);
-            follows = follows || (is_earlier && times_us[i] - times_us[j] <=
-                                                    JOINT_LOSS_MS * US_PER_MS);
-        }
-        waves += !follows;
-    }
-    return waves;
-}
-
-/** When a request of a quarantined fingerprint may be let through. */
-typedef struct {
-    uint64_t fingerprint;
-    uint64_t begun_ms; /**< of the current turn; 0: none yet */
-    uint64_t next_ms;  /**< begin of the next one; 0: never */
-    uint64_t turn;     /**< number of the current one */
-} trial_turn_t;
-
-static trial_turn_t
+static sky_trial_turn_t
 get_trial_turn(const sky_crash_watch_t *watch, uint64_t fingerprint,
                uint64_t now_ms)
 {
-    trial_turn_t turn = {.fingerprint = fingerprint};
-    uint64_t times_us[SKY_SUSPECT_CRASHES_MAX];
-    uint32_t count =
-        SkySuspects_ListTimes(watch->suspects, fingerprint, times_us);
-    uint32_t waves = count_waves(times_us, count);
-    if (!was_answered(watch, fingerprint) || waves > TRIAL_WAVES_MAX) {
-        return turn;
-    }
-    uint64_t last_ms = 0;
-    for (uint32_t i = 0; i < count; i++) {
-        uint64_t time_ms = times_us[i] / US_PER_MS;
-        last_ms = time_ms > last_ms ? time_ms : last_ms;
-    }
-    uint64_t turn_ms =
-        waves > 1 ? FIRST_TRIAL_MS * TRIAL_FACTOR : FIRST_TRIAL_MS;
-    turn.turn = now_ms > last_ms ? (now_ms - last_ms) / turn_ms : 0;
-    turn.next_ms = last_ms + (turn.turn + 1) * turn_ms;
-    turn.begun_ms = turn.turn > 0 ? last_ms + turn.turn * turn_ms : 0;
-    return turn;
-}
-
-static bool
-is_turn_used(const sky_crash_watch_t *watch, const trial_turn_t *turn)
-{
-    for (uint32_t i = 0; i < TRIALS_MAX; i++) {
-        const trial_t *trial = &watch->trials[i];
-        if (trial->begun_ms >= turn->begun_ms &&
-            trial->fingerprint == turn->fingerprint) {
-            return true;
-        }
-    }
-    return false;
+    sky_trial_crashes_t crashes = {.fingerprint = fingerprint,
+                                   .was_answered =
+                                       was_answered(watch, fingerprint)};
+    crashes.count =
+        SkySuspects_ListTimes(watch->suspects, fingerprint, crashes.times_us);
+    return SkyCrashTrials_GetTurn(&crashes, now_ms);
 }
 
 static bool
-can_try(const sky_crash_watch_t *watch, const trial_turn_t *turn)
+can_try(const sky_crash_watch_t *watch, const sky_trial_turn_t *turn)
 {
     const sky_crash_watch_options_t *options = &watch->options;
-    return turn->begun_ms > 0 && !is_turn_used(watch, turn) &&
+    return turn->begun_ms > 0 &&
+           !SkyCrashTrials_IsUsed(&watch->trials, turn) &&
            (options->is_tester == NULL ||
             options->is_tester(options->context, turn->fingerprint,
-                               turn->turn));
+                               turn->number));
 }
 
 static uint64_t
-get_retry_after_ms(const sky_crash_watch_t *watch, const trial_turn_t *turn,
-                   uint64_t now_ms)
+get_retry_after_ms(const sky_crash_watch_t *watch,
+                   const sky_trial_turn_t *turn, uint64_t now_ms)
 {
     uint64_t quarantine_ms =
         SkyCrashWatch_GetQuarantineMs(watch, turn->fingerprint, now_ms);
@@ -765,14 +669,14 @@
                     uint32_t *retry_after_ms)
 {
     const uint64_t fingerprints[] = {identity->request, identity->variant};
-    trial_turn_t turns[2];
+    sky_trial_turn_t turns[2];
     uint32_t quarantined = 0;
     uint64_t wait_ms = 0;
     for (uint32_t i = 0; i < 2; i++) {
         if (!is_quarantined(watch, fingerprints[i])) {
             continue;
         }
-        trial_turn_t turn = get_trial_turn(watch, fingerprints[i], now_ms);
+        sky_trial_turn_t turn = get_trial_turn(watch, fingerprints[i], now_ms);
         turns[quarantined++] = turn;
         if (!can_try(watch, &turn)) {
             uint64_t turn_wait_ms = get_retry_after_ms(watch, &turn, now_ms);
@@ -784,9 +688,7 @@
         return SKY_CRASH_REFUSED;
     }
     for (uint32_t i = 0; i < quarantined; i++) {
-        watch->trials[watch->next_trial] =
-            (trial_t){turns[i].fingerprint, now_ms};
-        watch->next_trial = (watch->next_trial + 1) % TRIALS_MAX;
+        SkyCrashTrials_Use(&watch->trials, turns[i].fingerprint, now_ms);
     }
     return quarantined > 0 ? SKY_CRASH_TRIAL : SKY_CRASH_ALLOWED;
 }
