--- a/tests/proc_large_responses.sh
+++ b/tests/proc_large_responses.sh
@@ -5,7 +5,7 @@
 # framing, early ends, and responses that come by way of another host. Two hosts,
 # two targets without engines.
 set -u
-BASE=${BASE:-24500}
+BASE=${BASE:-23700}
 DIR=$(mktemp -d)
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
 trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
--- a/tests/proc_record_stages.sh
+++ b/tests/proc_record_stages.sh
@@ -6,7 +6,7 @@
 # check of the open requests, and the store answers 503, is silent and comes
 # back. Two hosts, two engines, two targets without engines.
 set -u
-BASE=${BASE:-26900}
+BASE=${BASE:-23100}
 DIR=$(mktemp -d)
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
 trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
--- a/tests/proc_reload.sh
+++ b/tests/proc_reload.sh
@@ -4,7 +4,7 @@
 # signals that end a host as it starts, or are lost. One host on the users'
 # platform, one with its own interface.
 set -u
-BASE=${BASE:-25100}
+BASE=${BASE:-20800}
 DIR=$(mktemp -d)
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
 trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
@@ -88,7 +88,7 @@
 check "a host that gets SIGTERM as it starts stops as usual" \
     "$? $(grep -c 'event=stopping' "$DIR/edge0.log")" "0 1"
 
-BASE=$((BASE + 160)) PLATFORM_ADDRESS=127.0.0.1:$BASE
+PLATFORM_ADDRESS=127.0.0.1:$((BASE + 55)) BASE=$((BASE + 55))
 start_platform
 start_service
 write_host_settings 1 0 4 16 false
--- a/tests/proc_shared_request.sh
+++ b/tests/proc_shared_request.sh
@@ -4,7 +4,7 @@
 # the same path and body that does crash targets is refused meanwhile.
 # Three hosts, four targets of a service without engines.
 set -u
-BASE=${BASE:-26600}
+BASE=${BASE:-22300}
 DIR=$(mktemp -d)
 : "${BIN:=build/skylarkspar-check}" "${FAKE:=build/skyfake}"
 trap 'kill -KILL $PIDS 2>/dev/null; rm -rf "$DIR"' EXIT
