--- a/tests/test_log_class.cc
+++ b/tests/test_log_class.cc
@@ -11,13 +11,14 @@
 class LogClass : public ::testing::Test {
   protected:
     sky_route_t route = {};
+    sky_service_t service = {};
     sky_proxy_request_t request = {};
 
     void
     SetUp() override
     {
         route.retry_policy = SKY_RETRY_AT_MOST_ONCE;
-        request.route = &route;
+        request.match = {nullptr, &route, &service};
         request.send_count = 1;
     }
 
@@ -36,7 +37,7 @@
     EXPECT_EQ(SKY_LOG_ORDINARY, Get(502));
     request.send_count = 0;
     EXPECT_EQ(SKY_LOG_ORDINARY, Get(503)); // no target has got it
-    request.route = nullptr;
+    request.match = {}; // it has no route
     EXPECT_EQ(SKY_LOG_ORDINARY, Get(404));
 }
 
