--- a/tests/test_log_class.cc
+++ b/tests/test_log_class.cc
@@ -37,7 +37,7 @@
     EXPECT_EQ(SKY_LOG_ORDINARY, Get(502));
     request.send_count = 0;
     EXPECT_EQ(SKY_LOG_ORDINARY, Get(503)); // no target has got it
-    request.match = {}; // it has no route
+    request.match = {};                    // it has no route
     EXPECT_EQ(SKY_LOG_ORDINARY, Get(404));
 }
 
