proc_reload: a signal waits for the host before it starts, without a race

It waited until it saw the blocked signal of the process that starts, in a loop without end; under load the process had started, and taken the signal mask back, between two looks. So the test was wrong, not the host.

Change: the shell that becomes the host sends the signal to itself while it is blocked, so that it waits at any speed. The checks are the same.

--- a/tests/proc_reload.sh
+++ b/tests/proc_reload.sh
@@ -35,11 +35,11 @@
 }
 # start_with SIGNAL: starts the host, with the signal waiting for it
 start_with() {
-    env --block-signal="$1" "$BIN" edge "$DIR/edge0.toml" >"$DIR/edge0.log" 2>&1 &
+    # shellcheck disable=SC2016  # the inner shell expands these
+    env --block-signal="$1" sh -c 'kill -"$0" $$; exec "$1" edge "$2"' \
+        "$1" "$BIN" "$DIR/edge0.toml" >"$DIR/edge0.log" 2>&1 &
     EDGE0=$!
     PIDS="$PIDS $EDGE0"
-    until grep -q '^SigBlk:.*[1-9]' "/proc/$EDGE0/status"; do :; done
-    kill -"$1" "$EDGE0"
 }
 is_running() { kill -0 "$1" 2>/dev/null && echo running; }
 
