Tests wait for the hosts that they kill before they start them again

The log of host 2 tells why: "listen_failed ... Address already in use".

Change: restart_hosts() waits for each process that it killed. No check changes.

--- a/tests/edge_site.sh
+++ b/tests/edge_site.sh
@@ -154,6 +154,10 @@
     for n in "$@"; do
         eval "kill -KILL \$EDGE$n"
     done
+    for n in "$@"; do
+        # Until then its ports are in use.
+        eval "wait \$EDGE$n" 2>/dev/null
+    done
     for n in "$@"; do
         start_edge "$n"
     done
