A reset that a send meets first breaks a response without a length

Callers saw: a target answered an upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The part reached the caller as a whole answer (MIXED).

Cause: the kernel reports the error of a connection once. If send() meets the reset before recv() does, it gets ECONNRESET; recv() then returns what had arrived, and 0 after it, as at the end of a stream. The client gave the error to the send alone, and the 0 completed a body without a length. All answers that lib/net/client.c reads go this way: targets', hosts', the store's and probes'.

Change: a send that meets the end of the connection marks it as aborted, and a body without a length can't be whole then: the exchange is broken, as after a reset that recv() meets. EPIPE is no such end: the kernel reports it for a reset behind the end of the server's stream, so that early answers which end cleanly are whole as before, also in the middle of an upload. What is framed is whole if all of it arrived. A line response_aborted names request and server.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -47,6 +47,8 @@
     bool is_reused;        /**< it served an earlier request */
     bool is_connected;
     bool has_sent_bytes;    /**< a byte of the current request was sent */
+    bool is_aborted;        /**< a send met the end of the connection, but the
+                               server had not ended its stream before */
     bool skips_response;    /**< the response being read is an interim one, or
                                that of an earlier request */
     bool is_stopped;        /**< on_head chose to read no more */
@@ -396,6 +398,19 @@
     return true;
 }
 
+/* Logs that the server ended the connection while its response had no end. */
+static void
+log_aborted_response(sky_client_request_t *connection)
+{
+    char server[ADDRESS_TEXT_BYTES];
+    format_address(connection, server);
+    SkyLog_WriteClass(SKY_LOG_EVIDENCE, LOG_NOTICE, "response_aborted",
+                      "id=%s status=%u body_bytes=%llu sent=%s server=%s",
+                      get_request_id(connection), connection->exchange.status,
+                      (unsigned long long)connection->body_bytes,
+                      SkyClient_SentName(connection->exchange.sent), server);
+}
+
 static void
 handle_end_of_stream(sky_client_request_t *connection)
 {
@@ -403,6 +418,10 @@
     bool body_ends_at_close = connection->reader.head_is_complete &&
                               connection->reader.in_message &&
                               !connection->reader.head.has_length;
+    if (body_ends_at_close && connection->is_aborted) {
+        log_aborted_response(connection);
+        body_ends_at_close = false;
+    }
     if (body_ends_at_close && handle_response_bytes(connection, "", 0)) {
         fail_request(connection, SKY_CLIENT_OUTCOME_BROKEN);
         return;
@@ -474,6 +493,11 @@
             ev_io_start(loop, &connection->write_watcher);
             return true;
         }
+        /* The kernel reports the error of a connection once. After this call
+         * recv() returns what had arrived and then 0, as at the end of a
+         * stream. EPIPE alone says that the stream did end, before the
+         * connection was reset. */
+        connection->is_aborted = errno != EPIPE;
         return false;
     }
     ev_io_stop(loop, &connection->write_watcher);
@@ -663,6 +687,7 @@
                                 .is_reused = connection->is_reused};
     update_exchange(connection);
     connection->has_sent_bytes = false;
+    connection->is_aborted = false;
     connection->skips_response = false;
     connection->is_stopped = false;
     connection->skipped_count = 0;
--- a/tests/fakes/fake_http.c
+++ b/tests/fakes/fake_http.c
@@ -218,10 +218,13 @@
     if (strcmp(mode, "crowd") == 0) {
         return Crowd_Main(argc, argv);
     }
+    if (strcmp(mode, "raw") == 0) {
+        return Raw_Main(argc, argv);
+    }
     if (strcmp(mode, "json") == 0) {
         return JsonValue_Main(argc, argv);
     }
-    fprintf(stderr, "usage: skyfake (engine|service|platform|site|crowd) "
+    fprintf(stderr, "usage: skyfake (engine|service|platform|site|crowd|raw) "
                     "ADDRESS ...\n       skyfake json PATH\n");
     return 2;
 }
--- a/tests/fakes/fake_http.h
+++ b/tests/fakes/fake_http.h
@@ -63,5 +63,6 @@
 int Site_Main(int argc, char **argv);
 int Crowd_Main(int argc, char **argv);
 int JsonValue_Main(int argc, char **argv);
+int Raw_Main(int argc, char **argv);
 
 #endif
--- a/tests/test_client.cc
+++ b/tests/test_client.cc
@@ -321,6 +321,184 @@
     EXPECT_EQ("all", body);
 }
 
+// A server answered an upload early and reset the connection while the upload
+// was still being written: callers got the part of a body without a length
+// that had arrived as a whole response. A socket reports a reset once: after a
+// send that met it, what was received ends like a stream that was closed.
+class EarlyResponse : public ClientTest {
+  protected:
+    static constexpr size_t UPLOAD_BYTES = 16u << 20;
+
+    // Sends a request with a body of which the server reads only the start,
+    // and runs the loop until no more of it can be written.
+    void
+    StartUpload()
+    {
+        sky_buffer_t request = {};
+        body.clear();
+        status = 0;
+        ended = false;
+        SkyBuffer_AppendFormat(
+            &request,
+            "POST / HTTP/1.1\r\nX-Id: 1\r\nContent-Length: %zu\r\n\r\n",
+            UPLOAD_BYTES);
+        std::string upload(UPLOAD_BYTES, 'u');
+        SkyBuffer_Append(&request, upload.data(), upload.size());
+        sky_client_request_options_t options = {};
+        options.address = address;
+        options.request = &request;
+        options.connect_timeout_ms = 2000;
+        options.is_new_connection = true;
+        options.echo_field = "X-Id";
+        options.echo_value = "1";
+        options.exchange = &exchange;
+        options.events = {OnHead, OnBody, OnEnd};
+        options.context = this;
+        script.clear(); // the server reads once, and no more
+        client_request = SkyClient_Send(client, &options);
+        ASSERT_NE(nullptr, client_request);
+        SkyBuffer_Clear(&request);
+        uint64_t sent_before = 0;
+        do {
+            sent_before = exchange.sent_bytes;
+            RunLoop(20);
+        } while (exchange.sent_bytes != sent_before || sent_before == 0);
+        ASSERT_EQ(SKY_CLIENT_SENT_PART, exchange.sent);
+    }
+
+    void
+    SendFromServer(const std::string &bytes)
+    {
+        ASSERT_EQ((ssize_t)bytes.size(),
+                  send(connections.back()->fd, bytes.data(), bytes.size(),
+                       MSG_NOSIGNAL));
+    }
+
+    void
+    ResetFromServer()
+    {
+        SkySocket_CloseWithReset(connections.back()->fd);
+        ev_io_set(connections.back(), -1, EV_READ); // closed already
+    }
+
+    // The client's send meets the reset while it does not read; then it reads
+    // what is left.
+    void
+    ResetBeforeTheClientReads(const std::string &last_bytes)
+    {
+        SkyClientRequest_SetReading(client_request, false);
+        SendFromServer(last_bytes);
+        ResetFromServer();
+        RunLoop(20);
+        ASSERT_FALSE(ended);
+        SkyClientRequest_SetReading(client_request, true);
+        RunLoop(20);
+        ASSERT_TRUE(ended);
+    }
+
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+};
+
+TEST_F(EarlyResponse, WithoutALengthIsBrokenByAResetThatASendMeets)
+{
+    StartUpload();
+    SendFromServer(head + "\r\npart of");
+    RunLoop(20);
+    ASSERT_EQ("part of", body);
+    ResetBeforeTheClientReads(" a body");
+    EXPECT_EQ("part of a body", body);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_BROKEN, outcome);
+    EXPECT_TRUE(HasLine("response_aborted",
+                        "id=1 status=200 body_bytes=14 sent=part"));
+}
+
+// Both are met in one iteration of the loop, in the order of the loop.
+TEST_F(EarlyResponse, WithoutALengthIsBrokenByAResetAtOnce)
+{
+    for (const char *part : {"", "part of a body"}) {
+        StartUpload();
+        SendFromServer(head + "\r\n" + part);
+        ResetFromServer();
+        RunLoop(20);
+        ASSERT_TRUE(ended);
+        EXPECT_EQ(part, body);
+        EXPECT_EQ(SKY_CLIENT_OUTCOME_BROKEN, outcome);
+    }
+}
+
+TEST_F(EarlyResponse, ThatIsFramedAndWholeOutlivesAReset)
+{
+    const std::string wholes[] = {
+        "Content-Length: 5\r\n\r\nwhole",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"};
+    for (const std::string &whole : wholes) {
+        StartUpload();
+        SendFromServer(head);
+        RunLoop(20);
+        ResetBeforeTheClientReads(whole);
+        EXPECT_EQ("whole", body);
+        EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE, outcome);
+    }
+}
+
+TEST_F(EarlyResponse, ThatIsFramedAndCutIsBroken)
+{
+    const std::string cuts[] = {
+        "Content-Length: 5\r\n\r\nwhol", "Transfer-Encoding: chunked\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"};
+    for (const std::string &cut : cuts) {
+        StartUpload();
+        SendFromServer(head);
+        RunLoop(20);
+        ResetBeforeTheClientReads(cut);
+        EXPECT_EQ(SKY_CLIENT_OUTCOME_BROKEN, outcome);
+    }
+}
+
+// The server ended its stream, and the body with it, before it reset the
+// connection because of bytes of the upload that it did not read.
+TEST_F(EarlyResponse, WithoutALengthIsWholeIfItsStreamEndedBeforeTheReset)
+{
+    StartUpload();
+    SendFromServer(head + "\r\nwho");
+    RunLoop(20);
+    SkyClientRequest_SetReading(client_request, false);
+    SendFromServer("le");
+    ASSERT_EQ(0, shutdown(connections.back()->fd, SHUT_WR));
+    ResetFromServer();
+    RunLoop(20);
+    ASSERT_FALSE(ended);
+    SkyClientRequest_SetReading(client_request, true);
+    RunLoop(20);
+    ASSERT_TRUE(ended);
+    EXPECT_EQ("whole", body);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE, outcome);
+}
+
+TEST_F(EarlyResponse, WithoutALengthIsWholeAtTheEndOfItsStream)
+{
+    StartUpload();
+    SendFromServer(head + "\r\nwhole");
+    ASSERT_EQ(0, shutdown(connections.back()->fd, SHUT_WR));
+    RunLoop(20);
+    ASSERT_TRUE(ended);
+    EXPECT_EQ("whole", body);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE, outcome);
+}
+
+TEST_F(EarlyResponse, LeavesNoConnectionToUseAgain)
+{
+    StartUpload();
+    SendFromServer(Response("1", "whole"));
+    RunLoop(20);
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE, outcome);
+    EXPECT_EQ(SKY_CLIENT_OUTCOME_COMPLETE,
+              SendRequest(
+                  "2", {{Response("2", "two"), ScriptedResponse::KEEP_OPEN}}));
+    EXPECT_EQ(2, accepted_connections);
+}
+
 // A late response on a reused connection is recognized by its id.
 TEST_F(ClientTest, SkipsResponseToEarlierRequest)
 {
