Messages of another major version, or of none, are malformed

Callers saw: answers that begin with HTTP/2.0, HTTP/9.3 or HTTQ/1.1 reached them as a target's answer. Requests of such versions, and request lines without one, were taken as well.

Cause: http-parser as packaged does not check these bytes, nor what stands between the parts of a request line.

Change: net/http_lines checks versions (HTTP/1 and a digit) and request lines, with one space between their parts. Such a response is malformed, such a request gets 400. HTTP/1.0 and line ends ahead of a message go on as before.

--- a/lib/net/http_lines.c
+++ b/lib/net/http_lines.c
@@ -1,20 +1,26 @@
 #include "net/http_lines.h"
 
+#include <string.h>
+
 #define STATUS_DIGITS 3
 
+/* The minor version, a digit, follows. */
+static const char VERSION_PREFIX[] = "HTTP/1.";
+#define VERSION_PREFIX_BYTES (sizeof VERSION_PREFIX - 1)
+
 const char *
 SkyHttpFault_Name(sky_http_fault_t fault)
 {
-    static const char *const NAMES[] = {"none", "status", "other"};
+    static const char *const NAMES[] = {"none", "start_line", "version",
+                                        "status", "other"};
     return NAMES[fault];
 }
 
 void
 SkyHttpLines_BeginMessage(sky_http_lines_t *lines, bool is_request)
 {
-    *lines = (sky_http_lines_t){.state = is_request
-                                             ? SKY_HTTP_LINES_CLOSED
-                                             : SKY_HTTP_LINES_BEFORE_MESSAGE};
+    *lines = (sky_http_lines_t){.state = SKY_HTTP_LINES_BEFORE_MESSAGE,
+                                .is_request = is_request};
 }
 
 static bool
@@ -23,6 +29,23 @@
     return byte >= '0' && byte <= '9';
 }
 
+/* RFC 9110, section 5.6.2. */
+static bool
+is_token(char byte)
+{
+    return is_digit(byte) || (byte >= 'a' && byte <= 'z') ||
+           (byte >= 'A' && byte <= 'Z') ||
+           (byte != '\0' && strchr("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+/* Blanks, tabs, visible characters, and bytes above 127. */
+static bool
+is_text(char byte)
+{
+    unsigned char code = (unsigned char)byte;
+    return byte == '\t' || (code >= ' ' && code != 0x7f);
+}
+
 static bool
 fail(sky_http_lines_t *lines, sky_http_fault_t fault)
 {
@@ -53,6 +76,24 @@
     }
 }
 
+static bool
+check_version(sky_http_lines_t *lines, char byte)
+{
+    if (lines->position < VERSION_PREFIX_BYTES) {
+        return byte == VERSION_PREFIX[lines->position++] ||
+               fail(lines, SKY_HTTP_FAULT_VERSION);
+    }
+    if (lines->position == VERSION_PREFIX_BYTES) {
+        lines->position++;
+        return is_digit(byte) || fail(lines, SKY_HTTP_FAULT_VERSION);
+    }
+    if (lines->is_request) {
+        return end_line(lines, byte, SKY_HTTP_FAULT_VERSION);
+    }
+    return byte == ' ' ? go_to(lines, SKY_HTTP_LINES_STATUS)
+                       : fail(lines, SKY_HTTP_FAULT_VERSION);
+}
+
 static bool
 check_status(sky_http_lines_t *lines, char byte)
 {
@@ -77,9 +118,26 @@
         if (byte == '\r' || byte == '\n') {
             return true;
         }
-        return go_to(lines, SKY_HTTP_LINES_VERSION);
+        if (!lines->is_request) {
+            go_to(lines, SKY_HTTP_LINES_VERSION);
+            return check_version(lines, byte);
+        }
+        return is_token(byte) ? go_to(lines, SKY_HTTP_LINES_METHOD)
+                              : fail(lines, SKY_HTTP_FAULT_START_LINE);
+    case SKY_HTTP_LINES_METHOD:
+        if (byte == ' ') {
+            return go_to(lines, SKY_HTTP_LINES_TARGET);
+        }
+        return is_token(byte) || fail(lines, SKY_HTTP_FAULT_START_LINE);
+    case SKY_HTTP_LINES_TARGET:
+        if (byte == ' ' && lines->position > 0) {
+            return go_to(lines, SKY_HTTP_LINES_VERSION);
+        }
+        lines->position = 1;
+        return (is_text(byte) && byte != ' ' && byte != '\t') ||
+               fail(lines, SKY_HTTP_FAULT_START_LINE);
     case SKY_HTTP_LINES_VERSION:
-        return byte != ' ' || go_to(lines, SKY_HTTP_LINES_STATUS);
+        return check_version(lines, byte);
     case SKY_HTTP_LINES_STATUS:
         return check_status(lines, byte);
     case SKY_HTTP_LINES_REASON:
--- a/lib/net/http_lines.h
+++ b/lib/net/http_lines.h
@@ -20,8 +20,10 @@
 /** Why a message is malformed. */
 typedef enum {
     SKY_HTTP_FAULT_NONE,
-    SKY_HTTP_FAULT_STATUS, /**< not three digits from 100 to 599 */
-    SKY_HTTP_FAULT_OTHER,  /**< found by http-parser */
+    SKY_HTTP_FAULT_START_LINE, /**< no request line or status line */
+    SKY_HTTP_FAULT_VERSION,    /**< not HTTP, or of another major version */
+    SKY_HTTP_FAULT_STATUS,     /**< not three digits from 100 to 599 */
+    SKY_HTTP_FAULT_OTHER,      /**< found by http-parser */
 } sky_http_fault_t;
 
 /** @return the name for log lines. */
@@ -30,6 +32,8 @@
 typedef enum {
     SKY_HTTP_LINES_CLOSED, /**< the bytes to come are not checked */
     SKY_HTTP_LINES_BEFORE_MESSAGE,
+    SKY_HTTP_LINES_METHOD,
+    SKY_HTTP_LINES_TARGET,
     SKY_HTTP_LINES_VERSION,
     SKY_HTTP_LINES_STATUS,
     SKY_HTTP_LINES_REASON,
@@ -40,10 +44,11 @@
 typedef struct {
     sky_http_lines_state_t state;
     sky_http_fault_t fault;
-    uint8_t position; /**< in the status */
+    uint8_t position; /**< in the version or the status */
+    bool is_request;
 } sky_http_lines_t;
 
-/** A start line is to come; only those of responses are checked. */
+/** A start line is to come. */
 void SkyHttpLines_BeginMessage(sky_http_lines_t *lines, bool is_request);
 
 /** Checks bytes up to the end of the line.
--- a/tests/proc_broken_answers.sh
+++ b/tests/proc_broken_answers.sh
@@ -167,5 +167,9 @@
         "HTTP/1.1 $status X\r\n\r\n$SOUND"
 done
 sound "status 599" "599 ok" "HTTP/1.1 599 X\r\n$REST"
+for version in HTTP/2.0 HTTP/9.3 HTTQ/1.1; do
+    broken "version $version" "$version 200 OK\r\n$REST"
+done
+sound "version HTTP/1.0" "200 ok" "HTTP/1.0 200 OK\r\n$REST"
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
--- a/tests/test_http_reader.cc
+++ b/tests/test_http_reader.cc
@@ -99,6 +99,9 @@
             << text;
     }
 
+    // A kind of message, and a start line of it.
+    typedef std::pair<sky_http_message_kind_t, std::string> StartLine;
+
     sky_http_reader_t reader = {};
     Message message;
     std::string unconsumed;
@@ -168,6 +171,46 @@
     }
 }
 
+// Callers got responses, and targets requests, that are no HTTP/1.
+TEST_F(HttpReaderTest, RejectsOtherVersions)
+{
+    for (const char *version :
+         {"HTTP/2.0", "HTTP/9.3", "HTTP/0.9", "HTTQ/1.1", "HTTP/1.10",
+          "HTTP/01.1", "HTTP/1,1", "HTTP/1.", "HTTP/1.x", "http/1.1", "ICY",
+          "H\x01TP/1.1"}) {
+        std::string text(version);
+        ExpectFault(SKY_HTTP_FAULT_VERSION, SKY_HTTP_RESPONSE,
+                    text + " 200 OK\r\nContent-Length: 0\r\n\r\n");
+        ExpectFault(SKY_HTTP_FAULT_VERSION, SKY_HTTP_REQUEST,
+                    "GET / " + text + "\r\nHost: a.example\r\n\r\n");
+    }
+    ExpectFault(SKY_HTTP_FAULT_VERSION, SKY_HTTP_REQUEST,
+                "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+    for (const char *version : {"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"}) {
+        std::string text(version);
+        EXPECT_EQ(SKY_HTTP_COMPLETE,
+                  Feed("\r\n" + text + " 200 OK\r\nContent-Length: 0\r\n\r\n",
+                       SKY_HTTP_RESPONSE, 1));
+        EXPECT_EQ(SKY_HTTP_COMPLETE,
+                  Feed("\r\nGET /\xc3\xa9?a=%20&b HTTP/1.1\r\n\r\n",
+                       SKY_HTTP_REQUEST, 1));
+    }
+}
+
+TEST_F(HttpReaderTest, RejectsRequestLinesThatAreNone)
+{
+    for (const char *line :
+         {"GET /", "GET  / HTTP/1.1", "GET /\t HTTP/1.1", "GET /\f HTTP/1.1",
+          "GET /\x7f HTTP/1.1", "G\x01T / HTTP/1.1", "GET"}) {
+        ExpectFault(SKY_HTTP_FAULT_START_LINE, SKY_HTTP_REQUEST,
+                    std::string(line) + "\r\nHost: a.example\r\n\r\n");
+    }
+    for (const char *line : {"GET /  HTTP/1.1", "GET / HTTP/1.1 "}) {
+        ExpectFault(SKY_HTTP_FAULT_VERSION, SKY_HTTP_REQUEST,
+                    std::string(line) + "\r\nHost: a.example\r\n\r\n");
+    }
+}
+
 // Requests that two parsers could interpret differently are rejected.
 TEST_F(HttpReaderTest, RejectsAmbiguousRequestsAsMalformed)
 {
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -343,6 +343,9 @@
          "400"},
         {"GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n",
          "431"},
+        {"GET / HTTP/2.0\r\n\r\n", "400"},
+        {"GET / HTTQ/1.1\r\n\r\n", "400"},
+        {"GET /\r\n\r\n", "400"},
     };
     for (const auto &[text, status] : rejected) {
         handled_requests = 0;
