Each line of a head and of trailers is checked in one place

Callers saw: a line of a target's head that begins with a blank (folded) passed, joined to the value of the field before it. By tests of our own the same holds for a control byte at the start of a value, for a line that ends with CR and any byte in place of LF, for control bytes in a reason, and for trailers, which were read past: a blank in a name and a fold passed there.

Cause: http-parser as packaged accepts these, and the reader itself looked for a blank in names of fields alone, not in trailers. RFC 9112, section 5.2, has a folded line refused or replaced; RFC 9110, section 5, has names that are tokens and values without control bytes.

Change: net/http_lines goes over the field lines up to the empty line, and over the trailers behind the last chunk; the look for blanks of the reader is gone. Responses are malformed, requests get 400. A value with blanks around it, an empty one, bytes above 127, a single LF as the end of a line, and sound trailers go on as before.

--- a/lib/net/http_lines.c
+++ b/lib/net/http_lines.c
@@ -11,8 +11,9 @@
 const char *
 SkyHttpFault_Name(sky_http_fault_t fault)
 {
-    static const char *const NAMES[] = {"none", "start_line", "version",
-                                        "status", "other"};
+    static const char *const NAMES[] = {
+        "none",        "start_line",  "version",  "status", "field_name",
+        "field_value", "folded_line", "line_end", "other"};
     return NAMES[fault];
 }
 
@@ -23,6 +24,12 @@
                                 .is_request = is_request};
 }
 
+void
+SkyHttpLines_BeginTrailers(sky_http_lines_t *lines)
+{
+    lines->state = SKY_HTTP_LINES_FIELD_START;
+}
+
 static bool
 is_digit(char byte)
 {
@@ -70,7 +77,7 @@
     case '\r':
         return go_to(lines, SKY_HTTP_LINES_LINE_END);
     case '\n':
-        return go_to(lines, SKY_HTTP_LINES_CLOSED);
+        return go_to(lines, SKY_HTTP_LINES_FIELD_START);
     default:
         return fail(lines, fault);
     }
@@ -107,6 +114,23 @@
                        : end_line(lines, byte, SKY_HTTP_FAULT_STATUS);
 }
 
+static bool
+check_field_start(sky_http_lines_t *lines, char byte)
+{
+    switch (byte) {
+    case '\r':
+        return go_to(lines, SKY_HTTP_LINES_LAST_END);
+    case '\n':
+        return go_to(lines, SKY_HTTP_LINES_CLOSED);
+    case ' ':
+    case '\t':
+        return fail(lines, SKY_HTTP_FAULT_FOLDED_LINE);
+    default:
+        return is_token(byte) ? go_to(lines, SKY_HTTP_LINES_FIELD_NAME)
+                              : fail(lines, SKY_HTTP_FAULT_FIELD_NAME);
+    }
+}
+
 /* Returns false at an invalid byte. */
 static bool
 check_byte(sky_http_lines_t *lines, char byte)
@@ -141,10 +165,24 @@
     case SKY_HTTP_LINES_STATUS:
         return check_status(lines, byte);
     case SKY_HTTP_LINES_REASON:
-        return (byte != '\r' && byte != '\n') ||
-               end_line(lines, byte, SKY_HTTP_FAULT_OTHER);
+        return is_text(byte) ||
+               end_line(lines, byte, SKY_HTTP_FAULT_START_LINE);
+    case SKY_HTTP_LINES_FIELD_START:
+        return check_field_start(lines, byte);
+    case SKY_HTTP_LINES_FIELD_NAME:
+        if (byte == ':') {
+            return go_to(lines, SKY_HTTP_LINES_FIELD_VALUE);
+        }
+        return is_token(byte) || fail(lines, SKY_HTTP_FAULT_FIELD_NAME);
+    case SKY_HTTP_LINES_FIELD_VALUE:
+        return is_text(byte) ||
+               end_line(lines, byte, SKY_HTTP_FAULT_FIELD_VALUE);
     case SKY_HTTP_LINES_LINE_END:
-        return go_to(lines, SKY_HTTP_LINES_CLOSED);
+        return byte == '\n' ? go_to(lines, SKY_HTTP_LINES_FIELD_START)
+                            : fail(lines, SKY_HTTP_FAULT_LINE_END);
+    case SKY_HTTP_LINES_LAST_END:
+        return byte == '\n' ? go_to(lines, SKY_HTTP_LINES_CLOSED)
+                            : fail(lines, SKY_HTTP_FAULT_LINE_END);
     }
     return fail(lines, SKY_HTTP_FAULT_OTHER);
 }
--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -120,11 +120,6 @@
     if (reader->head_is_complete) {
         return 0; /* trailer fields are not forwarded */
     }
-    /* http-parser accepts spaces in field names. Other parsers do not, so
-     * forwarding such a field would allow request smuggling. */
-    if (memchr(bytes, ' ', size) != NULL) {
-        return 1;
-    }
     if (reader->in_field_value || reader->current_name_offset == 0) {
         if (finish_field_value(reader) != 0) {
             return 1;
@@ -228,6 +223,17 @@
     return 0;
 }
 
+static int
+on_chunk_head(http_parser *parser)
+{
+    sky_http_reader_t *reader = reader_from_parser(parser);
+    if (parser->content_length == 0) {
+        SkyHttpLines_BeginTrailers(&reader->lines);
+        http_parser_pause(parser, 1);
+    }
+    return 0;
+}
+
 static const http_parser_settings SETTINGS = {
     .on_message_begin = on_message_begin,
     .on_url = on_url,
@@ -236,6 +242,7 @@
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
+    .on_chunk_header = on_chunk_head,
 };
 
 void
--- a/tests/proc_broken_answers.sh
+++ b/tests/proc_broken_answers.sh
@@ -171,5 +171,20 @@
     broken "version $version" "$version 200 OK\r\n$REST"
 done
 sound "version HTTP/1.0" "200 ok" "HTTP/1.0 200 OK\r\n$REST"
+broken "a folded line" "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n$REST"
+broken "a fold before all fields" "HTTP/1.1 200 OK\r\n c\r\n$REST"
+for name in 'A B' 'A ' 'A\t' '' 'A\001' 'A\177' 'A\000' 'A\200' 'A(' 'A/'; do
+    broken "field name '$name'" "HTTP/1.1 200 OK\r\n$name: b\r\n$REST"
+done
+broken "a line without a colon" "HTTP/1.1 200 OK\r\nName\r\n$REST"
+broken "a control byte in a value" "HTTP/1.1 200 OK\r\nA: \001\r\n$REST"
+broken "CR alone" "HTTP/1.1 200 OK\rXA: b\r\n$REST"
+CHUNKED="HTTP/1.1 200 OK\r\n${OWN}Transfer-Encoding: chunked\r\n\r\n2\r\nok"
+broken "a trailer with a blank in its name" "$CHUNKED\r\n0\r\nA B: c\r\n\r\n"
+broken "a folded trailer" "$CHUNKED\r\n0\r\nA: b\r\n c\r\n\r\n"
+sound "blanks around a value, and an empty one" "200 ok" \
+    "HTTP/1.1 200 OK\r\nA: \t b \t\r\nB:\r\n$REST"
+sound "a trailer" "200 ok" "$CHUNKED\r\n0\r\nA: b\r\n\r\n"
+sound "no length" "200 ok" "HTTP/1.1 200 OK\r\n${OWN}\r\nok"
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
--- a/tests/test_http_reader.cc
+++ b/tests/test_http_reader.cc
@@ -211,6 +211,125 @@
     }
 }
 
+// A line that begins with a blank was joined to the value before it.
+TEST_F(HttpReaderTest, RejectsFoldedLines)
+{
+    for (const char *blank : {" ", "\t", "  \t"}) {
+        for (const auto &start :
+             {StartLine{SKY_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n"},
+              StartLine{SKY_HTTP_REQUEST, "POST / HTTP/1.1\r\n"}}) {
+            std::string folded = std::string(blank) + "more\r\n";
+            std::string rest = "Content-Length: 0\r\n\r\n";
+            ExpectFault(SKY_HTTP_FAULT_FOLDED_LINE, start.first,
+                        start.second + "A: b\r\n" + folded + rest);
+            ExpectFault(SKY_HTTP_FAULT_FOLDED_LINE, start.first,
+                        start.second + "A:\r\n" + folded + rest);
+            ExpectFault(SKY_HTTP_FAULT_FOLDED_LINE, start.first,
+                        start.second + folded + rest);
+            ExpectFault(SKY_HTTP_FAULT_FOLDED_LINE, start.first,
+                        start.second + "Content-Length: 0\r\n" + blank +
+                            "\r\n\r\n");
+        }
+    }
+}
+
+const std::string NO_FIELD_NAMES[] = {"A B",
+                                      "A ",
+                                      "A\t",
+                                      "",
+                                      "A\x01",
+                                      "A\x7f",
+                                      "A\x80",
+                                      "A(",
+                                      "A/",
+                                      "\"A\"",
+                                      "{A}",
+                                      "A@",
+                                      std::string("A\0", 2),
+                                      "A\rB",
+                                      "A\vB",
+                                      "A\r"};
+const std::string NO_FIELD_VALUES[] = {"a\x01", "a\x7f", std::string("a\0", 2),
+                                       "a\rb",  "a\vb",  "\x1f"};
+
+TEST_F(HttpReaderTest, RejectsFieldsThatAreNone)
+{
+    const std::string heads[] = {"HTTP/1.1 200 OK\r\nX: y\r\n",
+                                 "POST / HTTP/1.1\r\nX: y\r\n",
+                                 "HTTP/1.1 200 OK\r\n"};
+    const sky_http_message_kind_t kinds[] = {
+        SKY_HTTP_RESPONSE, SKY_HTTP_REQUEST, SKY_HTTP_RESPONSE};
+    for (size_t i = 0; i < 3; i++) {
+        std::string rest = "\r\nContent-Length: 0\r\n\r\n";
+        for (const std::string &name : NO_FIELD_NAMES) {
+            ExpectMalformed(kinds[i], heads[i] + name + ": v" + rest);
+        }
+        ExpectMalformed(kinds[i], heads[i] + "Name" + rest); // no colon
+        for (const std::string &value : NO_FIELD_VALUES) {
+            ExpectMalformed(kinds[i], heads[i] + "Name: " + value + rest);
+        }
+    }
+    EXPECT_EQ(SKY_HTTP_COMPLETE,
+              Feed("HTTP/1.1 200 OK\r\nA:\r\nB: \t v\r\nC:\xff\r\n"
+                   "!#$%&'*+-.^_`|~9: ok\r\nContent-Length: 0\r\n\r\n",
+                   SKY_HTTP_RESPONSE, 1));
+    EXPECT_EQ("", message.fields[0].second);
+    EXPECT_EQ("v", message.fields[1].second);
+    EXPECT_EQ("ok", message.fields[3].second);
+}
+
+// The parser takes any byte for the LF behind the CR of a line.
+TEST_F(HttpReaderTest, RejectsLinesThatEndWithCrAlone)
+{
+    for (const char *text :
+         {"HTTP/1.1 200 OK\rXA: b\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\rZhello",
+          "HTTP/1.1 200 OK\r\nA: b\rXContent-Length: 0\r\n\r\n"}) {
+        ExpectFault(SKY_HTTP_FAULT_LINE_END, SKY_HTTP_RESPONSE, text);
+    }
+    ExpectFault(SKY_HTTP_FAULT_LINE_END, SKY_HTTP_REQUEST,
+                "GET / HTTP/1.1\rXA: b\r\n\r\n");
+    EXPECT_EQ(SKY_HTTP_COMPLETE,
+              Feed("HTTP/1.1 200 OK\nA: b\nContent-Length: 0\n\n",
+                   SKY_HTTP_RESPONSE, 1));
+}
+
+TEST_F(HttpReaderTest, RejectsAReasonWithControlBytes)
+{
+    for (const std::string &reason :
+         {std::string("O\x01K"), std::string("O\0K", 3),
+          std::string("\x7f")}) {
+        ExpectFault(SKY_HTTP_FAULT_START_LINE, SKY_HTTP_RESPONSE,
+                    "HTTP/1.1 200 " + reason +
+                        "\r\nContent-Length: 0\r\n\r\n");
+    }
+}
+
+// Trailers were read past without a check.
+TEST_F(HttpReaderTest, RejectsBodiesWithBrokenTrailers)
+{
+    for (const auto &start :
+         {StartLine{SKY_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n"},
+          StartLine{SKY_HTTP_REQUEST, "POST / HTTP/1.1\r\n"}}) {
+        std::string body = start.second + "Transfer-Encoding: chunked\r\n\r\n"
+                                          "5\r\nwhole\r\n0\r\n";
+        for (const std::string &name : NO_FIELD_NAMES) {
+            ExpectMalformed(start.first, body + name + ": v\r\n\r\n");
+        }
+        for (const std::string &value : NO_FIELD_VALUES) {
+            ExpectMalformed(start.first, body + "A: " + value + "\r\n\r\n");
+        }
+        ExpectFault(SKY_HTTP_FAULT_FOLDED_LINE, start.first,
+                    body + "A: b\r\n c\r\n\r\n");
+        ExpectFault(SKY_HTTP_FAULT_FOLDED_LINE, start.first,
+                    body + " \r\n\r\n");
+        ExpectFault(SKY_HTTP_FAULT_LINE_END, start.first, body + "\rZ");
+        EXPECT_EQ(SKY_HTTP_COMPLETE,
+                  Feed(body + "A: b\r\nC:\r\n\r\n", start.first, 1));
+        EXPECT_EQ("whole", message.body);
+    }
+}
+
 // Requests that two parsers could interpret differently are rejected.
 TEST_F(HttpReaderTest, RejectsAmbiguousRequestsAsMalformed)
 {
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -346,6 +346,11 @@
         {"GET / HTTP/2.0\r\n\r\n", "400"},
         {"GET / HTTQ/1.1\r\n\r\n", "400"},
         {"GET /\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nA B: c\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nx\r\n0\r\nA: b\r\n c\r\n\r\n",
+         "400"},
     };
     for (const auto &[text, status] : rejected) {
         handled_requests = 0;
