A chunk that does not end where its size says is malformed

Callers could get: a body in chunks without the bytes by which a chunk was longer than its size. Found by a test of our own, not seen on machines.

Cause: http-parser as packaged takes any two bytes for the line end behind a chunk's data, and any byte for the LF behind its size. "5 CRLF wholeXX0 CRLF CRLF" was a whole body of five bytes.

Change: the reader pauses the parser behind each size and each chunk, and checks that both end with CR LF; else the message is malformed.

Sound chunks are read as before, at each split of their bytes.

--- a/lib/net/http_lines.c
+++ b/lib/net/http_lines.c
@@ -13,7 +13,7 @@
 {
     static const char *const NAMES[] = {
         "none",        "start_line",  "version",  "status", "field_name",
-        "field_value", "folded_line", "line_end", "other"};
+        "field_value", "folded_line", "line_end", "chunk",  "other"};
     return NAMES[fault];
 }
 
--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -229,8 +229,20 @@
     sky_http_reader_t *reader = reader_from_parser(parser);
     if (parser->content_length == 0) {
         SkyHttpLines_BeginTrailers(&reader->lines);
-        http_parser_pause(parser, 1);
     }
+    reader->at_chunk_end = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static int
+on_chunk_complete(http_parser *parser)
+{
+    if ((parser->flags & F_TRAILING) != 0) {
+        return 0; /* the end of the body, in the middle of a line end */
+    }
+    reader_from_parser(parser)->at_chunk_end = true;
+    http_parser_pause(parser, 1);
     return 0;
 }
 
@@ -243,6 +255,7 @@
     .on_body = on_body,
     .on_message_complete = on_message_complete,
     .on_chunk_header = on_chunk_head,
+    .on_chunk_complete = on_chunk_complete,
 };
 
 void
@@ -279,12 +292,23 @@
     }
 }
 
+/* Whether the line of a chunk's size, or a chunk's data, ends as it must:
+ * http-parser takes any two bytes there. */
+static bool
+chunk_ends_with_line(const sky_http_reader_t *reader, const char *bytes,
+                     size_t size)
+{
+    char before = size > 1 ? bytes[size - 2] : reader->last_byte;
+    return before == '\r' && bytes[size - 1] == '\n';
+}
+
 /* Lets http-parser read bytes that were checked; size 0 tells it that the
  * stream has ended. */
 static sky_http_progress_t
 parse(sky_http_reader_t *reader, const char *bytes, size_t size,
       size_t *parsed)
 {
+    reader->at_chunk_end = false;
     *parsed = http_parser_execute(&reader->parser, &SETTINGS, bytes, size);
     enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
     if (reader->is_stopped) {
@@ -295,12 +319,19 @@
     }
     if (error == HPE_PAUSED) {
         http_parser_pause(&reader->parser, 0);
+        if (reader->at_chunk_end &&
+            !chunk_ends_with_line(reader, bytes, *parsed)) {
+            reader->lines.fault = SKY_HTTP_FAULT_CHUNK;
+        }
     }
     else if (error != HPE_OK || reader->parser.upgrade) {
         if (reader->lines.fault == SKY_HTTP_FAULT_NONE) {
             reader->lines.fault = SKY_HTTP_FAULT_OTHER;
         }
     }
+    if (*parsed > 0) {
+        reader->last_byte = bytes[*parsed - 1];
+    }
     if (reader->lines.fault != SKY_HTTP_FAULT_NONE) {
         return SKY_HTTP_MALFORMED;
     }
@@ -308,7 +339,8 @@
                                        : SKY_HTTP_INCOMPLETE;
 }
 
-/* Checks and parses the bytes up to the end of the lines, or all of them. */
+/* Checks and parses the bytes up to the end of the lines or of a chunk, or all
+ * of them. */
 static sky_http_progress_t
 read_part(sky_http_reader_t *reader, const char *bytes, size_t size,
           size_t *consumed)
--- a/lib/net/http_reader.h
+++ b/lib/net/http_reader.h
@@ -97,11 +97,13 @@
     size_t max_head_bytes;  /**< 0: unlimited */
     uint32_t current_name_offset; /**< of the field being read, in the text */
     bool in_field_value;
+    char last_byte;            /**< the last one parsed */
     bool response_has_no_body; /**< the response is to a HEAD request */
     bool in_message;           /**< some but not all of a message was read */
     bool head_is_complete;
     bool message_is_complete;
     bool head_is_too_large;
+    bool at_chunk_end; /**< the parser was paused behind the end of a chunk */
     bool is_stopped;
 } sky_http_reader_t;
 
--- a/tests/proc_broken_answers.sh
+++ b/tests/proc_broken_answers.sh
@@ -186,5 +186,6 @@
     "HTTP/1.1 200 OK\r\nA: \t b \t\r\nB:\r\n$REST"
 sound "a trailer" "200 ok" "$CHUNKED\r\n0\r\nA: b\r\n\r\n"
 sound "no length" "200 ok" "HTTP/1.1 200 OK\r\n${OWN}\r\nok"
+broken "a chunk longer than its size" "${CHUNKED}XX0\r\n\r\n"
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
--- a/tests/test_http_reader.cc
+++ b/tests/test_http_reader.cc
@@ -330,6 +330,28 @@
     }
 }
 
+// A chunk that is longer than its size lost its end: the parser takes any two
+// bytes for the line end behind it.
+TEST_F(HttpReaderTest, RejectsChunksThatDoNotEndWithALine)
+{
+    for (const auto &start :
+         {StartLine{SKY_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n"},
+          StartLine{SKY_HTTP_REQUEST, "POST / HTTP/1.1\r\n"}}) {
+        std::string head = start.second + "Transfer-Encoding: chunked\r\n\r\n";
+        for (const char *chunks :
+             {"5\r\nwholeXX0\r\n\r\n", "5\r\nwhole\rX0\r\n\r\n",
+              "5\r\nwholeX\n0\r\n\r\n", "5\rXwhole\r\n0\r\n\r\n",
+              "5;a=b\rXwhole\r\n0\r\n\r\n", "0\rX\r\n"}) {
+            ExpectFault(SKY_HTTP_FAULT_CHUNK, start.first, head + chunks);
+        }
+        std::string sound = head + "5;a=b\r\nwhole\r\n1\r\n!\r\n000\r\n\r\n";
+        for (size_t split = 1; split < sound.size(); split++) {
+            ASSERT_EQ(SKY_HTTP_COMPLETE, Feed(sound, start.first, split));
+            EXPECT_EQ("whole!", message.body);
+        }
+    }
+}
+
 // Requests that two parsers could interpret differently are rejected.
 TEST_F(HttpReaderTest, RejectsAmbiguousRequestsAsMalformed)
 {
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -351,6 +351,9 @@
         {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
          "1\r\nx\r\n0\r\nA: b\r\n c\r\n\r\n",
          "400"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nxXX0\r\n\r\n",
+         "400"},
     };
     for (const auto &[text, status] : rejected) {
         handled_requests = 0;
