A switch of protocols is no interim response

Callers could get: the 200 that came on a connection behind a 101, as the answer of its target, though what follows a 101 is not HTTP. Found by a test of our own, not seen on machines.

Cause: the client skips all responses below 200 as interim. Without an Upgrade field http-parser goes on to read HTTP behind a 101 as well.

Change: 101 is malformed. No request that this client sends asks for another protocol: Upgrade is not forwarded, and a caller that asks for one gets 400.

--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #define LIST_SEPARATORS " \t,"
+#define STATUS_SWITCHING_PROTOCOLS 101
 /** Ends a response whose head has no end. */
 #define RESPONSE_FIELDS_MAX 64u
 #define FIELDS_CAPACITY_MIN 16u
@@ -179,6 +180,11 @@
         return -1;
     }
     head->status = (uint16_t)parser->status_code;
+    if (head->status == STATUS_SWITCHING_PROTOCOLS) {
+        /* What follows is not HTTP, and no request asks for it. */
+        reader->lines.fault = SKY_HTTP_FAULT_UPGRADE;
+        return -1;
+    }
     head->method = (uint8_t)parser->method;
     head->keep_alive = http_should_keep_alive(parser) != 0;
     head->chunked = (parser->flags & F_CHUNKED) != 0;
--- a/tests/test_http_reader.cc
+++ b/tests/test_http_reader.cc
@@ -352,6 +352,17 @@
     }
 }
 
+// No request asks for another protocol, so that what follows is not HTTP.
+TEST_F(HttpReaderTest, RejectsASwitchOfProtocols)
+{
+    for (const char *fields :
+         {"", "Upgrade: h2c\r\nConnection: Upgrade\r\n"}) {
+        ExpectFault(SKY_HTTP_FAULT_UPGRADE, SKY_HTTP_RESPONSE,
+                    std::string("HTTP/1.1 101 Switching Protocols\r\n") +
+                        fields + "\r\nHTTP/1.1 200 OK\r\n\r\n");
+    }
+}
+
 // Requests that two parsers could interpret differently are rejected.
 TEST_F(HttpReaderTest, RejectsAmbiguousRequestsAsMalformed)
 {
