The own interface reads responses with the client that all others use

Callers of plain services could get, through `serve`: an answer with status 000, 600, 999 or 101; one of HTTP/2.0; one with a folded line, a field name with a blank, a control byte, a NUL or no name, or a line without a colon; one with broken trailers. Found by tests of our own.

Cause: targets, the log and hosts' operators' calls were read with neon, which takes all of these, so that whether a response is valid was judged in two places. Resets and cut bodies were handled: neon reports them, also in the middle of an upload; these tests are kept.

Change: platform/http_exchange runs one request in net/client on an event loop of its own and waits for it; target_exchange and http_call read through it. The permit is checked before the first byte is sent (expires_us of the client), not between head and body. A response that comes before its upload is sent is read then. neon is left in bench/bench_load alone.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -12,6 +12,7 @@
  */
 #include <ne_request.h>
 #include <ne_session.h>
+#include <ne_socket.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -187,7 +188,7 @@
 {
     pthread_attr_t attributes;
     parse_options(argc, argv);
-    SkyHttpCall_InitLibrary();
+    ne_sock_init();
     pthread_t *threads = calloc(options.streams, sizeof *threads);
     pthread_attr_init(&attributes);
     pthread_attr_setstacksize(&attributes, STACK_BYTES);
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -497,6 +497,11 @@
 send_output(sky_client_request_t *connection)
 {
     struct ev_loop *loop = connection->client->options.loop;
+    uint64_t expires_us = connection->options.expires_us;
+    if (expires_us != 0 && !connection->has_sent_bytes &&
+        SkyClock_NowUs() >= expires_us) {
+        return false;
+    }
     while (SkyBuffer_Size(&connection->output) > 0) {
         ssize_t sent =
             send(connection->fd, SkyBuffer_Data(&connection->output),
--- a/lib/net/client.h
+++ b/lib/net/client.h
@@ -85,6 +85,9 @@
     struct sockaddr_in address;
     const sky_buffer_t *request; /**< head and body; copied */
     uint32_t connect_timeout_ms;
+    /** Monotonic time from which on no first byte is sent: the request then
+     *  ends as unsent. 0: none. */
+    uint64_t expires_us;
     /** A connection that has been idle for longer is not reused; 0: reused as
      *  long as the server keeps it. */
     uint32_t max_idle_ms;
--- a/lib/platform/http_call.c
+++ b/lib/platform/http_call.c
@@ -1,24 +1,13 @@
 #include "platform/http_call.h"
 
-#include <ne_request.h>
-#include <ne_session.h>
-#include <ne_socket.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/clock.h"
-#include "decide/types.h"
+#include "net/buffer.h"
+#include "platform/http_exchange.h"
 
 #define MS_PER_S 1000
 #define PORT_MAX 65535
-#define CHUNK_BYTES 8192
-
-sky_result_t
-SkyHttpCall_InitLibrary(void)
-{
-    return ne_sock_init() == 0 ? SKY_OK : SKY_E_IO;
-}
 
 sky_result_t
 SkyHttpCall_SplitAddress(const char *text, char *host, size_t host_size,
@@ -39,116 +28,116 @@
     return SKY_OK;
 }
 
-static int
+static uint32_t
 round_up_to_seconds(uint32_t timeout_ms)
 {
-    return (int)((timeout_ms + MS_PER_S - 1) / MS_PER_S);
+    return (timeout_ms + MS_PER_S - 1) / MS_PER_S * MS_PER_S;
 }
 
-static sky_result_t
-read_response_body(ne_request *request, sky_http_call_response_t *response)
+/** A response while it is received. */
+typedef struct {
+    uint32_t status;
+    sky_buffer_t body;
+    bool lacks_memory;
+} reception_t;
+
+static void
+on_head(void *context, const sky_http_head_t *head)
 {
-    char chunk[CHUNK_BYTES];
-    FILE *stream = open_memstream(&response->body, &response->size);
-    ssize_t count;
-    size_t total = 0;
-    if (stream == NULL) {
-        return SKY_E_MEMORY;
-    }
-    while ((count = ne_read_response_block(request, chunk, sizeof chunk)) >
-           0) {
-        total += (size_t)count;
-        if (total > SKY_HTTP_CALL_RESPONSE_MAX_BYTES) {
-            count = -1;
-            break;
-        }
-        fwrite(chunk, 1, (size_t)count, stream);
-    }
-    fclose(stream);
-    return count == 0 ? SKY_OK : SKY_E_IO;
+    reception_t *reception = context;
+    reception->status = head->status;
 }
 
-/** Progress of sending the body. */
-typedef struct {
-    const sky_http_call_t *call;
-    size_t sent;
-    bool is_started;
-} upload_t;
-
-/** neon calls this once it has connected and written the head. An expired body
- *  is not sent; the target then discards the incomplete request. */
-static ssize_t
-provide_body(void *context, char *buffer, size_t size)
+static void
+on_body(void *context, const char *bytes, size_t size)
 {
-    upload_t *upload = context;
-    const sky_http_call_t *call = upload->call;
-    if (size == 0) { /* neon starts, or restarts, the body */
-        upload->sent = 0;
-        return 0;
+    reception_t *reception = context;
+    if (SkyResult_IsError(SkyBuffer_Append(&reception->body, bytes, size))) {
+        reception->lacks_memory = true;
     }
-    if (!upload->is_started && call->expires_us != 0 &&
-        SkyClock_NowUs() >= call->expires_us) {
-        return -1;
+}
+
+/** Hands the body over, with a terminating zero. */
+static sky_http_call_result_t
+take_response(reception_t *reception, sky_http_call_response_t *response)
+{
+    size_t size = SkyBuffer_Size(&reception->body);
+    if (reception->lacks_memory ||
+        SkyResult_IsError(SkyBuffer_Append(&reception->body, "", 1))) {
+        return SKY_HTTP_CALL_UNKNOWN;
     }
-    size_t left = strlen(call->body) - upload->sent;
-    size_t count = left < size ? left : size;
-    upload->is_started = true;
-    memcpy(buffer, call->body + upload->sent, count);
-    upload->sent += count;
-    return (ssize_t)count;
+    response->status = reception->status;
+    response->body = reception->body.bytes; /* nothing was consumed of it */
+    response->size = size;
+    reception->body = (sky_buffer_t){0};
+    return SKY_HTTP_CALL_RESPONDED;
 }
 
 static sky_http_call_result_t
-run_request(ne_request *request, const upload_t *upload,
-            sky_http_call_response_t *response)
+receive_response(sky_http_exchange_t *exchange, reception_t *reception,
+                 sky_http_call_response_t *response)
 {
-    int result = ne_begin_request(request);
-    if (result == NE_CONNECT || result == NE_LOOKUP ||
-        (result != NE_OK && upload->call->body != NULL &&
-         !upload->is_started)) {
+    while (SkyHttpExchange_Receive(exchange)) {
+    }
+    switch (SkyHttpExchange_Outcome(exchange)) {
+    case SKY_CLIENT_OUTCOME_COMPLETE:
+        return take_response(reception, response);
+    case SKY_CLIENT_OUTCOME_UNSENT:
         return SKY_HTTP_CALL_NOT_SENT;
+    case SKY_CLIENT_OUTCOME_BROKEN:
+    case SKY_CLIENT_OUTCOME_GARBLED:
+    case SKY_CLIENT_OUTCOME_STOPPED:
+        break;
     }
-    if (result != NE_OK) {
-        return SKY_HTTP_CALL_UNKNOWN;
+    return SKY_HTTP_CALL_UNKNOWN;
+}
+
+static sky_result_t
+write_fields(const sky_http_call_t *call, sky_buffer_t *lines)
+{
+    sky_result_t result = SKY_OK;
+    if (call->body != NULL) {
+        result =
+            SkyBuffer_AppendText(lines, "Content-Type: application/json\r\n");
     }
-    response->status = (uint32_t)ne_get_status(request)->code;
-    if (SkyResult_IsError(read_response_body(request, response)) ||
-        ne_end_request(request) != NE_OK) {
-        free(response->body);
-        response->body = NULL;
-        return SKY_HTTP_CALL_UNKNOWN;
+    if (!SkyResult_IsError(result) && call->header_name != NULL) {
+        result = SkyBuffer_AppendFormat(lines, "%s: %s\r\n", call->header_name,
+                                        call->header_value);
     }
-    return SKY_HTTP_CALL_RESPONDED;
+    return SkyResult_IsError(result) ? result : SkyBuffer_Append(lines, "", 1);
 }
 
 sky_http_call_result_t
 SkyHttpCall_Run(const sky_http_call_t *call,
                 sky_http_call_response_t *response)
 {
-    char host[SKY_ADDRESS_BYTES];
-    uint16_t port;
-    upload_t upload = {.call = call};
+    sky_buffer_t field_lines = {0};
+    reception_t reception = {0};
+    sky_http_exchange_t *exchange = NULL;
+    sky_http_call_result_t result = SKY_HTTP_CALL_NOT_SENT;
     memset(response, 0, sizeof *response);
-    if (SkyResult_IsError(SkyHttpCall_SplitAddress(call->address, host,
-                                                   sizeof host, &port))) {
-        return SKY_HTTP_CALL_NOT_SENT;
-    }
-    ne_session *session = ne_session_create("http", host, port);
-    ne_set_connect_timeout(session,
-                           round_up_to_seconds(call->connect_timeout_ms));
-    ne_set_read_timeout(session, round_up_to_seconds(call->read_timeout_ms));
-    ne_set_session_flag(session, NE_SESSFLAG_PERSIST, 0);
-    ne_request *request = ne_request_create(session, call->method, call->path);
-    if (call->body != NULL) {
-        ne_add_request_header(request, "Content-Type", "application/json");
-        ne_set_request_body_provider(request, (ne_off_t)strlen(call->body),
-                                     provide_body, &upload);
-    }
-    if (call->header_name != NULL) {
-        ne_add_request_header(request, call->header_name, call->header_value);
+    if (!SkyResult_IsError(write_fields(call, &field_lines))) {
+        sky_http_exchange_options_t options = {
+            .address = call->address,
+            .method = call->method,
+            .path = call->path,
+            .field_lines = SkyBuffer_Data(&field_lines),
+            .body = call->body,
+            .expires_us = call->expires_us,
+            .connect_timeout_ms =
+                round_up_to_seconds(call->connect_timeout_ms),
+            .silence_timeout_ms = round_up_to_seconds(call->read_timeout_ms),
+            .max_body_bytes = SKY_HTTP_CALL_RESPONSE_MAX_BYTES,
+            .on_head = on_head,
+            .on_body = on_body,
+            .context = &reception,
+        };
+        if (!SkyResult_IsError(SkyHttpExchange_Start(&options, &exchange))) {
+            result = receive_response(exchange, &reception, response);
+        }
     }
-    sky_http_call_result_t result = run_request(request, &upload, response);
-    ne_request_destroy(request);
-    ne_session_destroy(session);
+    SkyHttpExchange_Free(exchange);
+    SkyBuffer_Clear(&reception.body);
+    SkyBuffer_Clear(&field_lines);
     return result;
 }
--- a/lib/platform/http_call.h
+++ b/lib/platform/http_call.h
@@ -1,6 +1,6 @@
 /**
  * @file http_call.h
- * @brief Blocking HTTP calls with neon that buffer the whole response.
+ * @brief Blocking HTTP calls that buffer the whole response.
  */
 #ifndef SKY_PLATFORM_HTTP_CALL_H
 #define SKY_PLATFORM_HTTP_CALL_H
@@ -25,7 +25,7 @@
     const char *body;        /**< NULL: none */
     const char *header_name; /**< NULL: no further header */
     const char *header_value;
-    uint64_t expires_us; /**< monotonic time after which the body is not sent
+    uint64_t expires_us; /**< monotonic time after which the call is not sent
                               any more; 0: never */
     uint32_t connect_timeout_ms;
     uint32_t read_timeout_ms;
@@ -40,16 +40,11 @@
 /** Tells whether the call may have had an effect. */
 typedef enum {
     SKY_HTTP_CALL_RESPONDED, /**< the whole response was received */
-    SKY_HTTP_CALL_NOT_SENT,  /**< no connection, or body not sent: no effect */
-    SKY_HTTP_CALL_UNKNOWN,   /**< sent, but no complete response */
+    SKY_HTTP_CALL_NOT_SENT,  /**< no byte of it was sent: no effect */
+    SKY_HTTP_CALL_UNKNOWN,   /**< sent, but no whole, valid response */
 } sky_http_call_result_t;
 
-/** Initializes neon; call once, before starting threads. @return SKY_E_IO if
- *  that fails. */
-sky_result_t SkyHttpCall_InitLibrary(void);
-
-/** Makes one call on a new connection: neon would resend a request when a
- *  persistent connection turns out to be closed.
+/** Makes one call, on a new connection.
  *  @param response status and body are valid on SKY_HTTP_CALL_RESPONDED only
  */
 sky_http_call_result_t SkyHttpCall_Run(const sky_http_call_t *call,
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -160,7 +160,7 @@
     sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, NULL);
     signal(SIGPIPE, SIG_IGN);
-    if (sodium_init() < 0 || SkyResult_IsError(SkyHttpCall_InitLibrary())) {
+    if (sodium_init() < 0) {
         return SKY_E_IO;
     }
     log_start(settings);
--- a/lib/serve/target_exchange.c
+++ b/lib/serve/target_exchange.c
@@ -2,8 +2,6 @@
 
 #include <inttypes.h>
 #include <jansson.h>
-#include <ne_request.h>
-#include <ne_session.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,10 +9,12 @@
 #include "core/clock.h"
 #include "core/invariant.h"
 #include "platform/http_call.h"
+#include "platform/http_exchange.h"
 
-#define CONNECT_TIMEOUT_S 2
+#define CONNECT_TIMEOUT_MS 2000
 #define MS_PER_S 1000
-#define READ_BLOCK_BYTES 8192
+#define DATA_CAPACITY_MIN 16384
+#define FIELD_LINES_BYTES 256
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
@@ -25,18 +25,17 @@
 #define DATA_FIELD_PREFIX_BYTES 6
 #define LAST_EVENT_DATA "[DONE]"
 #define LAST_EVENT_DATA_BYTES 6
+#define REQUEST_ID_FIELD "X-Request-Id"
 
 struct sky_target_exchange {
     sky_target_exchange_options_t options;
-    ne_session *session;
-    ne_request *request;
-    size_t body_bytes;
-    size_t body_sent;
-    bool body_started; /* from then on the target may run the request */
-    bool permit_expired;
+    sky_http_exchange_t *http;
     bool is_stream;
     bool last_event_read;
-    uint32_t status;
+    bool names_a_request; /* the response's head names one */
+    bool names_this_request;
+    bool exceeds_limit; /* of a response's size, or memory is exhausted */
+    uint32_t status;    /* 0: no head was received */
     char content_type[64];
     char *data; /* received, not yet copied to the caller */
     size_t size;
@@ -45,87 +44,41 @@
     sky_result_t failure;
 };
 
-/* ---- sending ---- */
-
-/** Called by neon for each part of the body, after it has sent the head. */
-static ssize_t
-provide_body(void *context, char *buffer, size_t size)
-{
-    sky_target_exchange_t *exchange = context;
-    if (size == 0) { /* neon rewinds the body before it sends it */
-        exchange->body_sent = 0;
-        return 0;
-    }
-    if (!exchange->body_started &&
-        SkyClock_NowUs() >= exchange->options.expires_us) {
-        exchange->permit_expired = true;
-        return -1;
-    }
-    size_t left = exchange->body_bytes - exchange->body_sent;
-    size_t count = left < size ? left : size;
-    exchange->body_started = true;
-    memcpy(buffer, exchange->options.body + exchange->body_sent, count);
-    exchange->body_sent += count;
-    return (ssize_t)count;
-}
+/* ---- receiving ---- */
 
 static void
-add_headers(const sky_target_exchange_t *exchange)
+on_head(void *context, const sky_http_head_t *head)
 {
-    const sky_target_exchange_options_t *options = &exchange->options;
-    ne_add_request_header(exchange->request, "X-Request-Id",
-                          options->request_id);
-    ne_print_request_header(exchange->request, "X-Fencing-Number", "%" PRIu64,
-                            options->fence);
-    if (options->body != NULL) {
-        ne_add_request_header(exchange->request, "Content-Type",
-                              options->content_type);
-    }
+    sky_target_exchange_t *exchange = context;
+    const char *type = SkyHttpHead_FindField(head, "Content-Type");
+    const char *id = SkyHttpHead_FindField(head, REQUEST_ID_FIELD);
+    exchange->status = head->status;
+    exchange->names_a_request = id != NULL;
+    exchange->names_this_request =
+        id != NULL && strcmp(id, exchange->options.request_id) == 0;
+    snprintf(exchange->content_type, sizeof exchange->content_type, "%s",
+             type ? type : "application/octet-stream");
+    exchange->is_stream =
+        exchange->options.stream && exchange->status == STATUS_OK;
 }
 
-static sky_result_t
-prepare_request(sky_target_exchange_t *exchange)
+/** Ensures capacity for more bytes and a terminating zero. @return false if
+ *  the response is too large or memory is exhausted. */
+static bool
+reserve(sky_target_exchange_t *exchange, size_t size)
 {
-    const sky_target_exchange_options_t *options = &exchange->options;
-    char host[SKY_ADDRESS_BYTES];
-    uint16_t port;
-    sky_result_t result =
-        SkyHttpCall_SplitAddress(options->address, host, sizeof host, &port);
-    if (SkyResult_IsError(result)) {
-        return result;
+    size_t wanted = exchange->size + size + 1;
+    size_t capacity =
+        exchange->capacity ? exchange->capacity : DATA_CAPACITY_MIN;
+    if (wanted > SKY_HTTP_CALL_RESPONSE_MAX_BYTES) {
+        return false;
     }
-    exchange->session = ne_session_create("http", host, port);
-    ne_set_connect_timeout(exchange->session, CONNECT_TIMEOUT_S);
-    ne_set_read_timeout(exchange->session,
-                        (int)(options->timeout_ms / MS_PER_S) + 1);
-    ne_set_session_flag(exchange->session, NE_SESSFLAG_PERSIST, 0);
-    exchange->request =
-        ne_request_create(exchange->session, options->method, options->path);
-    add_headers(exchange);
-    if (options->body != NULL) {
-        exchange->body_bytes = strlen(options->body);
-        ne_set_request_body_provider(exchange->request,
-                                     (ne_off_t)exchange->body_bytes,
-                                     provide_body, exchange);
+    while (capacity < wanted) {
+        capacity *= 2;
     }
-    return SKY_OK;
-}
-
-/* ---- reading ---- */
-
-/** Ensures capacity for another block. @return false if the response is too
- *  large or memory is exhausted. */
-static bool
-reserve_block(sky_target_exchange_t *exchange)
-{
-    if (exchange->capacity - exchange->size > READ_BLOCK_BYTES) {
+    if (capacity == exchange->capacity) {
         return true;
     }
-    if (exchange->capacity >= SKY_HTTP_CALL_RESPONSE_MAX_BYTES) {
-        return false;
-    }
-    size_t capacity =
-        exchange->capacity ? 2 * exchange->capacity : 2 * READ_BLOCK_BYTES;
     char *data = realloc(exchange->data, capacity);
     if (data == NULL) {
         return false;
@@ -135,23 +88,58 @@
     return true;
 }
 
-/** @return number of bytes read, 0 at the end, -1 on an error. */
-static ssize_t
-read_block(sky_target_exchange_t *exchange)
+static void
+on_body(void *context, const char *bytes, size_t size)
 {
-    if (!reserve_block(exchange)) {
-        return -1;
-    }
-    ssize_t count = ne_read_response_block(
-        exchange->request, exchange->data + exchange->size,
-        exchange->capacity - exchange->size - 1);
-    if (count > 0) {
-        exchange->size += (size_t)count;
-        exchange->data[exchange->size] = '\0';
+    sky_target_exchange_t *exchange = context;
+    if (exchange->exceeds_limit || !reserve(exchange, size)) {
+        exchange->exceeds_limit = true;
+        return;
     }
-    return count;
+    memcpy(exchange->data + exchange->size, bytes, size);
+    exchange->size += size;
+    exchange->data[exchange->size] = '\0';
 }
 
+/** @return false if nothing more comes, or nothing that can be kept */
+static bool
+receive(sky_target_exchange_t *exchange)
+{
+    return SkyHttpExchange_Receive(exchange->http) && !exchange->exceeds_limit;
+}
+
+/** Starts to send the request. */
+static sky_result_t
+start_request(sky_target_exchange_t *exchange)
+{
+    const sky_target_exchange_options_t *options = &exchange->options;
+    char field_lines[FIELD_LINES_BYTES];
+    snprintf(field_lines, sizeof field_lines,
+             REQUEST_ID_FIELD ": %s\r\nX-Fencing-Number: %" PRIu64 "\r\n"
+                              "%s%s%s",
+             options->request_id, options->fence,
+             options->body != NULL ? "Content-Type: " : "",
+             options->body != NULL ? options->content_type : "",
+             options->body != NULL ? "\r\n" : "");
+    sky_http_exchange_options_t http_options = {
+        .address = options->address,
+        .method = options->method,
+        .path = options->path,
+        .field_lines = field_lines,
+        .body = options->body,
+        /* There 0 means never, here a permit that has expired. */
+        .expires_us = options->expires_us > 0 ? options->expires_us : 1,
+        .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .silence_timeout_ms = (options->timeout_ms / MS_PER_S + 1) * MS_PER_S,
+        .on_head = on_head,
+        .on_body = on_body,
+        .context = exchange,
+    };
+    return SkyHttpExchange_Start(&http_options, &exchange->http);
+}
+
+/* ---- checking ---- */
+
 /** Checks that a part of a response names this request and its model. */
 static sky_result_t
 check_response_ids(const sky_target_exchange_t *exchange, const char *text,
@@ -211,40 +199,35 @@
     return SKY_OK;
 }
 
-/** Reads until at least one complete event has been received. */
+/** Receives until there is at least one complete event. */
 static sky_result_t
 read_until_event(sky_target_exchange_t *exchange)
 {
-    while (exchange->checked_bytes == 0 && !exchange->last_event_read) {
-        if (read_block(exchange) <= 0) {
-            return SKY_E_TRUNCATED;
-        }
+    for (;;) {
         sky_result_t result = check_complete_events(exchange);
-        if (SkyResult_IsError(result)) {
+        if (SkyResult_IsError(result) || exchange->checked_bytes > 0 ||
+            exchange->last_event_read) {
             return result;
         }
+        if (!receive(exchange)) {
+            return SKY_E_TRUNCATED;
+        }
     }
-    return SKY_OK;
 }
 
 static sky_result_t
 read_full_response(sky_target_exchange_t *exchange)
 {
-    ssize_t count;
-    do {
-        count = read_block(exchange);
-    } while (count > 0);
-    if (count < 0 || ne_end_request(exchange->request) != NE_OK) {
+    while (receive(exchange)) {
+    }
+    if (exchange->exceeds_limit || SkyHttpExchange_Outcome(exchange->http) !=
+                                       SKY_CLIENT_OUTCOME_COMPLETE) {
         return SKY_E_TRUNCATED;
     }
     if (exchange->options.model == NULL || exchange->status != STATUS_OK) {
-        const char *echoed_id =
-            ne_get_response_header(exchange->request, "X-Request-Id");
-        if (echoed_id != NULL &&
-            strcmp(echoed_id, exchange->options.request_id) != 0) {
-            return SKY_E_MISMATCH;
-        }
-        return SKY_OK;
+        return exchange->names_a_request && !exchange->names_this_request
+                   ? SKY_E_MISMATCH
+                   : SKY_OK;
     }
     return check_response_ids(exchange, exchange->data, exchange->size);
 }
@@ -277,45 +260,37 @@
 static sky_outcome_t
 check_refusal(const sky_target_exchange_t *exchange, sky_result_t *detail)
 {
-    const char *echoed_id =
-        ne_get_response_header(exchange->request, "X-Request-Id");
-    if (echoed_id == NULL) {
-        *detail = SKY_E_UNKNOWN;
-        return SKY_OUTCOME_BROKEN;
-    }
-    if (strcmp(echoed_id, exchange->options.request_id) != 0) {
-        *detail = SKY_E_MISMATCH;
+    if (!exchange->names_this_request) {
+        *detail = exchange->names_a_request ? SKY_E_MISMATCH : SKY_E_UNKNOWN;
         return SKY_OUTCOME_BROKEN;
     }
     *detail = SKY_E_REFUSED;
     return SKY_OUTCOME_REFUSED;
 }
 
-static void
-read_response_head(sky_target_exchange_t *exchange)
+/** There is no head of a response. */
+static sky_outcome_t
+get_outcome_without_head(const sky_target_exchange_t *exchange,
+                         sky_result_t *detail)
 {
-    const char *type =
-        ne_get_response_header(exchange->request, "Content-Type");
-    exchange->status = (uint32_t)ne_get_status(exchange->request)->code;
-    snprintf(exchange->content_type, sizeof exchange->content_type, "%s",
-             type ? type : "application/octet-stream");
-    exchange->is_stream =
-        exchange->options.stream && exchange->status == STATUS_OK;
+    *detail = SKY_E_UNKNOWN;
+    if (SkyHttpExchange_Outcome(exchange->http) != SKY_CLIENT_OUTCOME_UNSENT) {
+        return SKY_OUTCOME_BROKEN;
+    }
+    if (SkyClock_NowUs() >= exchange->options.expires_us) {
+        *detail = SKY_E_LEASE;
+    }
+    return SKY_OUTCOME_NOT_SENT;
 }
 
 static sky_outcome_t
 perform_exchange(sky_target_exchange_t *exchange, sky_result_t *detail)
 {
-    int begin_status = ne_begin_request(exchange->request);
-    if (begin_status != NE_OK) {
-        bool may_have_run =
-            exchange->body_started ||
-            (exchange->body_bytes == 0 && begin_status != NE_CONNECT &&
-             begin_status != NE_LOOKUP);
-        *detail = exchange->permit_expired ? SKY_E_LEASE : SKY_E_UNKNOWN;
-        return may_have_run ? SKY_OUTCOME_BROKEN : SKY_OUTCOME_NOT_SENT;
+    while (exchange->status == 0 && receive(exchange)) {
+    }
+    if (exchange->status == 0) {
+        return get_outcome_without_head(exchange, detail);
     }
-    read_response_head(exchange);
     if (status_proves_not_run(exchange)) {
         return check_refusal(exchange, detail);
     }
@@ -335,7 +310,7 @@
         return SKY_OUTCOME_NOT_SENT;
     }
     exchange->options = *options;
-    *detail = prepare_request(exchange);
+    *detail = start_request(exchange);
     if (SkyResult_IsError(*detail)) {
         SkyTargetExchange_Close(exchange);
         return SKY_OUTCOME_NOT_SENT;
@@ -400,12 +375,7 @@
     if (exchange == NULL) {
         return;
     }
-    if (exchange->request != NULL) {
-        ne_request_destroy(exchange->request);
-    }
-    if (exchange->session != NULL) {
-        ne_session_destroy(exchange->session);
-    }
+    SkyHttpExchange_Free(exchange->http);
     free(exchange->data);
     free(exchange);
 }
--- a/lib/serve/target_exchange.h
+++ b/lib/serve/target_exchange.h
@@ -2,10 +2,10 @@
  * @file target_exchange.h
  * @brief One HTTP exchange with a target, whose response is checked.
  *
- * A request is sent at most once. Its body is withheld until the connection
- * is established and the permit has been checked again. A target closes a
- * connection whose request stays incomplete, so a host that is paused after
- * that check cannot send the body late.
+ * A request is sent at most once, when the connection is established and the
+ * permit has been checked again. A target closes a connection whose request
+ * stays incomplete, so a host that is paused after that check cannot send it
+ * late.
  */
 #ifndef SKY_SERVE_TARGET_EXCHANGE_H
 #define SKY_SERVE_TARGET_EXCHANGE_H
--- a/programs/commands.c
+++ b/programs/commands.c
@@ -114,8 +114,7 @@
     request.header_value = authorization;
     request.connect_timeout_ms = REQUEST_TIMEOUT_MS;
     request.read_timeout_ms = REQUEST_TIMEOUT_MS;
-    if (SkyResult_IsError(SkyHttpCall_InitLibrary()) ||
-        SkyHttpCall_Run(&request, &response) != SKY_HTTP_CALL_RESPONDED) {
+    if (SkyHttpCall_Run(&request, &response) != SKY_HTTP_CALL_RESPONDED) {
         fprintf(stderr, "skylarkspar: no response from %s\n",
                 arguments->host_address);
         *result = SKY_E_IO;
--- a/programs/explain_command.c
+++ b/programs/explain_command.c
@@ -320,7 +320,6 @@
     signal(SIGALRM, on_timeout);
     alarm(ANSWER_TIMEOUT_S);
     bool has_responded =
-        !SkyResult_IsError(SkyHttpCall_InitLibrary()) &&
         SkyHttpCall_Run(&call, &response) == SKY_HTTP_CALL_RESPONDED;
     alarm(0);
     free(body);
--- a/tests/fakes/fake_http.c
+++ b/tests/fakes/fake_http.c
@@ -175,7 +175,6 @@
     signal(SIGPIPE, SIG_IGN);
     request_handler = handler;
     fault_values = json_object();
-    SkyHttpCall_InitLibrary();
     if (SkyHttpCall_SplitAddress(address, host, sizeof host, &port) !=
         SKY_OK) {
         return 2;
--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -281,6 +281,24 @@
     EXPECT_EQ(3, received_calls);
 }
 
+// Guards calls against an answer that is no HTTP/1.1: the sound one behind it
+// may be that of another call.
+TEST_F(StoreTest, ABrokenAnswerIsNoAnswer)
+{
+    const std::string rest = "Content-Length: 0\r\n";
+    for (const std::string &head :
+         {"HTTP/1.1 000 X\r\n" + rest, "HTTP/1.1 99 X\r\n" + rest,
+          "HTTP/2.0 200 X\r\n" + rest,
+          "HTTP/1.1 200 X\r\nA: b\r\n c\r\n" + rest,
+          "HTTP/1.1 200 X\r\nA B: c\r\n" + rest}) {
+        answers = {head + "\r\n" + Answer(200, "3", "{}")};
+        EXPECT_EQ(SKY_STORE_NO_RESPONSE, Append()) << head;
+    }
+    // An interim answer is none.
+    answers = {"HTTP/1.1 102 X\r\n\r\n" + Answer(200, "3", "{}")};
+    EXPECT_EQ(SKY_STORE_DONE, Append());
+}
+
 // Guards the next call: its connection is not that of a call whose answer may
 // still come.
 TEST_F(StoreTest, ALateAnswerIsNotThatOfTheNextCall)
--- a/tests/test_target_exchange.cc
+++ b/tests/test_target_exchange.cc
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "core/clock.h"
+#include "net/socket.h"
 #include "platform/http_call.h"
 #include "platform/platform.h"
 #include "serve/target_exchange.h"
@@ -23,9 +24,15 @@
 /** Serves one connection. */
 class StandIn {
   public:
+    enum End {
+        CLOSE,
+        RESET_AT_ONCE, /**< a reset, without waiting for the whole request */
+    };
+
     /** @param response written after a whole request; "": closes without one
      */
-    explicit StandIn(const std::string &response) : response_(response)
+    explicit StandIn(const std::string &response, End end = CLOSE)
+        : response_(response), end_(end)
     {
         struct sockaddr_in any = {};
         any.sin_family = AF_INET;
@@ -82,18 +89,25 @@
         int fd = accept(listener_, nullptr, nullptr);
         char bytes[4096];
         ssize_t size = 1;
-        while (fd >= 0 && !IsWhole() && size > 0) {
+        while (fd >= 0 && !IsWhole() && size > 0 &&
+               !(end_ == RESET_AT_ONCE &&
+                 received_.find(BODY_END) != std::string::npos)) {
             size = recv(fd, bytes, sizeof bytes, 0);
             received_.append(bytes, size > 0 ? (size_t)size : 0);
         }
         has_run_ = IsWhole();
-        if (has_run_ && !response_.empty()) {
+        if ((has_run_ || end_ == RESET_AT_ONCE) && !response_.empty()) {
             send(fd, response_.data(), response_.size(), MSG_NOSIGNAL);
         }
+        if (end_ == RESET_AT_ONCE) {
+            SkySocket_CloseWithReset(fd);
+            return;
+        }
         close(fd);
     }
 
     std::string response_;
+    End end_;
     std::string received_;
     bool has_run_ = false;
     int listener_;
@@ -114,11 +128,11 @@
   protected:
     sky_target_exchange_options_t options = {};
     sky_result_t detail = SKY_OK;
+    std::string body; // of the last completed exchange
 
     void
     SetUp() override
     {
-        ASSERT_EQ(SKY_OK, SkyHttpCall_InitLibrary());
         options.method = "POST";
         options.path = "/v1/completions";
         options.body = "{}";
@@ -136,6 +150,11 @@
         options.address = address.c_str();
         sky_outcome_t outcome =
             SkyTargetExchange_Open(&options, &exchange, &detail);
+        if (outcome == SKY_OUTCOME_COMPLETED) {
+            size_t size;
+            const char *bytes = SkyTargetExchange_Body(exchange, &size);
+            body.assign(bytes, size);
+        }
         SkyTargetExchange_Close(exchange);
         return outcome;
     }
@@ -205,11 +224,13 @@
 // whole request.
 TEST_F(TargetExchangeTest, ARequestWhosePermitExpiredDoesNotRun)
 {
-    options.expires_us = 1;
-    StandIn engine(MakeResponse("200 OK", "", "{}"));
-    EXPECT_EQ(SKY_OUTCOME_NOT_SENT, Open(engine.address));
-    EXPECT_EQ(SKY_E_LEASE, detail);
-    EXPECT_FALSE(engine.HasRun());
+    for (uint64_t expires_us : {0, 1}) {
+        options.expires_us = expires_us;
+        StandIn engine(MakeResponse("200 OK", "", "{}"));
+        EXPECT_EQ(SKY_OUTCOME_NOT_SENT, Open(engine.address));
+        EXPECT_EQ(SKY_E_LEASE, detail);
+        EXPECT_FALSE(engine.HasRun());
+    }
 }
 
 TEST_F(TargetExchangeTest, ARequestThatReachesNoTargetIsNotSent)
@@ -233,11 +254,93 @@
     EXPECT_TRUE(service.HasRun());
 }
 
+// Guards callers of plain services, whose answers name no request: a broken
+// one reached them as whole, or the sound one behind it did.
+const std::string BROKEN_HEADS[] = {
+    "HTTP/1.1 000 X\r\n",
+    "HTTP/1.1 0 X\r\n",
+    "HTTP/1.1 99 X\r\n",
+    "HTTP/1.1 600 X\r\n",
+    "HTTP/1.1 999 X\r\n",
+    "HTTP/1.1 101 X\r\n",
+    "HTTP/2.0 200 X\r\n",
+    "HTTQ/1.1 200 X\r\n",
+    "HTTP/1.1 200 X\r\nA: b\r\n c\r\n",
+    "HTTP/1.1 200 X\r\nA B: c\r\n",
+    "HTTP/1.1 200 X\r\nA : c\r\n",
+    "HTTP/1.1 200 X\r\n: c\r\n",
+    "HTTP/1.1 200 X\r\nA\r\n",
+    "HTTP/1.1 200 X\r\nA\x01: c\r\n",
+    "HTTP/1.1 200 X\r\nA: \x01\r\n",
+    std::string("HTTP/1.1 200 X\r\nA\0: c\r\n", 24),
+    "HTTP/1.1 200 X\r\nContent-Length: +2\r\n",
+    "HTTP/1.1 200 X\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
+    "HTTP/1.1 200 X\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n"};
+
+TEST_F(TargetExchangeTest, ABrokenHeadIsNoAnswer)
+{
+    options.model = nullptr;
+    for (const std::string &head : BROKEN_HEADS) {
+        StandIn service(head + "Content-Length: 2\r\n\r\n" +
+                        MakeResponse("200 OK", "", "ok"));
+        EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(service.address)) << head;
+    }
+}
+
+TEST_F(TargetExchangeTest, ABrokenBodyIsNoAnswer)
+{
+    options.model = nullptr;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const char *rest :
+         {"Content-Length: 5\r\n\r\nwhol",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nwholeXX0\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+          "A B: c\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\nzz\r\nwhole\r\n0\r\n\r\n"}) {
+        StandIn service(head + rest);
+        EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(service.address)) << rest;
+    }
+}
+
+TEST_F(TargetExchangeTest, ASoundAnswerIsWhole)
+{
+    options.model = nullptr;
+    for (const std::string &text :
+         {MakeResponse("200 OK", "A: \t b \r\nB:\r\n", "whole"),
+          MakeResponse("599 X", "", "whole"),
+          "HTTP/1.1 102 X\r\n\r\n" + MakeResponse("200 OK", "", "whole"),
+          std::string("HTTP/1.1 200 OK\r\n\r\nwhole"),
+          std::string("HTTP/1.0 200 OK\r\n\r\nwhole"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "5\r\nwhole\r\n0\r\nA: b\r\n\r\n")}) {
+        StandIn service(text);
+        EXPECT_EQ(SKY_OUTCOME_COMPLETED, Open(service.address)) << text;
+        EXPECT_EQ("whole", body);
+    }
+}
+
+// A part of a body without a length, and a reset behind it or in the middle of
+// the request.
+TEST_F(TargetExchangeTest, ABodyThatEndsWithAResetIsNoAnswer)
+{
+    const std::string upload(32u << 20, 'u');
+    options.model = nullptr;
+    for (const char *body_sent : {"{}", upload.c_str()}) {
+        options.body = body_sent;
+        for (const char *part : {"", "part of a body"}) {
+            StandIn service(std::string("HTTP/1.1 200 OK\r\n\r\n") + part,
+                            StandIn::RESET_AT_ONCE);
+            EXPECT_EQ(SKY_OUTCOME_BROKEN, Open(service.address));
+        }
+    }
+}
+
 // Guards an engine's slots: after an answer that does not tell whether an
 // order was carried out, its slot counted as free.
 TEST(PlatformOrderTest, AServerErrorLeavesTheResultUnknown)
 {
-    ASSERT_EQ(SKY_OK, SkyHttpCall_InitLibrary());
     const struct {
         const char *status;
         sky_order_result_t result;
