A transfer coding other than chunks is malformed

Callers could get: a compressed body as if it were plain. Found by a test of our own, not seen on machines.

Cause: Transfer-Encoding ends at this hop, and its field is not passed on, but only chunks are undone. "gzip, chunked" was read as chunks alone, and a coding that http-parser does not know as a body that ends with its connection.

Change: the reader takes one Transfer-Encoding field, with the one coding that it undoes; else the message is malformed. No request of this client asks for another (TE is not forwarded).

"chunked" in any case and with blanks around it is read as before.

--- a/lib/net/http_lines.h
+++ b/lib/net/http_lines.h
@@ -28,6 +28,7 @@
     SKY_HTTP_FAULT_FOLDED_LINE, /**< a line begins with a blank or tab */
     SKY_HTTP_FAULT_LINE_END,    /**< CR without LF */
     SKY_HTTP_FAULT_CHUNK,       /**< a chunk does not have its size */
+    SKY_HTTP_FAULT_CODING,      /**< a transfer coding other than chunked */
     SKY_HTTP_FAULT_UPGRADE,     /**< 101, for which the client never asks */
     SKY_HTTP_FAULT_OTHER,       /**< found by http-parser */
 } sky_http_fault_t;
--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -6,6 +6,7 @@
 
 #define LIST_SEPARATORS " \t,"
 #define STATUS_SWITCHING_PROTOCOLS 101
+#define CODING_CHUNKED "chunked"
 /** Ends a response whose head has no end. */
 #define RESPONSE_FIELDS_MAX 64u
 #define FIELDS_CAPACITY_MIN 16u
@@ -165,6 +166,29 @@
     return append_to_head(reader, bytes, size);
 }
 
+/* Whether the body comes as it is, or in chunks. Other codings are not undone
+ * here, and the next recipient is not told of them. */
+static bool
+has_known_coding(const sky_http_head_t *head)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < head->field_count; i++) {
+        if (strcasecmp(SkyHttpHead_FieldName(head, i), "Transfer-Encoding") !=
+            0) {
+            continue;
+        }
+        const char *value = SkyHttpHead_FieldValue(head, i);
+        size_t size = strcspn(value, " \t");
+        bool is_chunked = size == strlen(CODING_CHUNKED) &&
+                          strncasecmp(value, CODING_CHUNKED, size) == 0 &&
+                          value[size + strspn(value + size, " \t")] == '\0';
+        if (!is_chunked || !head->chunked || ++count > 1) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -188,6 +212,10 @@
     head->method = (uint8_t)parser->method;
     head->keep_alive = http_should_keep_alive(parser) != 0;
     head->chunked = (parser->flags & F_CHUNKED) != 0;
+    if (!has_known_coding(head)) {
+        reader->lines.fault = SKY_HTTP_FAULT_CODING;
+        return -1;
+    }
     bool has_content_length = parser->content_length != UINT64_MAX;
     head->has_length = head->chunked || has_content_length;
     head->content_bytes =
--- a/tests/proc_broken_answers.sh
+++ b/tests/proc_broken_answers.sh
@@ -187,6 +187,8 @@
 sound "a trailer" "200 ok" "$CHUNKED\r\n0\r\nA: b\r\n\r\n"
 sound "no length" "200 ok" "HTTP/1.1 200 OK\r\n${OWN}\r\nok"
 broken "a chunk longer than its size" "${CHUNKED}XX0\r\n\r\n"
+broken "a coding that is not undone" "HTTP/1.1 200 OK\r\n${OWN}Transfer-Encoding: \
+gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 broken "status 101, then a sound answer" "HTTP/1.1 101 X\r\n\r\n$SOUND"
 [ "$failures" -eq 0 ] || tail -n 30 "$DIR"/edge*.log
 [ "$failures" -eq 0 ]
--- a/tests/test_http_reader.cc
+++ b/tests/test_http_reader.cc
@@ -363,6 +363,33 @@
     }
 }
 
+// Transfer codings end at this hop, but only chunks are undone: a compressed
+// body was passed on as if it were plain.
+TEST_F(HttpReaderTest, RejectsOtherTransferCodingsThanChunks)
+{
+    for (const auto &start :
+         {StartLine{SKY_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n"},
+          StartLine{SKY_HTTP_REQUEST, "POST / HTTP/1.1\r\n"}}) {
+        std::string body = "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+        for (const char *coding : {"gzip, chunked", "gzip", "chunked, gzip",
+                                   "identity", "chunked;a", "chunked, chunked",
+                                   "", "chunked\r\nTransfer-Encoding: chunked",
+                                   "gzip\r\nTransfer-Encoding: chunked"}) {
+            ExpectMalformed(start.first, start.second + "Transfer-Encoding: " +
+                                             coding + body);
+        }
+        for (const char *coding :
+             {"chunked", "Chunked", "\t chunked", "chunked "}) {
+            EXPECT_EQ(
+                SKY_HTTP_COMPLETE,
+                Feed(start.second + "Transfer-Encoding: " + coding + body,
+                     start.first, 1))
+                << coding;
+            EXPECT_EQ("whole", message.body);
+        }
+    }
+}
+
 // Requests that two parsers could interpret differently are rejected.
 TEST_F(HttpReaderTest, RejectsAmbiguousRequestsAsMalformed)
 {
