Promise rig: refusals in heads that are no HTTP/1.1

A target that has run a request and refuses it, marked, in a broken head: a folded line, a blank or control byte, a status of four digits, another version. A broken answer promises nothing, so such a request is a 502 and is not sent again.

The kind belongs to the group "unmarked", and so to "all".

--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -112,6 +112,7 @@
     KIND_MARKED_200,
     KIND_MARKED_FIRST,
     KIND_MARKED_GARBLED,
+    KIND_MARKED_BROKEN_HEAD,
     KIND_COUNT
 } rig_kind_t;
 
--- a/tests/rig/rig_kinds.c
+++ b/tests/rig/rig_kinds.c
@@ -43,6 +43,7 @@
     [KIND_MARKED_200] = {"marked_200", GROUP_UNMARKED},
     [KIND_MARKED_FIRST] = {"marked_first", GROUP_UNMARKED},
     [KIND_MARKED_GARBLED] = {"marked_garbled", GROUP_UNMARKED},
+    [KIND_MARKED_BROKEN_HEAD] = {"marked_broken_head", GROUP_UNMARKED},
 };
 
 const char *
--- a/tests/rig/rig_worker.c
+++ b/tests/rig/rig_worker.c
@@ -226,6 +226,29 @@
     return false;
 }
 
+/** Refuses a request that ran, in a head that is no HTTP/1.1. */
+static bool
+refuse_in_broken_head(connection_t *connection, exchange_t *exchange)
+{
+    static const char *const STARTS[] = {
+        "HTTP/1.1 503 X\r\nA B: c\r\n",
+        "HTTP/1.1 503 X\r\nA: b\r\n c\r\n",
+        "HTTP/1.1 503 X\r\nA: \x01\r\n",
+        "HTTP/1.1 503 X\rXA: b\r\n",
+        "HTTP/1.1 0503 X\r\n",
+        "HTTP/2.0 503 X\r\n",
+        "HTTQ/1.1 503 X\r\n",
+    };
+    char out[OUT_BYTES];
+    snprintf(out, sizeof out,
+             "%sX-Skylarkspar-Attempt-Id: %s\r\n" MARK
+             "Content-Length: 7\r\n\r\nrefused",
+             STARTS[Rig_Random(&exchange->random) %
+                    (sizeof STARTS / sizeof STARTS[0])],
+             exchange->id);
+    return write_text(connection, out);
+}
+
 /** Answers a request that has begun to run.
  *  @return false if the connection ends */
 static bool
@@ -282,6 +305,8 @@
                  exchange->id);
         return write_text(connection, out);
     }
+    case KIND_MARKED_BROKEN_HEAD:
+        return refuse_in_broken_head(connection, exchange);
     default:
         return respond(connection, exchange, 200, SEAL);
     }
