Client: the end of a response's connection is judged in one condition

Read as a newcomer would: the two ways into a broken exchange were hard to follow. No change of behaviour; test_client, test_store and test_target_exchange pass.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -419,7 +419,8 @@
     return true;
 }
 
-/* Logs that the server ended the connection while its response had no end. */
+/* Logs that a connection was reset before the end of a response without a
+ * length. */
 static void
 log_aborted_response(sky_client_request_t *connection)
 {
@@ -432,22 +433,24 @@
                       SkyClient_SentName(connection->exchange.sent), server);
 }
 
+/* A response without a length is complete when its connection closes. */
+static bool
+ends_with_its_connection(const sky_client_request_t *connection)
+{
+    const sky_http_reader_t *reader = &connection->reader;
+    return reader->head_is_complete && reader->in_message &&
+           !reader->head.has_length;
+}
+
 static void
 handle_end_of_stream(sky_client_request_t *connection)
 {
-    /* A response without a length is complete when its connection closes. */
-    bool body_ends_at_close = connection->reader.head_is_complete &&
-                              connection->reader.in_message &&
-                              !connection->reader.head.has_length;
-    if (body_ends_at_close && connection->is_aborted) {
+    bool is_end_of_body = ends_with_its_connection(connection);
+    if (is_end_of_body && connection->is_aborted) {
         log_aborted_response(connection);
-        body_ends_at_close = false;
-    }
-    if (body_ends_at_close && handle_response_bytes(connection, "", 0)) {
-        fail_request(connection, SKY_CLIENT_OUTCOME_BROKEN);
-        return;
+        is_end_of_body = false;
     }
-    if (!body_ends_at_close) {
+    if (!is_end_of_body || handle_response_bytes(connection, "", 0)) {
         fail_request(connection, SKY_CLIENT_OUTCOME_BROKEN);
     }
 }
