An exchange of the own interface takes one descriptor, as before

With an event loop of its own each exchange would hold an epoll descriptor beside its socket; poll() needs none. test_target_exchange passes.

--- a/lib/platform/http_exchange.c
+++ b/lib/platform/http_exchange.c
@@ -152,7 +152,8 @@
     }
     exchange->options = *options;
     exchange->outcome = SKY_CLIENT_OUTCOME_UNSENT;
-    exchange->loop = ev_loop_new(EVFLAG_AUTO);
+    /* poll() needs no descriptor of its own. */
+    exchange->loop = ev_loop_new(EVBACKEND_POLL);
     if (exchange->loop == NULL) {
         free(exchange);
         return SKY_E_MEMORY;
