--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 make -s -j8 BUILD=target target/skyfake
-for stand_in in 11/offices; do
+for stand_in in 11/offices 12/last_tenant; do
     gcc -O2 -g -Wall -Wextra -Werror -std=gnu11 -D_GNU_SOURCE \
         -o "target/review_$(echo $stand_in | tr / _)" \
         "review/$stand_in.c" tests/rig/rig_http.c -lpthread
