--- a/review/hosts.sh
+++ b/review/hosts.sh
@@ -25,7 +25,7 @@
     while [ $tries -lt 35 ]; do
         BASE=$((11000 + 200 * slot))
         used=0
-        for offset in 0 1 2 3 4 5 6 7 50 60 61 62 63 64 100 101 102 120 121 122 \
+        for offset in 0 1 2 3 4 5 6 7 50 60 61 62 63 64 40 100 101 102 120 121 122 \
             140 141 142; do
             is_used $((BASE + offset)) && used=1
         done
@@ -35,10 +35,11 @@
     done
     return 1
 }
-# Starts the fake of the platform's store, without workers of its own.
+# start_store [COUNT]: starts the fake of the platform's store, with that many
+# workers of its own service "app"
 start_store() {
     choose_base || return 1
-    target/skyfake site "$BASE" 8 0 4 0 >"$DIR/site.log" 2>&1 &
+    target/skyfake site "$BASE" 8 0 4 "${1:-0}" >"$DIR/site.log" 2>&1 &
     PIDS="$PIDS $!"
 }
 # start_host NUMBER: its process id is in HOST<NUMBER>
