review: a second copy of an answer lets an owner overfill a worker

Workers send 3 in 100 of their answers to orders and reports a second time, where the next answer is expected, as PROTOCOL.md allows. Orders have no ids, so the copy of a 200 is taken for the answer to an unload that waits, and the next load goes into a slot that is still taken.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,8 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 make -s -j8 BUILD=target target/skyfake
-for stand_in in 11/offices 12/last_tenant; do
+for stand_in in 11/offices 12/last_tenant 13/adapters; do
     gcc -O2 -g -Wall -Wextra -Werror -std=gnu11 -D_GNU_SOURCE \
         -o "target/review_$(echo $stand_in | tr / _)" \
-        "review/$stand_in.c" tests/rig/rig_http.c -lpthread
+        "review/$stand_in.c" tests/rig/rig_http.c -lpthread -ljansson
 done
--- a/review/hosts.sh
+++ b/review/hosts.sh
@@ -25,7 +25,7 @@
     while [ $tries -lt 35 ]; do
         BASE=$((11000 + 200 * slot))
         used=0
-        for offset in 0 1 2 3 4 5 6 7 50 60 61 62 63 64 40 100 101 102 120 121 122 \
+        for offset in 0 1 2 3 4 5 6 7 50 60 61 62 63 64 65 66 67 40 100 101 102 120 121 122 \
             140 141 142; do
             is_used $((BASE + offset)) && used=1
         done
