Keys: an empty, null, unreadable or missing list opens nothing to keys

Cause: parse_workspaces() made no table of an empty list, and NULL stood for three answers: no key was ever wanted, none is left, none could be read. The check of access, the hiding of keys, the urgency and the quotas each read it for themselves.

Change: the table is never missing, and SkyDeployment_DecideAccess() decides once for each configuration what keys are good for: keys, unreadable, anonymous, open. Each send, request passed on, reload and explain asks the deployment. Without a list, in a deployment that uses keys by its settings or by the version before, requests without a key are served and those with one are refused.

AListThatNamesNobodyAdmitsNobody, AListOfAnotherTypeAdmitsNobody, WithoutAListOnlyRequestsWithoutAKeyAreAdmitted and WithoutAListRoutesKeepTheirUrgency check each form by policy, admission, fields and urgency.

--- a/lib/decide/deployment.c
+++ b/lib/decide/deployment.c
@@ -8,8 +8,15 @@
 SkyDeployment_Create(void)
 {
     sky_deployment_t *deployment = calloc(1, sizeof *deployment);
-    if (deployment != NULL) {
-        deployment->references = 1;
+    if (deployment == NULL) {
+        return NULL;
+    }
+    deployment->references = 1;
+    deployment->access = SKY_ACCESS_UNREADABLE;
+    deployment->workspaces = SkyWorkspaces_Create();
+    if (deployment->workspaces == NULL) {
+        free(deployment);
+        return NULL;
     }
     return deployment;
 }
@@ -21,6 +28,80 @@
     return deployment;
 }
 
+void
+SkyDeployment_DecideAccess(sky_deployment_t *deployment, bool has_key_rules)
+{
+    switch (deployment->workspace_list) {
+    case SKY_WORKSPACE_LIST_UNREADABLE:
+        deployment->access = SKY_ACCESS_UNREADABLE;
+        break;
+    case SKY_WORKSPACE_LIST_READ:
+        deployment->access = SKY_ACCESS_KEYS;
+        break;
+    case SKY_WORKSPACE_LIST_ABSENT:
+        deployment->access =
+            has_key_rules ? SKY_ACCESS_ANONYMOUS : SKY_ACCESS_OPEN;
+        break;
+    }
+}
+
+const char *
+SkyDeployment_GetAccessName(const sky_deployment_t *deployment)
+{
+    switch (deployment->access) {
+    case SKY_ACCESS_UNREADABLE:
+        return "unreadable";
+    case SKY_ACCESS_KEYS:
+        return "keys";
+    case SKY_ACCESS_ANONYMOUS:
+        return "anonymous";
+    case SKY_ACCESS_OPEN:
+        return "open";
+    }
+    return "unknown";
+}
+
+bool
+SkyDeployment_NeedsKey(const sky_deployment_t *deployment,
+                       const sky_route_t *route)
+{
+    switch (deployment->access) {
+    case SKY_ACCESS_UNREADABLE:
+    case SKY_ACCESS_KEYS:
+        return !route->is_public;
+    case SKY_ACCESS_ANONYMOUS:
+    case SKY_ACCESS_OPEN:
+        break;
+    }
+    return false;
+}
+
+sky_admission_t
+SkyDeployment_GetAdmission(const sky_deployment_t *deployment,
+                           const sky_route_t *route, bool carries_key)
+{
+    if (route->is_public) {
+        return SKY_ADMISSION_FREE;
+    }
+    switch (deployment->access) {
+    case SKY_ACCESS_UNREADABLE:
+        return SKY_ADMISSION_KEYS_UNREADABLE;
+    case SKY_ACCESS_KEYS:
+        return SKY_ADMISSION_BY_KEY;
+    case SKY_ACCESS_ANONYMOUS:
+        return carries_key ? SKY_ADMISSION_KEY_REVOKED : SKY_ADMISSION_FREE;
+    case SKY_ACCESS_OPEN:
+        break;
+    }
+    return SKY_ADMISSION_FREE;
+}
+
+bool
+SkyDeployment_OwnsAccessFields(const sky_deployment_t *deployment)
+{
+    return deployment->access != SKY_ACCESS_OPEN;
+}
+
 static bool
 leads_to(const sky_route_t *route, uint32_t service)
 {
@@ -166,7 +247,7 @@
 SkyDeployment_RankUrgencies(sky_deployment_t *deployment)
 {
     const sky_workspaces_t *workspaces = deployment->workspaces;
-    uint32_t count = workspaces != NULL ? SkyWorkspaces_Count(workspaces) : 0;
+    uint32_t count = SkyWorkspaces_Count(workspaces);
     free(deployment->route_levels);
     free(deployment->workspace_levels);
     deployment->route_levels =
@@ -196,9 +277,13 @@
                          const sky_route_t *route,
                          const sky_workspace_t *workspace)
 {
-    if (deployment->workspaces == NULL ||
-        deployment->workspace_levels == NULL) {
+    switch (deployment->access) {
+    case SKY_ACCESS_ANONYMOUS:
+    case SKY_ACCESS_OPEN:
         return (sky_urgency_t){.rank = route->urgency};
+    case SKY_ACCESS_UNREADABLE:
+    case SKY_ACCESS_KEYS:
+        break;
     }
     uint32_t workspace_level =
         workspace != NULL ? find_level(deployment->workspace_levels,
--- a/lib/decide/deployment.h
+++ b/lib/decide/deployment.h
@@ -2,8 +2,9 @@
  * @file deployment.h
  * @brief The operator's configuration: routes, services, limits.
  *
- * A deployment is immutable once it is parsed. Hosts replace it as a whole,
- * never by one with a lower version.
+ * A deployment is immutable once it is parsed, but for what the settings of
+ * hosts decide on callers' keys. Hosts replace it as a whole, never by one
+ * with a lower version.
  */
 #ifndef SKY_DECIDE_DEPLOYMENT_H
 #define SKY_DECIDE_DEPLOYMENT_H
@@ -36,7 +37,7 @@
     char *prefix; /**< path prefix; begins and ends with a slash */
     sky_retry_policy_t retry_policy;
     bool streaming;
-    bool is_public; /**< needs no key, if there are workspaces */
+    bool is_public; /**< needs no key */
     bool is_sticky; /**< cached prompt parts stay at their target */
     uint32_t timeout_ms;
     uint32_t latency_objective_ms;  /**< to the first event */
@@ -83,6 +84,33 @@
     uint32_t idle_timeout_ms;
 } sky_limits_t;
 
+/** Whether a configuration has a list of workspaces. */
+typedef enum {
+    SKY_WORKSPACE_LIST_UNREADABLE, /**< it has, of a type that is not known */
+    SKY_WORKSPACE_LIST_READ,       /**< it has, and the list may be empty */
+    SKY_WORKSPACE_LIST_ABSENT,
+} sky_workspace_list_t;
+
+/** What callers' keys are good for. */
+typedef enum {
+    /** Keys are needed, and could not be read. */
+    SKY_ACCESS_UNREADABLE,
+    /** Keys are needed, also if none is left that opens a workspace. */
+    SKY_ACCESS_KEYS,
+    /** Keys are not needed, and those that requests carry are not valid. */
+    SKY_ACCESS_ANONYMOUS,
+    /** The deployment knows no keys: fields for them are like any other. */
+    SKY_ACCESS_OPEN,
+} sky_access_policy_t;
+
+/** What decides whether a request may run. */
+typedef enum {
+    SKY_ADMISSION_FREE,            /**< nothing */
+    SKY_ADMISSION_BY_KEY,          /**< the workspace that its key opens */
+    SKY_ADMISSION_KEY_REVOKED,     /**< its key, which is not valid */
+    SKY_ADMISSION_KEYS_UNREADABLE, /**< its key, of which nothing is known */
+} sky_admission_t;
+
 typedef struct sky_deployment {
     uint64_t version;
     uint32_t references; /**< a request in progress holds one */
@@ -91,8 +119,9 @@
     sky_service_t *services;
     uint32_t service_count;
     sky_limits_t limits;
-    /** NULL: the configuration has none, and requests carry no keys. */
-    sky_workspaces_t *workspaces;
+    sky_workspaces_t *workspaces; /**< never NULL; may be empty */
+    sky_workspace_list_t workspace_list;
+    sky_access_policy_t access; /**< by SkyDeployment_DecideAccess() */
     /** Urgencies of routes, and priorities of workspaces, in order. */
     uint32_t *route_levels;
     uint32_t route_level_count;
@@ -100,14 +129,34 @@
     uint32_t workspace_level_count;
 } sky_deployment_t;
 
-/** @return an empty deployment with one reference, or NULL if memory ran
- *  out. */
+/** @return an empty deployment with one reference, which admits no requests
+ *  before SkyDeployment_DecideAccess(); NULL if memory ran out. */
 sky_deployment_t *SkyDeployment_Create(void);
 sky_deployment_t *SkyDeployment_Acquire(sky_deployment_t *deployment);
 /** Releases a reference; the last one frees the deployment. NULL is allowed.
  */
 void SkyDeployment_Release(sky_deployment_t *deployment);
 
+/** Decides what callers' keys are good for, once the list of workspaces is
+ *  known.
+ *  @param has_key_rules the deployment uses keys, by the settings of its hosts
+ *  or by the configuration before: without a list, keys that callers still
+ *  carry are not valid */
+void SkyDeployment_DecideAccess(sky_deployment_t *deployment,
+                                bool has_key_rules);
+/** @return the policy's name in log lines. */
+const char *SkyDeployment_GetAccessName(const sky_deployment_t *deployment);
+/** @return whether only requests with a key are admitted on the route. */
+bool SkyDeployment_NeedsKey(const sky_deployment_t *deployment,
+                            const sky_route_t *route);
+/** @param carries_key whether the request has a key, valid or not */
+sky_admission_t SkyDeployment_GetAdmission(const sky_deployment_t *deployment,
+                                           const sky_route_t *route,
+                                           bool carries_key);
+/** @return whether the fields for keys and workspaces are set by hosts, and
+ *          those of callers reach no target. */
+bool SkyDeployment_OwnsAccessFields(const sky_deployment_t *deployment);
+
 /** @return the shortest objective for the interval between events of all
  *          routes to the service, in ms; 0: no route has one. */
 uint32_t SkyDeployment_GetEventIntervalMs(const sky_deployment_t *deployment,
@@ -131,7 +180,7 @@
  *  are complete. @return SKY_OK or SKY_E_MEMORY */
 sky_result_t SkyDeployment_RankUrgencies(sky_deployment_t *deployment);
 
-/** A workspace's priority comes before the route's. Without workspaces the
+/** A workspace's priority comes before the route's. If no keys are needed the
  *  rank is the route's urgency.
  *  @param workspace NULL: none, on a public route; ranks last */
 sky_urgency_t SkyDeployment_GetUrgency(const sky_deployment_t *deployment,
--- a/lib/edge/dispatch.c
+++ b/lib/edge/dispatch.c
@@ -54,7 +54,7 @@
         .urgency = SkyProxyRequest_GetService(request)->engine.present
                        ? scale_urgency(request->urgency)
                        : NO_URGENCY,
-        .has_workspaces = SkyProxyRequest_HidesCredential(request),
+        .owns_access_fields = SkyProxyRequest_HidesCredential(request),
         .workspace = request->workspace ? request->workspace->name : NULL,
         .resumes = request->event_stream.has_id,
         .resume_after = request->event_stream.last_id,
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -359,6 +359,8 @@
         edge->settings.bounds = settings.bounds;
         edge->settings.seed_count = settings.seed_count;
         memcpy(edge->settings.seeds, settings.seeds, sizeof settings.seeds);
+        edge->settings.has_key_rules = settings.has_key_rules;
+        SkyFeed_HandleReload(edge->feed);
     }
 }
 
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -154,7 +154,7 @@
 static const sky_workspace_t *
 find_workspace(const sky_workspaces_t *workspaces, const char *name)
 {
-    uint32_t count = workspaces != NULL ? SkyWorkspaces_Count(workspaces) : 0;
+    uint32_t count = SkyWorkspaces_Count(workspaces);
     for (uint32_t i = 0; i < count && name != NULL; i++) {
         const sky_workspace_t *workspace = SkyWorkspaces_Get(workspaces, i);
         if (strcmp(workspace->name, name) == 0) {
@@ -253,16 +253,19 @@
     find_route(explanation);
     const sky_route_t *route = explanation->route;
     const sky_service_t *service = explanation->service;
-    const sky_workspaces_t *workspaces =
-        directory->deployment ? directory->deployment->workspaces : NULL;
-    bool needs_key = workspaces != NULL && route != NULL && !route->is_public;
+    const sky_deployment_t *deployment = directory->deployment;
+    bool needs_key =
+        route != NULL && SkyDeployment_NeedsKey(deployment, route);
     if (service != NULL) {
         explanation->workspace =
-            needs_key
-                ? find_workspace(workspaces, explanation->subject->workspace)
-                : NULL;
+            needs_key ? find_workspace(deployment->workspaces,
+                                       explanation->subject->workspace)
+                      : NULL;
         explanation->urgency = SkyDeployment_GetUrgency(
-            directory->deployment, route, explanation->workspace);
+            deployment, route, explanation->workspace);
+        if (needs_key && deployment->access == SKY_ACCESS_UNREADABLE) {
+            refuse(explanation, "keys_unreadable");
+        }
         if (needs_key && !is_proven) {
             refuse(explanation, "access_unproven");
         }
--- a/lib/edge/feed.h
+++ b/lib/edge/feed.h
@@ -91,6 +91,9 @@
 /** Reads the list of targets from the store at once, also if this host is no
  *  reader. @return false if the store is unreachable */
 bool SkyFeed_ReadTargets(sky_feed_t *feed);
+/** Decides again what callers' keys are good for, after the settings have
+ *  changed. */
+void SkyFeed_HandleReload(sky_feed_t *feed);
 /** @return whether this host may act on the operator's topic and the list of
  *  targets: they are young enough for the time limits of updates, or the store
  *  is unreachable. */
--- a/lib/edge/feed_records.c
+++ b/lib/edge/feed_records.c
@@ -39,6 +39,44 @@
     }
 }
 
+/* Keys that were in use do not become ordinary fields again. */
+static void
+decide_access(const sky_feed_t *feed, sky_deployment_t *deployment,
+              const sky_deployment_t *previous)
+{
+    bool had_keys =
+        previous != NULL && SkyDeployment_OwnsAccessFields(previous);
+    SkyDeployment_DecideAccess(
+        deployment, had_keys || feed->options.settings->has_key_rules);
+}
+
+/* A version that drops the list of workspaces lets requests without a key run
+ * on all routes. */
+static void
+log_access_opened(const sky_deployment_t *deployment,
+                  const sky_deployment_t *previous)
+{
+    if (deployment->access == SKY_ACCESS_ANONYMOUS && previous != NULL &&
+        previous->access != SKY_ACCESS_ANONYMOUS &&
+        SkyDeployment_OwnsAccessFields(previous)) {
+        SkyLog_Write(
+            LOG_WARNING, "access_opened",
+            "version=%llu before=%llu workspaces_before=%u with_key=refused",
+            (unsigned long long)deployment->version,
+            (unsigned long long)previous->version,
+            SkyWorkspaces_Count(previous->workspaces));
+    }
+}
+
+void
+SkyFeed_HandleReload(sky_feed_t *feed)
+{
+    sky_deployment_t *deployment = feed->options.directory->deployment;
+    if (deployment != NULL) {
+        decide_access(feed, deployment, deployment);
+    }
+}
+
 static void
 apply_deployment(sky_feed_t *feed, const sky_feed_record_t *record)
 {
@@ -63,14 +101,19 @@
         SkyDeployment_Release(decoded);
         return;
     }
+    decide_access(feed, decoded, previous);
     directory->deployment = decoded;
     feed->config_text_hash = text_hash;
     SkyLog_Write(LOG_NOTICE, "config_in_force",
-                 "version=%llu before=%llu routes=%u services=%u offset=%llu",
+                 "version=%llu before=%llu routes=%u services=%u access=%s "
+                 "workspaces=%u offset=%llu",
                  (unsigned long long)decoded->version,
                  (unsigned long long)(previous ? previous->version : 0),
                  decoded->route_count, decoded->service_count,
+                 SkyDeployment_GetAccessName(decoded),
+                 SkyWorkspaces_Count(decoded->workspaces),
                  (unsigned long long)record->offset);
+    log_access_opened(decoded, previous);
     SkyDeployment_Release(previous);
     feed->options.on_change(feed->options.context, SKY_FEED_OPERATOR);
 }
--- a/lib/edge/host_settings.h
+++ b/lib/edge/host_settings.h
@@ -2,7 +2,8 @@
  * @file host_settings.h
  * @brief Settings of a host and of its deployment.
  *
- * Read at start; SIGHUP reads the bounds and seeds again.
+ * Read at start; SIGHUP reads the bounds, the seeds and the rules on keys
+ * again.
  */
 #ifndef SKY_EDGE_HOST_SETTINGS_H
 #define SKY_EDGE_HOST_SETTINGS_H
@@ -78,6 +79,8 @@
     uint32_t link_mbps; /**< bandwidth of the network link; 0: unknown */
     uint32_t max_file_descriptors;
     uint32_t target_report_interval_ms;
+    bool has_key_rules; /**< the deployment uses callers' keys, also while the
+                             configuration has no workspaces */
     sky_deployment_bounds_t bounds;
     sky_store_settings_t store;
 } sky_host_settings_t;
--- a/lib/edge/peer_exchange.c
+++ b/lib/edge/peer_exchange.c
@@ -96,7 +96,7 @@
     sky_forward_options_t forward = {
         .deadline_ms = left_ms > HOP_TRANSIT_MS ? left_ms - HOP_TRANSIT_MS : 1,
         .urgency = NO_URGENCY,
-        .has_workspaces = SkyProxyRequest_HidesCredential(request),
+        .owns_access_fields = SkyProxyRequest_HidesCredential(request),
         .keeps_credential = true,
         .resumes = request->event_stream.has_id,
         .resume_after = request->event_stream.last_id,
--- a/lib/edge/proxy_admission.c
+++ b/lib/edge/proxy_admission.c
@@ -59,33 +59,33 @@
 {
     SkyDeployment_Release(request->access);
     request->access = SkyDeployment_Acquire(newest);
-    request->needs_key = false;
     request->workspace = NULL;
-    if (newest->workspaces == NULL) {
-        request->urgency =
-            SkyDeployment_GetUrgency(SkyProxyRequest_GetDeployment(request),
-                                     SkyProxyRequest_GetRoute(request), NULL);
-        return;
-    }
     /* A route that is gone keeps its urgency: the configuration that ranks it
      * is another one. */
-    const sky_route_t *route = SkyProxyRequest_GetRoute(request);
+    request->access_route = SkyProxyRequest_GetRoute(request);
     bool is_ranked = true;
     if (newest != SkyProxyRequest_GetDeployment(request)) {
         const sky_route_t *found = find_route_in(request, newest);
         is_ranked = found != NULL;
-        route = is_ranked ? found : route;
+        request->access_route = is_ranked ? found : request->access_route;
     }
-    request->needs_key = !route->is_public;
-    if (request->needs_key) {
+    if (SkyDeployment_NeedsKey(newest, request->access_route)) {
         request->workspace = find_workspace(request, newest->workspaces);
     }
     if (is_ranked) {
-        request->urgency =
-            SkyDeployment_GetUrgency(newest, route, request->workspace);
+        request->urgency = SkyDeployment_GetUrgency(
+            newest, request->access_route, request->workspace);
     }
 }
 
+static bool
+carries_key(const sky_proxy_request_t *request)
+{
+    const char *key =
+        SkyWire_FindCredential(SkyServerRequest_Head(request->caller_request));
+    return key != NULL && key[0] != '\0';
+}
+
 bool
 SkyProxyRequest_HasAccess(sky_proxy_request_t *request)
 {
@@ -94,16 +94,29 @@
     if (request->access != newest) {
         update_access(request, newest);
     }
-    if (!request->needs_key) {
-        return true;
-    }
-    if (!SkyFeed_IsConfigProven(request->proxy->options.feed)) {
-        refuse_unproven(request);
-        return false;
-    }
-    if (request->workspace == NULL) {
-        refuse_key(request, is_new ? "key_unknown" : "key_removed");
+    sky_admission_t admission = SkyDeployment_GetAdmission(
+        newest, request->access_route, carries_key(request));
+    switch (admission) {
+    case SKY_ADMISSION_FREE:
+        break;
+    case SKY_ADMISSION_KEYS_UNREADABLE:
+        SkyProxyRequest_Fail(request, RETRY_AFTER_UNPROVEN_MS,
+                             "keys_unreadable");
         return false;
+    case SKY_ADMISSION_KEY_REVOKED:
+    case SKY_ADMISSION_BY_KEY:
+        if (!SkyFeed_IsConfigProven(request->proxy->options.feed)) {
+            refuse_unproven(request);
+            return false;
+        }
+        if (request->workspace == NULL) {
+            refuse_key(request, admission == SKY_ADMISSION_KEY_REVOKED
+                                    ? "key_not_in_use"
+                                : is_new ? "key_unknown"
+                                         : "key_removed");
+            return false;
+        }
+        break;
     }
     return true;
 }
@@ -111,8 +124,9 @@
 bool
 SkyProxyRequest_HidesCredential(const sky_proxy_request_t *request)
 {
-    return SkyProxyRequest_GetDeployment(request)->workspaces != NULL ||
-           request->access->workspaces != NULL;
+    return SkyDeployment_OwnsAccessFields(
+               SkyProxyRequest_GetDeployment(request)) ||
+           SkyDeployment_OwnsAccessFields(request->access);
 }
 
 static void
--- a/lib/edge/proxy_request.h
+++ b/lib/edge/proxy_request.h
@@ -71,7 +71,7 @@
     sky_request_facts_t facts;
     /** Newest configuration by which the access was checked. */
     sky_deployment_t *access;
-    bool needs_key;                   /**< by `access` */
+    const sky_route_t *access_route;  /**< decides on public access */
     const sky_workspace_t *workspace; /**< of `access`; NULL: none */
     sky_urgency_t urgency;
     sky_request_identity_t identity;
--- a/lib/edge/quota_sharing.c
+++ b/lib/edge/quota_sharing.c
@@ -754,8 +754,8 @@
     {
         workspace->is_current = false;
     }
-    for (uint32_t i = 0;
-         configured != NULL && i < SkyWorkspaces_Count(configured); i++) {
+    uint32_t count = configured != NULL ? SkyWorkspaces_Count(configured) : 0;
+    for (uint32_t i = 0; i < count; i++) {
         const sky_workspace_t *item = SkyWorkspaces_Get(configured, i);
         if (item->quota.is_limited) {
             apply_quota(sharing, item);
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -325,6 +325,54 @@
     EXPECT_TRUE(SkyFeed_IsConfigProven(reader));
 }
 
+// Guards against keys that become ordinary fields, which targets get, when a
+// configuration no longer lists workspaces.
+TEST_F(ProofTest, KeysThatWereInUseStayRefused)
+{
+    auto apply = [&](int version, const char *tenants) {
+        testing::internal::CaptureStderr();
+        ApplyConfig(reader, 1, version,
+                    "{\"version\":" + std::to_string(version) + tenants + "}",
+                    0);
+        std::string log = testing::internal::GetCapturedStderr();
+        return log.find("event=access_opened") != std::string::npos;
+    };
+    EXPECT_FALSE(apply(1, ""));
+    EXPECT_EQ(SKY_ACCESS_OPEN, directory.deployment->access);
+    EXPECT_FALSE(apply(2, R"(,"tenants":[{"name":"w","apiKeys":["k"]}])"));
+    EXPECT_EQ(SKY_ACCESS_KEYS, directory.deployment->access);
+    EXPECT_TRUE(apply(3, ""));
+    EXPECT_EQ(SKY_ACCESS_ANONYMOUS, directory.deployment->access);
+    EXPECT_FALSE(apply(4, ""));
+    EXPECT_EQ(SKY_ACCESS_ANONYMOUS, directory.deployment->access);
+    EXPECT_FALSE(apply(5, R"(,"tenants":[])"));
+    EXPECT_EQ(SKY_ACCESS_KEYS, directory.deployment->access);
+    EXPECT_TRUE(apply(6, ""));
+    EXPECT_FALSE(apply(7, R"(,"tenants":7)"));
+    EXPECT_EQ(SKY_ACCESS_UNREADABLE, directory.deployment->access);
+}
+
+// Guards against a host that starts with a configuration without workspaces
+// and takes keys for ordinary fields; and against a reload that makes them so.
+TEST_F(ProofTest, SettingsThatTellOfKeysOutlastARestart)
+{
+    ApplyConfig(reader, 1, 5, R"({"version":3})", 0);
+    EXPECT_EQ(SKY_ACCESS_OPEN, directory.deployment->access);
+    settings.has_key_rules = true;
+    SkyFeed_HandleReload(reader);
+    EXPECT_EQ(SKY_ACCESS_ANONYMOUS, directory.deployment->access);
+    settings.has_key_rules = false;
+    SkyFeed_HandleReload(reader);
+    EXPECT_EQ(SKY_ACCESS_ANONYMOUS, directory.deployment->access);
+
+    SkyDeployment_Release(directory.deployment);
+    directory.deployment = nullptr;
+    SkyFeed_HandleReload(reader);
+    settings.has_key_rules = true;
+    ApplyConfig(reader, 1, 6, R"({"version":4})", 0);
+    EXPECT_EQ(SKY_ACCESS_ANONYMOUS, directory.deployment->access);
+}
+
 // The store lost a configuration that this host knew, and its operator then
 // wrote another one with the same version.
 TEST_F(ProofTest, AnotherTextOfTheSameVersionIsApplied)
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -195,7 +195,7 @@
     EXPECT_STREQ("secret", SkyWire_FindCredential(head));
     sky_forward_options_t forward = {};
     forward.urgency = 255;
-    forward.has_workspaces = true;
+    forward.owns_access_fields = true;
     forward.workspace = "mine";
     SkyWire_WriteRequest(&out, head, "", 0, &forward);
     EXPECT_EQ(std::string::npos, Written().find("secret")) << Written();
--- a/tests/test_workspaces.cc
+++ b/tests/test_workspaces.cc
@@ -26,7 +26,8 @@
         SkyDeployment_Release(deployment);
     }
 
-    // Parses a configuration with one route and these tenants.
+    // Parses a configuration with one route and these tenants; "": without the
+    // list.
     sky_result_t
     Parse(const std::string &tenants, const std::string &routes = "")
     {
@@ -34,7 +35,8 @@
             R"({"version":7,"services":[{"name":"app","healthPath":"/"}],)"
             R"("routes":[{"name":"r","host":"h","pathPrefix":"/x/",)"
             R"("routeKind":"idempotent","service":"app","priority":4})" +
-            routes + R"(],"tenants":)" + tenants + "}";
+            routes + "]" +
+            (tenants.empty() ? "" : R"(,"tenants":)" + tenants) + "}";
         SkyDeployment_Release(deployment);
         deployment = nullptr;
         testing::internal::CaptureStderr();
@@ -53,6 +55,13 @@
         return found != nullptr ? found->name : "-";
     }
 
+    sky_admission_t
+    Admission(bool carries_key)
+    {
+        return SkyDeployment_GetAdmission(deployment, &deployment->routes[0],
+                                          carries_key);
+    }
+
     const sky_quota_t &
     Quota(uint32_t index)
     {
@@ -226,31 +235,127 @@
     EXPECT_LT(none.rank, none.level_count);
 }
 
-TEST_F(WorkspacesTest, WithoutWorkspacesRoutesKeepTheirUrgency)
+// Guards against a configuration that takes the last key away, or whose keys
+// cannot be read, and that then asks nobody for a key.
+TEST_F(WorkspacesTest, AListThatNamesNobodyAdmitsNobody)
 {
-    for (const char *tenants : {"[]", "null"}) {
-        ASSERT_EQ(SKY_OK, Parse(tenants));
-        EXPECT_EQ(nullptr, deployment->workspaces);
+    for (const char *tenants :
+         {"[]", "null", "[{}]", "[null]", R"([{"name":"a"}])",
+          R"([{"name":"a","apiKeys":[]}])",
+          R"([{"name":"","apiKeys":["k"]}])"}) {
+        ASSERT_EQ(SKY_OK, Parse(tenants)) << tenants;
+        for (bool has_key_rules : {false, true}) {
+            SkyDeployment_DecideAccess(deployment, has_key_rules);
+            EXPECT_TRUE(
+                SkyDeployment_NeedsKey(deployment, &deployment->routes[0]));
+            EXPECT_TRUE(SkyDeployment_OwnsAccessFields(deployment));
+            EXPECT_EQ(SKY_ADMISSION_BY_KEY, Admission(true)) << tenants;
+            EXPECT_EQ(SKY_ADMISSION_BY_KEY, Admission(false)) << tenants;
+        }
+        EXPECT_EQ("-", Find("k")) << tenants;
+        EXPECT_EQ("-", Find("")) << tenants;
+        // No caller without a workspace is ranked before one that has one.
+        sky_urgency_t urgency = SkyDeployment_GetUrgency(
+            deployment, &deployment->routes[0], nullptr);
+        EXPECT_EQ(deployment->workspace_level_count, urgency.rank) << tenants;
+        EXPECT_EQ(urgency.rank + 1, urgency.level_count) << tenants;
+    }
+}
+
+// Guards against a list of an unknown type that leaves older keys valid, or a
+// deployment open that had none: nothing is known of the keys.
+TEST_F(WorkspacesTest, AListOfAnotherTypeAdmitsNobody)
+{
+    for (const char *tenants :
+         {"7", "{}", R"({"a":["k"]})", R"("a")", "true", "false"}) {
+        ASSERT_EQ(SKY_OK, Parse(tenants)) << tenants;
+        EXPECT_NE(std::string::npos, log.find("workspaces_unreadable")) << log;
+        for (bool has_key_rules : {false, true}) {
+            SkyDeployment_DecideAccess(deployment, has_key_rules);
+            EXPECT_TRUE(
+                SkyDeployment_NeedsKey(deployment, &deployment->routes[0]));
+            EXPECT_TRUE(SkyDeployment_OwnsAccessFields(deployment));
+            EXPECT_EQ(SKY_ADMISSION_KEYS_UNREADABLE, Admission(true));
+            EXPECT_EQ(SKY_ADMISSION_KEYS_UNREADABLE, Admission(false));
+        }
+        EXPECT_EQ("-", Find("k")) << tenants;
+    }
+}
+
+TEST_F(WorkspacesTest, PublicRoutesNeedNoKeyOfAnyList)
+{
+    for (const char *tenants : {"[]", "null", "7", R"([{"name":"a"}])", ""}) {
+        ASSERT_EQ(SKY_OK,
+                  Parse(tenants,
+                        R"(,{"name":"s","host":"h","pathPrefix":"/y/",)"
+                        R"("routeKind":"idempotent","service":"app",)"
+                        R"("public":true})"));
+        const sky_route_t *open =
+            SkyDeployment_FindRoute(deployment, "h", "/y/");
+        for (bool has_key_rules : {false, true}) {
+            SkyDeployment_DecideAccess(deployment, has_key_rules);
+            EXPECT_FALSE(SkyDeployment_NeedsKey(deployment, open));
+            EXPECT_EQ(SKY_ADMISSION_FREE,
+                      SkyDeployment_GetAdmission(deployment, open, true));
+        }
+    }
+}
+
+// Guards against keys that stay valid, or reach targets, once the list is
+// missing; and against a deployment that never had keys and asks for one.
+TEST_F(WorkspacesTest, WithoutAListOnlyRequestsWithoutAKeyAreAdmitted)
+{
+    ASSERT_EQ(SKY_OK, Parse(""));
+    EXPECT_EQ(SKY_ACCESS_OPEN, deployment->access);
+    EXPECT_FALSE(SkyDeployment_OwnsAccessFields(deployment));
+    EXPECT_EQ(SKY_ADMISSION_FREE, Admission(false));
+    EXPECT_EQ(SKY_ADMISSION_FREE, Admission(true));
+
+    SkyDeployment_DecideAccess(deployment, true);
+    EXPECT_EQ(SKY_ACCESS_ANONYMOUS, deployment->access);
+    EXPECT_TRUE(SkyDeployment_OwnsAccessFields(deployment));
+    EXPECT_EQ(SKY_ADMISSION_FREE, Admission(false));
+    EXPECT_EQ(SKY_ADMISSION_KEY_REVOKED, Admission(true));
+}
+
+TEST_F(WorkspacesTest, WithoutAListRoutesKeepTheirUrgency)
+{
+    ASSERT_EQ(SKY_OK, Parse(""));
+    for (bool has_key_rules : {false, true}) {
+        SkyDeployment_DecideAccess(deployment, has_key_rules);
+        EXPECT_FALSE(
+            SkyDeployment_NeedsKey(deployment, &deployment->routes[0]));
         sky_urgency_t urgency = SkyDeployment_GetUrgency(
             deployment, &deployment->routes[0], nullptr);
         EXPECT_EQ(4u, urgency.rank);
         EXPECT_EQ(0u, urgency.level_count);
     }
-    // Tenants that are all unusable do not open the deployment to everybody.
-    ASSERT_EQ(SKY_OK, Parse("[{}]"));
-    EXPECT_NE(nullptr, deployment->workspaces);
-    EXPECT_EQ(SKY_E_BAD_CONFIG, Parse("7"));
+}
+
+// Guards against a deployment that is put to use before it is decided.
+TEST(DeploymentAccess, AdmitsNobodyBeforeItIsDecided)
+{
+    sky_deployment_t *deployment = SkyDeployment_Create();
+    ASSERT_NE(nullptr, deployment);
+    sky_route_t route = {};
+    EXPECT_EQ(SKY_ADMISSION_KEYS_UNREADABLE,
+              SkyDeployment_GetAdmission(deployment, &route, false));
+    EXPECT_EQ(0u, SkyWorkspaces_Count(deployment->workspaces));
+    SkyDeployment_Release(deployment);
 }
 
 sky_result_t
-LoadBounds(const std::string &bounds, sky_host_settings_t *settings)
+LoadBounds(const std::string &bounds, sky_host_settings_t *settings,
+           const std::string &head = "")
 {
     char path[] = "/tmp/sky-bounds-XXXXXX";
     char error[SKY_ERROR_TEXT_BYTES] = "";
-    std::string text = "nodeName = \"a\"\n[listen]\nfront = \"127.0.0.1:1\"\n"
-                       "ready = \"127.0.0.1:2\"\ncontrol = \"127.0.0.1:3\"\n"
-                       "[platform]\naddr = \"127.0.0.1:4\"\n[bounds]\n" +
-                       bounds;
+    std::string text =
+        head +
+        "\nnodeName = \"a\"\n[listen]\nfront = \"127.0.0.1:1\"\n"
+        "ready = \"127.0.0.1:2\"\ncontrol = \"127.0.0.1:3\"\n"
+        "[platform]\naddr = \"127.0.0.1:4\"\n[bounds]\n" +
+        bounds;
     int fd = mkstemp(path);
     EXPECT_EQ((ssize_t)text.size(), write(fd, text.data(), text.size()));
     close(fd);
@@ -279,4 +384,26 @@
     }
 }
 
+// Guards against a host that starts without a list of workspaces and takes
+// keys for ordinary fields, though its deployment uses them.
+TEST(KeyRules, AreKnownFromTheSettings)
+{
+    sky_host_settings_t settings;
+    ASSERT_EQ(SKY_OK, LoadBounds("", &settings));
+    EXPECT_FALSE(settings.has_key_rules);
+    ASSERT_EQ(SKY_OK, LoadBounds("revokeMs = 3000\n", &settings));
+    EXPECT_FALSE(settings.has_key_rules);
+    ASSERT_EQ(SKY_OK, LoadBounds("revokeStrict = true\n", &settings));
+    EXPECT_TRUE(settings.has_key_rules);
+    for (const auto &[contracts, has_key_rules] :
+         {std::pair<const char *, bool>{R"(["base","tenants"])", true},
+          {R"(["base","tenant",7])", false},
+          {"[]", false},
+          {R"("tenants")", false}}) {
+        ASSERT_EQ(SKY_OK, LoadBounds("", &settings,
+                                     std::string("contracts = ") + contracts));
+        EXPECT_EQ(has_key_rules, settings.has_key_rules) << contracts;
+    }
+}
+
 } // namespace
