Entries of targets are taken whole or not at all, and move no run

Cause: fields that an entry lacks got defaults, one was not looked at, and a run that is known took over whatever service and address an entry named.

SkyFleet_JudgeEntry() refuses entries that move a run, known by its id and start, to another service or address, and those without a start for a run that has one; a run of which a wrong entry came first gets by after 10 s of its own ones alone. A run that left is not listed again by an entry without a start. An entry moves a known target to no service that the configuration lacks. target_entry_ignored tells the reason and the field, ten lines a second at most.

--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -177,29 +177,30 @@
 }
 
 static uint64_t
-make_run_key(const sky_target_entry_t *entry)
+make_run_key(const char *id, uint64_t started_unix_ms)
 {
-    return XXH3_64bits_withSeed(entry->id, strlen(entry->id),
-                                entry->started_unix_ms);
+    return XXH3_64bits_withSeed(id, strlen(id), started_unix_ms);
 }
 
 static bool
-has_departed(const sky_fleet_t *fleet, const sky_target_entry_t *entry)
+has_departed(const sky_fleet_t *fleet, const char *id,
+             uint64_t started_unix_ms)
 {
-    uint64_t key = make_run_key(entry);
+    uint64_t key = make_run_key(id, started_unix_ms);
     const departure_t *departure;
     HASH_FIND(hh, fleet->departures, &key, sizeof key, departure);
     return departure != NULL;
 }
 
 static void
-record_departure(sky_fleet_t *fleet, const sky_target_entry_t *entry,
+record_departure(sky_fleet_t *fleet, const char *id, uint64_t started_unix_ms,
                  uint64_t now_ms)
 {
-    departure_t *departure =
-        has_departed(fleet, entry) ? NULL : calloc(1, sizeof *departure);
+    departure_t *departure = has_departed(fleet, id, started_unix_ms)
+                                 ? NULL
+                                 : calloc(1, sizeof *departure);
     if (departure != NULL) {
-        departure->key = make_run_key(entry);
+        departure->key = make_run_key(id, started_unix_ms);
         departure->unlisted_ms = now_ms;
         HASH_ADD(hh, fleet->departures, key, sizeof departure->key, departure);
     }
@@ -210,7 +211,10 @@
 {
     target->listed = false;
     if (target->entry.state == SKY_TARGET_LEAVING) {
-        record_departure(fleet, &target->entry, now_ms);
+        const sky_target_entry_t *entry = &target->entry;
+        record_departure(fleet, entry->id, entry->started_unix_ms, now_ms);
+        /* An entry that does not state its start may be of this run. */
+        record_departure(fleet, entry->id, 0, now_ms);
     }
     if (target->references == 0) {
         free_target(fleet, target);
@@ -247,14 +251,56 @@
            now_ms < target->owner_report_ms + OWNER_REPORT_TTL_MS;
 }
 
-/* Whether a late write of an earlier run reached the store after those of the
- * known one. A target whose clock was set back gets by after a while. */
 static bool
-is_of_earlier_run(const sky_fleet_target_t *target,
-                  const sky_target_entry_t *entry, uint64_t now_ms)
+is_same_place(const sky_target_entry_t *one, const sky_target_entry_t *other)
 {
-    return entry->started_unix_ms < target->entry.started_unix_ms &&
-           now_ms < target->run_listed_ms + LATE_WRITE_MAX_MS;
+    return strcmp(one->service, other->service) == 0 &&
+           one->address.sin_addr.s_addr == other->address.sin_addr.s_addr &&
+           one->address.sin_port == other->address.sin_port;
+}
+
+/* A target whose clock was set back gets by after a while; so does a run of
+ * which a wrong entry came first, once no more of those come. */
+sky_entry_verdict_t
+SkyFleet_JudgeEntry(sky_fleet_t *fleet, const sky_target_entry_t *entry,
+                    uint64_t now_ms)
+{
+    const sky_fleet_target_t *target = SkyFleet_FindTarget(fleet, entry->id);
+    if (target == NULL) {
+        return SKY_ENTRY_USABLE;
+    }
+    const sky_target_entry_t *known = &target->entry;
+    if (entry->started_unix_ms == known->started_unix_ms) {
+        bool is_disputed_for_long =
+            target->conflict_ms > 0 &&
+            now_ms >= target->conflict_ms + LATE_WRITE_MAX_MS;
+        return is_same_place(entry, known) || is_disputed_for_long
+                   ? SKY_ENTRY_USABLE
+                   : SKY_ENTRY_CONFLICTING;
+    }
+    if (entry->started_unix_ms == 0) {
+        return SKY_ENTRY_UNDATED;
+    }
+    return entry->started_unix_ms < known->started_unix_ms &&
+                   now_ms < target->run_listed_ms + LATE_WRITE_MAX_MS
+               ? SKY_ENTRY_OUTDATED
+               : SKY_ENTRY_USABLE;
+}
+
+const char *
+SkyFleet_GetVerdictName(sky_entry_verdict_t verdict)
+{
+    switch (verdict) {
+    case SKY_ENTRY_USABLE:
+        return "usable";
+    case SKY_ENTRY_OUTDATED:
+        return "outdated";
+    case SKY_ENTRY_UNDATED:
+        return "undated";
+    case SKY_ENTRY_CONFLICTING:
+        return "conflicting";
+    }
+    return "unknown";
 }
 
 sky_fleet_target_t *
@@ -262,12 +308,19 @@
                     uint64_t now_ms)
 {
     sky_fleet_target_t *target = SkyFleet_FindTarget(fleet, entry->id);
-    if (target != NULL && is_of_earlier_run(target, entry, now_ms)) {
+    sky_entry_verdict_t verdict = SkyFleet_JudgeEntry(fleet, entry, now_ms);
+    if (verdict != SKY_ENTRY_USABLE) {
+        if (verdict == SKY_ENTRY_CONFLICTING && target->conflict_ms == 0) {
+            target->conflict_ms = now_ms;
+        }
         SkyTargetEntry_Clear(entry);
         return target;
     }
-    if (target != NULL &&
-        target->entry.started_unix_ms != entry->started_unix_ms) {
+    bool is_other_run =
+        target != NULL &&
+        (target->entry.started_unix_ms != entry->started_unix_ms ||
+         !is_same_place(&target->entry, entry));
+    if (is_other_run) {
         /* The target restarted under the same id: its state is lost. */
         unlist_target(fleet, target, now_ms);
         target = NULL;
@@ -283,13 +336,14 @@
         DL_APPEND(fleet->targets, target);
     }
     bool leaves = target->entry.state == SKY_TARGET_LEAVING ||
-                  has_departed(fleet, entry);
+                  has_departed(fleet, entry->id, entry->started_unix_ms);
     SkyTargetEntry_Clear(&target->entry);
     target->entry = *entry;
     if (leaves) {
         target->entry.state = SKY_TARGET_LEAVING;
     }
     target->removal_ms = 0;
+    target->conflict_ms = 0;
     *entry = (sky_target_entry_t){0};
     /* The owner's report is newer than this entry. */
     bool has_newer_owner_report = is_owner_report_current(target, now_ms);
--- a/lib/decide/fleet.h
+++ b/lib/decide/fleet.h
@@ -47,6 +47,8 @@
     uint64_t hash;          /**< of its id */
     bool listed;            /**< false: removed, kept for its requests */
     uint64_t run_listed_ms; /**< when this run was first listed */
+    uint64_t conflict_ms; /**< first conflicting entry since the last one that
+                               was applied; 0: none */
     uint64_t removal_ms; /**< missing from the list, removed then; 0: listed */
     uint32_t references; /**< requests of this host that refer to it */
     uint32_t in_flight;  /**< requests of this host that are running on it */
@@ -95,12 +97,26 @@
                              sky_fleet_t **fleet);
 void SkyFleet_Free(sky_fleet_t *fleet);
 
+/** What an entry says of the target that is known under its id. */
+typedef enum {
+    SKY_ENTRY_USABLE,
+    SKY_ENTRY_OUTDATED,    /**< a late write of an earlier run */
+    SKY_ENTRY_UNDATED,     /**< does not state its start, as the known run does
+                            */
+    SKY_ENTRY_CONFLICTING, /**< the run is known at another service or address
+                            */
+} sky_entry_verdict_t;
+
+sky_entry_verdict_t SkyFleet_JudgeEntry(sky_fleet_t *fleet,
+                                        const sky_target_entry_t *entry,
+                                        uint64_t now_ms);
+/** @return the verdict's name in log lines. */
+const char *SkyFleet_GetVerdictName(sky_entry_verdict_t verdict);
 /** Adds or updates a target by its entry in the list; takes over the memory of
  *  @p entry and clears it. A target that leaves does so for the rest of its
  *  run, also if an older entry of it comes back, before or after it was
- *  removed. A late entry of an earlier run is
- *  ignored. @return the target, or NULL
- * if memory ran out. */
+ *  removed. An entry that is not usable changes nothing.
+ *  @return the target that is known under the id, or NULL if memory ran out */
 sky_fleet_target_t *SkyFleet_ApplyEntry(sky_fleet_t *fleet,
                                         sky_target_entry_t *entry,
                                         uint64_t now_ms);
--- a/lib/edge/feed_internal.h
+++ b/lib/edge/feed_internal.h
@@ -62,7 +62,10 @@
     /** The newest configuration could not be read: the one in force is not the
      *  newest. */
     bool is_config_unreadable;
-    uint64_t config_text_hash; /**< of the configuration in force */
+    uint64_t config_text_hash;   /**< of the configuration in force */
+    uint64_t ignored_second;     /**< of the last line about an entry */
+    uint32_t ignored_lines;      /**< in that second */
+    uint32_t ignored_not_logged; /**< since the last such line */
     ev_timer check_timer;
 };
 
--- a/lib/edge/feed_records.c
+++ b/lib/edge/feed_records.c
@@ -11,6 +11,8 @@
 
 /** A longer interval between the reads that reach this host is logged. */
 #define GAP_LOGGED_MS 1000
+#define IGNORED_LINES_PER_S 10 /**< about entries, of a host */
+#define LOGGED_KEY_BYTES_MAX 64
 
 unsigned long long
 SkyFeedState_GetAgeMs(const sky_feed_state_t *topic)
@@ -147,6 +149,43 @@
     }
 }
 
+/* Logs an entry that names no target to use: another writer may write them in
+ * any number. */
+static void
+log_entry_ignored(sky_feed_state_t *topic, const sky_feed_record_t *record,
+                  const char *reason, const char *field)
+{
+    sky_feed_t *feed = topic->feed;
+    uint64_t second = SkyClock_NowMs() / 1000;
+    if (second != feed->ignored_second) {
+        feed->ignored_second = second;
+        feed->ignored_lines = 0;
+    }
+    if (feed->ignored_lines == IGNORED_LINES_PER_S) {
+        feed->ignored_not_logged++;
+        return;
+    }
+    feed->ignored_lines++;
+    SkyLog_Write(LOG_WARNING, "target_entry_ignored",
+                 "target=%.*s reason=%s field=%s offset=%llu not_logged=%u",
+                 LOGGED_KEY_BYTES_MAX, record->key, reason,
+                 field[0] != '\0' ? field : "-",
+                 (unsigned long long)record->offset, feed->ignored_not_logged);
+    feed->ignored_not_logged = 0;
+}
+
+/* Whether an entry would move a known target to a service that the
+ * configuration in force does not have. */
+static bool
+names_unknown_service(const sky_feed_t *feed, const sky_fleet_target_t *target,
+                      const sky_target_entry_t *entry)
+{
+    const sky_deployment_t *deployment = feed->options.directory->deployment;
+    return deployment != NULL &&
+           strcmp(target->entry.service, entry->service) != 0 &&
+           SkyDeployment_FindService(deployment, entry->service) == UINT32_MAX;
+}
+
 static void
 apply_target_record(sky_feed_state_t *topic, const sky_feed_record_t *record)
 {
@@ -170,10 +209,24 @@
         return;
     }
     sky_target_entry_t entry;
+    const char *field;
     if (SkyResult_IsError(SkyPlatformDocument_ParseTargetEntry(
-            record->key, record->value, record->value_bytes, &entry))) {
-        SkyLog_Write(LOG_WARNING, "target_entry_ignored", "target=%s",
-                     record->key);
+            record->key, record->value, record->value_bytes, &entry,
+            &field))) {
+        log_entry_ignored(topic, record, "invalid", field);
+        return;
+    }
+    if (fleet_target != NULL &&
+        names_unknown_service(feed, fleet_target, &entry)) {
+        log_entry_ignored(topic, record, "service_unknown", "service");
+        SkyTargetEntry_Clear(&entry);
+        return;
+    }
+    sky_entry_verdict_t verdict =
+        SkyFleet_JudgeEntry(fleet, &entry, SkyClock_NowMs());
+    if (verdict != SKY_ENTRY_USABLE) {
+        log_entry_ignored(topic, record, SkyFleet_GetVerdictName(verdict), "");
+        SkyFleet_ApplyEntry(fleet, &entry, SkyClock_NowMs());
         return;
     }
     if (fleet_target == NULL || fleet_target->entry.state != entry.state ||
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -872,10 +872,10 @@
         }
     }
     json_t *entry = json_pack(
-        "{s:s, s:s, s:s, s:s, s:i, s:s, s:I, s:I, s:[{s:s, s:i, s:o}]}",
+        "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:I, s:[{s:s, s:i, s:o}]}",
         "service", "llm", "addr", address, "zone", "z1", "version",
         engine->software, "slots", 16, "state",
-        engine->is_leaving ? "draining" : "ready", "born",
+        engine->is_leaving ? "draining" : "ready", "coldLeftMs", 0, "born",
         (json_int_t)engine->started_ms, "seq",
         (json_int_t)engine->applied_orders, "models", "name", MODEL_NAME,
         "version", 1, "adapters", adapters);
@@ -1981,7 +1981,8 @@
     char text[256];
     snprintf(text, sizeof text,
              "{\"service\":\"app\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"z1\","
-             "\"slots\":6,\"state\":\"ready\",\"born\":%llu}",
+             "\"version\":\"\",\"slots\":6,\"state\":\"ready\","
+             "\"coldLeftMs\":0,\"seq\":0,\"born\":%llu}",
              target->port, (unsigned long long)target->started_ms);
     append_record("keyed.servers", target->id, text);
 }
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -14,6 +14,7 @@
     const char *text = (const char *)data;
     sky_deployment_t *deployment = NULL;
     sky_target_entry_t entry;
+    const char *field;
     sky_target_report_t report;
     sky_resident_t announced;
     if (!SkyResult_IsError(
@@ -21,8 +22,8 @@
         SkyDeployment_FindRoute(deployment, "a.example", "/x/y?z");
         SkyDeployment_Release(deployment);
     }
-    if (!SkyResult_IsError(
-            SkyPlatformDocument_ParseTargetEntry("i-1", text, size, &entry))) {
+    if (!SkyResult_IsError(SkyPlatformDocument_ParseTargetEntry(
+            "i-1", text, size, &entry, &field))) {
         SkyTargetEntry_Clear(&entry);
     }
     if (!SkyResult_IsError(
--- a/tests/proc_broken_answers.sh
+++ b/tests/proc_broken_answers.sh
@@ -83,8 +83,8 @@
 PIDS="$PIDS $!"
 "$FAKE" raw "127.0.0.1:$((BASE + 40))" "$ANSWERS" >"$DIR/raw.log" 2>&1 &
 PIDS="$PIDS $!"
-printf '{"service":"app","addr":"127.0.0.1:%s","zone":"z1","slots":32,
-    "state":"ready","born":1000}' $((BASE + 40)) |
+printf '{"service":"app","addr":"127.0.0.1:%s","zone":"z1","version":"v1",
+    "slots":32,"state":"ready","coldLeftMs":0,"seq":0,"born":1000}' $((BASE + 40)) |
     curl -fsS -m 5 --data-binary @- "$control_url/entry?key=i-raw0" >/dev/null
 publish_config 7 "" 8000000
 for n in 0 1; do
--- a/tests/test_deployment.cc
+++ b/tests/test_deployment.cc
@@ -186,11 +186,13 @@
 {
     const char text[] =
         R"({"service":"s","addr":"10.1.2.3:80","zone":"z","version":"v1",
-        "slots":64,"state":"draining","born":1700000000123,"seq":4,
+        "slots":64,"state":"draining","coldLeftMs":0.5,"born":1700000000123,
+        "seq":4,"stage":"colocated","remainingMs":100,
         "models":[{"name":"m","version":3,"adapters":["a1@2","m/a2@7"]}]})";
     sky_target_entry_t entry;
+    const char *field;
     ASSERT_EQ(SKY_OK, SkyPlatformDocument_ParseTargetEntry(
-                          "i-1", text, strlen(text), &entry));
+                          "i-1", text, strlen(text), &entry, &field));
     EXPECT_EQ(SKY_TARGET_LEAVING, entry.state);
     EXPECT_EQ(1700000000123u, entry.started_unix_ms);
     EXPECT_EQ(4u, entry.order_count);
@@ -222,8 +224,10 @@
     };
     for (const char *text : texts) {
         sky_target_entry_t entry;
-        EXPECT_EQ(SKY_E_BAD_CONFIG, SkyPlatformDocument_ParseTargetEntry(
-                                        "i", text, strlen(text), &entry))
+        const char *field;
+        EXPECT_EQ(SKY_E_BAD_CONFIG,
+                  SkyPlatformDocument_ParseTargetEntry("i", text, strlen(text),
+                                                       &entry, &field))
             << text;
         EXPECT_EQ(nullptr, entry.residents);
     }
@@ -233,7 +237,76 @@
 Entry(const std::string &address, const std::string &fields)
 {
     return R"({"service":"s","addr":")" + address +
-           R"(","state":"ready","born":1700000000123)" + fields + "}";
+           R"(","zone":"z","version":"v1","state":"ready","coldLeftMs":0,)" +
+           R"("seq":1,"born":1700000000123)" + fields + "}";
+}
+
+// Parses an entry that has all fields but for these changes.
+// @return the field at fault; "-": none
+std::string
+FindFault(const std::map<std::string, std::string> &changes)
+{
+    std::map<std::string, std::string> fields = {
+        {"service", R"("s")"}, {"addr", R"("10.1.2.3:80")"},
+        {"zone", R"("z")"},    {"version", R"("v1")"},
+        {"slots", "1"},        {"state", R"("ready")"},
+        {"coldLeftMs", "0"},   {"seq", "1"},
+        {"born", "1700"}};
+    for (const auto &change : changes) {
+        fields[change.first] = change.second;
+    }
+    std::string text = "{";
+    for (const auto &[name, value] : fields) {
+        if (!value.empty()) {
+            text += (text.size() > 1 ? ",\"" : "\"") + name + "\":" + value;
+        }
+    }
+    text += "}";
+    sky_target_entry_t entry;
+    const char *field = nullptr;
+    sky_result_t result = SkyPlatformDocument_ParseTargetEntry(
+        "i", text.data(), text.size(), &entry, &field);
+    EXPECT_EQ(result == SKY_OK, field == nullptr) << text;
+    SkyTargetEntry_Clear(&entry);
+    return field != nullptr ? field : "-";
+}
+
+// Guards against an entry of another writer that is used because the fields
+// that it lacks, or holds with another type, get defaults.
+TEST(Documents, ATargetEntryIsTakenWholeOrNotAtAll)
+{
+    EXPECT_EQ("-", FindFault({}));
+    EXPECT_EQ("-", FindFault({{"born", ""}})); // targets need not state it
+    for (const char *field : {"service", "addr", "zone", "version", "slots",
+                              "state", "coldLeftMs", "seq"}) {
+        EXPECT_EQ(field, FindFault({{field, ""}}));
+    }
+    for (const char *field : {"service", "addr", "zone", "version", "state"}) {
+        for (const char *odd : {"null", "7", "true", "[]", "{}"}) {
+            EXPECT_EQ(field, FindFault({{field, odd}})) << odd;
+        }
+    }
+    for (const char *field : {"slots", "coldLeftMs", "seq", "born"}) {
+        for (const char *odd :
+             {"null", "\"1\"", "true", "[]", "{}", "-1", "1e400"}) {
+            bool is_unreadable = std::string(odd) == "1e400";
+            EXPECT_EQ(is_unreadable ? "" : field, FindFault({{field, odd}}))
+                << odd;
+        }
+    }
+    for (const char *field : {"slots", "seq", "born"}) {
+        EXPECT_EQ(field, FindFault({{field, "1.5"}}));
+    }
+    for (const char *odd : {"null", "7", "{}", "\"m\""}) {
+        EXPECT_EQ("models", FindFault({{"models", odd}})) << odd;
+    }
+    EXPECT_EQ("stage", FindFault({{"stage", "7"}}));
+    EXPECT_EQ("remainingMs", FindFault({{"remainingMs", "\"7\""}}));
+    EXPECT_EQ("state", FindFault({{"state", "\"new\""}}));
+    EXPECT_EQ("service", FindFault({{"service", "\"\""}}));
+    EXPECT_EQ("zone",
+              FindFault({{"zone", '"' + std::string(200, 'z') + '"'}}));
+    EXPECT_EQ("-", FindFault({{"field_of_tomorrow", "[1]"}}));
 }
 
 // An odd entry of another writer must name no target, whatever it holds.
@@ -278,15 +351,18 @@
                                              std::string(3 << 20, 'x') + '"'));
     for (const std::string &text : texts) {
         sky_target_entry_t entry;
-        EXPECT_EQ(SKY_E_BAD_CONFIG, SkyPlatformDocument_ParseTargetEntry(
-                                        "i", text.data(), text.size(), &entry))
+        const char *field;
+        EXPECT_EQ(SKY_E_BAD_CONFIG,
+                  SkyPlatformDocument_ParseTargetEntry(
+                      "i", text.data(), text.size(), &entry, &field))
             << text.substr(0, 200);
         EXPECT_EQ(nullptr, entry.residents);
     }
     std::string valid = Entry("10.1.2.3:80", R"(,"slots":16.0)");
     sky_target_entry_t entry;
+    const char *field;
     EXPECT_EQ(SKY_OK, SkyPlatformDocument_ParseTargetEntry(
-                          "i", valid.data(), valid.size(), &entry));
+                          "i", valid.data(), valid.size(), &entry, &field));
     SkyTargetEntry_Clear(&entry);
 }
 
--- a/tests/test_feed.cc
+++ b/tests/test_feed.cc
@@ -67,10 +67,11 @@
     ApplyEntry(sky_feed_t *feed, json_int_t era, json_int_t next,
                const char *state)
     {
-        char text[200];
+        char text[240];
         snprintf(text, sizeof text,
                  "{\"service\":\"app\",\"addr\":\"127.0.0.1:1\",\"zone\":"
-                 "\"z\",\"slots\":6,\"state\":\"%s\",\"born\":1}",
+                 "\"z\",\"version\":\"v\",\"slots\":6,\"state\":\"%s\","
+                 "\"coldLeftMs\":0,\"seq\":1,\"born\":1}",
                  state ? state : "");
         char value[400] = "";
         if (state != nullptr) {
@@ -214,6 +215,29 @@
     json_decref(update);
 }
 
+// Guards against entries that are refused without a trace, and against one
+// another writer's that fills the log.
+TEST_F(FeedTest, LogsWhichEntryWasRefusedForWhichField)
+{
+    ApplyEntry(reader, 1, 20, "ready");
+    testing::internal::CaptureStderr();
+    for (json_int_t i = 0; i < 400; i++) {
+        ApplyEntry(reader, 1, 21 + i, "new");
+    }
+    std::string log = testing::internal::GetCapturedStderr();
+    EXPECT_NE(std::string::npos,
+              log.find("event=target_entry_ignored target=i-1 reason=invalid "
+                       "field=state"))
+        << log;
+    size_t lines = 0;
+    for (size_t at = log.find("target_entry_ignored"); at != std::string::npos;
+         at = log.find("target_entry_ignored", at + 1)) {
+        lines++;
+    }
+    EXPECT_LE(lines, 20u); // of two seconds
+    EXPECT_NE(nullptr, Target());
+}
+
 // Applies a configuration as a peer relays it, with a proof of this age.
 void
 ApplyConfig(sky_feed_t *feed, json_int_t era, json_int_t next,
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -1,6 +1,8 @@
 // Known adapters of targets and the choice of a target for a request.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include <cstdlib>
 #include <cstring>
 #include <map>
@@ -147,6 +149,126 @@
     EXPECT_EQ("t1", TargetId(Choose("a1")));
 }
 
+// Entries of another writer under the id of a target, among its own ones.
+class ForeignEntryTest : public FleetTest {
+  protected:
+    struct Write {
+        const char *service;
+        uint16_t port;
+        uint64_t started_unix_ms;
+        sky_target_state_t state;
+    };
+
+    void
+    Apply(const Write &write)
+    {
+        sky_target_entry_t entry = {};
+        snprintf(entry.id, sizeof entry.id, "t1");
+        snprintf(entry.service, sizeof entry.service, "%s", write.service);
+        entry.address.sin_port = htons(write.port);
+        entry.slots = 6;
+        entry.state = write.state;
+        entry.started_unix_ms = write.started_unix_ms;
+        SkyFleet_ApplyEntry(fleet, &entry, now_ms);
+    }
+
+    // Where requests to the service go, "-" for nowhere.
+    std::string
+    Place(const char *service)
+    {
+        sky_fleet_query_t query = {};
+        query.service = service;
+        query.model = query.adapter = "";
+        sky_fleet_choice_t choice;
+        SkyFleet_ChooseTarget(fleet, &query, now_ms, &choice);
+        return choice.target == nullptr
+                   ? "-"
+                   : std::to_string(
+                         ntohs(choice.target->entry.address.sin_port));
+    }
+
+    static constexpr Write OWN = {"archive", 80, 5, SKY_TARGET_READY};
+    static constexpr Write LEAVES = {"archive", 80, 5, SKY_TARGET_LEAVING};
+    static constexpr uint64_t BEAT_MS = 1200;
+};
+
+// Guards against an entry that moves a run to another service or address, in
+// any order of writes: requests of one service then run at another one.
+TEST_F(ForeignEntryTest, ARunStaysAtItsServiceAndAddress)
+{
+    std::vector<Write> foreign = {{"orders", 80, 5, SKY_TARGET_READY},
+                                  {"archive", 81, 5, SKY_TARGET_READY},
+                                  {"orders", 81, 0, SKY_TARGET_READY},
+                                  {"archive", 80, 0, SKY_TARGET_LEAVING},
+                                  {"orders", 80, 4, SKY_TARGET_READY}};
+    std::vector<int> order = {0, 1, 2, 3, 4};
+    do {
+        SkyFleet_Free(fleet);
+        SetUp();
+        Apply(OWN);
+        for (int index : order) {
+            Apply(foreign[index]);
+            ASSERT_EQ("80", Place("archive")) << index;
+            ASSERT_EQ("-", Place("orders")) << index;
+            now_ms += BEAT_MS;
+            Apply(OWN);
+            ASSERT_EQ("80", Place("archive")) << index;
+        }
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// Guards against entries that keep coming and win in the end.
+TEST_F(ForeignEntryTest, EntriesThatKeepComingChangeNothing)
+{
+    Apply(OWN);
+    for (int i = 0; i < 100; i++) {
+        now_ms += BEAT_MS;
+        Apply({"orders", 80, 5, SKY_TARGET_READY});
+        Apply({"orders", 80, 0, SKY_TARGET_READY});
+        ASSERT_EQ("80", Place("archive")) << i;
+        ASSERT_EQ("-", Place("orders")) << i;
+        Apply(OWN);
+    }
+}
+
+// Guards against a run that is out for good because an entry of another writer
+// came before its own ones.
+TEST_F(ForeignEntryTest, AForeignFirstEntryDoesNotKeepARunOut)
+{
+    for (uint64_t started_unix_ms : {5, 0, 9}) {
+        SkyFleet_Free(fleet);
+        SetUp();
+        Apply({"orders", 80, started_unix_ms, SKY_TARGET_READY});
+        for (int i = 0; i < 12; i++) {
+            now_ms += BEAT_MS;
+            Apply(OWN);
+        }
+        EXPECT_EQ("80", Place("archive")) << started_unix_ms;
+        EXPECT_EQ("-", Place("orders")) << started_unix_ms;
+    }
+}
+
+// Guards against an entry that lists a run again which has left.
+TEST_F(ForeignEntryTest, ARunThatLeftIsNotListedAgain)
+{
+    for (const Write &write : {OWN, Write{"archive", 80, 0, SKY_TARGET_READY},
+                               Write{"orders", 80, 0, SKY_TARGET_READY},
+                               Write{"orders", 80, 5, SKY_TARGET_READY}}) {
+        SkyFleet_Free(fleet);
+        SetUp();
+        Apply(OWN);
+        Apply(LEAVES);
+        SkyFleet_ScheduleRemoval(fleet, "t1", now_ms);
+        SkyFleet_Tick(fleet, now_ms);
+        now_ms += BEAT_MS;
+        Apply(write);
+        EXPECT_EQ("-", Place("archive")) << write.started_unix_ms;
+        EXPECT_EQ("-", Place("orders")) << write.started_unix_ms;
+        Apply({"archive", 82, 6, SKY_TARGET_READY}); // it started again
+        EXPECT_EQ("82", Place("archive")) << write.started_unix_ms;
+    }
+}
+
 // Guards against prompts that pile up at a target with free batch slots.
 TEST_F(FleetTest, ATargetThatReadsPromptsMostOfTheTimeIsFull)
 {
