A host that starts waits for its addresses; tests wait for killed hosts

Cause: a host that is started right after its predecessor was killed may find the address still in use, and ended. The tests did not wait for the end of the process. For proc_stream_restart that is suspected from its text; no log was kept.

Change: addresses in use are tried again for 3 s (address_wait_ms), with a line that says so; not that for metrics, which a host can do without. kill_hosts in tests/edge_site.sh returns when the processes are gone; five tests use it now.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -661,6 +661,7 @@
         .context = edge->proxy,
         .memory_share = &edge->memory_share,
         .max_connections = edge->connection_share.callers,
+        .address_wait_ms = SKY_ADDRESS_WAIT_MS,
         .id_field = SkyWire_RequestIdFieldName(),
         .stats = &edge->listener_stats,
     };
@@ -677,6 +678,7 @@
         .context = edge,
         .memory_share = &edge->memory_share,
         .max_connections = edge->connection_share.probes,
+        .address_wait_ms = SKY_ADDRESS_WAIT_MS,
         .stats = &edge->listener_stats,
     };
     if (!SkyResult_IsError(result)) {
@@ -686,6 +688,7 @@
     metrics_options.address = settings->metrics;
     metrics_options.events.on_request = on_metrics_request;
     metrics_options.max_connections = edge->connection_share.metrics;
+    metrics_options.address_wait_ms = 0; /* a host serves without it */
     if (!SkyResult_IsError(result) && settings->metrics[0] != '\0' &&
         SkyResult_IsError(
             SkyListener_Create(&metrics_options, &edge->metrics_listener))) {
--- a/lib/edge/host_calls.c
+++ b/lib/edge/host_calls.c
@@ -333,6 +333,7 @@
             .context = self,
             .memory_share = options->memory_share,
             .max_connections = options->max_connections,
+            .address_wait_ms = SKY_ADDRESS_WAIT_MS,
             .id_field = SkyWire_RequestIdFieldName(),
             .stats = options->listener_stats,
         };
--- a/lib/edge/host_settings.h
+++ b/lib/edge/host_settings.h
@@ -20,6 +20,9 @@
 /** Size of "ADDRESS:PORT" with an IPv4 address, with its NUL. */
 #define SKY_HOST_ADDRESS_BYTES 32
 #define SKY_SEEDS_MAX 8 /**< further seeds are ignored */
+/** How long a host that starts waits for its addresses: a process that was
+ *  killed has given them up by then. */
+#define SKY_ADDRESS_WAIT_MS 3000
 
 /** Limits that the deployment as a whole has to keep. */
 typedef struct {
--- a/lib/edge/placement_internal.h
+++ b/lib/edge/placement_internal.h
@@ -41,7 +41,7 @@
     sky_client_request_t *client_request; /**< that performs action; or NULL */
     sky_placer_action_t action;           /**< last one chosen by the placer */
     sky_client_exchange_t exchange;       /**< of client_request */
-    uint32_t series_prefix; /**< of its orders, see SkyClient_Send() */
+    uint32_t series_prefix;   /**< of its orders, see SkyClient_Send() */
     uint16_t response_status; /**< 0: none received */
     sky_buffer_t response_body;
     /** Another target, or another run of it, responds at the address; requests
--- a/lib/net/listener.c
+++ b/lib/net/listener.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <limits.h>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -39,6 +40,7 @@
 #define REJECTION_LINES_PER_S 10
 /** Ids and paths are cut to this in those lines. */
 #define LOGGED_TEXT_BYTES_MAX 64
+#define ADDRESS_RETRY_MS 50          /**< between tries of an address in use */
 #define TIMEOUT_CHECK_INTERVAL_S 0.1 /**< granularity of timeouts */
 
 typedef enum {
@@ -1063,6 +1065,33 @@
     ev_io_start(loop, &listener->accept_watcher);
 }
 
+/* Returns the socket, or -1 with errno set. */
+static int
+listen_at(const sky_listener_options_t *options,
+          const struct sockaddr_in *address)
+{
+    uint64_t began_ms = SkyClock_NowMs();
+    uint64_t waited_ms = 0;
+    int fd = SkySocket_Listen(address);
+    while (fd < 0 && errno == EADDRINUSE &&
+           waited_ms < options->address_wait_ms) {
+        if (waited_ms == 0) {
+            SkyLog_Write(LOG_WARNING, "address_in_use",
+                         "address=%s retries_for_ms=%u", options->address,
+                         options->address_wait_ms);
+            SkyLog_Flush();
+        }
+        poll(NULL, 0, ADDRESS_RETRY_MS);
+        waited_ms = SkyClock_NowMs() - began_ms;
+        fd = SkySocket_Listen(address);
+    }
+    if (fd >= 0 && waited_ms > 0) {
+        SkyLog_Write(LOG_NOTICE, "address_free", "address=%s waited_ms=%llu",
+                     options->address, (unsigned long long)waited_ms);
+    }
+    return fd;
+}
+
 sky_result_t
 SkyListener_Create(const sky_listener_options_t *options,
                    sky_listener_t **listener)
@@ -1076,7 +1105,7 @@
         return SKY_E_MEMORY;
     }
     self->options = *options;
-    self->fd = SkySocket_Listen(&address);
+    self->fd = listen_at(options, &address);
     if (self->fd < 0) {
         SkyLog_Write(LOG_ERR, "listen_failed", "address=%s error=\"%s\"",
                      options->address, strerror(errno));
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -64,6 +64,9 @@
      *  counted. */
     sky_memory_share_t *memory_share;
     uint32_t max_connections; /**< 0: any */
+    /** An address in use is tried again for so long, which blocks: a process
+     *  that was killed may still have it. 0: once. */
+    uint32_t address_wait_ms;
     /** Name of the field with a request's id, for log lines; not copied. NULL:
      *  requests have none. */
     const char *id_field;
@@ -72,7 +75,8 @@
 } sky_listener_options_t;
 
 /** @return SKY_OK, SKY_E_MEMORY, SKY_E_SETTINGS for an invalid address, or
- *          SKY_E_IO if the socket cannot be opened. */
+ *          SKY_E_IO if the socket cannot be opened, or the address stays in
+ *          use. */
 sky_result_t SkyListener_Create(const sky_listener_options_t *options,
                                 sky_listener_t **listener);
 void SkyListener_Free(sky_listener_t *listener);
--- a/tests/edge_site.sh
+++ b/tests/edge_site.sh
@@ -149,15 +149,19 @@
         echo "$counts"
     fi
 }
-# restart_hosts HOST...: kills the hosts at once and starts them again
-restart_hosts() {
+# kill_hosts HOST...: kills the hosts at once, and returns when they are gone:
+# until then their ports are in use
+kill_hosts() {
     for n in "$@"; do
         eval "kill -KILL \$EDGE$n"
     done
     for n in "$@"; do
-        # Until then its ports are in use.
         eval "wait \$EDGE$n" 2>/dev/null
     done
+}
+# restart_hosts HOST...: kills the hosts at once and starts them again
+restart_hosts() {
+    kill_hosts "$@"
     for n in "$@"; do
         start_edge "$n"
     done
--- a/tests/proc_crash_waves.sh
+++ b/tests/proc_crash_waves.sh
@@ -102,7 +102,7 @@
 repeat_pid=$!
 sleep 1
 kill -STOP "$EDGE1"
-kill -KILL "$EDGE2"
+kill_hosts 2
 sleep 1
 start_edge 2
 publish_config 8 ',{"name":"look2","host":"a.example","pathPrefix":"/look/x/",
--- a/tests/proc_last_key.sh
+++ b/tests/proc_last_key.sh
@@ -117,8 +117,7 @@
 done
 
 # Keys come and go; the settings do not tell of them.
-kill -KILL "$EDGE1"
-wait "$EDGE1" 2>/dev/null
+kill_hosts 1
 start_edge 1
 wait_until_ready
 keys_at_targets=$(state_field keys_at_targets)
--- a/tests/proc_odd_entries.sh
+++ b/tests/proc_odd_entries.sh
@@ -97,7 +97,7 @@
 check "odd entries: all hosts follow the list" "$(state_field late_sends)" 0
 curl -fsS -m 5 "$control_url/appear?n=0" >/dev/null
 
-kill -KILL "$EDGE2"
+kill_hosts 2
 start_edge 2
 check "a host that starts with odd entries becomes ready" \
     "$(until_status 200 30 readyz_status 2)" 200
@@ -110,7 +110,7 @@
 sleep 3
 check "ten thousand entries: hosts that run" "$(alive)" 3
 check "ten thousand entries: requests that fail" "$(unserved 0 1 2)" 0
-kill -KILL "$EDGE0"
+kill_hosts 0
 start_edge 0
 check "ten thousand entries: a host that starts becomes ready" \
     "$(until_status 200 50 readyz_status 0)" 200
--- a/tests/proc_store_era.sh
+++ b/tests/proc_store_era.sh
@@ -108,9 +108,7 @@
 go_back 8
 publish_config 15 "$(route fourth)"
 sleep 4
-for n in 0 1 2 3; do
-    eval "kill -KILL \$EDGE$n"
-done
+kill_hosts 0 1 2 3
 for n in 0 1 2; do start_edge $n; done
 for n in 0 1 2; do until_status 200 60 readyz_status $n >/dev/null; done
 send_crashing /gen/crash-1 0 1 2
--- a/tests/proc_stream_restart.sh
+++ b/tests/proc_stream_restart.sh
@@ -49,7 +49,7 @@
 
 replace_engines 4
 begin 2 $(ids f)
-for n in 0 1 2; do eval "kill -KILL \$EDGE$n"; done
+kill_hosts 0 1 2
 start_edge 0
 until_status 200 60 readyz_status 0 >/dev/null
 go_on 0 g $(ids f)
--- a/tests/proc_stream_version.sh
+++ b/tests/proc_stream_version.sh
@@ -60,7 +60,7 @@
 check "and most go on there too" "$(gone_on)" "half or more"
 
 begin 0 $(ids h)
-kill -KILL "$EDGE0"
+kill_hosts 0
 go_on 1 i $(ids h)
 go_on 2 j $(ids h)
 check "the host that passed it on is gone" "$(mixed_within)" within
--- a/tests/test_listener.cc
+++ b/tests/test_listener.cc
@@ -7,6 +7,7 @@
 
 #include <cstring>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "captured_log.h"
@@ -78,6 +79,29 @@
         ev_loop_destroy(loop);
     }
 
+    // Listens at the address as another process does.
+    int
+    OccupyAddress()
+    {
+        struct sockaddr_in occupied;
+        EXPECT_TRUE(SkySocket_ParseAddress(address.c_str(), &occupied));
+        int fd = SkySocket_Listen(&occupied);
+        EXPECT_GE(fd, 0);
+        return fd;
+    }
+
+    sky_result_t
+    StartAtOccupiedAddress(uint32_t address_wait_ms)
+    {
+        sky_listener_options_t options = {};
+        options.loop = loop;
+        options.address = address.c_str();
+        options.events.on_request = OnRequest;
+        options.context = this;
+        options.address_wait_ms = address_wait_ms;
+        return SkyListener_Create(&options, &listener);
+    }
+
     static void
     OnRequest(void *context, sky_server_request_t *request)
     {
@@ -176,6 +200,34 @@
 const char IN_CHUNKS[] = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
                          "\r\n1\r\nx\r\n0\r\n\r\n";
 
+// Guards against a host that does not start again because the one that was
+// killed still has its address.
+TEST_F(ListenerTest, WaitsForAnAddressInUse)
+{
+    int occupied_fd = OccupyAddress();
+    std::thread other([occupied_fd] {
+        usleep(200 * 1000);
+        close(occupied_fd);
+    });
+    EXPECT_EQ(SKY_OK, StartAtOccupiedAddress(60000));
+    other.join();
+    SkyLog_Flush();
+    EXPECT_EQ(1u, log.Find("event=address_in_use ").size());
+    EXPECT_EQ(1u, log.Find("event=address_free ").size());
+}
+
+TEST_F(ListenerTest, GivesUpAnAddressThatStaysInUse)
+{
+    int occupied_fd = OccupyAddress();
+    for (uint32_t wait_ms : {0u, 150u}) {
+        EXPECT_EQ(SKY_E_IO, StartAtOccupiedAddress(wait_ms)) << wait_ms;
+    }
+    close(occupied_fd);
+    SkyLog_Flush();
+    EXPECT_EQ(1u, log.Find("event=address_in_use ").size());
+    EXPECT_EQ(2u, log.Find("event=listen_failed ").size());
+}
+
 // Guards new callers against a crowd of slow bodies: they were shut out until
 // the idle timeout, since only idle connections were closed.
 TEST_F(ListenerTest, ASlowBodyIsClosedForANewCaller)
