--- a/tests/test_deployment.cc
+++ b/tests/test_deployment.cc
@@ -388,9 +388,9 @@
 // target which holds nothing.
 TEST(Documents, RejectsWhatIsNoReport)
 {
-    for (const char *text : {"", "{}", R"({"seq":9})", R"({"models":[]})",
-                             R"({"models":null,"seq":9})",
-                             R"({"models":[],"seq":"9"})"}) {
+    for (const char *text :
+         {"", "{}", R"({"seq":9})", R"({"models":[]})",
+          R"({"models":null,"seq":9})", R"({"models":[],"seq":"9"})"}) {
         sky_target_report_t report;
         EXPECT_EQ(SKY_E_BAD_CONFIG,
                   SkyPlatformDocument_ParseReport(text, strlen(text), &report))
