Host with blanks around it, and targets in absolute form, are served

What callers saw: 404 to "Host: a.example " and to "GET http://a.example/look/1", both of which HTTP allows.

Cause: http-parser leaves blanks behind a value in place, and routes were compared with the whole target.

Change: the reader takes blanks around a value for no part of it, and an absolute target sets Host and is replaced by its path; one without a usable host is malformed.

--- a/lib/net/http_lines.c
+++ b/lib/net/http_lines.c
@@ -12,9 +12,9 @@
 SkyHttpFault_Name(sky_http_fault_t fault)
 {
     static const char *const NAMES[] = {
-        "none",       "start_line",      "version",     "status",
-        "field_name", "field_value",     "folded_line", "line_end",
-        "chunk",      "transfer_coding", "upgrade",     "other"};
+        "none",        "start_line",  "version",  "status", "field_name",
+        "field_value", "folded_line", "line_end", "chunk",  "transfer_coding",
+        "upgrade",     "target",      "other"};
     return NAMES[fault];
 }
 
--- a/lib/net/http_lines.h
+++ b/lib/net/http_lines.h
@@ -30,7 +30,8 @@
     SKY_HTTP_FAULT_CHUNK,       /**< a chunk does not have its size */
     SKY_HTTP_FAULT_CODING,      /**< a transfer coding other than chunked */
     SKY_HTTP_FAULT_UPGRADE,     /**< 101, for which the client never asks */
-    SKY_HTTP_FAULT_OTHER,       /**< found by http-parser */
+    SKY_HTTP_FAULT_TARGET, /**< an absolute target without a usable host */
+    SKY_HTTP_FAULT_OTHER,  /**< found by http-parser */
 } sky_http_fault_t;
 
 /** @return the name for log lines. */
--- a/lib/net/http_reader.c
+++ b/lib/net/http_reader.c
@@ -5,6 +5,8 @@
 #include <strings.h>
 
 #define LIST_SEPARATORS " \t,"
+#define BLANKS " \t"
+#define FIELD_HOST "Host"
 #define STATUS_SWITCHING_PROTOCOLS 101
 #define CODING_CHUNKED "chunked"
 /** Ends a response whose head has no end. */
@@ -100,6 +102,12 @@
     }
     sky_http_head_t *head = &reader->head;
     sky_http_field_t *field = &head->fields[head->field_count];
+    /* Blanks around a value are no part of it (RFC 9110, section 5.5). */
+    while (head->text.end > field->value_offset &&
+           strchr(BLANKS, head->text.bytes[head->text.end - 1]) != NULL &&
+           head->text.bytes[head->text.end - 1] != '\0') {
+        head->text.end--;
+    }
     field->value_bytes = (uint32_t)head->text.end - field->value_offset;
     head->field_count++;
     reader->in_field_value = false;
@@ -189,6 +197,70 @@
     return true;
 }
 
+/* Sets the value of all Host fields, or adds one. Returns false if memory ran
+ * out. */
+static bool
+set_host(sky_http_reader_t *reader, uint32_t offset, uint32_t size)
+{
+    sky_http_head_t *head = &reader->head;
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < head->field_count; i++) {
+        if (strcasecmp(SkyHttpHead_FieldName(head, i), FIELD_HOST) == 0) {
+            head->fields[i].value_offset = offset;
+            head->fields[i].value_bytes = size;
+            count++;
+        }
+    }
+    if (count > 0) {
+        return true;
+    }
+    uint32_t name_offset = (uint32_t)head->text.end;
+    if (!reserve_field(head) ||
+        append_to_head(reader, FIELD_HOST, sizeof FIELD_HOST) != 0) {
+        return false;
+    }
+    head->fields[head->field_count++] =
+        (sky_http_field_t){.name_offset = name_offset,
+                           .value_offset = offset,
+                           .value_bytes = size};
+    return true;
+}
+
+/* Replaces a target in absolute form by its path and query, and the Host field
+ * by its authority (RFC 9112, section 3.2.2). Returns false if it names no
+ * host, or a user, or memory ran out. */
+static bool
+normalize_target(sky_http_reader_t *reader)
+{
+    sky_http_head_t *head = &reader->head;
+    char *url = head->text.bytes;
+    size_t scheme_bytes = strncasecmp(url, "http://", 7) == 0    ? 7
+                          : strncasecmp(url, "https://", 8) == 0 ? 8
+                                                                 : 0;
+    if (scheme_bytes == 0) {
+        return true;
+    }
+    size_t size = strcspn(url + scheme_bytes, "/?#");
+    uint32_t host_offset = (uint32_t)head->text.end;
+    char *authority = strndup(url + scheme_bytes, size);
+    bool is_set = authority != NULL && size > 0 &&
+                  strchr(authority, '@') == NULL &&
+                  append_to_head(reader, authority, size + 1) == 0 &&
+                  set_host(reader, host_offset, (uint32_t)size);
+    free(authority);
+    if (!is_set) {
+        return false;
+    }
+    url = head->text.bytes; /* the text may have moved */
+    size_t path = scheme_bytes + size;
+    if (url[path] != '/') {
+        url[--path] = '/';
+    }
+    memmove(url, url + path, head->url_bytes - path + 1);
+    head->url_bytes -= (uint32_t)path;
+    return true;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -203,6 +275,10 @@
         reader->head_is_too_large = true;
         return -1;
     }
+    if (reader->kind == SKY_HTTP_REQUEST && !normalize_target(reader)) {
+        reader->lines.fault = SKY_HTTP_FAULT_TARGET;
+        return -1;
+    }
     head->status = (uint16_t)parser->status_code;
     if (head->status == STATUS_SWITCHING_PROTOCOLS) {
         /* What follows is not HTTP, and no request asks for it. */
--- a/lib/net/http_reader.h
+++ b/lib/net/http_reader.h
@@ -130,7 +130,8 @@
  *          regard to case; NULL if there is none. */
 const char *SkyHttpHead_FindField(const sky_http_head_t *head,
                                   const char *name);
-/** @return the request target as received; "" for a response. */
+/** @return path and query of the request target; another form than an absolute
+ *          one as received; "" for a response. */
 const char *SkyHttpHead_Url(const sky_http_head_t *head);
 const char *SkyHttpHead_FieldName(const sky_http_head_t *head, uint32_t field);
 const char *SkyHttpHead_FieldValue(const sky_http_head_t *head,
--- a/tests/proc_edge.sh
+++ b/tests/proc_edge.sh
@@ -26,6 +26,20 @@
 check "a plain request: the service's X-Skylarkspar-Server-Seal is passed on" \
     "$(grep -ci '^X-Skylarkspar-Server-Seal: s2' "$DIR/head.p1")" 1
 check "a path without a route gets 404" "$(send_request 1 /nothing/ p2)" 404
+# send_raw ID LINE...: sends a request with these lines, and prints its status
+send_raw() {
+    id=$1
+    shift
+    { printf '%s\r\n' "$@" "X-Skylarkspar-Attempt-Id: $id" "Connection: close" ""; } |
+        timeout 5 curl -sS -m 3 --no-buffer "telnet://$(front_address 0)" \
+            2>/dev/null | sed -n '1s/^HTTP.1.1 \([0-9]*\).*/\1/p'
+}
+check "a blank after the host" \
+    "$(send_raw h1 'GET /look/1 HTTP/1.1' 'Host: a.example ')" 200
+check "a target in absolute form" \
+    "$(send_raw h2 'GET http://a.example/look/1 HTTP/1.1' 'Host: b.example')" 200
+check "a target in absolute form of another host" \
+    "$(send_raw h3 'GET http://b.example/look/1 HTTP/1.1' 'Host: a.example')" 404
 check "a request without an attempt id gets 400" \
     "$(curl -sS -m 5 -o /dev/null -w '%{http_code}' \
     -H 'Host: a.example' "http://$(front_address 0)/look/1")" 400
--- a/tests/test_http_reader.cc
+++ b/tests/test_http_reader.cc
@@ -125,6 +125,67 @@
     }
 }
 
+// Guards against a value that is no other one's for the blanks around it: a
+// request with a blank after its host met 404.
+TEST_F(HttpReaderTest, BlanksAroundAValueAreNoPartOfIt)
+{
+    const std::string text = "GET /a HTTP/1.1\r\nHost: \t a.example \t \r\n"
+                             "X-Empty:  \r\nX-Inner: b \t c\r\n\r\n";
+    for (size_t chunk_bytes = 1; chunk_bytes <= text.size(); chunk_bytes++) {
+        ASSERT_EQ(SKY_HTTP_COMPLETE,
+                  Feed(text, SKY_HTTP_REQUEST, chunk_bytes));
+        ASSERT_EQ(3u, message.fields.size());
+        EXPECT_EQ("a.example", message.fields[0].second);
+        EXPECT_EQ("", message.fields[1].second);
+        EXPECT_EQ("b \t c", message.fields[2].second);
+    }
+}
+
+// Guards against a target in absolute form that matches no route, and against
+// one that is routed by another host than it names.
+TEST_F(HttpReaderTest, ATargetInAbsoluteFormNamesTheHost)
+{
+    const std::vector<std::vector<std::string>> cases = {
+        {"http://a.example/x?y=1", "/x?y=1", "a.example"},
+        {"HTTP://A.example:80/", "/", "A.example:80"},
+        {"https://a.example", "/", "a.example"},
+        {"http://a.example?y", "/?y", "a.example"}};
+    for (const auto &item : cases) {
+        for (const char *fields :
+             {"Host: other\r\nX: 1\r\n", "X: 1\r\n", "",
+              "X: 1\r\nhost: \r\nConnection: close, X\r\n"}) {
+            std::string text =
+                "GET " + item[0] + " HTTP/1.1\r\n" + fields + "\r\n";
+            for (size_t chunk_bytes = 1; chunk_bytes <= text.size();
+                 chunk_bytes++) {
+                ASSERT_EQ(SKY_HTTP_COMPLETE,
+                          Feed(text, SKY_HTTP_REQUEST, chunk_bytes))
+                    << text;
+                EXPECT_EQ(item[1], message.url) << text;
+                uint32_t hosts = 0;
+                for (const auto &[name, value] : message.fields) {
+                    if (strcasecmp(name.c_str(), "Host") == 0) {
+                        EXPECT_EQ(item[2], value) << text;
+                        hosts++;
+                    }
+                }
+                EXPECT_EQ(1u, hosts) << text;
+            }
+        }
+    }
+    for (const char *target : {"http:///x", "http://?", "http://u@a.example/",
+                               "http://u:p@a.example/x"}) {
+        EXPECT_EQ(SKY_HTTP_MALFORMED,
+                  Feed("GET " + std::string(target) +
+                           " HTTP/1.1\r\nHost: a.example\r\n\r\n",
+                       SKY_HTTP_REQUEST, 100))
+            << target;
+    }
+    EXPECT_EQ(SKY_HTTP_COMPLETE, Feed("OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
+                                      SKY_HTTP_REQUEST, 100));
+    EXPECT_EQ("*", message.url);
+}
+
 TEST_F(HttpReaderTest, JoinsChunksIntoOneBodyWithoutTrailers)
 {
     std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
