--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -294,6 +294,25 @@
     EXPECT_TRUE(facts.encoded);
 }
 
+// Guards against a response that names an encoding and passes for the target's
+// own: callers ask for none, so that none is the target's.
+TEST_F(WireTest, AResponseWithAnyEncodingIsNotTheTargets)
+{
+    for (const char *encoding : {"gzip", "identity", "Identity ", "", "x"}) {
+        sky_response_facts_t facts;
+        SkyWire_ParseResponse(
+            ParseHead("HTTP/1.1 200 x\r\nContent-Encoding: " +
+                          std::string(encoding) + "\r\n\r\n",
+                      SKY_HTTP_RESPONSE),
+            &facts);
+        EXPECT_TRUE(facts.encoded) << encoding;
+    }
+    sky_response_facts_t facts;
+    SkyWire_ParseResponse(
+        ParseHead("HTTP/1.1 200 x\r\n\r\n", SKY_HTTP_RESPONSE), &facts);
+    EXPECT_FALSE(facts.encoded);
+}
+
 TEST_F(WireTest, OrdersCarryTargetCountAndFence)
 {
     sky_target_order_t order = {};
