The judge's targets write whole entries

Cause: its stand-ins write entries without version, coldLeftMs and seq, which name no target since entries are taken whole or not at all. Change: the three fields, in the stand-in alone; no check is touched. proc_promises passes.

--- a/tests/rig/promise_rig.c
+++ b/tests/rig/promise_rig.c
@@ -229,7 +229,8 @@
         snprintf(path, sizeof path, "/entry?key=i-rig%d", i);
         snprintf(body, sizeof body,
                  "{\"service\":\"app\",\"addr\":\"127.0.0.1:%d\","
-                 "\"zone\":\"z1\",\"slots\":32,\"state\":\"ready\","
+                 "\"zone\":\"z1\",\"version\":\"v1\",\"slots\":32,"
+                 "\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,"
                  "\"born\":%d}",
                  base_port + RIG_TARGET_OFFSET + i, 1000 + i);
         if (Rig_Call(base_port + RIG_CONTROL_OFFSET, "POST", path, body) !=
